--- a/internal/bench/bed.go
+++ b/internal/bench/bed.go
@@ -11,10 +11,10 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/ledgemount/ledgemount/internal/declare"
+	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/instance"
 	"github.com/ledgemount/ledgemount/internal/intent"
 	"github.com/ledgemount/ledgemount/internal/mesh"
-	"github.com/ledgemount/ledgemount/internal/platform"
 	"github.com/ledgemount/ledgemount/internal/settings"
 	"github.com/ledgemount/ledgemount/internal/standin"
 	"github.com/ledgemount/ledgemount/internal/standin/engine"
@@ -70,7 +70,7 @@
 			_ = in.Run(context.Background())
 		}()
 		b.instances, b.done = append(b.instances, in), append(b.done, done)
-		l.Set(platform.Instance{ID: id, Zone: "zone", Addr: in.Peer().Addr, State: platform.StateLive})
+		l.Set(external.Instance{ID: id, Zone: "zone", Addr: in.Peer().Addr, State: external.StateLive})
 	}
 	b.callersURL = "http://" + b.instances[0].CallersAddr()
 	time.Sleep(bedSettle)
--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -6,9 +6,9 @@
 	"sync"
 	"time"
 
+	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/member"
 	"github.com/ledgemount/ledgemount/internal/mesh"
-	"github.com/ledgemount/ledgemount/internal/platform"
 )
 
 // LetterPerZone is the number of instances in one zone at the letter's size: 380 nodes in 25 zones.
@@ -24,10 +24,10 @@
 }
 
 // fixedList is an instance list that never changes.
-type fixedList []platform.Instance
+type fixedList []external.Instance
 
-// Instances implements platform.InstanceList.
-func (l fixedList) Instances(context.Context) ([]platform.Instance, error) { return l, nil }
+// Instances implements external.InstanceList.
+func (l fixedList) Instances(context.Context) ([]external.Instance, error) { return l, nil }
 
 const (
 	controlTime = 1500 * time.Millisecond
@@ -61,10 +61,10 @@
 		}
 		defer func() { _ = t.Close() }()
 		ts, routers = append(ts, t), append(routers, r)
-		l = append(l, platform.Instance{ID: id, Zone: "z", Addr: t.Self().Addr, State: platform.StateLive})
+		l = append(l, external.Instance{ID: id, Zone: "z", Addr: t.Self().Addr, State: external.StateLive})
 	}
 	for i := range far {
-		l = append(l, platform.Instance{ID: fmt.Sprintf("far-%03d", i), Zone: fmt.Sprintf("y%02d", i%24), Addr: "127.0.0.1:9", State: platform.StateLive})
+		l = append(l, external.Instance{ID: fmt.Sprintf("far-%03d", i), Zone: fmt.Sprintf("y%02d", i%24), Addr: "127.0.0.1:9", State: external.StateLive})
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -5,8 +5,8 @@
 	"fmt"
 
 	"github.com/ledgemount/ledgemount/internal/budget"
+	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/mesh"
-	"github.com/ledgemount/ledgemount/internal/platform"
 )
 
 // fixedMembers is a view that never changes.
@@ -47,7 +47,7 @@
 )
 
 // fillPages writes n budgets into the store and returns the bytes that a row takes.
-func fillPages(ctx context.Context, store platform.Store, n int) (bytesPerRow float64, err error) {
+func fillPages(ctx context.Context, store external.Store, n int) (bytesPerRow float64, err error) {
 	pages := make(map[uint16]*budget.Page)
 	for i := range n {
 		id := budgetID(i)
--- a/internal/bench/store.go
+++ b/internal/bench/store.go
@@ -9,8 +9,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/ledgemount/ledgemount/internal/budget"
+	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/mesh"
-	"github.com/ledgemount/ledgemount/internal/platform"
 	"github.com/ledgemount/ledgemount/internal/standin/clock"
 	"github.com/ledgemount/ledgemount/internal/standin/memstore"
 	"github.com/ledgemount/ledgemount/internal/verdict"
@@ -28,7 +28,7 @@
 	Writes  Slope                            `json:"writes_per_s"`
 	Reads   Slope                            `json:"reads_per_s"`
 	Bytes   Slope                            `json:"bytes_written_per_s"`
-	ByDuty  map[platform.Duty]platform.Calls `json:"by_duty_at_size"` // in the measured time
+	ByDuty  map[external.Duty]external.Calls `json:"by_duty_at_size"` // in the measured time
 	Seconds int                              `json:"measured_s"`
 	Away    Slope                            `json:"writes_by_away_share"`
 	Refused int                              `json:"refused"`
@@ -57,7 +57,7 @@
 // storeSim is every holder of the fleet on one store, without the wires.
 type storeSim struct {
 	clock *clock.Clock
-	store *platform.Meter
+	store *external.Meter
 	mem   *memstore.Store
 	zones [][]mesh.Peer
 	homes map[string]*budget.Home
@@ -74,7 +74,7 @@
 		clock: clock.New(), mem: memstore.New(), homes: make(map[string]*budget.Home),
 		rng: rand.New(rand.NewPCG(7, 7)), //nolint:gosec // a simulation
 	}
-	s.store = platform.NewMeter(s.mem)
+	s.store = external.NewMeter(s.mem)
 	s.zipf = rand.NewZipf(s.rng, zipfS, zipfV, uint64(budgets-1)) //nolint:gosec // positive
 	if _, err := fillPages(ctx, s.mem, budgets); err != nil {
 		return nil, err
@@ -150,7 +150,7 @@
 	return h.Settle(ctx, budget.SettleReq{Request: req, Budget: id, Run: req, Holder: h.Holder(), Tokens: costTokens})
 }
 
-func sum(calls map[platform.Duty]platform.Calls) (out platform.Calls) {
+func sum(calls map[external.Duty]external.Calls) (out external.Calls) {
 	for _, c := range calls {
 		out.Writes += c.Writes
 		out.Reads += c.Reads
@@ -161,7 +161,7 @@
 
 // storeRun is what one simulation has counted.
 type storeRun struct {
-	calls   map[platform.Duty]platform.Calls
+	calls   map[external.Duty]external.Calls
 	refused int
 	page    int
 }
@@ -255,7 +255,7 @@
 }
 
 // count warms the holders and returns the calls of the time after.
-func (s *storeSim) count(ctx context.Context, rate int) (map[platform.Duty]platform.Calls, error) {
+func (s *storeSim) count(ctx context.Context, rate int) (map[external.Duty]external.Calls, error) {
 	if err := s.touchAll(ctx); err != nil {
 		return nil, err
 	}
@@ -272,7 +272,7 @@
 	}
 	after := s.store.Calls()
 	for d, c := range after {
-		after[d] = platform.Calls{Reads: c.Reads - before[d].Reads, Writes: c.Writes - before[d].Writes, Bytes: c.Bytes - before[d].Bytes}
+		after[d] = external.Calls{Reads: c.Reads - before[d].Reads, Writes: c.Writes - before[d].Writes, Bytes: c.Bytes - before[d].Bytes}
 	}
 	return after, nil
 }
--- a/internal/budget/client.go
+++ b/internal/budget/client.go
@@ -10,9 +10,9 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/member"
 	"github.com/ledgemount/ledgemount/internal/mesh"
-	"github.com/ledgemount/ledgemount/internal/platform"
 	"github.com/ledgemount/ledgemount/internal/verdict"
 )
 
@@ -70,7 +70,7 @@
 type Client struct {
 	members Members
 	caller  mesh.Caller
-	store   platform.Store
+	store   external.Store
 	now     func() time.Time
 	log     zerolog.Logger
 	maxHold time.Duration
@@ -99,7 +99,7 @@
 func WithMaxHold(d time.Duration) ClientOption { return func(c *Client) { c.maxHold = d } }
 
 // NewClient makes the serving side and registers its message.
-func NewClient(store platform.Store, members Members, caller mesh.Caller, router *mesh.Router, opts ...ClientOption) *Client {
+func NewClient(store external.Store, members Members, caller mesh.Caller, router *mesh.Router, opts ...ClientOption) *Client {
 	c := &Client{
 		members: members,
 		caller:  caller,
--- a/internal/budget/client_sync.go
+++ b/internal/budget/client_sync.go
@@ -5,9 +5,9 @@
 	"slices"
 	"time"
 
+	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/ledger"
 	"github.com/ledgemount/ledgemount/internal/mesh"
-	"github.com/ledgemount/ledgemount/internal/platform"
 )
 
 // syncWork is what there is to say to one holder.
@@ -156,7 +156,7 @@
 			continue
 		}
 		key := ledger.Key(p.Zone, at.holder)
-		e, err := c.store.Get(platform.WithDuty(ctx, platform.DutyFlush), key)
+		e, err := c.store.Get(external.WithDuty(ctx, external.DutyFlush), key)
 		if err != nil || e.Revision != 0 {
 			c.retryLater(at)
 			continue
--- a/internal/budget/draw.go
+++ b/internal/budget/draw.go
@@ -9,8 +9,8 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/mesh"
-	"github.com/ledgemount/ledgemount/internal/platform"
 	"github.com/ledgemount/ledgemount/internal/step"
 )
 
@@ -104,7 +104,7 @@
 }
 
 func (h *Home) drawBatch(page uint16, holder string, batch []*drawing) {
-	ctx, cancel := context.WithTimeout(platform.WithDuty(h.ctx, platform.DutyDraw), storeTimeout)
+	ctx, cancel := context.WithTimeout(external.WithDuty(h.ctx, external.DutyDraw), storeTimeout)
 	defer cancel()
 	h.drawPage(ctx, page, holder, batch)
 	for _, d := range batch {
@@ -118,7 +118,7 @@
 
 // drawAfterRecall asks the other holders to give back what they do not need, and draws again.
 func (h *Home) drawAfterRecall(page uint16, holder string, d *drawing) {
-	ctx, cancel := context.WithTimeout(platform.WithDuty(h.ctx, platform.DutyDraw), storeTimeout)
+	ctx, cancel := context.WithTimeout(external.WithDuty(h.ctx, external.DutyDraw), storeTimeout)
 	defer cancel()
 	if h.recall(ctx, d.a, d.need) {
 		d.err = nil
@@ -245,10 +245,10 @@
 		switch {
 		case err == nil:
 			return nil
-		case errors.Is(err, platform.ErrAmbiguous):
+		case errors.Is(err, external.ErrAmbiguous):
 			ambiguous = true
-		case errors.Is(err, platform.ErrConflict):
-		case errors.Is(err, platform.ErrUnavailable) && ambiguous:
+		case errors.Is(err, external.ErrConflict):
+		case errors.Is(err, external.ErrUnavailable) && ambiguous:
 		default:
 			return eris.Wrapf(err, "changing page %d", page)
 		}
@@ -258,7 +258,7 @@
 		}
 	}
 	if ambiguous {
-		return eris.Wrapf(platform.ErrAmbiguous, "changing page %d: %v", page, last)
+		return eris.Wrapf(external.ErrAmbiguous, "changing page %d: %v", page, last)
 	}
 	return eris.Wrapf(last, "changing page %d", page)
 }
@@ -422,7 +422,7 @@
 	if err := h.hook(ctx, step.Return); err != nil {
 		return 0, err
 	}
-	ctx = platform.WithDuty(ctx, platform.DutyReturn)
+	ctx = external.WithDuty(ctx, external.DutyReturn)
 	h.mu.Lock()
 	a, ok := h.accounts[budget]
 	if !ok || a.busy != nil || a.available() <= 0 {
@@ -454,7 +454,7 @@
 		return 0, errFenced
 	}
 	if err != nil {
-		if !errors.Is(err, platform.ErrAmbiguous) {
+		if !errors.Is(err, external.ErrAmbiguous) {
 			a.granted += n
 		}
 		return 0, err
--- a/internal/budget/home.go
+++ b/internal/budget/home.go
@@ -9,9 +9,9 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/ledger"
 	"github.com/ledgemount/ledgemount/internal/mesh"
-	"github.com/ledgemount/ledgemount/internal/platform"
 	"github.com/ledgemount/ledgemount/internal/step"
 	"github.com/ledgemount/ledgemount/internal/verdict"
 )
@@ -69,7 +69,7 @@
 
 // Home is the holder: the part of an instance that owns escrow and answers reservations of its zone.
 type Home struct {
-	store    platform.Store
+	store    external.Store
 	members  Members
 	caller   mesh.Caller
 	stopper  Stopper
@@ -148,7 +148,7 @@
 func WithBilled(b Billed) HomeOption { return func(h *Home) { h.billed = b } }
 
 // NewHome makes a holder and registers its messages.
-func NewHome(store platform.Store, members Members, caller mesh.Caller, router *mesh.Router, stopper Stopper, opts ...HomeOption) *Home {
+func NewHome(store external.Store, members Members, caller mesh.Caller, router *mesh.Router, stopper Stopper, opts ...HomeOption) *Home {
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Home{
 		given:    make(map[string]time.Time),
--- a/internal/budget/inspect.go
+++ b/internal/budget/inspect.go
@@ -6,8 +6,8 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/ledger"
-	"github.com/ledgemount/ledgemount/internal/platform"
 )
 
 // View is a budget as the store has it. Amounts are tokens.
@@ -31,7 +31,7 @@
 }
 
 // Journals reads every holder's journal, by holder.
-func Journals(ctx context.Context, store platform.Store) (map[string]*ledger.Journal, error) {
+func Journals(ctx context.Context, store external.Store) (map[string]*ledger.Journal, error) {
 	es, err := store.List(ctx, ledger.Prefix)
 	if err != nil {
 		return nil, eris.Wrap(err, "listing journals")
@@ -48,8 +48,8 @@
 }
 
 // Inspect reads a budget with what its holders' journals add.
-func Inspect(ctx context.Context, store platform.Store, budget string) (*View, error) {
-	ctx = platform.WithDuty(ctx, platform.DutyAudit)
+func Inspect(ctx context.Context, store external.Store, budget string) (*View, error) {
+	ctx = external.WithDuty(ctx, external.DutyAudit)
 	js, err := Journals(ctx, store)
 	if err != nil {
 		return nil, err
@@ -98,8 +98,8 @@
 }
 
 // Holds lists the dead holders whose escrow has not been released.
-func Holds(ctx context.Context, store platform.Store) ([]HoldView, error) {
-	ctx = platform.WithDuty(ctx, platform.DutyAudit)
+func Holds(ctx context.Context, store external.Store) ([]HoldView, error) {
+	ctx = external.WithDuty(ctx, external.DutyAudit)
 	js, err := Journals(ctx, store)
 	if err != nil {
 		return nil, err
@@ -119,7 +119,7 @@
 	return out, nil
 }
 
-func heldOf(ctx context.Context, store platform.Store, j *ledger.Journal) (int64, error) {
+func heldOf(ctx context.Context, store external.Store, j *ledger.Journal) (int64, error) {
 	var held int64
 	for _, n := range j.Pages {
 		e, err := store.Get(ctx, PageKey(n))
--- a/internal/budget/journal.go
+++ b/internal/budget/journal.go
@@ -8,9 +8,9 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/ledger"
 	"github.com/ledgemount/ledgemount/internal/mesh"
-	"github.com/ledgemount/ledgemount/internal/platform"
 	"github.com/ledgemount/ledgemount/internal/step"
 )
 
@@ -153,7 +153,7 @@
 	if err != nil {
 		return err
 	}
-	ctx = platform.WithDuty(ctx, platform.DutyFlush)
+	ctx = external.WithDuty(ctx, external.DutyFlush)
 	var last error
 	for try := range casTries {
 		rev, err := h.store.Put(ctx, key, data, w.rev, 0)
@@ -161,7 +161,7 @@
 			w.rev = rev
 			return nil
 		}
-		if errors.Is(err, platform.ErrUnavailable) && last == nil {
+		if errors.Is(err, external.ErrUnavailable) && last == nil {
 			return err
 		}
 		last = err
--- a/internal/budget/orphan.go
+++ b/internal/budget/orphan.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/ledgemount/ledgemount/internal/platform"
+	"github.com/ledgemount/ledgemount/internal/external"
 )
 
 const (
@@ -28,7 +28,7 @@
 		if !h.members.Gone(o.owner) {
 			continue
 		}
-		c, cancel := context.WithTimeout(platform.WithDuty(ctx, platform.DutyOther), stopTimeout)
+		c, cancel := context.WithTimeout(external.WithDuty(ctx, external.DutyOther), stopTimeout)
 		used, known, final, err := h.stopper.StopRun(c, o.place)
 		cancel()
 		if err != nil || (!known && !final) {
--- a/internal/budget/page.go
+++ b/internal/budget/page.go
@@ -8,7 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
-	"github.com/ledgemount/ledgemount/internal/platform"
+	"github.com/ledgemount/ledgemount/internal/external"
 )
 
 // Pages is the number of pages over which budgets are spread by hash. It is the same in the whole fleet for ever:
@@ -73,7 +73,7 @@
 }
 
 // DecodePage reads a stored page; an absent one is empty.
-func DecodePage(e platform.Entry) (*Page, error) {
+func DecodePage(e external.Entry) (*Page, error) {
 	var p Page
 	if len(e.Data) == 0 {
 		return &p, nil
--- a/internal/budget/reclaim.go
+++ b/internal/budget/reclaim.go
@@ -8,10 +8,10 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/ledger"
 	"github.com/ledgemount/ledgemount/internal/member"
 	"github.com/ledgemount/ledgemount/internal/mesh"
-	"github.com/ledgemount/ledgemount/internal/platform"
 	"github.com/ledgemount/ledgemount/internal/step"
 )
 
@@ -60,7 +60,7 @@
 
 // Sweep lists the zone's journals and reclaims the holders that are dead.
 func (h *Home) Sweep(ctx context.Context) error {
-	ctx = platform.WithDuty(ctx, platform.DutyReclaim)
+	ctx = external.WithDuty(ctx, external.DutyReclaim)
 	es, err := h.store.List(ctx, ledger.Prefix+h.members.Self().Zone+"/")
 	if err != nil {
 		return eris.Wrap(err, "listing journals")
@@ -107,7 +107,7 @@
 
 // Reclaim takes over a dead holder: fence its journal, collect the reports of all its clients, move its grants.
 // It can be repeated at any point by any instance.
-func (h *Home) Reclaim(ctx context.Context, e platform.Entry, j *ledger.Journal) error {
+func (h *Home) Reclaim(ctx context.Context, e external.Entry, j *ledger.Journal) error {
 	if err := h.hook(ctx, step.Reclaim); err != nil {
 		return err
 	}
@@ -134,14 +134,14 @@
 	return h.finishReclaim(ctx, j, left)
 }
 
-func (h *Home) fenceJournal(ctx context.Context, e platform.Entry, j *ledger.Journal) error {
+func (h *Home) fenceJournal(ctx context.Context, e external.Entry, j *ledger.Journal) error {
 	j.Fenced = h.Holder()
 	data, err := j.Encode()
 	if err != nil {
 		return err
 	}
 	_, err = h.store.Put(ctx, e.Key, data, e.Revision, 0)
-	if !errors.Is(err, platform.ErrAmbiguous) {
+	if !errors.Is(err, external.ErrAmbiguous) {
 		return err
 	}
 	back, err := h.store.Get(ctx, e.Key)
@@ -153,7 +153,7 @@
 		return err
 	}
 	if now.Fenced == "" {
-		return eris.Wrap(platform.ErrAmbiguous, "the fence may not stand")
+		return eris.Wrap(external.ErrAmbiguous, "the fence may not stand")
 	}
 	*j = *now
 	return nil
--- a/internal/budget/reclaim_move.go
+++ b/internal/budget/reclaim_move.go
@@ -6,8 +6,8 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/ledger"
-	"github.com/ledgemount/ledgemount/internal/platform"
 )
 
 // share is what the reports say of one row.
@@ -89,7 +89,7 @@
 )
 
 // moveOnce tries one compare-and-swap of a page. While it runs, no other write of the affected accounts does.
-func (h *Home) moveOnce(ctx context.Context, e platform.Entry, page *Page, j *ledger.Journal, reports []Report) (moveResult, error) {
+func (h *Home) moveOnce(ctx context.Context, e external.Entry, page *Page, j *ledger.Journal, reports []Report) (moveResult, error) {
 	budgets := grantedTo(page, j.Holder)
 	if len(budgets) == 0 {
 		return moveNothing, nil
@@ -112,9 +112,9 @@
 	case err == nil:
 		h.adopt(moves)
 		return moveDone, nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, external.ErrConflict):
 		return moveConflict, nil
-	case errors.Is(err, platform.ErrAmbiguous):
+	case errors.Is(err, external.ErrAmbiguous):
 		return h.settleMove(ctx, e.Key, moves)
 	}
 	return moveNothing, err
@@ -127,7 +127,7 @@
 	switch {
 	case !known:
 		h.becomeFenced(moves[0].holder)
-		return moveNothing, eris.Wrap(platform.ErrAmbiguous, "the take-over's fate is unknown")
+		return moveNothing, eris.Wrap(external.ErrAmbiguous, "the take-over's fate is unknown")
 	case applied:
 		h.adopt(moves)
 		return moveDone, nil
--- a/internal/budget/tick.go
+++ b/internal/budget/tick.go
@@ -7,8 +7,8 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/ledger"
-	"github.com/ledgemount/ledgemount/internal/platform"
 )
 
 // Run implements kernel.Service: it flushes charges, returns idle escrow, resolves orphans and reclaims dead holders.
@@ -181,7 +181,7 @@
 
 // closeRow ends a holder's grant on a row.
 func (h *Home) closeRow(ctx context.Context, budget, holder string, settled int64) error {
-	return h.changeRow(platform.WithDuty(ctx, platform.DutyReturn), budget,
+	return h.changeRow(external.WithDuty(ctx, external.DutyReturn), budget,
 		func(row *Row) error { return row.Close(holder, settled) },
 		func(row *Row) bool { _, ok := row.Grants[holder]; return !ok })
 }
@@ -221,11 +221,11 @@
 	h.mu.Lock()
 	key := ledger.Key(h.members.Self().Zone, h.holder)
 	h.mu.Unlock()
-	return deleteKey(platform.WithDuty(ctx, platform.DutyFlush), h.store, key)
+	return deleteKey(external.WithDuty(ctx, external.DutyFlush), h.store, key)
 }
 
 // deleteKey removes a key whatever its revision; it goes on until it knows.
-func deleteKey(ctx context.Context, store platform.Store, key string) error {
+func deleteKey(ctx context.Context, store external.Store, key string) error {
 	var last error
 	for try := range casTries {
 		e, err := store.Get(ctx, key)
--- a/internal/demo/audit.go
+++ b/internal/demo/audit.go
@@ -9,8 +9,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/ledgemount/ledgemount/internal/budget"
-	"github.com/ledgemount/ledgemount/internal/platform"
-	"github.com/ledgemount/ledgemount/internal/platform/etcdstore"
+	"github.com/ledgemount/ledgemount/internal/external"
+	"github.com/ledgemount/ledgemount/internal/external/etcdstore"
 	"github.com/ledgemount/ledgemount/internal/standin/engine"
 	"github.com/ledgemount/ledgemount/internal/standin/kv"
 	"github.com/ledgemount/ledgemount/internal/verdict"
@@ -251,7 +251,7 @@
 	return nil
 }
 
-func (f *fleet) storeClient() platform.Store { return etcdstore.New(f.kvSrv.URL()) }
+func (f *fleet) storeClient() external.Store { return etcdstore.New(f.kvSrv.URL()) }
 
 const settlePoll = 50 * time.Millisecond
 
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -16,7 +16,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
-	"github.com/ledgemount/ledgemount/internal/platform"
+	"github.com/ledgemount/ledgemount/internal/external"
 )
 
 // Config says what to run.
@@ -59,7 +59,7 @@
 	Settled       bool    `json:"settled"` // everything had reached the store in time
 	Seed          uint64  `json:"seed"`
 
-	StoreCalls map[platform.Duty]platform.Calls `json:"store_calls"`
+	StoreCalls map[external.Duty]external.Calls `json:"store_calls"`
 	Notes      []string                         `json:"notes,omitempty"`
 }
 
@@ -248,8 +248,8 @@
 	return float64(runs) / float64(ran)
 }
 
-func (f *fleet) storeCalls() map[platform.Duty]platform.Calls {
-	out := make(map[platform.Duty]platform.Calls)
+func (f *fleet) storeCalls() map[external.Duty]external.Calls {
+	out := make(map[external.Duty]external.Calls)
 	for _, n := range f.all() {
 		for d, c := range n.in.Store().Calls() {
 			sum := out[d]
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -14,11 +14,11 @@
 	"github.com/ledgemount/ledgemount/internal/budget"
 	"github.com/ledgemount/ledgemount/internal/declare"
 	"github.com/ledgemount/ledgemount/internal/endpoint"
+	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/instance"
 	"github.com/ledgemount/ledgemount/internal/ledger"
 	"github.com/ledgemount/ledgemount/internal/mesh"
 	"github.com/ledgemount/ledgemount/internal/once"
-	"github.com/ledgemount/ledgemount/internal/platform"
 	"github.com/ledgemount/ledgemount/internal/settings"
 	"github.com/ledgemount/ledgemount/internal/standin"
 	"github.com/ledgemount/ledgemount/internal/standin/engine"
@@ -199,7 +199,7 @@
 			f.log.Error().Err(err).Str("instance", id).Msg("instance ended")
 		}
 	}()
-	f.list.Set(platform.Instance{ID: id, Zone: zone, Addr: in.Peer().Addr, State: platform.StateLive})
+	f.list.Set(external.Instance{ID: id, Zone: zone, Addr: in.Peer().Addr, State: external.StateLive})
 	return nil
 }
 
@@ -248,7 +248,7 @@
 // stop ends an instance as planned.
 func (f *fleet) stop(n *node) error {
 	n.mark(true, false)
-	f.list.Set(platform.Instance{ID: n.id, Zone: n.zone, Addr: n.in.Peer().Addr, State: platform.StateLeaving})
+	f.list.Set(external.Instance{ID: n.id, Zone: n.zone, Addr: n.in.Peer().Addr, State: external.StateLeaving})
 	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
 	defer cancel()
 	err := n.in.Stop(ctx)
--- a/internal/platform/etcdstore/client.go
+++ b/internal/external/etcdstore/client.go
@@ -17,7 +17,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/ledgemount/ledgemount/internal/platform"
+	"github.com/ledgemount/ledgemount/internal/external"
 )
 
 const (
@@ -25,7 +25,7 @@
 	maxAnswer      = 64 << 20
 )
 
-// Client implements platform.Store.
+// Client implements external.Store.
 type Client struct {
 	base    string
 	http    *http.Client
@@ -54,43 +54,43 @@
 	return c
 }
 
-// Get implements platform.Store.
-func (c *Client) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements external.Store.
+func (c *Client) Get(ctx context.Context, key string) (external.Entry, error) {
 	var out RangeResponse
 	if err := c.read(ctx, PathRange, RangeRequest{Key: []byte(key)}, &out); err != nil {
-		return platform.Entry{}, eris.Wrapf(err, "reading %s", key)
+		return external.Entry{}, eris.Wrapf(err, "reading %s", key)
 	}
 	if len(out.KVs) == 0 {
-		return platform.Entry{Key: key}, nil
+		return external.Entry{Key: key}, nil
 	}
 	return out.KVs[0].entry(), nil
 }
 
-// List implements platform.Store.
-func (c *Client) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+// List implements external.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]external.Entry, error) {
 	var out RangeResponse
 	in := RangeRequest{Key: []byte(prefix), RangeEnd: PrefixEnd(prefix)}
 	if err := c.read(ctx, PathRange, in, &out); err != nil {
 		return nil, eris.Wrapf(err, "listing %s", prefix)
 	}
-	es := make([]platform.Entry, 0, len(out.KVs))
+	es := make([]external.Entry, 0, len(out.KVs))
 	for _, kv := range out.KVs {
 		es = append(es, kv.entry())
 	}
 	return es, nil
 }
 
-// Put implements platform.Store.
+// Put implements external.Store.
 func (c *Client) Put(ctx context.Context, key string, data []byte, rev, lease int64) (int64, error) {
-	if len(data) > platform.MaxValue {
-		return 0, eris.Wrapf(platform.ErrTooLarge, "writing %s: %d bytes", key, len(data))
+	if len(data) > external.MaxValue {
+		return 0, eris.Wrapf(external.ErrTooLarge, "writing %s: %d bytes", key, len(data))
 	}
 	op := RequestOp{Put: &PutRequest{Key: []byte(key), Value: data, Lease: Int64(lease)}}
 	rev, err := c.txn(ctx, key, rev, op)
 	return rev, eris.Wrapf(err, "writing %s", key)
 }
 
-// Delete implements platform.Store.
+// Delete implements external.Store.
 func (c *Client) Delete(ctx context.Context, key string, rev int64) error {
 	op := RequestOp{DeleteRange: &DeleteRequest{Key: []byte(key)}}
 	_, err := c.txn(ctx, key, rev, op)
@@ -107,12 +107,12 @@
 		return 0, err
 	}
 	if !out.Succeeded {
-		return 0, platform.ErrConflict
+		return 0, external.ErrConflict
 	}
 	return int64(out.Header.Revision), nil
 }
 
-// Lease implements platform.Store. The store counts in whole seconds; ttl is rounded up.
+// Lease implements external.Store. The store counts in whole seconds; ttl is rounded up.
 func (c *Client) Lease(ctx context.Context, ttl time.Duration) (int64, error) {
 	var out LeaseResponse
 	secs := int64((ttl + time.Second - 1) / time.Second)
@@ -122,20 +122,20 @@
 	return int64(out.ID), nil
 }
 
-// KeepAlive implements platform.Store.
+// KeepAlive implements external.Store.
 func (c *Client) KeepAlive(ctx context.Context, lease int64) error {
 	var out KeepAliveResponse
 	if err := c.write(ctx, PathKeepAlive, LeaseRequest{ID: Int64(lease)}, &out); err != nil {
 		return eris.Wrap(err, "renewing a lease")
 	}
 	if out.Result.TTL <= 0 {
-		return eris.Wrap(platform.ErrConflict, "renewing a lease: it has ended")
+		return eris.Wrap(external.ErrConflict, "renewing a lease: it has ended")
 	}
 	return nil
 }
 
-// Watch implements platform.Store.
-func (c *Client) Watch(ctx context.Context, key string, after int64) (<-chan platform.Entry, error) {
+// Watch implements external.Store.
+func (c *Client) Watch(ctx context.Context, key string, after int64) (<-chan external.Entry, error) {
 	body, err := json.Marshal(WatchRequest{Create: WatchCreate{Key: []byte(key), StartRevision: Int64(after + 1)}})
 	if err != nil {
 		return nil, eris.Wrap(err, "encoding a watch")
@@ -146,18 +146,18 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, eris.Wrapf(platform.ErrUnavailable, "watching %s: %v", key, err)
+		return nil, eris.Wrapf(external.ErrUnavailable, "watching %s: %v", key, err)
 	}
 	if resp.StatusCode != http.StatusOK {
 		_ = resp.Body.Close()
-		return nil, eris.Wrapf(platform.ErrUnavailable, "watching %s: status %d", key, resp.StatusCode)
+		return nil, eris.Wrapf(external.ErrUnavailable, "watching %s: status %d", key, resp.StatusCode)
 	}
-	ch := make(chan platform.Entry)
+	ch := make(chan external.Entry)
 	go pump(ctx, resp.Body, ch)
 	return ch, nil
 }
 
-func pump(ctx context.Context, body io.ReadCloser, ch chan<- platform.Entry) {
+func pump(ctx context.Context, body io.ReadCloser, ch chan<- external.Entry) {
 	defer close(ch)
 	defer func() { _ = body.Close() }()
 	dec := json.NewDecoder(body)
@@ -179,7 +179,7 @@
 // read is a call that may be repeated: every failure is ErrUnavailable.
 func (c *Client) read(ctx context.Context, path string, in, out any) error {
 	if err := c.call(ctx, path, in, out); err != nil {
-		return eris.Wrapf(platform.ErrUnavailable, "%v", err)
+		return eris.Wrapf(external.ErrUnavailable, "%v", err)
 	}
 	return nil
 }
@@ -191,9 +191,9 @@
 		return nil
 	}
 	if neverSent(err) {
-		return eris.Wrapf(platform.ErrUnavailable, "%v", err)
+		return eris.Wrapf(external.ErrUnavailable, "%v", err)
 	}
-	return eris.Wrapf(platform.ErrAmbiguous, "%v", err)
+	return eris.Wrapf(external.ErrAmbiguous, "%v", err)
 }
 
 func neverSent(err error) bool {
--- a/internal/platform/etcdstore/wire.go
+++ b/internal/external/etcdstore/wire.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"strings"
 
-	"github.com/ledgemount/ledgemount/internal/platform"
+	"github.com/ledgemount/ledgemount/internal/external"
 )
 
 // The gateway's paths.
@@ -51,8 +51,8 @@
 	Lease       Int64  `json:"lease,omitempty"`
 }
 
-func (kv KV) entry() platform.Entry {
-	return platform.Entry{Key: string(kv.Key), Data: kv.Value, Revision: int64(kv.ModRevision)}
+func (kv KV) entry() external.Entry {
+	return external.Entry{Key: string(kv.Key), Data: kv.Value, Revision: int64(kv.ModRevision)}
 }
 
 // RangeRequest reads a key, or the keys from Key up to RangeEnd.
--- a/internal/platform/platform.go
+++ b/internal/external/external.go
@@ -1,5 +1,5 @@
-// Package platform defines what the project uses of the platform: a key-value store, an instance list, a weight store.
-package platform
+// Package external defines what the project uses of the platform: a key-value store, an instance list, a weight store.
+package external
 
 import (
 	"context"
--- a/internal/platform/httplist/client.go
+++ b/internal/external/httplist/client.go
@@ -12,7 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/ledgemount/ledgemount/internal/platform"
+	"github.com/ledgemount/ledgemount/internal/external"
 )
 
 const (
@@ -33,7 +33,7 @@
 	State string `json:"state"`
 }
 
-// Client implements platform.InstanceList.
+// Client implements external.InstanceList.
 type Client struct {
 	url  string
 	http *http.Client
@@ -44,8 +44,8 @@
 	return &Client{url: url, http: &http.Client{Timeout: defaultTimeout, Transport: transport}}
 }
 
-// Instances implements platform.InstanceList.
-func (c *Client) Instances(ctx context.Context) ([]platform.Instance, error) {
+// Instances implements external.InstanceList.
+func (c *Client) Instances(ctx context.Context) ([]external.Instance, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, http.NoBody)
 	if err != nil {
 		return nil, eris.Wrap(err, "making the list request")
@@ -65,12 +65,12 @@
 	return flatten(groups), nil
 }
 
-func flatten(groups []Group) []platform.Instance {
-	var out []platform.Instance
+func flatten(groups []Group) []external.Instance {
+	var out []external.Instance
 	for _, g := range groups {
 		for _, t := range g.Targets {
-			out = append(out, platform.Instance{
-				ID: g.Labels.ID, Zone: g.Labels.Zone, Addr: t, State: platform.State(g.Labels.State),
+			out = append(out, external.Instance{
+				ID: g.Labels.ID, Zone: g.Labels.Zone, Addr: t, State: external.State(g.Labels.State),
 			})
 		}
 	}
--- a/internal/platform/weights.go
+++ b/internal/external/weights.go
@@ -1,4 +1,4 @@
-package platform
+package external
 
 import (
 	"context"
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -16,6 +16,9 @@
 	"github.com/ledgemount/ledgemount/internal/burn"
 	"github.com/ledgemount/ledgemount/internal/declare"
 	"github.com/ledgemount/ledgemount/internal/endpoint"
+	"github.com/ledgemount/ledgemount/internal/external"
+	"github.com/ledgemount/ledgemount/internal/external/etcdstore"
+	"github.com/ledgemount/ledgemount/internal/external/httplist"
 	"github.com/ledgemount/ledgemount/internal/gateway"
 	"github.com/ledgemount/ledgemount/internal/intent"
 	"github.com/ledgemount/ledgemount/internal/kernel"
@@ -25,9 +28,6 @@
 	"github.com/ledgemount/ledgemount/internal/observe"
 	"github.com/ledgemount/ledgemount/internal/once"
 	"github.com/ledgemount/ledgemount/internal/operator"
-	"github.com/ledgemount/ledgemount/internal/platform"
-	"github.com/ledgemount/ledgemount/internal/platform/etcdstore"
-	"github.com/ledgemount/ledgemount/internal/platform/httplist"
 	"github.com/ledgemount/ledgemount/internal/rollout"
 	"github.com/ledgemount/ledgemount/internal/settings"
 	"github.com/ledgemount/ledgemount/internal/step"
@@ -41,7 +41,7 @@
 
 	kernel    *kernel.Kernel
 	router    *mesh.Router
-	store     *platform.Meter
+	store     *external.Meter
 	transport *mesh.Transport
 	view      *member.View
 	feed      *rollout.Feed
@@ -174,7 +174,7 @@
 		in.home,
 		in.client,
 		in.keys,
-		rollout.NewOrders(in.feed, in.view, in.driver, platform.NewRateWeights(in.set.Platform.WeightLoads), in.hook, in.log),
+		rollout.NewOrders(in.feed, in.view, in.driver, external.NewRateWeights(in.set.Platform.WeightLoads), in.hook, in.log),
 		in.cache,
 		in.planner,
 		in.gateway,
@@ -189,7 +189,7 @@
 	if in.opts.transport != nil {
 		opts = append(opts, etcdstore.WithTransport(in.opts.transport))
 	}
-	in.store = platform.NewMeter(etcdstore.New(in.set.Platform.StoreURL, opts...))
+	in.store = external.NewMeter(etcdstore.New(in.set.Platform.StoreURL, opts...))
 	in.metrics = observe.NewMetrics(in.set.Instance.ID, in.set.Instance.Zone)
 	in.recorder = burn.NewRecorder(time.Now)
 	in.driver = endpoint.NewDriver()
@@ -364,7 +364,7 @@
 func (in *Instance) Client() *budget.Client { return in.client }
 
 // Store is the metered store.
-func (in *Instance) Store() *platform.Meter { return in.store }
+func (in *Instance) Store() *external.Meter { return in.store }
 
 // Kernel has the instance's services by name.
 func (in *Instance) Kernel() *kernel.Kernel { return in.kernel }
--- a/internal/intent/confirm.go
+++ b/internal/intent/confirm.go
@@ -9,7 +9,7 @@
 
 	"github.com/ledgemount/ledgemount/internal/budget"
 	"github.com/ledgemount/ledgemount/internal/declare"
-	"github.com/ledgemount/ledgemount/internal/platform"
+	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/step"
 	"github.com/ledgemount/ledgemount/internal/verdict"
 )
@@ -28,15 +28,15 @@
 		return &Result{Plan: id, State: StateUnchanged, Version: s.feed.Document().Version}, nil
 	}
 	res := &Result{Plan: id, State: StateInForce}
-	if res.Version, err = s.accept(platform.WithDuty(ctx, platform.DutyConfig), p); err != nil {
-		if errors.Is(err, platform.ErrAmbiguous) {
+	if res.Version, err = s.accept(external.WithDuty(ctx, external.DutyConfig), p); err != nil {
+		if errors.Is(err, external.ErrAmbiguous) {
 			res.State = StateUnknown
 			return res, nil
 		}
 		return nil, err
 	}
 	for _, d := range p.Deposits {
-		if err := s.deposit(platform.WithDuty(ctx, platform.DutyDeposit), d); err != nil {
+		if err := s.deposit(external.WithDuty(ctx, external.DutyDeposit), d); err != nil {
 			if errors.Is(err, budget.ErrCommitted) || errors.Is(err, budget.ErrInvalid) {
 				return nil, verdict.New(verdict.NotRun, verdict.CodeConflict, err.Error(),
 					verdict.WithField("budgets/"+d.Budget+"/deposits/"+d.ID))
@@ -74,12 +74,12 @@
 		switch {
 		case err == nil:
 			return version, nil
-		case errors.Is(err, platform.ErrAmbiguous):
+		case errors.Is(err, external.ErrAmbiguous):
 			ambiguous = true
-		case errors.Is(err, platform.ErrConflict):
-		case errors.Is(err, platform.ErrUnavailable) && !ambiguous:
+		case errors.Is(err, external.ErrConflict):
+		case errors.Is(err, external.ErrUnavailable) && !ambiguous:
 			return 0, unavailable(err)
-		case errors.Is(err, platform.ErrUnavailable):
+		case errors.Is(err, external.ErrUnavailable):
 		default:
 			return 0, err
 		}
@@ -88,7 +88,7 @@
 		}
 	}
 	if ambiguous {
-		return 0, eris.Wrap(platform.ErrAmbiguous, "confirming the plan")
+		return 0, eris.Wrap(external.ErrAmbiguous, "confirming the plan")
 	}
 	return 0, verdict.New(verdict.NotRun, verdict.CodeConflict, "the configuration kept changing; confirm again")
 }
--- a/internal/intent/intent_test.go
+++ b/internal/intent/intent_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/ledgemount/ledgemount/internal/budget"
 	"github.com/ledgemount/ledgemount/internal/declare"
+	"github.com/ledgemount/ledgemount/internal/external/etcdstore"
 	"github.com/ledgemount/ledgemount/internal/mesh"
 	"github.com/ledgemount/ledgemount/internal/mesh/meshtest"
-	"github.com/ledgemount/ledgemount/internal/platform/etcdstore"
 	"github.com/ledgemount/ledgemount/internal/standin/inproc"
 	"github.com/ledgemount/ledgemount/internal/standin/kv"
 	"github.com/ledgemount/ledgemount/internal/verdict"
--- a/internal/intent/service.go
+++ b/internal/intent/service.go
@@ -13,8 +13,8 @@
 
 	"github.com/ledgemount/ledgemount/internal/budget"
 	"github.com/ledgemount/ledgemount/internal/declare"
+	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/mesh"
-	"github.com/ledgemount/ledgemount/internal/platform"
 	"github.com/ledgemount/ledgemount/internal/step"
 	"github.com/ledgemount/ledgemount/internal/verdict"
 )
@@ -55,7 +55,7 @@
 
 // Service makes and confirms plans.
 type Service struct {
-	store    platform.Store
+	store    external.Store
 	feed     Feed
 	members  Members
 	caller   mesh.Caller
@@ -74,7 +74,7 @@
 func WithLogger(log zerolog.Logger) Option { return func(s *Service) { s.log = log } }
 
 // New makes a planner and registers its message. inFlight reports this instance's work in progress by endpoint.
-func New(store platform.Store, feed Feed, m Members, c mesh.Caller, r *mesh.Router, inFlight func() map[string]int, opts ...Option) *Service {
+func New(store external.Store, feed Feed, m Members, c mesh.Caller, r *mesh.Router, inFlight func() map[string]int, opts ...Option) *Service {
 	s := &Service{store: store, feed: feed, members: m, caller: c, inFlight: inFlight, hook: step.None, log: zerolog.Nop()}
 	for _, opt := range opts {
 		opt(s)
@@ -128,7 +128,7 @@
 	if err := s.hook(ctx, step.Plan); err != nil {
 		return nil, err
 	}
-	ctx = platform.WithDuty(ctx, platform.DutyPlan)
+	ctx = external.WithDuty(ctx, external.DutyPlan)
 	doc, _, err := s.current(ctx)
 	if err != nil {
 		return nil, err
@@ -266,7 +266,7 @@
 	}
 	for range casTries {
 		_, err = s.store.Put(ctx, planPrefix+p.ID, data, 0, lease)
-		if err == nil || errors.Is(err, platform.ErrConflict) {
+		if err == nil || errors.Is(err, external.ErrConflict) {
 			return nil
 		}
 		if e, gerr := s.store.Get(ctx, planPrefix+p.ID); gerr == nil && e.Revision != 0 {
@@ -293,7 +293,7 @@
 	if _, err := ulid.ParseStrict(id); err != nil {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeNotFound, "no plan has this id", verdict.WithField("id"))
 	}
-	e, err := s.store.Get(platform.WithDuty(ctx, platform.DutyPlan), planPrefix+id)
+	e, err := s.store.Get(external.WithDuty(ctx, external.DutyPlan), planPrefix+id)
 	if err != nil {
 		return nil, unavailable(err)
 	}
--- a/internal/matrix/planted_test.go
+++ b/internal/matrix/planted_test.go
@@ -13,9 +13,9 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/ledgemount/ledgemount/internal/budget"
+	"github.com/ledgemount/ledgemount/internal/external/etcdstore"
 	"github.com/ledgemount/ledgemount/internal/mesh"
 	"github.com/ledgemount/ledgemount/internal/once"
-	"github.com/ledgemount/ledgemount/internal/platform/etcdstore"
 	"github.com/ledgemount/ledgemount/internal/step"
 )
 
--- a/internal/matrix/world_test.go
+++ b/internal/matrix/world_test.go
@@ -14,13 +14,13 @@
 	"github.com/ledgemount/ledgemount/internal/budget"
 	"github.com/ledgemount/ledgemount/internal/declare"
 	"github.com/ledgemount/ledgemount/internal/endpoint"
+	"github.com/ledgemount/ledgemount/internal/external"
+	"github.com/ledgemount/ledgemount/internal/external/etcdstore"
 	"github.com/ledgemount/ledgemount/internal/gateway"
 	"github.com/ledgemount/ledgemount/internal/intent"
 	"github.com/ledgemount/ledgemount/internal/mesh"
 	"github.com/ledgemount/ledgemount/internal/mesh/meshtest"
 	"github.com/ledgemount/ledgemount/internal/once"
-	"github.com/ledgemount/ledgemount/internal/platform"
-	"github.com/ledgemount/ledgemount/internal/platform/etcdstore"
 	"github.com/ledgemount/ledgemount/internal/rollout"
 	"github.com/ledgemount/ledgemount/internal/standin/clock"
 	"github.com/ledgemount/ledgemount/internal/standin/engine"
@@ -323,7 +323,7 @@
 	w.kv.Close()
 }
 
-func (w *world) store() platform.Store {
+func (w *world) store() external.Store {
 	return etcdstore.New("http://"+storeHost, etcdstore.WithTransport(w.http))
 }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -11,8 +11,8 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/mesh"
-	"github.com/ledgemount/ledgemount/internal/platform"
 )
 
 // ServiceName is the view's name in the kernel.
@@ -56,7 +56,7 @@
 // View is the membership service.
 type View struct {
 	self   mesh.Peer
-	list   platform.InstanceList
+	list   external.InstanceList
 	caller mesh.Caller
 	now    func() time.Time
 	every  time.Duration
@@ -95,7 +95,7 @@
 func WithLogger(log zerolog.Logger) Option { return func(v *View) { v.log = log } }
 
 // New makes a view and registers its message.
-func New(self mesh.Peer, list platform.InstanceList, caller mesh.Caller, router *mesh.Router, opts ...Option) *View {
+func New(self mesh.Peer, list external.InstanceList, caller mesh.Caller, router *mesh.Router, opts ...Option) *View {
 	v := &View{
 		self:   self,
 		list:   list,
@@ -172,7 +172,7 @@
 	v.forget()
 }
 
-func (v *View) note(in platform.Instance) {
+func (v *View) note(in external.Instance) {
 	if in.ID == v.self.ID {
 		return
 	}
@@ -182,7 +182,7 @@
 		v.peers[in.ID] = s
 	}
 	s.listed = true
-	if in.State == platform.StateLeaving {
+	if in.State == external.StateLeaving {
 		s.leaving = true
 	}
 }
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -8,16 +8,16 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/mesh"
 	"github.com/ledgemount/ledgemount/internal/mesh/meshtest"
-	"github.com/ledgemount/ledgemount/internal/platform"
 	"github.com/ledgemount/ledgemount/internal/standin/clock"
 )
 
 // list is an instance list that tests set; nil means that it cannot be read.
-type list struct{ insts []platform.Instance }
+type list struct{ insts []external.Instance }
 
-func (l *list) Instances(context.Context) ([]platform.Instance, error) {
+func (l *list) Instances(context.Context) ([]external.Instance, error) {
 	if l.insts == nil {
 		return nil, errors.New("the list is away")
 	}
@@ -28,7 +28,7 @@
 	ctx := context.Background()
 	Convey("Given two listed instances of a zone", t, func() {
 		c, l, net := clock.New(), &list{}, meshtest.New()
-		l.insts = []platform.Instance{{ID: "a", Zone: "z", Addr: "a", State: platform.StateLive}, {ID: "b", Zone: "z", Addr: "b", State: platform.StateLive}}
+		l.insts = []external.Instance{{ID: "a", Zone: "z", Addr: "a", State: external.StateLive}, {ID: "b", Zone: "z", Addr: "b", State: external.StateLive}}
 		join := func(id, inc string) *View {
 			p := mesh.Peer{ID: id, Zone: "z", Addr: id, Inc: inc}
 			r := mesh.NewRouter()
--- a/internal/once/claims.go
+++ b/internal/once/claims.go
@@ -9,7 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
-	"github.com/ledgemount/ledgemount/internal/platform"
+	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/verdict"
 )
 
@@ -33,7 +33,7 @@
 
 // Claims makes claims by compare-and-swap: a request is claimed once for a day.
 type Claims struct {
-	store platform.Store
+	store external.Store
 	self  string
 	now   func() time.Time
 
@@ -44,7 +44,7 @@
 }
 
 // NewClaims makes the claims of an instance.
-func NewClaims(store platform.Store, self string, now func() time.Time) *Claims {
+func NewClaims(store external.Store, self string, now func() time.Time) *Claims {
 	return &Claims{store: store, self: self, now: now}
 }
 
@@ -53,7 +53,7 @@
 // For a moment after a claim could not be made, others are refused at once: the store is asked again later.
 func (c *Claims) Make(ctx context.Context, request, run string) error {
 	if c.failing() {
-		return unclaimed(platform.ErrUnavailable)
+		return unclaimed(external.ErrUnavailable)
 	}
 	err := c.make(ctx, request, run)
 	if err != nil && verdict.From(err).Code() == verdict.CodeClaimUnavailable {
@@ -71,7 +71,7 @@
 }
 
 func (c *Claims) make(ctx context.Context, request, run string) error {
-	ctx, cancel := context.WithTimeout(platform.WithDuty(ctx, platform.DutyClaim), claimWithin)
+	ctx, cancel := context.WithTimeout(external.WithDuty(ctx, external.DutyClaim), claimWithin)
 	defer cancel()
 	lease, err := c.leaseFor(ctx)
 	if err != nil {
@@ -88,7 +88,7 @@
 			return nil
 		}
 		last = err
-		if errors.Is(err, platform.ErrUnavailable) {
+		if errors.Is(err, external.ErrUnavailable) {
 			break
 		}
 		standing, err := c.Read(ctx, request)
@@ -134,7 +134,7 @@
 // Release gives a claim back: the run it was made for has surely not run. If that fails the claim stays, and a retry
 // is told that it may have run.
 func (c *Claims) Release(ctx context.Context, request, run string) {
-	ctx, cancel := context.WithTimeout(platform.WithDuty(ctx, platform.DutyClaim), claimWithin)
+	ctx, cancel := context.WithTimeout(external.WithDuty(ctx, external.DutyClaim), claimWithin)
 	defer cancel()
 	e, err := c.store.Get(ctx, ClaimPrefix+request)
 	if err != nil || e.Revision == 0 {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -16,11 +16,11 @@
 	"github.com/ledgemount/ledgemount/internal/budget"
 	"github.com/ledgemount/ledgemount/internal/burn"
 	"github.com/ledgemount/ledgemount/internal/declare"
+	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/gateway"
 	"github.com/ledgemount/ledgemount/internal/intent"
 	"github.com/ledgemount/ledgemount/internal/member"
 	"github.com/ledgemount/ledgemount/internal/mesh"
-	"github.com/ledgemount/ledgemount/internal/platform"
 	"github.com/ledgemount/ledgemount/internal/verdict"
 )
 
@@ -45,12 +45,12 @@
 	Caller   mesh.Caller
 	Router   *mesh.Router
 	Planner  *intent.Service
-	Store    platform.Store
+	Store    external.Store
 	Balancer *balance.Balancer
 	Home     *budget.Home
 	Recorder *burn.Recorder
 	Metrics  http.Handler
-	Calls    func() map[platform.Duty]platform.Calls
+	Calls    func() map[external.Duty]external.Calls
 	Now      func() time.Time
 }
 
--- a/internal/rollout/feed.go
+++ b/internal/rollout/feed.go
@@ -11,9 +11,9 @@
 	"github.com/rs/zerolog"
 
 	"github.com/ledgemount/ledgemount/internal/declare"
+	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/member"
 	"github.com/ledgemount/ledgemount/internal/mesh"
-	"github.com/ledgemount/ledgemount/internal/platform"
 )
 
 // FeedName is the feed's name in the kernel.
@@ -47,7 +47,7 @@
 // A document is proved accepted by where it comes from: the store, or a peer whose certificate is of this fleet, and
 // which took it under the same rule.
 type Feed struct {
-	store   platform.Store
+	store   external.Store
 	members members
 	caller  mesh.Caller
 	poll    time.Duration
@@ -79,7 +79,7 @@
 func WithFeedLogger(log zerolog.Logger) FeedOption { return func(f *Feed) { f.log = log } }
 
 // NewFeed makes a feed with an empty document of version 0 and registers its messages.
-func NewFeed(store platform.Store, members members, caller mesh.Caller, router *mesh.Router, opts ...FeedOption) *Feed {
+func NewFeed(store external.Store, members members, caller mesh.Caller, router *mesh.Router, opts ...FeedOption) *Feed {
 	f := &Feed{
 		store:   store,
 		members: members,
@@ -216,7 +216,7 @@
 
 // Read reads the store once.
 func (f *Feed) Read(ctx context.Context) error {
-	e, err := f.store.Get(platform.WithDuty(ctx, platform.DutyConfig), declare.Key)
+	e, err := f.store.Get(external.WithDuty(ctx, external.DutyConfig), declare.Key)
 	if err != nil {
 		return eris.Wrap(err, "reading the configuration")
 	}
@@ -264,7 +264,7 @@
 
 // watch follows the store until ctx ends; a broken watch is opened again.
 func (f *Feed) watch(ctx context.Context) {
-	ctx = platform.WithDuty(ctx, platform.DutyConfig)
+	ctx = external.WithDuty(ctx, external.DutyConfig)
 	for ctx.Err() == nil {
 		f.mu.RLock()
 		rev := f.rev
--- a/internal/rollout/orders.go
+++ b/internal/rollout/orders.go
@@ -8,8 +8,8 @@
 
 	"github.com/ledgemount/ledgemount/internal/declare"
 	"github.com/ledgemount/ledgemount/internal/endpoint/wire"
+	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/member"
-	"github.com/ledgemount/ledgemount/internal/platform"
 	"github.com/ledgemount/ledgemount/internal/step"
 )
 
@@ -32,7 +32,7 @@
 	feed      *Feed
 	members   members
 	commander Commander
-	weights   platform.WeightStore
+	weights   external.WeightStore
 	hook      step.Hook
 	log       zerolog.Logger
 
@@ -40,7 +40,7 @@
 }
 
 // NewOrders makes the service.
-func NewOrders(feed *Feed, m members, c Commander, weights platform.WeightStore, hook step.Hook, log zerolog.Logger) *Orders {
+func NewOrders(feed *Feed, m members, c Commander, weights external.WeightStore, hook step.Hook, log zerolog.Logger) *Orders {
 	return &Orders{feed: feed, members: m, commander: c, weights: weights, hook: hook, log: log, given: make(map[string]int64)}
 }
 
--- a/internal/standin/bundle/bundle.go
+++ b/internal/standin/bundle/bundle.go
@@ -11,7 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/ledgemount/ledgemount/internal/declare"
-	"github.com/ledgemount/ledgemount/internal/platform"
+	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/standin"
 	"github.com/ledgemount/ledgemount/internal/standin/engine"
 	"github.com/ledgemount/ledgemount/internal/standin/kv"
@@ -84,7 +84,7 @@
 	b := &Bundle{kv: kv.New(), engines: make(map[string]*engine.Engine), plain: make(map[string]*plain.Service)}
 	l := list.New()
 	for _, in := range s.Instances {
-		l.Set(platform.Instance{ID: in.ID, Zone: in.Zone, Addr: in.Mesh, State: platform.StateLive})
+		l.Set(external.Instance{ID: in.ID, Zone: in.Zone, Addr: in.Mesh, State: external.StateLive})
 	}
 	err := b.serve(s.Store, b.kv.Handler())
 	if err == nil {
--- a/internal/standin/kv/kv.go
+++ b/internal/standin/kv/kv.go
@@ -10,8 +10,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/ledgemount/ledgemount/internal/platform"
-	"github.com/ledgemount/ledgemount/internal/platform/etcdstore"
+	"github.com/ledgemount/ledgemount/internal/external"
+	"github.com/ledgemount/ledgemount/internal/external/etcdstore"
 	"github.com/ledgemount/ledgemount/internal/standin"
 )
 
@@ -62,7 +62,7 @@
 
 type watcher struct {
 	key string
-	ch  chan platform.Entry
+	ch  chan external.Entry
 }
 
 // Option changes a Server.
@@ -213,13 +213,13 @@
 	case op.Put != nil:
 		key := string(op.Put.Key)
 		s.records[key] = record{value: op.Put.Value, rev: s.rev, lease: int64(op.Put.Lease)}
-		s.notify(platform.Entry{Key: key, Data: op.Put.Value, Revision: s.rev})
+		s.notify(external.Entry{Key: key, Data: op.Put.Value, Revision: s.rev})
 	case op.DeleteRange != nil:
 		delete(s.records, string(op.DeleteRange.Key))
 	}
 }
 
-func (s *Server) notify(e platform.Entry) {
+func (s *Server) notify(e external.Entry) {
 	for w := range s.watchers {
 		if w.key != e.Key {
 			continue
@@ -298,11 +298,11 @@
 	if !decode(w, r, &in) {
 		return
 	}
-	wa := &watcher{key: string(in.Create.Key), ch: make(chan platform.Entry, watchBuffer)}
+	wa := &watcher{key: string(in.Create.Key), ch: make(chan external.Entry, watchBuffer)}
 	s.mu.Lock()
 	s.watchers[wa] = struct{}{}
 	if rec, ok := s.records[wa.key]; ok && rec.rev >= int64(in.Create.StartRevision) {
-		wa.ch <- platform.Entry{Key: wa.key, Data: rec.value, Revision: rec.rev}
+		wa.ch <- external.Entry{Key: wa.key, Data: rec.value, Revision: rec.rev}
 	}
 	s.mu.Unlock()
 	defer func() {
--- a/internal/standin/list/list.go
+++ b/internal/standin/list/list.go
@@ -8,13 +8,13 @@
 	"sync"
 	"time"
 
-	"github.com/ledgemount/ledgemount/internal/platform"
-	"github.com/ledgemount/ledgemount/internal/platform/httplist"
+	"github.com/ledgemount/ledgemount/internal/external"
+	"github.com/ledgemount/ledgemount/internal/external/httplist"
 )
 
 type change struct {
 	at   time.Time
-	inst platform.Instance
+	inst external.Instance
 	gone bool
 }
 
@@ -23,12 +23,12 @@
 	mu      sync.Mutex
 	lag     time.Duration
 	pending []change
-	shown   map[string]platform.Instance
+	shown   map[string]external.Instance
 }
 
 // New makes an empty list.
 func New() *Server {
-	return &Server{shown: make(map[string]platform.Instance)}
+	return &Server{shown: make(map[string]external.Instance)}
 }
 
 // SetLag makes later changes show only after d.
@@ -39,11 +39,11 @@
 }
 
 // Set adds or changes an instance.
-func (s *Server) Set(inst platform.Instance) { s.push(change{inst: inst}) }
+func (s *Server) Set(inst external.Instance) { s.push(change{inst: inst}) }
 
 // Remove takes an instance off the list.
 func (s *Server) Remove(id string) {
-	s.push(change{inst: platform.Instance{ID: id}, gone: true})
+	s.push(change{inst: external.Instance{ID: id}, gone: true})
 }
 
 func (s *Server) push(c change) {
--- a/internal/standin/memstore/memstore.go
+++ b/internal/standin/memstore/memstore.go
@@ -1,4 +1,4 @@
-// Package memstore is a platform.Store in memory without any wire, for simulations that count calls by the million.
+// Package memstore is a external.Store in memory without any wire, for simulations that count calls by the million.
 package memstore
 
 import (
@@ -8,19 +8,19 @@
 	"sync"
 	"time"
 
-	"github.com/ledgemount/ledgemount/internal/platform"
+	"github.com/ledgemount/ledgemount/internal/external"
 )
 
-// Store implements platform.Store. Leases never end and watches never fire.
+// Store implements external.Store. Leases never end and watches never fire.
 type Store struct {
 	mu      sync.Mutex
 	rev     int64
-	records map[string]platform.Entry
+	records map[string]external.Entry
 	down    bool
 }
 
 // New makes an empty store.
-func New() *Store { return &Store{records: make(map[string]platform.Entry)} }
+func New() *Store { return &Store{records: make(map[string]external.Entry)} }
 
 // SetDown makes every call fail, or lets them through again.
 func (s *Store) SetDown(down bool) {
@@ -29,28 +29,28 @@
 	s.down = down
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(_ context.Context, key string) (platform.Entry, error) {
+// Get implements external.Store.
+func (s *Store) Get(_ context.Context, key string) (external.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return platform.Entry{}, platform.ErrUnavailable
+		return external.Entry{}, external.ErrUnavailable
 	}
 	e, ok := s.records[key]
 	if !ok {
-		return platform.Entry{Key: key}, nil
+		return external.Entry{Key: key}, nil
 	}
 	return e, nil
 }
 
-// List implements platform.Store.
-func (s *Store) List(_ context.Context, prefix string) ([]platform.Entry, error) {
+// List implements external.Store.
+func (s *Store) List(_ context.Context, prefix string) ([]external.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return nil, platform.ErrUnavailable
+		return nil, external.ErrUnavailable
 	}
-	var out []platform.Entry
+	var out []external.Entry
 	for key, e := range s.records {
 		if strings.HasPrefix(key, prefix) {
 			out = append(out, e)
@@ -60,48 +60,48 @@
 	return out, nil
 }
 
-// Put implements platform.Store.
+// Put implements external.Store.
 func (s *Store) Put(_ context.Context, key string, data []byte, rev, _ int64) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return 0, platform.ErrUnavailable
+		return 0, external.ErrUnavailable
 	}
-	if len(data) > platform.MaxValue {
-		return 0, platform.ErrTooLarge
+	if len(data) > external.MaxValue {
+		return 0, external.ErrTooLarge
 	}
 	if s.records[key].Revision != rev {
-		return 0, platform.ErrConflict
+		return 0, external.ErrConflict
 	}
 	s.rev++
-	s.records[key] = platform.Entry{Key: key, Data: data, Revision: s.rev}
+	s.records[key] = external.Entry{Key: key, Data: data, Revision: s.rev}
 	return s.rev, nil
 }
 
-// Delete implements platform.Store.
+// Delete implements external.Store.
 func (s *Store) Delete(_ context.Context, key string, rev int64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return platform.ErrUnavailable
+		return external.ErrUnavailable
 	}
 	if s.records[key].Revision != rev {
-		return platform.ErrConflict
+		return external.ErrConflict
 	}
 	s.rev++
 	delete(s.records, key)
 	return nil
 }
 
-// Lease implements platform.Store.
+// Lease implements external.Store.
 func (s *Store) Lease(context.Context, time.Duration) (int64, error) { return 1, nil }
 
-// KeepAlive implements platform.Store.
+// KeepAlive implements external.Store.
 func (s *Store) KeepAlive(context.Context, int64) error { return nil }
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, _ string, _ int64) (<-chan platform.Entry, error) {
-	ch := make(chan platform.Entry)
+// Watch implements external.Store.
+func (s *Store) Watch(ctx context.Context, _ string, _ int64) (<-chan external.Entry, error) {
+	ch := make(chan external.Entry)
 	context.AfterFunc(ctx, func() { close(ch) })
 	return ch, nil
 }
