--- /dev/null
+++ b/internal/escrow/account.go
@@ -0,0 +1,41 @@
+package escrow
+
+import "time"
+
+// issued is a row of this holder that is, or may be, in the store.
+type issued struct {
+	row   Row
+	clock time.Duration // the report's reading of the clock
+}
+
+func (i issued) ceiling(now time.Duration) int64 { return i.row.Ceiling((now - i.clock).Seconds()) }
+
+// account is what the holder knows of one customer.
+type account struct {
+	spent   int64 // settled requests, from the holder's start
+	open    int64 // reservations
+	urgent  int64 // unspent tokens that the largest waiting request needs
+	meter   meter
+	row     issued   // confirmed
+	unsure  []issued // written with an unknown outcome, older than row or not
+	prepaid int64    // as last seen; Unlimited: no limit
+	rest    int64    // of the whole account when last seen: unspent by anyone
+}
+
+// used is what is spent or reserved.
+func (a *account) used() int64 { return a.spent + a.open }
+
+// headroom is what may still be reserved at a moment: every row that may be in force is kept to.
+func (a *account) headroom(now time.Duration) int64 {
+	limit := a.row.ceiling(now)
+	for _, u := range a.unsure {
+		limit = min(limit, u.ceiling(now))
+	}
+	return limit - a.used()
+}
+
+// confirm takes a row that the store has now; older ones can no longer come into force.
+func (a *account) confirm(i issued) {
+	a.row = i
+	a.unsure = a.unsure[:0]
+}
--- /dev/null
+++ b/internal/escrow/draw.go
@@ -0,0 +1,351 @@
+package escrow
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/ledgemount/ledgemount/internal/external"
+)
+
+const (
+	drawAttempts  = 6               // conflicts in a row before a draw waits for the next beat
+	quietRefresh  = 4 * time.Second // a page on which nothing happens is reported this often
+	stoppingShare = 0.15            // of the horizon, while the process is about to stop
+)
+
+// Run draws, reports and gives back until ctx ends.
+func (h *Holder) Run(ctx context.Context) error {
+	var last time.Time
+	for {
+		h.tickMeters()
+		for _, p := range h.pages {
+			if ctx.Err() == nil && h.due(p) {
+				h.draw(ctx, p)
+			}
+		}
+		last = h.now()
+		if !h.pause(ctx, last) {
+			return nil
+		}
+	}
+}
+
+// pause waits for the next beat or for a request that waits; false means that ctx has ended.
+func (h *Holder) pause(ctx context.Context, last time.Time) bool {
+	t := time.NewTimer(h.times.Beat)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	case <-h.kicks:
+	}
+	gap := time.NewTimer(max(0, h.times.Gap-h.now().Sub(last)))
+	defer gap.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-gap.C:
+		return true
+	}
+}
+
+func (h *Holder) tickMeters() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
+	for _, a := range h.accounts {
+		a.meter.tick(now)
+	}
+}
+
+// due says whether a page has something to report. A page that is not joined or not settled is always due.
+func (h *Holder) due(p *pageState) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !p.joined || p.unsure >= 0 {
+		return len(h.accounts) > 0
+	}
+	if h.now().Sub(p.drawn) >= quietRefresh {
+		return true
+	}
+	for name, a := range h.accounts {
+		if h.pageOf(name) != p || a.prepaid < 0 {
+			continue
+		}
+		reported, ok := p.reported[name]
+		if !ok || a.urgent > 0 || a.used() != reported {
+			return true
+		}
+	}
+	return false
+}
+
+// draw brings one page up to date. Failures leave everything as it was, to be tried at the next beat.
+func (h *Holder) draw(ctx context.Context, p *pageState) {
+	for range drawAttempts {
+		err := h.drawOnce(ctx, p)
+		switch {
+		case err == nil:
+			return
+		case errors.Is(err, external.ErrConflict):
+			continue
+		}
+		h.log.Debug().Str("event", "escrow_draw_failed").Str("page", p.key).Err(err).Msg("the store did not take a draw")
+		return
+	}
+}
+
+// drawOnce tries one write of a page.
+func (h *Holder) drawOnce(ctx context.Context, p *pageState) error {
+	if err := h.load(ctx, p); err != nil {
+		return err
+	}
+	w, err := h.prepare(p)
+	if err != nil {
+		return err
+	}
+	return h.write(ctx, p, w)
+}
+
+// write is one conditional write of a page.
+type write struct {
+	raw  []byte
+	base int64             // the revision that it stands on
+	rows map[string]issued // this holder's rows in it
+}
+
+func (h *Holder) write(ctx context.Context, p *pageState, w write) error {
+	ctx, cancel := context.WithTimeout(ctx, h.times.Call)
+	defer cancel()
+	revision, err := h.store.Commit(ctx, external.Commit{
+		When: []external.Condition{{Key: p.key, Revision: w.base}},
+		Put:  []external.Entry{{Key: p.key, Data: w.raw}},
+	})
+	return h.outcome(p, w, revision, err)
+}
+
+// load reads a page that is not known, or of which a write may still be under way.
+func (h *Holder) load(ctx context.Context, p *pageState) error {
+	h.mu.Lock()
+	fresh := p.known && p.unsure < 0
+	h.mu.Unlock()
+	if fresh {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, h.times.Call)
+	defer cancel()
+	entry, _, err := h.store.Read(ctx, p.key)
+	if err != nil {
+		return eris.Wrapf(err, "reading %s", p.key)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.heard()
+	return h.adopt(p, entry)
+}
+
+// heard notes an answer of the store. The caller holds mu.
+func (h *Holder) heard() { h.answered = h.now() }
+
+// Observe takes a page that was read or watched elsewhere.
+func (h *Holder) Observe(e external.Entry) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, p := range h.pages {
+		if p.key == e.Key && p.joined && e.Revision > p.revision {
+			_ = h.adopt(p, e)
+		}
+	}
+}
+
+// adopt takes a newer copy of a page. The caller holds mu.
+func (h *Holder) adopt(p *pageState, e external.Entry) error {
+	if p.known && e.Revision < p.revision {
+		return nil
+	}
+	page, err := DecodePage(e.Data)
+	if err != nil {
+		return err
+	}
+	p.raw, p.revision, p.known = e.Data, e.Revision, true
+	settled := p.unsure >= 0 && e.Revision > p.unsure
+	if settled {
+		p.unsure = -1
+	}
+	report, present := page.Holders[h.id]
+	for name, a := range h.accounts {
+		if h.pageOf(name) != p {
+			continue
+		}
+		acc := page.Accounts[name]
+		if acc == nil {
+			acc = &Account{}
+		}
+		a.rest = a.prepaid - acc.Spent()
+		if settled && present {
+			a.confirm(issued{row: acc.Rows[h.id], clock: time.Duration(report.Clock) * time.Millisecond})
+		} else if settled {
+			a.confirm(issued{})
+		}
+	}
+	return nil
+}
+
+// prepare computes the page to be written, and notes its rows as possibly in force.
+func (h *Holder) prepare(p *pageState) (write, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	page, err := DecodePage(p.raw)
+	if err != nil {
+		return write{}, err
+	}
+	now := h.clock.Now()
+	report := Report{Node: h.node, Boot: h.clock.Boot(), Clock: now.Milliseconds(), Count: page.Holders[h.id].Count + 1}
+	if !p.joined {
+		for _, id := range page.Fold(h.id, report) {
+			h.log.Info().Str("event", "escrow_settled").Str("holder", id).Str("page", p.key).Msg("an earlier process's escrow is settled")
+		}
+	}
+	page.Holders[h.id] = report
+	rows := make(map[string]issued)
+	for name, a := range h.accounts {
+		if h.pageOf(name) != p || a.prepaid < 0 {
+			continue
+		}
+		row := page.account(name).Grant(h.id, h.need(a), a.prepaid)
+		rows[name] = issued{row: row, clock: time.Duration(report.Clock) * time.Millisecond}
+		a.unsure = append(a.unsure, rows[name])
+	}
+	p.unsure = p.revision
+	raw, err := page.Encode()
+	return write{raw: raw, base: p.revision, rows: rows}, err
+}
+
+// need sizes what the holder asks for. The caller holds mu.
+func (h *Holder) need(a *account) Need {
+	rate := a.meter.perSecond * h.policy.Surge
+	horizon := h.policy.Horizon.Seconds()
+	floor := float64(h.policy.Floor)
+	if h.stopping {
+		horizon *= stoppingShare
+		floor = 0
+	}
+	reserve := floor + h.policy.Spread*a.meter.largest
+	burst := reserve + rate*h.policy.Ahead.Seconds()
+	return Need{
+		Spent: a.used(), Want: int64(rate*horizon + reserve), Burst: max(int64(burst), a.urgent),
+		Rate: int64(rate), Urgent: a.urgent,
+	}
+}
+
+// outcome takes the store's answer to a write.
+func (h *Holder) outcome(p *pageState, w write, revision int64, err error) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var conflict *external.ConflictError
+	switch {
+	case err == nil:
+		h.heard()
+		h.confirmed(p, w, revision)
+	case errors.As(err, &conflict):
+		h.heard()
+		h.undone(p, w.rows)
+		return errors.Join(h.adoptCurrent(p, conflict.Current), err)
+	case errors.Is(err, external.ErrUnavailable):
+		h.undone(p, w.rows)
+	}
+	return err
+}
+
+// confirmed takes a page that this holder has written. The caller holds mu.
+func (h *Holder) confirmed(p *pageState, w write, revision int64) {
+	if revision > p.revision {
+		p.raw, p.revision = w.raw, revision
+	}
+	p.known, p.unsure, p.joined, p.drawn = true, -1, true, h.now()
+	for name, i := range w.rows {
+		a := h.accounts[name]
+		a.confirm(i)
+		a.urgent = 0
+		p.reported[name] = i.row.Spent
+	}
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// undone takes back rows that were not written. Earlier writes of unknown outcome stay. The caller holds mu.
+func (h *Holder) undone(p *pageState, rows map[string]issued) {
+	left := false
+	for name := range rows {
+		a := h.accounts[name]
+		a.unsure = a.unsure[:max(0, len(a.unsure)-1)]
+		left = left || len(a.unsure) > 0
+	}
+	if !left {
+		p.unsure = -1
+	}
+}
+
+func (h *Holder) adoptCurrent(p *pageState, current []external.Entry) error {
+	for _, e := range current {
+		if e.Key == p.key {
+			return h.adopt(p, e)
+		}
+	}
+	p.known = false
+	return nil
+}
+
+// Leave gives back all that is unspent and takes the holder out of every page. It tries until ctx ends.
+func (h *Holder) Leave(ctx context.Context) error {
+	for _, p := range h.pages {
+		for {
+			err := h.leaveOnce(ctx, p)
+			if err == nil {
+				break
+			}
+			if ctx.Err() != nil {
+				return eris.Wrapf(err, "giving back the escrow on %s", p.key)
+			}
+			if !errors.Is(err, external.ErrConflict) {
+				time.Sleep(h.times.Gap)
+			}
+		}
+	}
+	return nil
+}
+
+func (h *Holder) leaveOnce(ctx context.Context, p *pageState) error {
+	if err := h.load(ctx, p); err != nil {
+		return err
+	}
+	h.mu.Lock()
+	page, err := DecodePage(p.raw)
+	if err != nil {
+		h.mu.Unlock()
+		return err
+	}
+	if _, held := page.Holders[h.id]; !held {
+		h.mu.Unlock()
+		return nil
+	}
+	spent := make(map[string]int64, len(h.accounts))
+	for name, a := range h.accounts {
+		spent[name] = a.used()
+		a.unsure = append(a.unsure, issued{})
+	}
+	page.Leave(h.id, spent)
+	raw, err := page.Encode()
+	p.unsure = p.revision
+	w := write{raw: raw, base: p.revision}
+	h.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	return h.write(ctx, p, w)
+}
--- /dev/null
+++ b/internal/escrow/holder.go
@@ -0,0 +1,290 @@
+package escrow
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/ledgemount/ledgemount/internal/external"
+	"github.com/ledgemount/ledgemount/internal/verdict"
+)
+
+// Prepaid is a customer's prepaid figure as the configuration in force tells it.
+type Prepaid struct {
+	Customer string
+	Tokens   int64 // Unlimited: none
+}
+
+// Unlimited marks a customer without a prepaid figure.
+const Unlimited = -1
+
+// Policy sizes what a holder asks for.
+type Policy struct {
+	Horizon time.Duration // how long the holder shall serve without the store
+	Ahead   time.Duration // use that is spendable at once
+	Floor   int64         // tokens held for a customer in any case
+	Surge   float64       // how much faster than the measured rate a customer may become
+	Spread  float64       // largest requests held in addition
+}
+
+// DefaultPolicy outlives a cut of ten seconds.
+func DefaultPolicy() Policy {
+	return Policy{Horizon: 10 * time.Second, Ahead: 2 * time.Second, Floor: 12_000, Surge: 1.3, Spread: 1}
+}
+
+// Times are a holder's intervals.
+type Times struct {
+	Beat time.Duration // between reports
+	Gap  time.Duration // least time between reports that are asked for by a request that waits
+	Call time.Duration // limit of one call to the store
+	Wait time.Duration // how long a reservation waits for a draw
+	Lost time.Duration // without an answer for this long, no reservation waits
+}
+
+// DefaultTimes suit a store that answers in milliseconds.
+func DefaultTimes() Times {
+	return Times{
+		Beat: time.Second, Gap: 30 * time.Millisecond, Call: 900 * time.Millisecond,
+		Wait: 90 * time.Millisecond, Lost: 1500 * time.Millisecond,
+	}
+}
+
+// Holder is this process's part of the escrow: a service, and the place where requests reserve.
+type Holder struct {
+	id     string
+	node   string
+	store  external.KV
+	prefix string
+	clock  Clock
+	now    func() time.Time
+	policy Policy
+	times  Times
+	log    zerolog.Logger
+
+	mu       sync.Mutex
+	accounts map[string]*account
+	pages    []*pageState
+	answered time.Time     // the last answer of the store
+	changed  chan struct{} // closed and replaced after each draw
+	stopping bool
+
+	kicks chan struct{}
+}
+
+// pageState is what the holder knows of one page.
+type pageState struct {
+	key      string
+	raw      []byte
+	revision int64
+	known    bool
+	unsure   int64 // the base of a write whose outcome is not known; -1: none
+	joined   bool  // this holder's earlier processes are settled
+	drawn    time.Time
+	reported map[string]int64 // spent, by customer, as last written
+}
+
+// Option changes a Holder.
+type Option func(*Holder)
+
+// WithPolicy replaces the sizes.
+func WithPolicy(p Policy) Option { return func(h *Holder) { h.policy = p } }
+
+// WithTimes replaces the intervals.
+func WithTimes(t Times) Option { return func(h *Holder) { h.times = t } }
+
+// WithClock replaces the steady clock.
+func WithClock(c Clock) Option { return func(h *Holder) { h.clock = c } }
+
+// WithNow replaces the process's clock.
+func WithNow(now func() time.Time) Option { return func(h *Holder) { h.now = now } }
+
+// WithLogger sets the logger.
+func WithLogger(log zerolog.Logger) Option { return func(h *Holder) { h.log = log } }
+
+// New makes a holder. node outlasts the process; id is this process's own. Pages lie under prefix in the store.
+func New(store external.KV, prefix string, pages int, node, id string, opts ...Option) *Holder {
+	h := &Holder{
+		id: id, node: node, store: store, prefix: prefix, clock: MachineClock(), now: time.Now,
+		policy: DefaultPolicy(), times: DefaultTimes(), log: zerolog.Nop(),
+		accounts: make(map[string]*account), changed: make(chan struct{}), kicks: make(chan struct{}, 1),
+	}
+	for i := range max(1, pages) {
+		h.pages = append(h.pages, &pageState{key: fmt.Sprintf("%s%d", prefix, i), unsure: -1, reported: make(map[string]int64)})
+	}
+	for _, opt := range opts {
+		opt(h)
+	}
+	return h
+}
+
+// Name implements kernel.Service.
+func (*Holder) Name() string { return "escrow" }
+
+// pageOf finds the page of a customer.
+func (h *Holder) pageOf(customer string) *pageState {
+	return h.pages[xxhash.Sum64String(customer)%uint64(len(h.pages))]
+}
+
+// SetPrepaid takes the figures of a newer configuration. It starts accounts of customers that are new.
+func (h *Holder) SetPrepaid(list []Prepaid) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, p := range list {
+		a := h.accounts[p.Customer]
+		if a == nil {
+			a = &account{rest: p.Tokens}
+			h.accounts[p.Customer] = a
+		}
+		if a.prepaid != p.Tokens {
+			a.rest += p.Tokens - a.prepaid
+			a.prepaid = p.Tokens
+			delete(h.pageOf(p.Customer).reported, p.Customer)
+		}
+	}
+	h.kick()
+}
+
+func (h *Holder) kick() {
+	select {
+	case h.kicks <- struct{}{}:
+	default:
+	}
+}
+
+// Reservation is a part of a budget that a request may use.
+type Reservation struct {
+	holder   *Holder
+	customer string
+	most     int64
+	once     sync.Once
+	left     int64
+	seen     time.Duration
+}
+
+// Left is what was spendable after the reservation, in tokens, and Age how old the store's word on it was.
+func (r *Reservation) Left() (int64, time.Duration) { return r.left, r.seen }
+
+// Settle ends the reservation: used tokens are spent, the rest is free again. Only the first call counts.
+func (r *Reservation) Settle(used int64) {
+	if r == nil || r.holder == nil {
+		return
+	}
+	r.once.Do(func() {
+		r.holder.mu.Lock()
+		defer r.holder.mu.Unlock()
+		a := r.holder.accounts[r.customer]
+		a.open -= r.most
+		a.spent += min(max(used, 0), r.most)
+	})
+}
+
+// Reserve sets aside the most that a request can use. Where the grant does not hold it, it draws on the store, but waits no
+// longer than Times.Wait. Its errors are verdicts: not run, with the time to come back where that makes sense.
+func (h *Holder) Reserve(ctx context.Context, customer string, most int64) (*Reservation, error) {
+	var end <-chan time.Time
+	for {
+		r, changed, err := h.try(customer, most)
+		if r != nil || err != nil {
+			return r, err
+		}
+		if end == nil {
+			if !h.reachable() {
+				return nil, h.refuse(customer, most)
+			}
+			t := time.NewTimer(h.times.Wait)
+			defer t.Stop()
+			end = t.C
+		}
+		h.kick()
+		select {
+		case <-changed:
+		case <-end:
+			return nil, h.refuse(customer, most)
+		case <-ctx.Done():
+			return nil, verdict.New(verdict.NotRun, verdict.CodeCancelled, "the caller left", verdict.WithCause(ctx.Err()))
+		}
+	}
+}
+
+func (h *Holder) try(customer string, most int64) (*Reservation, <-chan struct{}, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a := h.accounts[customer]
+	if a == nil {
+		return nil, nil, verdict.New(verdict.NotRun, verdict.CodeBudgetUnready, "the customer's budget is not known yet",
+			verdict.WithRetryAfter(retrySoon))
+	}
+	if a.prepaid < 0 {
+		return &Reservation{}, nil, nil
+	}
+	a.meter.add(most)
+	if left := a.headroom(h.clock.Now()); left >= most {
+		a.open += most
+		return &Reservation{holder: h, customer: customer, most: most, left: left - most, seen: h.now().Sub(h.answered)}, nil, nil
+	}
+	a.meter.pending -= float64(most)
+	a.urgent = max(a.urgent, most)
+	return nil, h.changed, nil
+}
+
+// Times after which a refused request may be served.
+const (
+	retrySoon  = 250 * time.Millisecond
+	retryLater = 2 * time.Second
+)
+
+// refuse explains a refusal: the budget is used up, or this instance does not hold enough of it right now.
+func (h *Holder) refuse(customer string, most int64) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a := h.accounts[customer]
+	a.meter.add(most)
+	if a.rest < most && h.now().Sub(h.answered) < h.times.Lost {
+		return verdict.New(verdict.NotRun, verdict.CodeBudgetExhausted, "what remains of the budget cannot hold the request",
+			verdict.WithRetryAfter(retryLater))
+	}
+	return verdict.New(verdict.NotRun, verdict.CodeBudgetUnready, "this instance holds too little of the budget now",
+		verdict.WithRetryAfter(retrySoon))
+}
+
+// reachable says whether a draw is likely to be answered.
+func (h *Holder) reachable() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.answered.IsZero() && h.now().Sub(h.answered) < h.times.Lost
+}
+
+// Ready says whether the holder has seen the store and knows its accounts.
+func (h *Holder) Ready() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, p := range h.pages {
+		if !p.joined {
+			return false
+		}
+	}
+	return len(h.accounts) > 0
+}
+
+// Holders is the number of holders that the store knows.
+func (h *Holder) Holders() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	page, err := DecodePage(h.pages[0].raw)
+	if err != nil {
+		return 1
+	}
+	return max(1, len(page.Holders))
+}
+
+// Shrink asks for less from now on: the process is about to stop.
+func (h *Holder) Shrink() {
+	h.mu.Lock()
+	h.stopping = true
+	h.mu.Unlock()
+	h.kick()
+}
--- /dev/null
+++ b/internal/escrow/page.go
@@ -0,0 +1,152 @@
+// Package escrow lets each instance spend prepaid budgets alone, cut off from the store and from all other instances.
+//
+// An instance holds grants: amounts that the store's page sets aside for it before it spends them. The grants of all holders
+// and what is settled never exceed the prepaid figure, so no mixture of faults overspends. A grant becomes spendable step by
+// step from the holder's last report on, so that a holder that dies early is known not to have spent all of it.
+package escrow
+
+import (
+	"sort"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+)
+
+// Row is one holder's part of an account. Amounts are tokens and, but for Want and Rate, counted from the holder's start.
+type Row struct {
+	Granted int64 `cbor:"1,keyasint,omitempty"` // never spent beyond this
+	Spent   int64 `cbor:"2,keyasint,omitempty"` // spent or reserved when the holder reported
+	Want    int64 `cbor:"3,keyasint,omitempty"` // what the holder would like to hold unspent
+	Burst   int64 `cbor:"4,keyasint,omitempty"` // spendable beyond Spent at once
+	Rate    int64 `cbor:"5,keyasint,omitempty"` // spendable beyond that, for each second since the report
+}
+
+// Ceiling is the most that the holder can have spent when age seconds have passed since its report.
+func (r Row) Ceiling(age float64) int64 {
+	return min(r.Granted, r.Spent+r.Burst+int64(float64(r.Rate)*max(0, age)))
+}
+
+// Account is one customer's part of a page.
+type Account struct {
+	Settled int64          `cbor:"1,keyasint,omitempty"` // spent by holders that are gone
+	Rows    map[string]Row `cbor:"2,keyasint,omitempty"` // by holder
+}
+
+// Spent is what is settled and what holders have reported.
+func (a *Account) Spent() int64 {
+	sum := a.Settled
+	for _, r := range a.Rows {
+		sum += r.Spent
+	}
+	return sum
+}
+
+// Committed is what is settled or granted: no more than this can be spent in any case.
+func (a *Account) Committed() int64 {
+	sum := a.Settled
+	for _, r := range a.Rows {
+		sum += r.Granted
+	}
+	return sum
+}
+
+// Report says who a holder is and when it last wrote. Two reports with the same Boot come from the same clock.
+type Report struct {
+	Node  string `cbor:"1,keyasint"` // the name under which a holder's successor starts
+	Boot  string `cbor:"2,keyasint,omitempty"`
+	Clock int64  `cbor:"3,keyasint,omitempty"` // steady clock, ms
+	Count int64  `cbor:"4,keyasint,omitempty"` // writes of this holder
+}
+
+// Page holds the accounts of some customers in one value of the store.
+type Page struct {
+	Accounts map[string]*Account `cbor:"1,keyasint,omitempty"`
+	Holders  map[string]Report   `cbor:"2,keyasint,omitempty"`
+}
+
+// DecodePage reads a page; no bytes are an empty page.
+func DecodePage(b []byte) (*Page, error) {
+	p := &Page{}
+	if len(b) > 0 {
+		if err := cbor.Unmarshal(b, p); err != nil {
+			return nil, eris.Wrap(err, "decoding an escrow page")
+		}
+	}
+	if p.Accounts == nil {
+		p.Accounts = make(map[string]*Account)
+	}
+	if p.Holders == nil {
+		p.Holders = make(map[string]Report)
+	}
+	return p, nil
+}
+
+// Encode writes the page.
+func (p *Page) Encode() ([]byte, error) {
+	b, err := cbor.Marshal(p)
+	return b, eris.Wrap(err, "encoding an escrow page")
+}
+
+// account finds or makes a customer's account.
+func (p *Page) account(customer string) *Account {
+	a := p.Accounts[customer]
+	if a == nil {
+		a = &Account{}
+		p.Accounts[customer] = a
+	}
+	if a.Rows == nil {
+		a.Rows = make(map[string]Row)
+	}
+	return a
+}
+
+// Fold settles the rows of a node's earlier holders, which have ended. now is the successor's report: where it comes from
+// the same clock, no more than Ceiling can have been spent; else all that was granted counts as spent.
+func (p *Page) Fold(successor string, now Report) []string {
+	var gone []string
+	for id, r := range p.Holders {
+		if r.Node == now.Node && id != successor {
+			gone = append(gone, id)
+		}
+	}
+	sort.Strings(gone)
+	for _, id := range gone {
+		age, known := ageOf(p.Holders[id], now)
+		for _, a := range p.Accounts {
+			row, ok := a.Rows[id]
+			if !ok {
+				continue
+			}
+			if known {
+				a.Settled += row.Ceiling(age)
+			} else {
+				a.Settled += row.Granted
+			}
+			delete(a.Rows, id)
+		}
+		delete(p.Holders, id)
+	}
+	return gone
+}
+
+// ageOf is the time in seconds between two reports, if one clock tells both.
+func ageOf(then, now Report) (float64, bool) {
+	if then.Boot == "" || then.Boot != now.Boot || now.Clock < then.Clock {
+		return 0, false
+	}
+	const msPerSecond = 1000
+	return float64(now.Clock-then.Clock) / msPerSecond, true
+}
+
+// Leave settles what a holder has spent and gives the rest back. The holder spends nothing afterwards.
+func (p *Page) Leave(holder string, spent map[string]int64) {
+	for customer, a := range p.Accounts {
+		row, ok := a.Rows[holder]
+		if !ok {
+			continue
+		}
+		a.Settled += min(row.Granted, spent[customer])
+		delete(a.Rows, holder)
+	}
+	delete(p.Holders, holder)
+}
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,238 @@
+// Package follow keeps this instance's view of the configuration and the endpoints up to date from the platform's store.
+//
+// It asks for what has changed at short intervals, each call bounded, and never relies on a call that waits: one that was
+// opened before a cut may stay silent after it. Endpoints write their records all the time, so a history that tells nothing
+// is suspect, and everything is read again.
+package follow
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"github.com/ledgemount/ledgemount/internal/external"
+	"github.com/ledgemount/ledgemount/internal/pool"
+	"github.com/ledgemount/ledgemount/internal/route"
+)
+
+// Update is what was read or what has changed.
+type Update struct {
+	Config    *route.Config    // nil: not changed, or not there
+	Endpoints []pool.Endpoint  // all of them in a snapshot, else those that have written
+	Gone      []string         // endpoints whose records were removed
+	Entries   []external.Entry // other values
+	Bad       []error          // records that could not be read; the others hold
+	At        int64            // the revision to go on from
+	Events    int              // changes that the store told, of whatever kind
+}
+
+// Source reads the store in the product's terms.
+type Source interface {
+	// Snapshot reads everything.
+	Snapshot(ctx context.Context) (Update, error)
+	// Changes reads what has changed since a revision; external.ErrHistoryGone asks for a snapshot.
+	Changes(ctx context.Context, after int64) (Update, error)
+}
+
+// Times are a follower's intervals.
+type Times struct {
+	Poll    time.Duration // between calls
+	Call    time.Duration // limit of one call
+	Retry   time.Duration // after a call that failed
+	Silence time.Duration // without any change for this long, everything is read again
+}
+
+// DefaultTimes put a change in force well within two seconds of its acknowledgement.
+func DefaultTimes() Times {
+	return Times{Poll: 400 * time.Millisecond, Call: 800 * time.Millisecond, Retry: 150 * time.Millisecond, Silence: time.Second}
+}
+
+// Follower is the service that follows the store.
+type Follower struct {
+	source  Source
+	pool    *pool.Pool
+	times   Times
+	now     func() time.Time
+	log     zerolog.Logger
+	table   atomic.Pointer[route.Table]
+	changed []func(*route.Table)
+	entries func(external.Entry)
+
+	mu       sync.Mutex
+	after    int64
+	answered time.Time
+	told     time.Time // the last time that the store told of any change
+	lost     bool
+}
+
+// Option changes a Follower.
+type Option func(*Follower)
+
+// WithTimes replaces the intervals.
+func WithTimes(t Times) Option { return func(f *Follower) { f.times = t } }
+
+// WithLogger sets the logger.
+func WithLogger(log zerolog.Logger) Option { return func(f *Follower) { f.log = log } }
+
+// WithNow replaces the clock.
+func WithNow(now func() time.Time) Option { return func(f *Follower) { f.now = now } }
+
+// OnTable adds what is told of a newer configuration.
+func OnTable(g func(*route.Table)) Option {
+	return func(f *Follower) { f.changed = append(f.changed, g) }
+}
+
+// OnEntry sets what is told of other values.
+func OnEntry(g func(external.Entry)) Option { return func(f *Follower) { f.entries = g } }
+
+// New makes a follower that fills a pool.
+func New(source Source, p *pool.Pool, opts ...Option) *Follower {
+	f := &Follower{
+		source: source, pool: p, times: DefaultTimes(), now: time.Now, log: zerolog.Nop(), entries: func(external.Entry) {},
+	}
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
+}
+
+// Name implements kernel.Service.
+func (*Follower) Name() string { return "follow" }
+
+// Table is the configuration in force; nil until one is known.
+func (f *Follower) Table() *route.Table { return f.table.Load() }
+
+// Age is the time since the store last answered.
+func (f *Follower) Age() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now().Sub(f.answered)
+}
+
+// Run follows the store until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		f.note(err)
+		wait := f.times.Poll
+		if err != nil {
+			wait = f.times.Retry
+		}
+		t := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+	return nil
+}
+
+// step makes one call and applies what it brings.
+func (f *Follower) step(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, f.times.Call)
+	defer cancel()
+	if f.after > 0 && f.now().Sub(f.told) < f.times.Silence {
+		u, err := f.source.Changes(ctx, f.after)
+		if err == nil {
+			f.apply(u, false)
+			return nil
+		}
+		if !errors.Is(err, external.ErrHistoryGone) {
+			return eris.Wrap(err, "reading what has changed")
+		}
+	}
+	u, err := f.source.Snapshot(ctx)
+	if err != nil {
+		return eris.Wrap(err, "reading the configuration and the endpoints")
+	}
+	f.told = f.now()
+	f.apply(u, true)
+	return nil
+}
+
+// apply brings the view up to date.
+func (f *Follower) apply(u Update, whole bool) {
+	for _, err := range u.Bad {
+		f.log.Warn().Str("event", "record_rejected").Err(err).Int64("revision", u.At).Msg("a record is not taken; what was known holds")
+	}
+	if u.Events > 0 {
+		f.told = f.now()
+	}
+	f.after = max(f.after, u.At)
+	if u.Config != nil {
+		f.take(*u.Config)
+	}
+	if whole {
+		came, went := f.pool.Replace(u.Endpoints)
+		f.logEndpoints("endpoints_read", came, went, u.At)
+	} else {
+		f.applyEndpoints(u)
+	}
+	for _, e := range u.Entries {
+		f.entries(e)
+	}
+}
+
+func (f *Follower) applyEndpoints(u Update) {
+	for _, e := range u.Endpoints {
+		if f.pool.Put(e) {
+			f.log.Info().Str("event", "endpoint_seen").Str("endpoint", e.ID).Str("service", e.Service).Str("address", e.Addr).
+				Bool("draining", e.Draining).Int64("revision", u.At).Msg("an endpoint is new or has changed its state")
+		}
+	}
+	for _, id := range u.Gone {
+		if f.pool.Remove(id) {
+			f.log.Info().Str("event", "endpoint_gone").Str("endpoint", id).Int64("revision", u.At).Msg("an endpoint's record is gone")
+		}
+	}
+}
+
+func (f *Follower) logEndpoints(event string, came, went int, at int64) {
+	if came+went == 0 {
+		return
+	}
+	f.log.Info().Str("event", event).Int("came", came).Int("went", went).Int64("revision", at).Msg("the endpoints were read")
+}
+
+// take puts a configuration in force if it is newer than the one that is.
+func (f *Follower) take(cfg route.Config) {
+	old := f.table.Load()
+	if old != nil && cfg.Version <= old.Version() {
+		return
+	}
+	t, err := route.Compile(cfg)
+	if err != nil {
+		f.log.Error().Str("event", "configuration_rejected").Int64("version", cfg.Version).Err(err).Msg("the configuration in force holds")
+		return
+	}
+	f.table.Store(t)
+	f.log.Info().Str("event", "configuration_taken").Int64("version", cfg.Version).Int("routes", len(cfg.Routes)).
+		Int("customers", len(cfg.Customers)).Msg("a configuration is in force")
+	for _, g := range f.changed {
+		g(t)
+	}
+}
+
+// note keeps whether the store answers, and logs when that changes.
+func (f *Follower) note(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	switch {
+	case err != nil && !f.lost && now.Sub(f.answered) > f.times.Call:
+		f.lost = true
+		f.log.Warn().Str("event", "store_lost").Err(err).Dur("age", now.Sub(f.answered)).Msg("the store does not answer")
+	case err == nil && f.lost:
+		f.lost = false
+		f.log.Info().Str("event", "store_regained").Dur("after", now.Sub(f.answered)).Msg("the store answers again")
+	}
+	if err == nil {
+		f.answered = now
+	}
+}
--- /dev/null
+++ b/internal/pool/health.go
@@ -0,0 +1,112 @@
+package pool
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	errorWeight = 0.12            // the part of one answer in an endpoint's share of failures
+	errorDecay  = 4 * time.Second // the time constant with which that share is forgotten
+)
+
+// failing is the share of failures among an endpoint's last answers, older ones counting less.
+func (m *member) failing(now time.Time) float64 {
+	return m.errors * math.Exp(-now.Sub(m.errorsAt).Seconds()/errorDecay.Seconds())
+}
+
+// learn takes one more answer into the share: 1 for a failure, 0 for none.
+func (m *member) learn(now time.Time, failure float64) {
+	m.errors = m.failing(now)*(1-errorWeight) + failure*errorWeight
+	m.errorsAt = now
+}
+
+// sound says whether nothing speaks against an endpoint.
+func (l *Pool) sound(m *member, now time.Time) bool {
+	if now.Before(m.pausedTil) || now.Before(m.busyTil) || m.failing(now) > l.policy.ErrorShare {
+		return false
+	}
+	return !l.silent(m, now)
+}
+
+// silent says whether an endpoint owes an answer and has said nothing for too long.
+func (l *Pool) silent(m *member, now time.Time) bool {
+	if m.open == 0 {
+		return false
+	}
+	since := m.asked
+	if m.heard.After(since) {
+		since = m.heard
+	}
+	return now.Sub(since) > l.policy.Silence
+}
+
+// Heard notes that the endpoint has sent something.
+func (s *Lease) Heard() {
+	s.pool.mu.Lock()
+	s.member.heard = s.pool.now()
+	s.pool.mu.Unlock()
+}
+
+// Silent says whether the endpoint says nothing to anybody here.
+func (s *Lease) Silent() bool {
+	s.pool.mu.RLock()
+	defer s.pool.mu.RUnlock()
+	return s.pool.silent(s.member, s.pool.now())
+}
+
+// End is how a request's use of an endpoint ended.
+type End int
+
+// The ends.
+const (
+	EndGood    End = iota // a whole answer
+	EndFailed             // an answer that says that the endpoint failed
+	EndBroken             // no answer, half an answer, or none that can be trusted
+	EndBusy               // the endpoint did not run it for lack of room
+	EndMoved              // another endpoint has the address
+	EndNeutral            // nothing is learnt: the caller left, or the time was up
+)
+
+// Done ends the use and learns from how it ended.
+func (s *Lease) Done(end End) {
+	l := s.pool
+	now := l.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s.ended {
+		return
+	}
+	s.ended = true
+	m := s.member
+	m.open--
+	switch end {
+	case EndGood:
+		m.learn(now, 0)
+		m.pause = 0
+	case EndFailed:
+		m.learn(now, 1)
+	case EndBroken:
+		l.pauseMember(m, now)
+	case EndBusy:
+		m.busyTil = now.Add(busyPause)
+	case EndMoved:
+		if l.byID[m.ID] == m {
+			m.Draining = true
+		}
+	case EndNeutral:
+	}
+}
+
+// busyPause is how long an endpoint that is full gets no work.
+const busyPause = 100 * time.Millisecond
+
+// pauseMember keeps new work from an endpoint, longer with each failure in a row.
+func (l *Pool) pauseMember(m *member, now time.Time) {
+	if m.pause == 0 {
+		m.pause = l.policy.FirstPause
+	} else {
+		m.pause = min(2*m.pause, l.policy.LongPause)
+	}
+	m.pausedTil = now.Add(m.pause)
+}
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,163 @@
+// Package pool knows the endpoints of each service and picks one for a request, by what is known of its load, of the prompts
+// that it keeps in memory, and of its health.
+package pool
+
+import (
+	"sync"
+	"time"
+)
+
+// Endpoint is what an endpoint says of itself.
+type Endpoint struct {
+	ID       string
+	Service  string
+	Addr     string
+	Zone     string
+	Slots    int
+	Draining bool // takes no new work
+}
+
+// Policy holds the figures by which endpoints are judged.
+type Policy struct {
+	Silence     time.Duration // an endpoint that owes an answer and says nothing for this long is suspected
+	FirstPause  time.Duration // without new work after a failure
+	LongPause   time.Duration // the most that a pause grows to
+	Slack       float64       // how far over the mean load an endpoint may be for the sake of a kept prompt
+	SlackRoom   int           // requests that it may have beyond that
+	OwnZoneHelp float64       // load, in requests, that another zone's endpoint must be better by
+	ErrorShare  float64       // failures among the last answers at which an endpoint is avoided
+}
+
+// DefaultPolicy suits endpoints that answer within a second.
+func DefaultPolicy() Policy {
+	return Policy{
+		Silence: 700 * time.Millisecond, FirstPause: 400 * time.Millisecond, LongPause: 4 * time.Second,
+		Slack: 1.5, SlackRoom: 3, OwnZoneHelp: 0.5, ErrorShare: 0.35,
+	}
+}
+
+// member is an endpoint with what this instance has seen of it.
+type member struct {
+	Endpoint
+	open      int       // requests of this instance
+	heard     time.Time // the last byte
+	asked     time.Time // since when it owes an answer without a break; zero: it owes none
+	pausedTil time.Time
+	pause     time.Duration
+	errors    float64 // share of failures among the last answers, at errorsAt
+	errorsAt  time.Time
+	busyTil   time.Time
+}
+
+// Pool is the directory of endpoints. All its methods may be called at once.
+type Pool struct {
+	zone   string
+	policy Policy
+	now    func() time.Time
+
+	mu       sync.RWMutex
+	services map[string]map[string]*member
+	byID     map[string]*member
+	gone     func(addr string)
+}
+
+// Option changes a Pool.
+type Option func(*Pool)
+
+// WithPolicy replaces the figures.
+func WithPolicy(p Policy) Option { return func(l *Pool) { l.policy = p } }
+
+// WithNow replaces the clock.
+func WithNow(now func() time.Time) Option { return func(l *Pool) { l.now = now } }
+
+// OnGone sets what is called with the address of an endpoint that is not there any more.
+func OnGone(f func(addr string)) Option { return func(l *Pool) { l.gone = f } }
+
+// New makes an empty pool for an instance in a zone.
+func New(zone string, opts ...Option) *Pool {
+	l := &Pool{
+		zone: zone, policy: DefaultPolicy(), now: time.Now,
+		services: make(map[string]map[string]*member), byID: make(map[string]*member), gone: func(string) {},
+	}
+	for _, opt := range opts {
+		opt(l)
+	}
+	return l
+}
+
+// Replace takes the whole list of endpoints. It returns how many came and went.
+func (l *Pool) Replace(list []Endpoint) (came, went int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	listed := make(map[string]bool, len(list))
+	for _, e := range list {
+		listed[e.ID] = true
+		if l.put(e) {
+			came++
+		}
+	}
+	for id := range l.byID {
+		if !listed[id] {
+			l.remove(id)
+			went++
+		}
+	}
+	return came, went
+}
+
+// Put takes what an endpoint says of itself now; true if it is new or its state has changed.
+func (l *Pool) Put(e Endpoint) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.put(e)
+}
+
+func (l *Pool) put(e Endpoint) bool {
+	m := l.byID[e.ID]
+	if m != nil && m.Service == e.Service && m.Addr == e.Addr {
+		changed := m.Draining != e.Draining
+		m.Endpoint = e
+		return changed
+	}
+	if m != nil {
+		l.remove(e.ID)
+	}
+	m = &member{Endpoint: e, heard: l.now()}
+	l.byID[e.ID] = m
+	if l.services[e.Service] == nil {
+		l.services[e.Service] = make(map[string]*member)
+	}
+	l.services[e.Service][e.ID] = m
+	return true
+}
+
+// Remove takes an endpoint out; false if it was not there.
+func (l *Pool) Remove(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.remove(id)
+}
+
+func (l *Pool) remove(id string) bool {
+	m := l.byID[id]
+	if m == nil {
+		return false
+	}
+	delete(l.byID, id)
+	delete(l.services[m.Service], id)
+	l.gone(m.Addr)
+	return true
+}
+
+// Len is the number of endpoints that take work.
+func (l *Pool) Len() int {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	n := 0
+	for _, m := range l.byID {
+		if !m.Draining {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/relay/dispatch.go
@@ -0,0 +1,259 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/ledgemount/ledgemount/internal/pool"
+	"github.com/ledgemount/ledgemount/internal/upstream"
+	"github.com/ledgemount/ledgemount/internal/verdict"
+)
+
+// result is how one attempt ended.
+type result int
+
+const (
+	resultDone    result = iota // the caller has a whole answer
+	resultUnsent                // the endpoint could not be reached: nothing was sent
+	resultNotRun                // the endpoint says that it did not run the request
+	resultFailed                // the endpoint answered that it failed; the answer is kept
+	resultBroken                // the request may have run; its answer is lost or broken off
+	resultLeft                  // the caller left, or does not take the answer
+	resultTimeout               // the request's time is up
+)
+
+// kept is a failed answer that the caller gets if nothing better comes.
+type kept struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// dispatch sends the request until it is answered or nothing more can be tried.
+func (j *job) dispatch(ctx context.Context) error {
+	var failure *kept
+	for {
+		lease := j.pick()
+		if lease == nil {
+			return j.giveUp(ctx, failure, resultUnsent)
+		}
+		res, answer := j.try(ctx, lease)
+		switch res {
+		case resultDone:
+			return nil
+		case resultFailed:
+			failure = answer
+		case resultUnsent:
+			j.dials++
+			if j.dials < mostDials && ctx.Err() == nil {
+				continue
+			}
+		case resultNotRun, resultBroken, resultLeft, resultTimeout:
+		}
+		if !j.again(ctx, res) {
+			return j.giveUp(ctx, failure, res)
+		}
+	}
+}
+
+func (j *job) pick() *pool.Lease {
+	lease := j.core.Pool.Pick(pool.Query{Service: j.service.Name, Affinity: j.req.Subject(), Tried: j.tried})
+	if lease != nil {
+		j.tried[lease.Endpoint().ID] = true
+	}
+	return lease
+}
+
+// again says whether the request goes to another endpoint.
+func (j *job) again(ctx context.Context, res result) bool {
+	if ctx.Err() != nil || j.attempts >= j.route.MaxAttempts {
+		return false
+	}
+	switch res {
+	case resultNotRun:
+	case resultFailed, resultBroken:
+		if !j.route.Repeatable() {
+			return false
+		}
+	case resultDone, resultUnsent, resultLeft, resultTimeout:
+		return false
+	}
+	if left, ok := j.left(); ok && left < leastLeft {
+		return false
+	}
+	return j.core.Retries.Take(j.service.Name)
+}
+
+// leastLeft is the time below which another attempt cannot help.
+const leastLeft = 30 * time.Millisecond
+
+// giveUp tells the caller how it ended.
+func (j *job) giveUp(ctx context.Context, failure *kept, res result) error {
+	switch {
+	case j.begun:
+		return ErrBroken
+	case failure != nil:
+		j.begin(failure.status, failure.header, int64(len(failure.body)))
+		_ = j.out.Write(failure.body)
+		return nil
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return j.timedOut()
+	case ctx.Err() != nil:
+		return verdict.New(j.verdict(), verdict.CodeCancelled, "the caller left")
+	case !j.ran && res == resultUnsent:
+		return refuse(verdict.CodeNoEndpoint, "no endpoint can be reached", retrySoon)
+	case !j.ran:
+		return refuse(verdict.CodeEndpointRefused, "the endpoints did not run it", retryNow)
+	}
+	return verdict.New(verdict.MayHaveRun, verdict.CodeEndpointFailed, "the endpoint's answer was lost")
+}
+
+func (j *job) timedOut() error {
+	if j.ran {
+		return verdict.New(verdict.MayHaveRun, verdict.CodeTimeout, "the time was up before an answer came")
+	}
+	return refuse(verdict.CodeDeadline, "the time was up before an endpoint could run it", retryNow)
+}
+
+func (j *job) verdict() verdict.Verdict {
+	if j.ran {
+		return verdict.MayHaveRun
+	}
+	return verdict.NotRun
+}
+
+// try sends the request to one endpoint and passes on what comes.
+func (j *job) try(ctx context.Context, lease *pool.Lease) (result, *kept) {
+	at := j.core.now().Sub(j.req.Arrived)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watch := j.watch(lease, cancel)
+	res, answer := j.exchange(ctx, lease, watch)
+	watch.stop()
+	if res == resultBroken && ctx.Err() != nil && !watch.stalled() {
+		res = resultLeft
+	}
+	lease.Done(endOf(res))
+	j.outcome.Endpoints = append(j.outcome.Endpoints, Step{
+		Endpoint: lease.Endpoint().ID, Reason: string(lease.Reason()), End: resultNames[res], At: at,
+	})
+	return res, answer
+}
+
+var resultNames = map[result]string{
+	resultDone: "done", resultUnsent: "unreachable", resultNotRun: "not-run", resultFailed: "failed", resultBroken: "broken",
+	resultLeft: "left", resultTimeout: "timeout",
+}
+
+func endOf(res result) pool.End {
+	switch res {
+	case resultDone:
+		return pool.EndGood
+	case resultFailed:
+		return pool.EndFailed
+	case resultUnsent, resultBroken:
+		return pool.EndBroken
+	case resultNotRun:
+		return pool.EndBusy
+	case resultLeft, resultTimeout:
+	}
+	return pool.EndNeutral
+}
+
+// exchange sends the request and reads the answer's head.
+func (j *job) exchange(ctx context.Context, lease *pool.Lease, watch *watchdog) (result, *kept) {
+	e := lease.Endpoint()
+	a := Attempt{Endpoint: e.ID, After: j.last}
+	if a.After == "" {
+		a.After = j.req.After
+	}
+	if j.customer != nil {
+		a.Customer = j.customer.Name
+	}
+	if left, ok := j.left(); ok {
+		a.Left = max(left, time.Millisecond)
+	}
+	res, err := j.core.Client.Do(ctx, e.Addr, j.core.Dialect.Outbound(j.req, a))
+	if errors.Is(err, upstream.ErrNotSent) {
+		return resultUnsent, nil
+	}
+	j.attempts++
+	if err != nil {
+		j.ran = true
+		return resultBroken, nil
+	}
+	defer func() { _ = res.Body.Close() }()
+	watch.heard()
+	reading := j.core.Dialect.Read(j.req, res)
+	switch {
+	case reading.Moved:
+		lease.Done(pool.EndMoved)
+		return resultNotRun, nil
+	case reading.NotRun:
+		_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, drainMost))
+		return resultNotRun, nil
+	case !reading.Genuine:
+		j.ran = true
+		return resultBroken, nil
+	}
+	j.ran = true
+	if j.streams(res) {
+		return j.stream(res, watch), nil
+	}
+	return j.whole(res, watch)
+}
+
+// drainMost is how much of an answer that nobody wants is read to keep its connection.
+const drainMost = 4 << 10
+
+// mostWhole is the size in bytes up to which an answer is read before the caller sees any of it.
+const mostWhole = 256 << 10
+
+// whole passes on an answer that is no stream. A failure may still be repeated, so it is kept.
+func (j *job) whole(res *upstream.Response, watch *watchdog) (result, *kept) {
+	body, err := io.ReadAll(io.LimitReader(res.Body, mostWhole))
+	watch.heard()
+	if err != nil {
+		return resultBroken, nil
+	}
+	if res.Length >= 0 && int64(len(body)) < min(res.Length, mostWhole) {
+		return resultBroken, nil
+	}
+	if res.Status >= http.StatusInternalServerError {
+		return resultFailed, &kept{status: res.Status, header: res.Header, body: body}
+	}
+	if len(body) < mostWhole {
+		j.begin(res.Status, res.Header, int64(len(body)))
+		if j.out.Write(body) != nil {
+			return resultLeft, nil
+		}
+		return resultDone, nil
+	}
+	return j.long(res, body), nil
+}
+
+// long passes on an answer that is too long to be read first.
+func (j *job) long(res *upstream.Response, first []byte) result {
+	j.begin(res.Status, res.Header, res.Length)
+	if j.out.Write(first) != nil {
+		return resultLeft
+	}
+	buf := make([]byte, copyBuffer)
+	for {
+		n, err := res.Body.Read(buf)
+		if n > 0 && j.out.Write(buf[:n]) != nil {
+			return resultLeft
+		}
+		if errors.Is(err, io.EOF) {
+			return resultDone
+		}
+		if err != nil {
+			return resultBroken
+		}
+	}
+}
+
+const copyBuffer = 16 << 10
--- /dev/null
+++ b/internal/relay/request.go
@@ -0,0 +1,120 @@
+// Package relay carries one request from its caller to an endpoint and its answer back: who pays, whether it may run, where it
+// runs, when it is sent again, and what the caller is told. It does not know which protocol asked: dialects translate.
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/ledgemount/ledgemount/internal/upstream"
+	"github.com/ledgemount/ledgemount/internal/verdict"
+)
+
+// Part is a piece of a prompt that other requests may share.
+type Part struct {
+	ID     string
+	Tokens int64
+}
+
+// Request is a caller's request, read whole.
+type Request struct {
+	ID        string
+	Method    string
+	Target    string // path and query as the caller wrote them
+	Path      string
+	Host      string
+	Header    http.Header // what goes on to the endpoint, without what the instance sets itself
+	Body      []byte
+	Key       string
+	Deadline  time.Duration // from Arrived; 0: the caller names none
+	Arrived   time.Time
+	TokensIn  int64
+	TokensOut int64 // the most that may come
+	Metered   bool  // the token counts were given
+	Parts     []Part
+	After     string // the last event that the caller has; empty: none
+}
+
+// Subject is the part of the prompt by which requests find each other's memory: the last that others share.
+func (r *Request) Subject() string {
+	switch n := len(r.Parts); n {
+	case 0:
+		return ""
+	case 1:
+		return r.Parts[0].ID
+	default:
+		return r.Parts[n-2].ID
+	}
+}
+
+// Attempt is one sending of a request to an endpoint.
+type Attempt struct {
+	Endpoint string // the endpoint's ID
+	Customer string // empty: none pays
+	Left     time.Duration
+	After    string // the last event that was passed on; empty: none
+}
+
+// Reading is what an endpoint's answer says of itself.
+type Reading struct {
+	Genuine bool // it answers this request, and an endpoint has signed it
+	NotRun  bool // the endpoint says that it did not run the request
+	Moved   bool // it comes from another endpoint than the one meant
+}
+
+// Dialect writes requests for endpoints and reads their answers.
+type Dialect interface {
+	// Outbound is the request as it is sent in one attempt.
+	Outbound(r *Request, a Attempt) *upstream.Request
+	// Read judges an answer's head.
+	Read(r *Request, res *upstream.Response) Reading
+	// Answer is the header that the caller gets of an endpoint's answer.
+	Answer(h http.Header) http.Header
+}
+
+// Sink is where a caller's answer goes.
+type Sink interface {
+	// Begin sends the head. length is the body's, -1 where it is not known.
+	Begin(status int, header http.Header, length int64)
+	// Write sends a piece of the body at once.
+	Write(p []byte) error
+}
+
+// Outcome tells how a request ended, for logs and metrics.
+type Outcome struct {
+	Request   *Request
+	Route     string
+	Kind      string
+	Service   string
+	Customer  string
+	Version   int64 // of the configuration
+	Status    int
+	Code      verdict.Code
+	Verdict   verdict.Verdict
+	Detail    string
+	Attempts  int
+	Endpoints []Step
+	Events    int64
+	Used      int64 // tokens
+	Reserved  int64
+	Left      int64         // of the customer's escrow here after the reservation
+	LeftAge   time.Duration // since the store last confirmed it
+	First     time.Duration // until the answer's first byte; 0: none came
+	Total     time.Duration
+}
+
+// Step is one attempt in an Outcome.
+type Step struct {
+	Endpoint string
+	Reason   string
+	End      string
+	At       time.Duration // since the request arrived
+}
+
+// Valid checks what every request needs. The error is a verdict.
+func (r *Request) Valid() error {
+	if r.ID == "" {
+		return verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the request has no ID")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/relay/stream.go
@@ -0,0 +1,156 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"mime"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ledgemount/ledgemount/internal/pool"
+	"github.com/ledgemount/ledgemount/internal/route"
+	"github.com/ledgemount/ledgemount/internal/upstream"
+)
+
+// eventStream is the media type of a stream of events.
+const eventStream = "text/event-stream"
+
+// mostEvent is the longest event that is passed on, in bytes.
+const mostEvent = 1 << 20
+
+var errLongEvent = errors.New("an event is too long")
+
+// streams says whether an answer is a stream of events.
+func (j *job) streams(res *upstream.Response) bool {
+	if j.route.Kind != route.Streaming || res.Status != http.StatusOK {
+		return false
+	}
+	kind, _, err := mime.ParseMediaType(res.Header.Get("Content-Type"))
+	return err == nil && kind == eventStream
+}
+
+// stream passes events on as they come, only whole ones.
+func (j *job) stream(res *upstream.Response, watch *watchdog) result {
+	r := bufio.NewReader(res.Body)
+	var event []byte
+	for {
+		var err error
+		event, err = readEvent(r, event[:0])
+		if errors.Is(err, io.EOF) && len(event) == 0 {
+			j.begin(res.Status, res.Header, -1)
+			return resultDone
+		}
+		if err != nil {
+			return resultBroken
+		}
+		watch.heard()
+		id := eventID(event)
+		j.begin(res.Status, res.Header, -1)
+		if id != "" {
+			j.events++
+			j.last = id
+		}
+		if j.out.Write(event) != nil {
+			return resultLeft
+		}
+	}
+}
+
+// readEvent appends the next event, with the empty line that ends it. io.EOF with no bytes is the end of the stream; bytes
+// without an end are an event that was cut off.
+func readEvent(r *bufio.Reader, event []byte) ([]byte, error) {
+	for {
+		line, err := r.ReadSlice('\n')
+		event = append(event, line...)
+		if len(event) > mostEvent {
+			return event, errLongEvent
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if err != nil {
+			return event, err
+		}
+		if isBlank(line) && len(event) > len(line) {
+			return event, nil
+		}
+	}
+}
+
+func isBlank(line []byte) bool { return len(bytes.TrimRight(line, "\r\n")) == 0 }
+
+var idField = []byte("id:")
+
+// eventID finds the ID in an event.
+func eventID(event []byte) string {
+	for line := range bytes.Lines(event) {
+		if rest, ok := bytes.CutPrefix(line, idField); ok {
+			return string(bytes.TrimSpace(rest))
+		}
+	}
+	return ""
+}
+
+// watchdog ends an attempt whose endpoint has fallen silent, where the request may go on elsewhere.
+type watchdog struct {
+	lease *pool.Lease
+	now   func() time.Time
+	last  atomic.Int64 // nanoseconds of the core's clock
+	fired atomic.Bool
+
+	mu    sync.Mutex
+	timer *time.Timer // nil: it is over, or was never needed
+}
+
+// watch starts a watchdog; for a request that may not be repeated it only notes what is heard.
+func (j *job) watch(lease *pool.Lease, cancel func()) *watchdog {
+	w := &watchdog{lease: lease, now: j.core.now}
+	w.last.Store(j.core.now().UnixNano())
+	if !j.route.Repeatable() || j.attempts+1 >= j.route.MaxAttempts {
+		return w
+	}
+	stall := j.core.stall
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(stall, func() { w.check(stall, cancel) })
+	return w
+}
+
+// check ends the attempt if the endpoint says nothing, to this request nor to any other of this instance.
+func (w *watchdog) check(stall time.Duration, cancel func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer == nil {
+		return
+	}
+	quiet := w.now().Sub(time.Unix(0, w.last.Load()))
+	if quiet >= stall && w.lease.Silent() {
+		w.fired.Store(true)
+		cancel()
+		return
+	}
+	w.timer.Reset(max(stall-quiet, stall/watchSteps))
+}
+
+// watchSteps is how many times a silence is looked at again within the length of a stall.
+const watchSteps = 4
+
+func (w *watchdog) heard() {
+	w.last.Store(w.now().UnixNano())
+	w.lease.Heard()
+}
+
+func (w *watchdog) stalled() bool { return w.fired.Load() }
+
+func (w *watchdog) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer != nil {
+		w.timer.Stop()
+		w.timer = nil
+	}
+}
--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,225 @@
+// Package route holds the routing configuration: which service serves a host and path, under which limits and for which customers.
+package route
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Kind says what may be repeated of a request.
+type Kind int
+
+// The kinds. The zero value is the cautious one.
+const (
+	Unsafe    Kind = iota // runs at most once
+	Safe                  // may run more than once
+	Streaming             // answers with events; runs at most once unless its route is resumable
+)
+
+var kindNames = map[Kind]string{Unsafe: "unsafe", Safe: "safe", Streaming: "streaming"}
+
+// String returns the kind's name in logs.
+func (k Kind) String() string { return kindNames[k] }
+
+// Share is one service's part of a route's requests.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Route says how requests of a host and path prefix are served.
+type Route struct {
+	Name        string
+	Host        string
+	Prefix      string // begins and ends with a slash
+	Kind        Kind
+	Timeout     time.Duration // the longest a request is held; 0: no limit
+	Objective   time.Duration // the time within which an answer, or its first event, is in time
+	Gap         time.Duration // the longest pause between events that is in time; 0: none stated
+	Priority    int           // 0 is highest
+	Split       []Share
+	MaxAttempts int  // endpoints to which one request may be sent
+	Public      bool // needs no key
+	Resumable   bool // a stream may go on at another endpoint
+}
+
+// Repeatable says whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool { return r.Kind == Safe || (r.Kind == Streaming && r.Resumable) }
+
+// Service is a group of endpoints that serve the same requests.
+type Service struct {
+	Name       string
+	HealthPath string
+	MaxConns   int   // connections that an endpoint takes from all callers
+	Stride     int64 // tokens in an event of a stream; 0: the service generates none
+	Memory     int64 // tokens that an endpoint's memory holds; 0: not known
+	Slots      int   // requests that an endpoint works on at once; 0: not known
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// NoPriority marks a customer whose requests keep their route's priority.
+const NoPriority = -1
+
+// Unlimited marks a customer without a prepaid figure.
+const Unlimited = -1
+
+// Customer is who pays for a request.
+type Customer struct {
+	Name     string
+	Keys     []string
+	Priority int   // NoPriority, or what goes before the route's
+	Prepaid  int64 // tokens; Unlimited: none stated
+}
+
+// Config is one version of the routing configuration.
+type Config struct {
+	Version   int64
+	Routes    []Route
+	Services  []Service
+	Limits    Limits
+	Keyed     bool // requests need a key unless their route is public
+	Customers []Customer
+}
+
+// Table is a compiled Config. It never changes.
+type Table struct {
+	cfg      Config
+	hosts    map[string][]*Route // by falling length of prefix
+	services map[string]*Service
+	keys     map[string]*Customer
+	names    map[string]*Customer
+}
+
+// Compile checks a configuration and prepares it for look-ups. The error names the field at fault.
+func Compile(cfg Config) (*Table, error) {
+	t := &Table{
+		cfg:      cfg,
+		hosts:    make(map[string][]*Route),
+		services: make(map[string]*Service, len(cfg.Services)),
+		keys:     make(map[string]*Customer),
+		names:    make(map[string]*Customer, len(cfg.Customers)),
+	}
+	for i := range t.cfg.Services {
+		t.services[t.cfg.Services[i].Name] = &t.cfg.Services[i]
+	}
+	for i := range t.cfg.Routes {
+		if err := t.addRoute(&t.cfg.Routes[i]); err != nil {
+			return nil, eris.Wrapf(err, "routes[%d]", i)
+		}
+	}
+	for _, routes := range t.hosts {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+	}
+	for i := range t.cfg.Customers {
+		if err := t.addCustomer(&t.cfg.Customers[i]); err != nil {
+			return nil, eris.Wrapf(err, "customers[%d]", i)
+		}
+	}
+	return t, nil
+}
+
+func (t *Table) addRoute(r *Route) error {
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return eris.Errorf("prefix %q must begin and end with a slash", r.Prefix)
+	}
+	if len(r.Split) == 0 {
+		return eris.New("service: no service is named")
+	}
+	for _, s := range r.Split {
+		if t.services[s.Service] == nil {
+			return eris.Errorf("service %q is not declared", s.Service)
+		}
+	}
+	r.MaxAttempts = max(1, r.MaxAttempts)
+	host := hostOnly(r.Host)
+	t.hosts[host] = append(t.hosts[host], r)
+	return nil
+}
+
+func (t *Table) addCustomer(c *Customer) error {
+	if c.Name == "" {
+		return eris.New("name is empty")
+	}
+	if t.names[c.Name] != nil {
+		return eris.Errorf("name %q stands twice", c.Name)
+	}
+	t.names[c.Name] = c
+	for _, k := range c.Keys {
+		t.keys[k] = c
+	}
+	return nil
+}
+
+func hostOnly(host string) string {
+	host = strings.ToLower(host)
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return host
+}
+
+// Version is the configuration's version; versions only rise.
+func (t *Table) Version() int64 { return t.cfg.Version }
+
+// Limits bound what a caller may send.
+func (t *Table) Limits() Limits { return t.cfg.Limits }
+
+// Keyed says whether requests need a key.
+func (t *Table) Keyed() bool { return t.cfg.Keyed }
+
+// Customers lists the customers.
+func (t *Table) Customers() []Customer { return t.cfg.Customers }
+
+// Match finds the route of a host with the longest prefix that begins the path.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	for _, r := range t.hosts[hostOnly(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Service finds a service by name.
+func (t *Table) Service(name string) (*Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// CustomerOf finds the holder of a key.
+func (t *Table) CustomerOf(key string) (*Customer, bool) {
+	c, ok := t.keys[key]
+	return c, ok
+}
+
+// Customer finds a customer by name.
+func (t *Table) Customer(name string) (*Customer, bool) {
+	c, ok := t.names[name]
+	return c, ok
+}
+
+// Choose picks a service of the split by a number from 0 up to, not including, 1.
+func (r *Route) Choose(at float64) string {
+	total := 0
+	for _, s := range r.Split {
+		total += max(0, s.Weight)
+	}
+	left := int(at * float64(total))
+	for _, s := range r.Split {
+		left -= max(0, s.Weight)
+		if left < 0 {
+			return s.Service
+		}
+	}
+	return r.Split[0].Service
+}
--- /dev/null
+++ b/internal/router/events.go
@@ -0,0 +1,81 @@
+package router
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/ledgemount/ledgemount/internal/observe"
+	"github.com/ledgemount/ledgemount/internal/relay"
+)
+
+// meters are the counters and histograms of a router.
+type meters struct {
+	metrics *observe.Metrics
+	first   tally.Histogram
+	total   tally.Histogram
+}
+
+func newMeters(set *Settings) *meters {
+	m := observe.NewMetrics(set.Instance.ID, set.Instance.Zone)
+	const smallest, growth, steps = time.Millisecond, 2, 15
+	buckets := tally.MustMakeExponentialDurationBuckets(smallest, growth, steps)
+	return &meters{
+		metrics: m,
+		first:   m.Scope().Histogram("relay_first_byte_seconds", buckets),
+		total:   m.Scope().Histogram("relay_request_seconds", buckets),
+	}
+}
+
+func (m *meters) handler() http.Handler { return m.metrics.Handler() }
+
+// Close ends the reporting.
+func (m *meters) Close() error { return m.metrics.Close() }
+
+// record counts a request that has ended.
+func (m *meters) record(o *relay.Outcome) {
+	reason := string(o.Code)
+	if reason == "" {
+		reason = "served"
+	}
+	m.metrics.Scope().Tagged(map[string]string{"reason": reason, "kind": o.Kind}).Counter("relay_requests_total").Inc(1)
+	if o.First > 0 {
+		m.first.RecordDuration(o.First)
+	}
+	m.total.RecordDuration(o.Total)
+}
+
+// ended logs and counts a request that has ended: one line that says what was decided and on what.
+func (r *Router) ended(o relay.Outcome) {
+	r.metrics.record(&o)
+	e := r.log.Info()
+	if o.Code != "" {
+		e = r.log.Warn()
+	}
+	e = e.Str("event", "request_ended").Str("request", o.Request.ID).Str("route", o.Route).Str("kind", o.Kind).
+		Str("service", o.Service).Str("customer", o.Customer).Int64("version", o.Version).Int("status", o.Status).
+		Str("verdict", o.Verdict.String()).Int("attempts", o.Attempts).Int64("events", o.Events).
+		Int64("reserved", o.Reserved).Int64("used", o.Used).Int64("escrow_left", o.Left).
+		Int64("escrow_age_ms", o.LeftAge.Milliseconds()).
+		Int64("first_ms", o.First.Milliseconds()).Int64("total_ms", o.Total.Milliseconds())
+	if o.Code != "" {
+		e = e.Str("code", string(o.Code)).Str("detail", o.Detail)
+	}
+	if len(o.Endpoints) > 0 {
+		e = e.Array("endpoints", steps(o.Endpoints))
+	}
+	e.Msg("a request has ended")
+}
+
+// steps writes attempts into a log line.
+type steps []relay.Step
+
+// MarshalZerologArray implements zerolog.LogArrayMarshaler.
+func (s steps) MarshalZerologArray(a *zerolog.Array) {
+	for _, x := range s {
+		a.Dict(zerolog.Dict().Str("endpoint", x.Endpoint).Str("reason", x.Reason).Str("end", x.End).
+			Int64("at_ms", x.At.Milliseconds()))
+	}
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,163 @@
+// Package router wires one instance that stands alone on a platform: it serves callers' HTTP routes and streams with nothing but
+// the platform's store behind it, and goes on without that for a while.
+package router
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"github.com/ledgemount/ledgemount/internal/edge"
+	"github.com/ledgemount/ledgemount/internal/escrow"
+	"github.com/ledgemount/ledgemount/internal/external"
+	"github.com/ledgemount/ledgemount/internal/follow"
+	"github.com/ledgemount/ledgemount/internal/kernel"
+	"github.com/ledgemount/ledgemount/internal/pool"
+	"github.com/ledgemount/ledgemount/internal/relay"
+	"github.com/ledgemount/ledgemount/internal/retry"
+	"github.com/ledgemount/ledgemount/internal/route"
+	"github.com/ledgemount/ledgemount/internal/upstream"
+)
+
+// escrowPrefix is where the escrow's pages lie under the fleet's own prefix.
+const escrowPrefix = "escrow/"
+
+// Platform is what a router needs of the place where it runs.
+type Platform struct {
+	Store   external.KV
+	Source  follow.Source
+	Dialect relay.Dialect
+	Parser  edge.Parser
+}
+
+// Router is one instance.
+type Router struct {
+	set     *Settings
+	log     zerolog.Logger
+	kernel  *kernel.Kernel
+	client  *upstream.Client
+	pool    *pool.Pool
+	follow  *follow.Follower
+	escrow  *escrow.Holder
+	core    *relay.Core
+	callers *edge.Server
+	probes  *probes
+	metrics *meters
+}
+
+// New builds a router; it listens already, but runs only with Run.
+func New(set *Settings, on Platform, log zerolog.Logger) (*Router, error) {
+	r := &Router{set: set, log: log, kernel: kernel.New(), client: upstream.New(), metrics: newMeters(set)}
+	r.pool = pool.New(set.Instance.Zone, pool.OnGone(r.client.Forget))
+	id := set.Instance.ID + "/" + strings.ToLower(ulid.Make().String())
+	r.escrow = escrow.New(on.Store, set.Store.Prefix+escrowPrefix, set.Store.Pages, set.Instance.ID, id, escrow.WithLogger(log))
+	r.follow = follow.New(on.Source, r.pool,
+		follow.WithLogger(log), follow.OnTable(r.fundsOf), follow.OnEntry(r.escrow.Observe))
+	retries := retry.NewShared(set.Retry.Ratio, set.Retry.Slack, set.Retry.Window, r.escrow.Holders, time.Now)
+	r.core = relay.New(relay.Deps{
+		Tables: r.follow.Table, Pool: r.pool, Budgets: r.escrow, Retries: retries, Client: r.client, Dialect: on.Dialect,
+	}, relay.WithEnded(r.ended))
+	if err := r.listen(on); err != nil {
+		return nil, err
+	}
+	return r, r.kernel.Register(r.services()...)
+}
+
+// services are the parts that run, in the order in which they start.
+func (r *Router) services() []kernel.Service {
+	return []kernel.Service{r.follow, r.escrow, &sweeper{client: r.client}, r.callers, r.probes}
+}
+
+func (r *Router) listen(on Platform) error {
+	var err error
+	r.callers, err = edge.Listen(r.set.Callers.Listen, r.core, on.Parser, edge.DefaultTimes())
+	if err != nil {
+		return err
+	}
+	r.probes, err = listenProbes(r.set.Probes, r.ready, r.metrics.handler())
+	return err
+}
+
+// fundsOf tells the escrow of the prepaid figures of a newer configuration.
+func (r *Router) fundsOf(t *route.Table) {
+	list := make([]escrow.Prepaid, 0, len(t.Customers()))
+	for _, c := range t.Customers() {
+		list = append(list, escrow.Prepaid{Customer: c.Name, Tokens: c.Prepaid})
+	}
+	r.escrow.SetPrepaid(list)
+}
+
+// ready says whether callers may be sent here: the configuration, the endpoints and the escrow are known.
+func (r *Router) ready() bool {
+	return r.follow.Table() != nil && r.escrow.Ready() && r.pool.Len() > 0
+}
+
+// Run runs the router until ctx ends, without a planned stop: use Stop for that.
+func (r *Router) Run(ctx context.Context) error {
+	r.log.Info().Str("event", "instance_started").Str("callers", r.callers.Addr()).Str("probes", r.set.Probes.Listen).
+		Str("store", r.set.Store.Address).Int("retry_slack", r.set.Retry.Slack).Dur("stop_within", r.set.Stop.Within).
+		Msg("instance started")
+	err := r.kernel.Run(ctx)
+	_ = r.client.Close()
+	_ = r.metrics.Close()
+	return err
+}
+
+// The parts of a planned stop.
+const (
+	lingerShare = 0.35                   // of the time for a stop: callers still come until the platform has noticed
+	giveBack    = 600 * time.Millisecond // for the escrow, before the end
+	exitMargin  = 250 * time.Millisecond
+)
+
+// Stop is a planned stop: the instance calls itself not ready, serves those who still come, ends open requests, gives its escrow
+// back, and ends.
+func (r *Router) Stop() error {
+	begun := time.Now()
+	r.log.Info().Str("event", "instance_stopping").Msg("planned stop")
+	r.probes.leave()
+	r.callers.Leave()
+	r.escrow.Shrink()
+	time.Sleep(time.Duration(float64(r.set.Stop.Within) * lingerShare))
+	open, cancel := context.WithDeadline(context.Background(), begun.Add(r.set.Stop.Within-giveBack-exitMargin))
+	defer cancel()
+	err := r.callers.Stop(open)
+	back, cancelBack := context.WithDeadline(context.Background(), begun.Add(r.set.Stop.Within-exitMargin))
+	defer cancelBack()
+	errBack := r.escrow.Leave(back)
+	r.log.Info().Str("event", "instance_stopped").AnErr("requests", err).AnErr("escrow", errBack).
+		Dur("took", time.Since(begun)).Msg("instance stopped")
+	return eris.Wrap(r.kernel.Close(), "ending the services")
+}
+
+// Reload takes settings that have changed; those that cannot change while the process runs hold until it starts again.
+func (r *Router) Reload(set *Settings) {
+	r.log.Info().Str("event", "settings_reloaded").Int("retry_slack", set.Retry.Slack).Dur("stop_within", set.Stop.Within).
+		Msg("the settings were read again")
+}
+
+// sweeper closes idle connections to endpoints.
+type sweeper struct{ client *upstream.Client }
+
+const sweepEvery = 2 * time.Second
+
+// Name implements kernel.Service.
+func (*sweeper) Name() string { return "sweeper" }
+
+// Run implements kernel.Service.
+func (s *sweeper) Run(ctx context.Context) error {
+	t := time.NewTicker(sweepEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			s.client.Sweep()
+		}
+	}
+}
--- /dev/null
+++ b/internal/router/settings.go
@@ -0,0 +1,97 @@
+package router
+
+import (
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/ledgemount/ledgemount/internal/declare"
+)
+
+// Settings are everything that one router is told at its start. Times are written like "2s" or "150ms".
+type Settings struct {
+	Instance Instance `json:"instance"`
+	Callers  Callers  `json:"callers"`
+	Probes   Probes   `json:"probes"`
+	Store    Store    `json:"store"`
+	Retry    Retry    `json:"retry"`
+	Stop     Stop     `json:"stop"`
+	Log      Log      `json:"log"`
+}
+
+// Instance says which instance this is.
+type Instance struct {
+	ID   string `json:"id" validate:"required"`   // outlasts the process: a successor has the same
+	Zone string `json:"zone" validate:"required"` // availability zone
+}
+
+// Callers is the callers' side.
+type Callers struct {
+	Listen string `json:"listen" validate:"required,hostname_port"`
+}
+
+// Probes is where the platform asks whether the instance takes callers, and where metrics are read.
+type Probes struct {
+	Listen      string `json:"listen" validate:"required,hostname_port"`
+	ReadyPath   string `json:"ready_path" validate:"required,startswith=/"`
+	MetricsPath string `json:"metrics_path" validate:"required,startswith=/"`
+}
+
+// Store is the platform's key-value store.
+type Store struct {
+	Address string `json:"address" validate:"required,hostname_port"`
+	Prefix  string `json:"prefix" validate:"required,endswith=/"` // of the keys that this fleet writes
+	Pages   int    `json:"pages" validate:"min=1,max=4096"`       // values over which the customers' accounts are spread
+}
+
+// Retry bounds the requests that all instances together send again.
+type Retry struct {
+	Ratio  float64       `json:"ratio" validate:"min=0,max=1"` // of a service's requests in a window
+	Slack  int           `json:"slack" validate:"min=0"`       // beside them, in a window
+	Window time.Duration `json:"window" validate:"min=1000000"`
+}
+
+// Stop is the planned stop.
+type Stop struct {
+	Within time.Duration `json:"within" validate:"min=1000000000"` // after this the process is killed
+}
+
+// Log sets the log's level.
+type Log struct {
+	Level string `json:"level" validate:"oneof=debug info warn error"`
+}
+
+// Defaults are the settings where a file says nothing.
+func Defaults() Settings {
+	return Settings{
+		Probes: Probes{ReadyPath: "/ready", MetricsPath: "/metrics"},
+		Store:  Store{Prefix: "ledgemount/", Pages: 1},
+		Retry:  Retry{Ratio: 0.2, Slack: 20, Window: 10 * time.Second},
+		Stop:   Stop{Within: 8 * time.Second},
+		Log:    Log{Level: "info"},
+	}
+}
+
+var validate = declare.NewValidator()
+
+// Decode reads settings. Its error lists every fault with the path of its field.
+func Decode(data []byte) (*Settings, error) {
+	s := Defaults()
+	if err := declare.DecodeStrict(data, &s); err != nil {
+		return nil, err
+	}
+	if err := validate.Check(s).OrNil(); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+// Read reads a settings file.
+func Read(path string) (*Settings, error) {
+	data, err := os.ReadFile(path) //nolint:gosec // the operator names the file
+	if err != nil {
+		return nil, eris.Wrap(err, "reading the settings")
+	}
+	return Decode(data)
+}
--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,228 @@
+// Package upstream exchanges single HTTP/1.1 requests and answers with endpoints over kept connections.
+//
+// It does not use http.Transport: that one sends some requests again by itself, and a request of ours may run once at most.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Request is what goes to an endpoint. The body has a length, whatever the caller sent.
+type Request struct {
+	Method string
+	Target string // path and query as the caller wrote them
+	Host   string
+	Header http.Header
+	Body   []byte
+}
+
+// Response is an endpoint's answer. Close ends the exchange; a body that was not read to its end costs the connection.
+type Response struct {
+	Status int
+	Header http.Header
+	Length int64 // of the body; -1: not told
+	Body   io.ReadCloser
+}
+
+// ErrNotSent says that no byte of the request was sent.
+var ErrNotSent = errors.New("the request was not sent")
+
+// Defaults of a Client.
+const (
+	DefaultDialTimeout = 600 * time.Millisecond
+	DefaultMaxIdle     = 8                // connections kept for an address
+	DefaultIdle        = 10 * time.Second // how long a connection is kept where the endpoint names no time
+	keepMargin         = 700 * time.Millisecond
+	readBuffer         = 2 << 10
+	inlineBody         = 8 << 10 // a body up to this size is written before the answer is read
+)
+
+// Client keeps connections to endpoints.
+type Client struct {
+	dialer  net.Dialer
+	maxIdle int
+	idleFor time.Duration
+	now     func() time.Time
+
+	mu     sync.Mutex
+	idle   map[string][]*conn
+	closed bool
+}
+
+// Option changes a Client.
+type Option func(*Client)
+
+// WithDialTimeout bounds the time that a new connection may take.
+func WithDialTimeout(d time.Duration) Option { return func(c *Client) { c.dialer.Timeout = d } }
+
+// WithMaxIdle bounds the connections that are kept for an address.
+func WithMaxIdle(n int) Option { return func(c *Client) { c.maxIdle = n } }
+
+// WithIdle sets how long a connection is kept where the endpoint names no time.
+func WithIdle(d time.Duration) Option { return func(c *Client) { c.idleFor = d } }
+
+// New makes a client without connections.
+func New(opts ...Option) *Client {
+	c := &Client{
+		dialer:  net.Dialer{Timeout: DefaultDialTimeout, KeepAlive: -1},
+		maxIdle: DefaultMaxIdle,
+		idleFor: DefaultIdle,
+		now:     time.Now,
+		idle:    make(map[string][]*conn),
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// conn is one connection. It serves one exchange at a time.
+type conn struct {
+	net.Conn
+	addr  string
+	br    *bufio.Reader
+	until time.Time // the last moment at which it may be taken for an exchange
+}
+
+// Do sends a request and returns the head of the answer. The exchange ends with ctx, even in the middle of the body.
+// An error that matches ErrNotSent promises that nothing was sent; after any other the request may have run.
+func (c *Client) Do(ctx context.Context, addr string, req *Request) (*Response, error) {
+	cn, err := c.take(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	x := &exchange{client: c, conn: cn}
+	x.stop = context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
+	x.send(req)
+	res, err := x.head(req.Method)
+	if err != nil {
+		x.drop()
+		if ctx.Err() != nil {
+			err = ctx.Err()
+		}
+		return nil, eris.Wrapf(err, "exchanging with %s", addr)
+	}
+	return res, nil
+}
+
+func (c *Client) take(ctx context.Context, addr string) (*conn, error) {
+	for {
+		cn := c.pop(addr)
+		if cn == nil {
+			break
+		}
+		if c.now().Before(cn.until) && cn.quiet() {
+			return cn, nil
+		}
+		_ = cn.Close()
+	}
+	nc, err := c.dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, eris.Wrapf(errors.Join(ErrNotSent, err), "connecting to %s", addr)
+	}
+	return &conn{Conn: nc, addr: addr, br: bufio.NewReaderSize(nc, readBuffer)}, nil
+}
+
+func (c *Client) pop(addr string) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[addr]
+	if len(list) == 0 {
+		return nil
+	}
+	cn := list[len(list)-1]
+	c.idle[addr] = list[:len(list)-1]
+	return cn
+}
+
+func (c *Client) put(cn *conn, header http.Header) {
+	keep := c.idleFor
+	if d, ok := keepAlive(header); ok {
+		keep = d - keepMargin
+	}
+	cn.until = c.now().Add(keep)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || keep <= 0 || len(c.idle[cn.addr]) >= c.maxIdle {
+		_ = cn.Close()
+		return
+	}
+	c.idle[cn.addr] = append(c.idle[cn.addr], cn)
+}
+
+// keepAlive reads the time that an endpoint says it keeps an idle connection.
+func keepAlive(h http.Header) (time.Duration, bool) {
+	for _, v := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(v), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		s, err := strconv.Atoi(strings.TrimSpace(value))
+		if err == nil && s >= 0 {
+			return time.Duration(s) * time.Second, true
+		}
+	}
+	return 0, false
+}
+
+// Forget closes the kept connections to an address.
+func (c *Client) Forget(addr string) {
+	c.mu.Lock()
+	list := c.idle[addr]
+	delete(c.idle, addr)
+	c.mu.Unlock()
+	for _, cn := range list {
+		_ = cn.Close()
+	}
+}
+
+// Sweep closes connections that have been idle for too long.
+func (c *Client) Sweep() {
+	now := c.now()
+	var old []*conn
+	c.mu.Lock()
+	for addr, list := range c.idle {
+		kept := list[:0]
+		for _, cn := range list {
+			if now.Before(cn.until) {
+				kept = append(kept, cn)
+				continue
+			}
+			old = append(old, cn)
+		}
+		c.idle[addr] = kept
+		if len(kept) == 0 {
+			delete(c.idle, addr)
+		}
+	}
+	c.mu.Unlock()
+	for _, cn := range old {
+		_ = cn.Close()
+	}
+}
+
+// Close closes the kept connections. Exchanges that are open end with their contexts.
+func (c *Client) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	all := c.idle
+	c.idle = make(map[string][]*conn)
+	c.mu.Unlock()
+	for _, list := range all {
+		for _, cn := range list {
+			_ = cn.Close()
+		}
+	}
+	return nil
+}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -48,6 +48,7 @@
 	CodeBudgetUnready    Code = "budget-unavailable"
 	CodeOverloaded       Code = "overloaded"
 	CodeDeadline         Code = "deadline"
+	CodeTimeout          Code = "timeout"
 	CodeNoEndpoint       Code = "no-endpoint"
 	CodeEndpointRefused  Code = "endpoint-refused"
 	CodeEndpointFailed   Code = "endpoint-failed"
@@ -73,6 +74,7 @@
 	CodeBudgetUnready:    http.StatusServiceUnavailable,
 	CodeOverloaded:       http.StatusTooManyRequests,
 	CodeDeadline:         http.StatusServiceUnavailable,
+	CodeTimeout:          http.StatusGatewayTimeout,
 	CodeNoEndpoint:       http.StatusServiceUnavailable,
 	CodeEndpointRefused:  http.StatusServiceUnavailable,
 	CodeEndpointFailed:   http.StatusBadGateway,
