feat: escrow sized by rate and grain, released step by step, settled by age at a restart

Floors and largest requests made grants large. Draws stood on pages that others had just written: 14 store calls a second for each instance. Change: grants by mean use and its spread; a report's age by the steady clock within one run of the machine, by the time of day with a bound on its steps across runs; draws follow the poll that brings a fresh page; no wait after a draw that brought nothing.

--- a/internal/escrow/account.go
+++ b/internal/escrow/account.go
@@ -8,7 +8,7 @@
 	clock time.Duration // the report's reading of the clock
 }
 
-func (i issued) ceiling(now time.Duration) int64 { return i.row.Ceiling((now - i.clock).Seconds()) }
+func (i issued) ceiling(now time.Duration) int64 { return i.row.Ceiling(now - i.clock) }
 
 // account is what the holder knows of one customer.
 type account struct {
@@ -16,10 +16,14 @@
 	open    int64 // reservations
 	urgent  int64 // unspent tokens that the largest waiting request needs
 	meter   meter
-	row     issued   // confirmed
-	unsure  []issued // written with an unknown outcome, older than row or not
-	prepaid int64    // as last seen; Unlimited: no limit
-	rest    int64    // of the whole account when last seen: unspent by anyone
+	fleet   meter            // use by all holders, as reported
+	reports map[string]int64 // spent, by holder, when last seen
+	others  int64            // mean of what other holders want
+	dry     time.Time        // the last draw that brought too little
+	row     issued           // confirmed
+	unsure  []issued         // written with an unknown outcome, older than row or not
+	prepaid int64            // as last seen; Unlimited: no limit
+	rest    int64            // of the whole account when last seen: unspent by anyone
 }
 
 // used is what is spent or reserved.
@@ -39,3 +43,24 @@
 	a.row = i
 	a.unsure = a.unsure[:0]
 }
+
+// observe takes what all holders report of the account.
+func (a *account) observe(acc *Account, self string) (used int64) {
+	reports := make(map[string]int64, len(acc.Rows))
+	a.others = 0
+	for id, r := range acc.Rows {
+		reports[id] = r.Spent
+		if before, ok := a.reports[id]; ok {
+			used += max(0, r.Spent-before)
+		}
+		if id != self {
+			a.others += r.Want
+		}
+	}
+	if n := int64(len(acc.Rows)) - 1; n > 1 {
+		a.others /= n
+	}
+	a.reports = reports
+	a.fleet.pending += float64(used)
+	return used
+}
--- a/internal/escrow/draw.go
+++ b/internal/escrow/draw.go
@@ -11,16 +11,16 @@
 )
 
 const (
-	drawAttempts  = 6               // conflicts in a row before a draw waits for the next beat
-	quietRefresh  = 4 * time.Second // a page on which nothing happens is reported this often
-	stoppingShare = 0.15            // of the horizon, while the process is about to stop
+	drawAttempts    = 6                       // conflicts in a row before a draw waits for the next beat
+	quietRefresh    = 4 * time.Second         // a page on which nothing happens is reported this often
+	stoppingHorizon = 2500 * time.Millisecond // while the process is about to stop
 )
 
 // Run draws, reports and gives back until ctx ends.
 func (h *Holder) Run(ctx context.Context) error {
 	var last time.Time
 	for {
-		h.tickMeters()
+		h.startBeat()
 		for _, p := range h.pages {
 			if ctx.Err() == nil && h.due(p) {
 				h.draw(ctx, p)
@@ -35,7 +35,7 @@
 
 // pause waits for the next beat or for a request that waits; false means that ctx has ended.
 func (h *Holder) pause(ctx context.Context, last time.Time) bool {
-	t := time.NewTimer(h.times.Beat)
+	t := time.NewTimer(h.times.Beat * 3 / 2)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
@@ -54,12 +54,17 @@
 	}
 }
 
-func (h *Holder) tickMeters() {
+// startBeat begins a round of draws.
+func (h *Holder) startBeat() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.now()
+	h.beat = now
+	h.own.tick(now)
+	h.fleet.tick(now)
 	for _, a := range h.accounts {
 		a.meter.tick(now)
+		a.fleet.tick(now)
 	}
 }
 
@@ -187,6 +192,7 @@
 			acc = &Account{}
 		}
 		a.rest = a.prepaid - acc.Spent()
+		h.fleet.pending += float64(a.observe(acc, h.id))
 		if settled && present {
 			a.confirm(issued{row: acc.Rows[h.id], clock: time.Duration(report.Clock) * time.Millisecond})
 		} else if settled {
@@ -205,10 +211,12 @@
 		return write{}, err
 	}
 	now := h.clock.Now()
-	report := Report{Node: h.node, Boot: h.clock.Boot(), Clock: now.Milliseconds(), Count: page.Holders[h.id].Count + 1}
+	report := Report{Node: h.node, Boot: h.clock.Boot(), Clock: now.Milliseconds(), Wall: h.now().UnixMilli(), Count: page.Holders[h.id].Count + 1}
 	if !p.joined {
-		for _, id := range page.Fold(h.id, report) {
-			h.log.Info().Str("event", "escrow_settled").Str("holder", id).Str("page", p.key).Msg("an earlier process's escrow is settled")
+		for _, f := range page.Fold(h.id, report) {
+			h.log.Info().Str("event", "escrow_settled").Str("holder", f.Holder).Str("page", p.key).Bool("age_known", f.Known).
+				Int64("age_ms", f.Age.Milliseconds()).Int64("spent", f.Spent).Int64("granted", f.Granted).Int64("settled", f.Settled).
+				Msg("an earlier process's escrow is settled")
 		}
 	}
 	page.Holders[h.id] = report
@@ -217,7 +225,7 @@
 		if h.pageOf(name) != p || a.prepaid < 0 {
 			continue
 		}
-		row := page.account(name).Grant(h.id, h.need(a), a.prepaid)
+		row := page.account(name).Grant(h.id, h.need(a, len(page.Holders)), a.prepaid)
 		rows[name] = issued{row: row, clock: time.Duration(report.Clock) * time.Millisecond}
 		a.unsure = append(a.unsure, rows[name])
 	}
@@ -227,20 +235,35 @@
 }
 
 // need sizes what the holder asks for. The caller holds mu.
-func (h *Holder) need(a *account) Need {
-	rate := a.meter.perSecond * h.policy.Surge
-	horizon := h.policy.Horizon.Seconds()
-	floor := float64(h.policy.Floor)
+func (h *Holder) need(a *account, holders int) Need {
+	horizon := h.policy.Horizon
 	if h.stopping {
-		horizon *= stoppingShare
-		floor = 0
-	}
-	reserve := floor + h.policy.Spread*a.meter.largest
-	burst := reserve + rate*h.policy.Ahead.Seconds()
-	return Need{
-		Spent: a.used(), Want: int64(rate*horizon + reserve), Burst: max(int64(burst), a.urgent),
-		Rate: int64(rate), Urgent: a.urgent,
+		horizon = stoppingHorizon
+	}
+	n := Need{Spent: a.used(), Urgent: a.urgent}
+	n.Want, n.Burst, n.Rate = h.policy.size(h.flow(a), horizon)
+	if a.meter.young() && !h.stopping {
+		start := a.others
+		if start == 0 {
+			start = int64(float64(max(0, a.rest)) * h.policy.Start / float64(max(1, holders)))
+		}
+		n.Want = max(n.Want, start)
+		n.Burst = max(n.Burst, start)
 	}
+	n.Burst = max(n.Burst, n.Urgent)
+	return n
+}
+
+// flow is a customer's use here: half as measured here, which is little, and half this holder's part of what all holders report.
+// The caller holds mu.
+func (h *Holder) flow(a *account) flow {
+	local := a.meter.rate()
+	all := h.fleet.rate()
+	if all <= 0 {
+		return flow{rate: local, grain: h.own.grain()}
+	}
+	part := min(1, h.own.rate()/all)
+	return flow{rate: (local + part*a.fleet.rate()) / 2, grain: h.own.grain()}
 }
 
 // outcome takes the store's answer to a write.
@@ -271,6 +294,9 @@
 	for name, i := range w.rows {
 		a := h.accounts[name]
 		a.confirm(i)
+		if i.row.Granted-i.row.Spent < a.urgent {
+			a.dry = h.now()
+		}
 		a.urgent = 0
 		p.reported[name] = i.row.Spent
 	}
--- a/internal/escrow/holder.go
+++ b/internal/escrow/holder.go
@@ -22,20 +22,6 @@
 // Unlimited marks a customer without a prepaid figure.
 const Unlimited = -1
 
-// Policy sizes what a holder asks for.
-type Policy struct {
-	Horizon time.Duration // how long the holder shall serve without the store
-	Ahead   time.Duration // use that is spendable at once
-	Floor   int64         // tokens held for a customer in any case
-	Surge   float64       // how much faster than the measured rate a customer may become
-	Spread  float64       // largest requests held in addition
-}
-
-// DefaultPolicy outlives a cut of ten seconds.
-func DefaultPolicy() Policy {
-	return Policy{Horizon: 10 * time.Second, Ahead: 2 * time.Second, Floor: 12_000, Surge: 1.3, Spread: 1}
-}
-
 // Times are a holder's intervals.
 type Times struct {
 	Beat time.Duration // between reports
@@ -43,13 +29,14 @@
 	Call time.Duration // limit of one call to the store
 	Wait time.Duration // how long a reservation waits for a draw
 	Lost time.Duration // without an answer for this long, no reservation waits
+	Dry  time.Duration // after a draw that brought too little, no reservation of the customer waits for this long
 }
 
 // DefaultTimes suit a store that answers in milliseconds.
 func DefaultTimes() Times {
 	return Times{
 		Beat: time.Second, Gap: 30 * time.Millisecond, Call: 900 * time.Millisecond,
-		Wait: 90 * time.Millisecond, Lost: 1500 * time.Millisecond,
+		Wait: 90 * time.Millisecond, Lost: 1500 * time.Millisecond, Dry: 300 * time.Millisecond,
 	}
 }
 
@@ -68,7 +55,10 @@
 	mu       sync.Mutex
 	accounts map[string]*account
 	pages    []*pageState
+	own      meter         // of all customers here
+	fleet    meter         // of all customers everywhere, as reported
 	answered time.Time     // the last answer of the store
+	beat     time.Time     // the last regular draw
 	changed  chan struct{} // closed and replaced after each draw
 	stopping bool
 
@@ -192,7 +182,7 @@
 			return r, err
 		}
 		if end == nil {
-			if !h.reachable() {
+			if !h.worthDrawing(customer) {
 				return nil, h.refuse(customer, most)
 			}
 			t := time.NewTimer(h.times.Wait)
@@ -221,12 +211,11 @@
 	if a.prepaid < 0 {
 		return &Reservation{}, nil, nil
 	}
-	a.meter.add(most)
 	if left := a.headroom(h.clock.Now()); left >= most {
 		a.open += most
+		h.count(a, most)
 		return &Reservation{holder: h, customer: customer, most: most, left: left - most, seen: h.now().Sub(h.answered)}, nil, nil
 	}
-	a.meter.pending -= float64(most)
 	a.urgent = max(a.urgent, most)
 	return nil, h.changed, nil
 }
@@ -237,12 +226,18 @@
 	retryLater = 2 * time.Second
 )
 
+// count measures what is asked for. The caller holds mu.
+func (h *Holder) count(a *account, tokens int64) {
+	a.meter.add(tokens)
+	h.own.add(tokens)
+}
+
 // refuse explains a refusal: the budget is used up, or this instance does not hold enough of it right now.
 func (h *Holder) refuse(customer string, most int64) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	a := h.accounts[customer]
-	a.meter.add(most)
+	h.count(a, most)
 	if a.rest < most && h.now().Sub(h.answered) < h.times.Lost {
 		return verdict.New(verdict.NotRun, verdict.CodeBudgetExhausted, "what remains of the budget cannot hold the request",
 			verdict.WithRetryAfter(retryLater))
@@ -251,11 +246,24 @@
 		verdict.WithRetryAfter(retrySoon))
 }
 
-// reachable says whether a draw is likely to be answered.
-func (h *Holder) reachable() bool {
+// worthDrawing says whether a draw is likely to be answered and to bring something.
+func (h *Holder) worthDrawing(customer string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.answered.IsZero() && h.now().Sub(h.answered) < h.times.Lost
+	now := h.now()
+	a := h.accounts[customer]
+	return !h.answered.IsZero() && now.Sub(h.answered) < h.times.Lost && now.Sub(a.dry) > h.times.Dry
+}
+
+// Tick tells the holder that fresh pages have been observed: the best moment for a regular draw, as a write that stands on an
+// old page is in vain.
+func (h *Holder) Tick() {
+	h.mu.Lock()
+	due := h.now().Sub(h.beat) >= h.times.Beat*9/10
+	h.mu.Unlock()
+	if due {
+		h.kick()
+	}
 }
 
 // Ready says whether the holder has seen the store and knows its accounts.
--- a/internal/escrow/meter.go
+++ b/internal/escrow/meter.go
@@ -5,24 +5,28 @@
 	"time"
 )
 
-// meter measures how fast a customer's tokens are asked for here.
+// meter measures a flow of tokens: how fast it is and how uneven.
 type meter struct {
 	perSecond float64
 	pending   float64
-	largest   float64
+	squares   float64 // of the requests' sizes
+	sizes     float64 // their sum
 	at        time.Time
+	age       time.Duration
 }
 
 // Time constants of a meter.
 const (
-	meterWindow  = 6 * time.Second  // of the rate
-	largestDecay = 30 * time.Second // of the largest request
+	meterWindow = 6 * time.Second  // of the rate
+	sizeDecay   = 30 * time.Second // of what is known of sizes
 )
 
-// add counts tokens that a request may use at its most.
+// add counts a request, in tokens at its most.
 func (m *meter) add(tokens int64) {
-	m.pending += float64(tokens)
-	m.largest = max(m.largest, float64(tokens))
+	x := float64(tokens)
+	m.pending += x
+	m.sizes += x
+	m.squares += x * x
 }
 
 // tick brings the rate up to date.
@@ -31,13 +35,36 @@
 		m.at = now
 		return
 	}
-	dt := now.Sub(m.at).Seconds()
+	dt := now.Sub(m.at)
 	if dt <= 0 {
 		return
 	}
-	keep := math.Exp(-dt / meterWindow.Seconds())
-	m.perSecond = m.perSecond*keep + m.pending/dt*(1-keep)
-	m.largest *= math.Exp(-dt / largestDecay.Seconds())
+	keep := math.Exp(-dt.Seconds() / meterWindow.Seconds())
+	m.perSecond = m.perSecond*keep + m.pending/dt.Seconds()*(1-keep)
+	forget := math.Exp(-dt.Seconds() / sizeDecay.Seconds())
+	m.sizes *= forget
+	m.squares *= forget
 	m.pending = 0
 	m.at = now
+	m.age += dt
 }
+
+// rate is the flow in tokens a second, corrected for a meter that is younger than its window.
+func (m *meter) rate() float64 {
+	seen := 1 - math.Exp(-m.age.Seconds()/meterWindow.Seconds())
+	if seen <= 0 {
+		return 0
+	}
+	return m.perSecond / seen
+}
+
+// grain is the size of request that makes the flow uneven: the mean size, larger requests counting more.
+func (m *meter) grain() float64 {
+	if m.sizes <= 0 {
+		return 0
+	}
+	return m.squares / m.sizes
+}
+
+// young says whether the meter has seen too little to be trusted.
+func (m *meter) young() bool { return m.age < meterWindow/2 }
--- a/internal/escrow/page.go
+++ b/internal/escrow/page.go
@@ -7,6 +7,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
@@ -18,12 +19,15 @@
 	Spent   int64 `cbor:"2,keyasint,omitempty"` // spent or reserved when the holder reported
 	Want    int64 `cbor:"3,keyasint,omitempty"` // what the holder would like to hold unspent
 	Burst   int64 `cbor:"4,keyasint,omitempty"` // spendable beyond Spent at once
-	Rate    int64 `cbor:"5,keyasint,omitempty"` // spendable beyond that, for each second since the report
+	Rate    int64 `cbor:"5,keyasint,omitempty"` // spendable beyond that, for each second from Grace after the report on
 }
 
-// Ceiling is the most that the holder can have spent when age seconds have passed since its report.
-func (r Row) Ceiling(age float64) int64 {
-	return min(r.Granted, r.Spent+r.Burst+int64(float64(r.Rate)*max(0, age)))
+// Grace is how long after a report a holder spends its burst only. A holder that reaches the store reports more often.
+const Grace = 2 * time.Second
+
+// Ceiling is the most that the holder can have spent when its report is of that age.
+func (r Row) Ceiling(age time.Duration) int64 {
+	return min(r.Granted, r.Spent+r.Burst+int64(float64(r.Rate)*max(0, (age-Grace).Seconds())))
 }
 
 // Account is one customer's part of a page.
@@ -50,12 +54,13 @@
 	return sum
 }
 
-// Report says who a holder is and when it last wrote. Two reports with the same Boot come from the same clock.
+// Report says who a holder is and when it last wrote.
 type Report struct {
-	Node  string `cbor:"1,keyasint"` // the name under which a holder's successor starts
-	Boot  string `cbor:"2,keyasint,omitempty"`
+	Node  string `cbor:"1,keyasint"`           // the name under which a holder's successor starts
+	Boot  string `cbor:"2,keyasint,omitempty"` // the machine's run; empty: not known
 	Clock int64  `cbor:"3,keyasint,omitempty"` // steady clock, ms
 	Count int64  `cbor:"4,keyasint,omitempty"` // writes of this holder
+	Wall  int64  `cbor:"5,keyasint,omitempty"` // time of day, ms
 }
 
 // Page holds the accounts of some customers in one value of the store.
@@ -100,9 +105,19 @@
 	return a
 }
 
+// Folded tells what became of an earlier holder's grants, in tokens.
+type Folded struct {
+	Holder  string
+	Known   bool          // one clock tells its last report and now
+	Age     time.Duration // since that report
+	Spent   int64         // as last reported
+	Granted int64
+	Settled int64 // taken as spent; the rest is free again
+}
+
 // Fold settles the rows of a node's earlier holders, which have ended. now is the successor's report: where it comes from
 // the same clock, no more than Ceiling can have been spent; else all that was granted counts as spent.
-func (p *Page) Fold(successor string, now Report) []string {
+func (p *Page) Fold(successor string, now Report) []Folded {
 	var gone []string
 	for id, r := range p.Holders {
 		if r.Node == now.Node && id != successor {
@@ -110,32 +125,54 @@
 		}
 	}
 	sort.Strings(gone)
+	out := make([]Folded, 0, len(gone))
 	for _, id := range gone {
-		age, known := ageOf(p.Holders[id], now)
-		for _, a := range p.Accounts {
-			row, ok := a.Rows[id]
-			if !ok {
-				continue
-			}
-			if known {
-				a.Settled += row.Ceiling(age)
-			} else {
-				a.Settled += row.Granted
-			}
-			delete(a.Rows, id)
+		out = append(out, p.fold(id, now))
+	}
+	return out
+}
+
+func (p *Page) fold(id string, now Report) Folded {
+	f := Folded{Holder: id}
+	f.Age, f.Known = ageOf(p.Holders[id], now)
+	for _, a := range p.Accounts {
+		row, ok := a.Rows[id]
+		if !ok {
+			continue
+		}
+		spent := row.Granted
+		if f.Known {
+			spent = row.Ceiling(f.Age)
 		}
-		delete(p.Holders, id)
+		f.Spent += row.Spent
+		f.Granted += row.Granted
+		f.Settled += spent
+		a.Settled += spent
+		delete(a.Rows, id)
 	}
-	return gone
+	delete(p.Holders, id)
+	return f
 }
 
-// ageOf is the time in seconds between two reports, if one clock tells both.
-func ageOf(then, now Report) (float64, bool) {
-	if then.Boot == "" || then.Boot != now.Boot || now.Clock < then.Clock {
+// ClockError is how far a machine's time of day may be off between two readings, by steps and drift.
+const ClockError = 3 * time.Second
+
+// ageOf is the longest time that can have passed between two reports of one machine. Within one run of the machine the steady
+// clock tells it. Across a loss of power only the time of day does, which may have stepped.
+func ageOf(then, now Report) (time.Duration, bool) {
+	steady := time.Duration(now.Clock-then.Clock) * time.Millisecond
+	wall := time.Duration(now.Wall-then.Wall) * time.Millisecond
+	if then.Wall == 0 || now.Wall == 0 {
+		return 0, false
+	}
+	off := wall - steady
+	if then.Boot != "" && then.Boot == now.Boot && steady >= 0 && -ClockError < off && off < ClockError {
+		return steady, true
+	}
+	if wall < -ClockError {
 		return 0, false
 	}
-	const msPerSecond = 1000
-	return float64(now.Clock-then.Clock) / msPerSecond, true
+	return wall + ClockError, true
 }
 
 // Leave settles what a holder has spent and gives the rest back. The holder spends nothing afterwards.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -49,7 +49,7 @@
 
 // DefaultTimes put a change in force well within two seconds of its acknowledgement.
 func DefaultTimes() Times {
-	return Times{Poll: 400 * time.Millisecond, Call: 800 * time.Millisecond, Retry: 150 * time.Millisecond, Silence: time.Second}
+	return Times{Poll: 500 * time.Millisecond, Call: 800 * time.Millisecond, Retry: 150 * time.Millisecond, Silence: time.Second}
 }
 
 // Follower is the service that follows the store.
@@ -62,6 +62,7 @@
 	table   atomic.Pointer[route.Table]
 	changed []func(*route.Table)
 	entries func(external.Entry)
+	polled  func()
 
 	mu       sync.Mutex
 	after    int64
@@ -90,10 +91,14 @@
 // OnEntry sets what is told of other values.
 func OnEntry(g func(external.Entry)) Option { return func(f *Follower) { f.entries = g } }
 
+// OnPolled sets what is called after each answer of the store, once everything in it has been told.
+func OnPolled(g func()) Option { return func(f *Follower) { f.polled = g } }
+
 // New makes a follower that fills a pool.
 func New(source Source, p *pool.Pool, opts ...Option) *Follower {
 	f := &Follower{
 		source: source, pool: p, times: DefaultTimes(), now: time.Now, log: zerolog.Nop(), entries: func(external.Entry) {},
+		polled: func() {},
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -177,6 +182,7 @@
 	for _, e := range u.Entries {
 		f.entries(e)
 	}
+	f.polled()
 }
 
 func (f *Follower) applyEndpoints(u Update) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -56,7 +56,7 @@
 	id := set.Instance.ID + "/" + strings.ToLower(ulid.Make().String())
 	r.escrow = escrow.New(on.Store, set.Store.Prefix+escrowPrefix, set.Store.Pages, set.Instance.ID, id, escrow.WithLogger(log))
 	r.follow = follow.New(on.Source, r.pool,
-		follow.WithLogger(log), follow.OnTable(r.fundsOf), follow.OnEntry(r.escrow.Observe))
+		follow.WithLogger(log), follow.OnTable(r.fundsOf), follow.OnEntry(r.escrow.Observe), follow.OnPolled(r.escrow.Tick))
 	retries := retry.NewShared(set.Retry.Ratio, set.Retry.Slack, set.Retry.Window, r.escrow.Holders, time.Now)
 	r.core = relay.New(relay.Deps{
 		Tables: r.follow.Table, Pool: r.pool, Budgets: r.escrow, Retries: retries, Client: r.client, Dialect: on.Dialect,
