feat: a refusal's log line tells what was left of the budget, and what was granted

Change: the line of each request has the escrow's view; a line tells the prepaid figures of each configuration.

--- a/internal/escrow/holder.go
+++ b/internal/escrow/holder.go
@@ -151,12 +151,29 @@
 	customer string
 	most     int64
 	once     sync.Once
-	left     int64
-	seen     time.Duration
 }
 
-// Left is what was spendable after the reservation, in tokens, and Age how old the store's word on it was.
-func (r *Reservation) Left() (int64, time.Duration) { return r.left, r.seen }
+// View is what the holder knows of a customer's budget, in tokens.
+type View struct {
+	Left    int64         // may be reserved here now
+	Granted int64         // held here
+	Spent   int64         // spent or reserved here
+	Rest    int64         // unspent by all holders, as last reported
+	Age     time.Duration // since the store last answered
+}
+
+// View shows what decides about a customer's next reservation.
+func (h *Holder) View(customer string) View {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a := h.accounts[customer]
+	if a == nil {
+		return View{}
+	}
+	return View{
+		Left: a.headroom(h.clock.Now()), Granted: a.row.row.Granted, Spent: a.used(), Rest: a.rest, Age: h.now().Sub(h.answered),
+	}
+}
 
 // Settle ends the reservation: used tokens are spent, the rest is free again. Only the first call counts.
 func (r *Reservation) Settle(used int64) {
@@ -211,10 +228,10 @@
 	if a.prepaid < 0 {
 		return &Reservation{}, nil, nil
 	}
-	if left := a.headroom(h.clock.Now()); left >= most {
+	if a.headroom(h.clock.Now()) >= most {
 		a.open += most
 		h.count(a, most)
-		return &Reservation{holder: h, customer: customer, most: most, left: left - most, seen: h.now().Sub(h.answered)}, nil, nil
+		return &Reservation{holder: h, customer: customer, most: most}, nil, nil
 	}
 	a.urgent = max(a.urgent, most)
 	return nil, h.changed, nil
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -18,6 +18,7 @@
 // Budgets reserves what requests may use.
 type Budgets interface {
 	Reserve(ctx context.Context, customer string, most int64) (*escrow.Reservation, error)
+	View(customer string) escrow.View
 }
 
 // Deps are the parts that a Core works with.
@@ -186,13 +187,10 @@
 	}
 	most := j.req.TokensIn + j.req.TokensOut
 	r, err := j.core.Budgets.Reserve(ctx, j.customer.Name, most)
-	if err != nil {
-		return err
-	}
-	j.escrow = r
 	j.outcome.Reserved = most
-	j.outcome.Left, j.outcome.LeftAge = r.Left()
-	return nil
+	j.outcome.Budget = j.core.Budgets.View(j.customer.Name)
+	j.escrow = r
+	return err
 }
 
 // settle spends what the request has used.
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/ledgemount/ledgemount/internal/escrow"
 	"github.com/ledgemount/ledgemount/internal/upstream"
 	"github.com/ledgemount/ledgemount/internal/verdict"
 )
@@ -95,10 +96,9 @@
 	Attempts  int
 	Endpoints []Step
 	Events    int64
-	Used      int64 // tokens
-	Reserved  int64
-	Left      int64         // of the customer's escrow here after the reservation
-	LeftAge   time.Duration // since the store last confirmed it
+	Used      int64         // tokens
+	Reserved  int64         // tokens that were asked for, or refused
+	Budget    escrow.View   // after that
 	First     time.Duration // until the answer's first byte; 0: none came
 	Total     time.Duration
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -89,6 +89,12 @@
 		list = append(list, escrow.Prepaid{Customer: c.Name, Tokens: c.Prepaid})
 	}
 	r.escrow.SetPrepaid(list)
+	figures := zerolog.Dict()
+	for _, p := range list {
+		figures = figures.Int64(p.Customer, p.Tokens)
+	}
+	r.log.Info().Str("event", "budgets_taken").Int64("version", t.Version()).Dict("prepaid", figures).
+		Msg("prepaid figures are in force")
 }
 
 // ready says whether callers may be sent here: the configuration, the endpoints and the escrow are known.
