fix: a request that brought its caller nothing is not billed

What the customer got is the prompt of a request that handed tokens out, and those. Change: nothing is billed until the first event has been handed out.

--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -119,7 +119,9 @@
 	ran      bool // an endpoint may have run it
 	begun    bool // the caller has seen the head
 	events   int64
-	last     string // ID of the last event that was passed on
+	// wholeMetered: the caller has an answer without events, of which the tokens cannot be counted
+	wholeMetered bool
+	last         string // ID of the last event that was passed on
 }
 
 func (j *job) run(ctx context.Context) error {
@@ -193,11 +195,15 @@
 	return err
 }
 
-// settle spends what the request has used.
+// settle spends what the caller got: the tokens of the prompt, once any token of an answer was handed out, and those handed out.
+// A request that brought its caller nothing is not billed.
 func (j *job) settle() {
 	used := int64(0)
-	if j.ran {
+	switch {
+	case j.events > 0:
 		used = j.req.TokensIn + min(j.req.TokensOut, j.events*max(1, j.service.Stride))
+	case j.wholeMetered:
+		used = j.req.TokensIn + j.req.TokensOut
 	}
 	j.outcome.Used = used
 	if j.escrow != nil {
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -225,6 +225,7 @@
 	if res.Status >= http.StatusInternalServerError {
 		return resultFailed, &kept{status: res.Status, header: res.Header, body: body}
 	}
+	j.wholeMetered = res.Status < http.StatusMultipleChoices
 	if len(body) < mostWhole {
 		j.begin(res.Status, res.Header, int64(len(body)))
 		if j.out.Write(body) != nil {
