--- /dev/null
+++ b/internal/external/memkv/memkv.go
@@ -0,0 +1,204 @@
+// Package memkv is an external.KV in memory with switches for the ways in which a store fails. It is for tests.
+package memkv
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/ledgemount/ledgemount/internal/external"
+)
+
+// Store keeps entries in memory.
+type Store struct {
+	mu       sync.Mutex
+	entries  map[string]external.Entry
+	history  []external.Change
+	revision int64
+	floor    int64 // history up to here is forgotten
+	calls    int
+
+	down    bool
+	silent  bool
+	lose    bool
+	late    bool
+	delayed []external.Commit
+}
+
+// New makes an empty store.
+func New() *Store { return &Store{entries: make(map[string]external.Entry)} }
+
+// SetDown makes every call fail with nothing done.
+func (s *Store) SetDown(on bool) { s.set(func() { s.down = on }) }
+
+// SetSilent makes every call wait for the end of its context, with nothing done.
+func (s *Store) SetSilent(on bool) { s.set(func() { s.silent = on }) }
+
+// SetLose makes writes happen without an answer.
+func (s *Store) SetLose(on bool) { s.set(func() { s.lose = on }) }
+
+// SetLate keeps writes back without an answer until Release.
+func (s *Store) SetLate(on bool) { s.set(func() { s.late = on }) }
+
+func (s *Store) set(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+// Release does the writes that were kept back, as far as their conditions still hold. It returns how many were done.
+func (s *Store) Release() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	done := 0
+	for _, c := range s.delayed {
+		if s.conflict(c) == nil {
+			s.apply(c)
+			done++
+		}
+	}
+	s.delayed = nil
+	return done
+}
+
+// Forget drops the history.
+func (s *Store) Forget() { s.set(func() { s.history, s.floor = nil, s.revision }) }
+
+// Calls is the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Put writes without a condition, as others do.
+func (s *Store) Put(key string, data []byte) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.apply(external.Commit{Put: []external.Entry{{Key: key, Data: data}}})
+}
+
+// Remove removes a key.
+func (s *Store) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	delete(s.entries, key)
+	s.history = append(s.history, external.Change{Entry: external.Entry{Key: key, Revision: s.revision}, Gone: true})
+}
+
+// enter counts a call and fails it if the store is down or silent. The caller holds mu; it is released while waiting.
+func (s *Store) enter(ctx context.Context) error {
+	s.calls++
+	if s.down {
+		return external.ErrUnavailable
+	}
+	if s.silent {
+		s.mu.Unlock()
+		<-ctx.Done()
+		s.mu.Lock()
+		return ctx.Err()
+	}
+	return nil
+}
+
+// Read implements external.KV.
+func (s *Store) Read(ctx context.Context, key string) (external.Entry, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter(ctx); err != nil {
+		return external.Entry{}, 0, err
+	}
+	e, ok := s.entries[key]
+	if !ok {
+		e = external.Entry{Key: key}
+	}
+	return e, s.revision, nil
+}
+
+// ReadAll implements external.KV.
+func (s *Store) ReadAll(ctx context.Context, prefix string) ([]external.Entry, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter(ctx); err != nil {
+		return nil, 0, err
+	}
+	var out []external.Entry
+	for key, e := range s.entries {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, e)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return out, s.revision, nil
+}
+
+// Changes implements external.KV. It does not wait.
+func (s *Store) Changes(ctx context.Context, prefix string, after int64, _ time.Duration) ([]external.Change, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter(ctx); err != nil {
+		return nil, 0, err
+	}
+	if after < s.floor {
+		return nil, 0, external.ErrHistoryGone
+	}
+	var out []external.Change
+	for _, c := range s.history {
+		if c.Revision > after && strings.HasPrefix(c.Key, prefix) {
+			out = append(out, c)
+		}
+	}
+	return out, s.revision, nil
+}
+
+// Commit implements external.KV.
+func (s *Store) Commit(ctx context.Context, c external.Commit) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter(ctx); err != nil {
+		if ctx.Err() != nil {
+			return 0, external.ErrAmbiguous
+		}
+		return 0, err
+	}
+	if s.late {
+		s.delayed = append(s.delayed, c)
+		return 0, external.ErrAmbiguous
+	}
+	if err := s.conflict(c); err != nil {
+		return 0, err
+	}
+	rev := s.apply(c)
+	if s.lose {
+		return 0, external.ErrAmbiguous
+	}
+	return rev, nil
+}
+
+func (s *Store) conflict(c external.Commit) error {
+	var current []external.Entry
+	failed := false
+	for _, w := range c.When {
+		e := s.entries[w.Key]
+		e.Key = w.Key
+		current = append(current, e)
+		failed = failed || e.Revision != w.Revision
+	}
+	if failed {
+		return &external.ConflictError{Current: current}
+	}
+	return nil
+}
+
+func (s *Store) apply(c external.Commit) int64 {
+	s.revision++
+	for _, p := range c.Put {
+		p.Revision = s.revision
+		s.entries[p.Key] = p
+		s.history = append(s.history, external.Change{Entry: p})
+	}
+	return s.revision
+}
