--- a/internal/escrow/account.go
+++ b/internal/escrow/account.go
@@ -6,6 +6,7 @@
 type issued struct {
 	row   Row
 	clock time.Duration // the report's reading of the clock
+	rest  int64         // of the whole account: unspent by anyone, with this row
 }
 
 func (i issued) ceiling(now time.Duration) int64 { return i.row.Ceiling(now - i.clock) }
--- a/internal/escrow/draw.go
+++ b/internal/escrow/draw.go
@@ -225,8 +225,9 @@
 		if h.pageOf(name) != p || a.prepaid < 0 {
 			continue
 		}
-		row := page.account(name).Grant(h.id, h.need(a, len(page.Holders)), a.prepaid)
-		rows[name] = issued{row: row, clock: time.Duration(report.Clock) * time.Millisecond}
+		acc := page.account(name)
+		row := acc.Grant(h.id, h.need(a, len(page.Holders)), a.prepaid)
+		rows[name] = issued{row: row, clock: time.Duration(report.Clock) * time.Millisecond, rest: a.prepaid - acc.Spent()}
 		a.unsure = append(a.unsure, rows[name])
 	}
 	p.unsure = p.revision
@@ -294,6 +295,7 @@
 	for name, i := range w.rows {
 		a := h.accounts[name]
 		a.confirm(i)
+		a.rest = i.rest
 		if i.row.Granted-i.row.Spent < a.urgent {
 			a.dry = h.now()
 		}
