--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,125 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+type testClock struct{ at time.Time }
+
+func (c *testClock) now() time.Time       { return c.at }
+func (c *testClock) pass(d time.Duration) { c.at = c.at.Add(d) }
+
+func newPool(c *testClock, n int) *Pool {
+	p := New("a", WithNow(c.now))
+	for i := range n {
+		p.Put(Endpoint{ID: fmt.Sprintf("e-%d", i), Service: "models", Addr: fmt.Sprintf("10.0.0.%d:80", i), Zone: "a", Slots: 8})
+	}
+	return p
+}
+
+func TestPick(t *testing.T) {
+	Convey("A pool of four endpoints", t, func() {
+		clock := &testClock{at: time.Unix(1000, 0)}
+		p := newPool(clock, 4)
+		pick := func(affinity string) *Lease { return p.Pick(Query{Service: "models", Affinity: affinity}) }
+
+		Convey("sends what shares a prompt to one endpoint until it is loaded", func() {
+			first := pick("prompt")
+			So(first.Reason(), ShouldEqual, ReasonAffinity)
+			second := pick("prompt")
+			So(second.Endpoint().ID, ShouldEqual, first.Endpoint().ID)
+			var last *Lease
+			for range 6 {
+				last = pick("prompt")
+			}
+			So(last.Endpoint().ID, ShouldNotEqual, first.Endpoint().ID)
+			So(last.Reason(), ShouldEqual, ReasonSpill)
+		})
+
+		Convey("spreads what shares nothing, and never over the slots", func() {
+			seen := make(map[string]int)
+			for range 32 {
+				seen[pick("").Endpoint().ID]++
+			}
+			So(len(seen), ShouldEqual, 4)
+			So(seen["e-0"], ShouldEqual, 8)
+			So(pick(""), ShouldBeNil)
+		})
+
+		Convey("sends nothing to what drains, is gone, or has had the request", func() {
+			p.Put(Endpoint{ID: "e-0", Service: "models", Addr: "10.0.0.0:80", Zone: "a", Draining: true})
+			So(p.Remove("e-1"), ShouldBeTrue)
+			lease := p.Pick(Query{Service: "models", Tried: map[string]bool{"e-2": true}})
+			So(lease.Endpoint().ID, ShouldEqual, "e-3")
+			So(p.Len(), ShouldEqual, 2)
+		})
+
+		Convey("avoids an endpoint that broke a request, and tries it again later", func() {
+			lease := pick("prompt")
+			lease.Done(EndBroken)
+			So(pick("prompt").Endpoint().ID, ShouldNotEqual, lease.Endpoint().ID)
+			clock.pass(p.policy.FirstPause + time.Millisecond)
+			So(pick("prompt").Endpoint().ID, ShouldEqual, lease.Endpoint().ID)
+		})
+
+		Convey("avoids an endpoint that owes an answer and is silent", func() {
+			lease := pick("prompt")
+			clock.pass(p.policy.Silence + time.Millisecond)
+			So(lease.Silent(), ShouldBeTrue)
+			So(pick("prompt").Endpoint().ID, ShouldNotEqual, lease.Endpoint().ID)
+			lease.Heard()
+			So(lease.Silent(), ShouldBeFalse)
+		})
+
+		Convey("avoids an endpoint that fails much, and forgets it in time", func() {
+			var id string
+			for range 6 {
+				lease := pick("prompt")
+				if id == "" {
+					id = lease.Endpoint().ID
+				}
+				lease.Done(EndFailed)
+			}
+			So(pick("prompt").Endpoint().ID, ShouldNotEqual, id)
+			clock.pass(3 * errorDecay)
+			So(pick("prompt").Endpoint().ID, ShouldEqual, id)
+		})
+
+		Convey("still sends work when all endpoints are suspect", func() {
+			for range 4 {
+				pick("").Done(EndBroken)
+			}
+			So(pick(""), ShouldNotBeNil)
+			So(pick("prompt"), ShouldNotBeNil)
+		})
+
+		Convey("takes an endpoint out whose address another one has", func() {
+			lease := pick("prompt")
+			lease.Done(EndMoved)
+			So(pick("prompt").Endpoint().ID, ShouldNotEqual, lease.Endpoint().ID)
+			So(p.Len(), ShouldEqual, 3)
+		})
+
+		Convey("counts a use that ends twice once", func() {
+			lease := pick("")
+			lease.Done(EndGood)
+			lease.Done(EndGood)
+			So(lease.member.open, ShouldEqual, 0)
+		})
+	})
+
+	Convey("A list replaces what was known, and says whose connections to close", t, func() {
+		clock := &testClock{at: time.Unix(1000, 0)}
+		var closed []string
+		p := New("a", WithNow(clock.now), OnGone(func(addr string) { closed = append(closed, addr) }))
+		p.Replace([]Endpoint{{ID: "x", Service: "s", Addr: "1:1"}, {ID: "y", Service: "s", Addr: "2:2"}})
+		came, went := p.Replace([]Endpoint{{ID: "y", Service: "s", Addr: "2:2"}, {ID: "z", Service: "s", Addr: "1:1"}})
+		So(came, ShouldEqual, 1)
+		So(went, ShouldEqual, 1)
+		So(closed, ShouldResemble, []string{"1:1"})
+	})
+}
--- /dev/null
+++ b/internal/retry/shared_test.go
@@ -0,0 +1,40 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestShared(t *testing.T) {
+	Convey("A budget of repeats that four instances share", t, func() {
+		now := time.Unix(1000, 0)
+		s := NewShared(0.2, 40, 10*time.Second, func() int { return 4 }, func() time.Time { return now })
+		take := func() int {
+			n := 0
+			for s.Take("models") {
+				n++
+			}
+			return n
+		}
+
+		Convey("allows this instance's part of the fixed number", func() {
+			So(take(), ShouldEqual, 8) // 0.85 of 10
+		})
+		Convey("allows a share of the requests beside it", func() {
+			for range 100 {
+				s.Request("models")
+			}
+			So(take(), ShouldEqual, 25) // 0.85 of 10 and 20
+		})
+		Convey("counts services apart, and forgets with the window", func() {
+			take()
+			So(s.Take("portal"), ShouldBeTrue)
+			now = now.Add(5 * time.Second)
+			So(s.Take("models"), ShouldBeFalse)
+			now = now.Add(6 * time.Second)
+			So(s.Take("models"), ShouldBeTrue)
+		})
+	})
+}
