--- a/internal/escrow/account.go
+++ b/internal/escrow/account.go
@@ -7,6 +7,7 @@
 	row   Row
 	clock time.Duration // the report's reading of the clock
 	rest  int64         // of the whole account: unspent by anyone, with this row
+	free  int64         // of the whole account: granted to nobody, with this row
 }
 
 func (i issued) ceiling(now time.Duration) int64 { return i.row.Ceiling(now - i.clock) }
@@ -25,11 +26,15 @@
 	unsure  []issued         // written with an unknown outcome, older than row or not
 	prepaid int64            // as last seen; Unlimited: no limit
 	rest    int64            // of the whole account when last seen: unspent by anyone
+	free    int64            // of the whole account when last seen: granted to nobody
 }
 
 // used is what is spent or reserved.
 func (a *account) used() int64 { return a.spent + a.open }
 
+// unspent is what nobody has spent of the whole account, as far as it is known here.
+func (a *account) unspent() int64 { return a.rest - max(0, a.used()-a.row.row.Spent) }
+
 // headroom is what may still be reserved at a moment: every row that may be in force is kept to.
 func (a *account) headroom(now time.Duration) int64 {
 	limit := a.row.ceiling(now)
--- a/internal/escrow/draw.go
+++ b/internal/escrow/draw.go
@@ -191,7 +191,7 @@
 		if acc == nil {
 			acc = &Account{}
 		}
-		a.rest = a.prepaid - acc.Spent()
+		a.rest, a.free = a.prepaid-acc.Spent(), a.prepaid-acc.Committed()
 		h.fleet.pending += float64(a.observe(acc, h.id))
 		if settled && present {
 			a.confirm(issued{row: acc.Rows[h.id], clock: time.Duration(report.Clock) * time.Millisecond})
@@ -227,7 +227,10 @@
 		}
 		acc := page.account(name)
 		row := acc.Grant(h.id, h.need(a, len(page.Holders)), a.prepaid)
-		rows[name] = issued{row: row, clock: time.Duration(report.Clock) * time.Millisecond, rest: a.prepaid - acc.Spent()}
+		rows[name] = issued{
+			row: row, clock: time.Duration(report.Clock) * time.Millisecond,
+			rest: a.prepaid - acc.Spent(), free: a.prepaid - acc.Committed(),
+		}
 		a.unsure = append(a.unsure, rows[name])
 	}
 	p.unsure = p.revision
@@ -295,7 +298,7 @@
 	for name, i := range w.rows {
 		a := h.accounts[name]
 		a.confirm(i)
-		a.rest = i.rest
+		a.rest, a.free = i.rest, i.free
 		if i.row.Granted-i.row.Spent < a.urgent {
 			a.dry = h.now()
 		}
--- a/internal/escrow/holder.go
+++ b/internal/escrow/holder.go
@@ -126,11 +126,12 @@
 	for _, p := range list {
 		a := h.accounts[p.Customer]
 		if a == nil {
-			a = &account{rest: p.Tokens}
+			a = &account{prepaid: p.Tokens, rest: p.Tokens, free: p.Tokens}
 			h.accounts[p.Customer] = a
 		}
 		if a.prepaid != p.Tokens {
 			a.rest += p.Tokens - a.prepaid
+			a.free += p.Tokens - a.prepaid
 			a.prepaid = p.Tokens
 			delete(h.pageOf(p.Customer).reported, p.Customer)
 		}
@@ -171,7 +172,7 @@
 		return View{}
 	}
 	return View{
-		Left: a.headroom(h.clock.Now()), Granted: a.row.row.Granted, Spent: a.used(), Rest: a.rest, Age: h.now().Sub(h.answered),
+		Left: a.headroom(h.clock.Now()), Granted: a.row.row.Granted, Spent: a.used(), Rest: a.unspent(), Age: h.now().Sub(h.answered),
 	}
 }
 
@@ -199,7 +200,7 @@
 			return r, err
 		}
 		if end == nil {
-			if !h.worthDrawing(customer) {
+			if !h.worthDrawing(customer, most) {
 				return nil, h.refuse(customer, most)
 			}
 			t := time.NewTimer(h.times.Wait)
@@ -255,7 +256,7 @@
 	defer h.mu.Unlock()
 	a := h.accounts[customer]
 	h.count(a, most)
-	if a.rest < most && h.now().Sub(h.answered) < h.times.Lost {
+	if a.unspent() < most && h.now().Sub(h.answered) < h.times.Lost {
 		return verdict.New(verdict.NotRun, verdict.CodeBudgetExhausted, "what remains of the budget cannot hold the request",
 			verdict.WithRetryAfter(retryLater))
 	}
@@ -264,11 +265,14 @@
 }
 
 // worthDrawing says whether a draw is likely to be answered and to bring something.
-func (h *Holder) worthDrawing(customer string) bool {
+func (h *Holder) worthDrawing(customer string, most int64) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.now()
 	a := h.accounts[customer]
+	if a.free+a.row.row.Granted-a.used() < most && a.unspent() >= most {
+		return false // others hold it
+	}
 	return !h.answered.IsZero() && now.Sub(h.answered) < h.times.Lost && now.Sub(a.dry) > h.times.Dry
 }
 
--- a/internal/escrow/sizing.go
+++ b/internal/escrow/sizing.go
@@ -10,12 +10,13 @@
 	Horizon time.Duration // how long the holder shall serve without the store
 	Surge   float64       // how much faster than the measured rate a customer may become
 	Spread  float64       // standard deviations of the use held beside its mean
+	Burst   float64       // standard deviations spendable at once
 	Start   float64       // part of the unspent rest that all holders together ask for while nothing is measured
 }
 
 // DefaultPolicy outlives a cut of ten seconds.
 func DefaultPolicy() Policy {
-	return Policy{Horizon: 10 * time.Second, Surge: 1.1, Spread: 1, Start: 0.15}
+	return Policy{Horizon: 10 * time.Second, Surge: 1.1, Spread: 2, Burst: 1.2, Start: 0.15}
 }
 
 // ahead is the use that is spendable at once: until the Grace of a report is over, and a little more.
@@ -28,14 +29,14 @@
 }
 
 // amount is the use in a time, with its spread: sizes of requests vary, so the use of a few of them is uneven.
-func (p Policy) amount(f flow, d time.Duration) float64 {
+func (p Policy) amount(f flow, d time.Duration, deviations float64) float64 {
 	mean := f.rate * p.Surge * d.Seconds()
-	return mean + p.Spread*math.Sqrt(mean*f.grain)
+	return mean + deviations*math.Sqrt(mean*f.grain)
 }
 
 // size turns a measured flow into what is asked for: all of it is spendable once the horizon has passed.
 func (p Policy) size(f flow, horizon time.Duration) (want, burst, rate int64) {
-	w, b := p.amount(f, max(horizon, ahead)), p.amount(f, ahead)
+	w, b := p.amount(f, max(horizon, ahead), p.Spread), p.amount(f, ahead, p.Burst)
 	if span := (horizon - Grace).Seconds(); span > 0 {
 		rate = int64((w - b) / span)
 	}
--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -23,7 +23,7 @@
 
 // sound says whether nothing speaks against an endpoint.
 func (l *Pool) sound(m *member, now time.Time) bool {
-	if now.Before(m.pausedTil) || now.Before(m.busyTil) || m.failing(now) > l.policy.ErrorShare {
+	if l.cutOff(m, now) || now.Before(m.pausedTil) || now.Before(m.busyTil) || m.failing(now) > l.policy.ErrorShare {
 		return false
 	}
 	return !l.silent(m, now)
@@ -45,6 +45,7 @@
 func (s *Lease) Heard() {
 	s.pool.mu.Lock()
 	s.member.heard = s.pool.now()
+	s.pool.reached(s.member)
 	s.pool.mu.Unlock()
 }
 
@@ -60,12 +61,13 @@
 
 // The ends.
 const (
-	EndGood    End = iota // a whole answer
-	EndFailed             // an answer that says that the endpoint failed
-	EndBroken             // no answer, half an answer, or none that can be trusted
-	EndBusy               // the endpoint did not run it for lack of room
-	EndMoved              // another endpoint has the address
-	EndNeutral            // nothing is learnt: the caller left, or the time was up
+	EndGood        End = iota // a whole answer
+	EndFailed                 // an answer that says that the endpoint failed
+	EndBroken                 // no answer, half an answer, or none that can be trusted
+	EndUnreachable            // no connection came about
+	EndBusy                   // the endpoint did not run it for lack of room
+	EndMoved                  // another endpoint has the address
+	EndNeutral                // nothing is learnt: the caller left, or the time was up
 )
 
 // Done ends the use and learns from how it ended.
@@ -88,6 +90,9 @@
 		m.learn(now, 1)
 	case EndBroken:
 		l.pauseMember(m, now)
+	case EndUnreachable:
+		l.miss(m, now)
+		l.pauseMember(m, now)
 	case EndBusy:
 		m.busyTil = now.Add(busyPause)
 	case EndMoved:
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -60,6 +60,7 @@
 	if m.open == 0 {
 		m.asked = now
 	}
+	l.probe(m, now)
 	m.open++
 	return &Lease{pool: l, member: m, reason: reason}
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -58,6 +58,7 @@
 	mu       sync.RWMutex
 	services map[string]map[string]*member
 	byID     map[string]*member
+	zones    map[string]*zoneHealth
 	gone     func(addr string)
 }
 
@@ -77,7 +78,8 @@
 func New(zone string, opts ...Option) *Pool {
 	l := &Pool{
 		zone: zone, policy: DefaultPolicy(), now: time.Now,
-		services: make(map[string]map[string]*member), byID: make(map[string]*member), gone: func(string) {},
+		services: make(map[string]map[string]*member), byID: make(map[string]*member),
+		zones: make(map[string]*zoneHealth), gone: func(string) {},
 	}
 	for _, opt := range opts {
 		opt(l)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -89,6 +89,33 @@
 			So(pick("prompt").Endpoint().ID, ShouldEqual, id)
 		})
 
+		Convey("keeps off a zone whose endpoints cannot be reached, but for a try now and then", func() {
+			for i := range 3 {
+				p.Put(Endpoint{ID: fmt.Sprintf("far-%d", i), Service: "models", Addr: "10.1.0.1:80", Zone: "b", Slots: 8})
+			}
+			var far []*Lease
+			for i := range 60 {
+				if lease := pick(fmt.Sprintf("prompt-%d", i)); lease != nil && lease.Endpoint().Zone == "b" {
+					far = append(far, lease)
+				} else if lease != nil {
+					lease.Done(EndNeutral)
+				}
+			}
+			for _, lease := range far {
+				lease.Done(EndUnreachable)
+			}
+			clock.pass(2 * p.policy.FirstPause)
+			tried := 0
+			for i := range 60 {
+				lease := pick(fmt.Sprintf("prompt-%d", i))
+				if lease.Endpoint().Zone == "b" {
+					tried++
+				}
+				lease.Done(EndNeutral)
+			}
+			So(tried, ShouldBeBetweenOrEqual, 0, 1)
+		})
+
 		Convey("still sends work when all endpoints are suspect", func() {
 			for range 4 {
 				pick("").Done(EndBroken)
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -154,7 +154,9 @@
 		return pool.EndGood
 	case resultFailed:
 		return pool.EndFailed
-	case resultUnsent, resultBroken:
+	case resultUnsent:
+		return pool.EndUnreachable
+	case resultBroken:
 		return pool.EndBroken
 	case resultNotRun:
 		return pool.EndBusy
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -40,7 +40,7 @@
 
 // Defaults of a Client.
 const (
-	DefaultDialTimeout = 600 * time.Millisecond
+	DefaultDialTimeout = 300 * time.Millisecond
 	DefaultMaxIdle     = 8                // connections kept for an address
 	DefaultIdle        = 10 * time.Second // how long a connection is kept where the endpoint names no time
 	keepMargin         = 700 * time.Millisecond
