feat: instances hold less of a budget that runs low

Cause: after a loss of power 5 to 8% of the largest customers' budgets were stranded, and every later request of theirs refused. Change: below 35% of the prepaid figure what is held and what is spendable at once shrinks with the rest; draws do the rest.

--- a/internal/escrow/draw.go
+++ b/internal/escrow/draw.go
@@ -245,7 +245,7 @@
 		horizon = stoppingHorizon
 	}
 	n := Need{Spent: a.used(), Urgent: a.urgent}
-	n.Want, n.Burst, n.Rate = h.policy.size(h.flow(a), horizon)
+	n.Want, n.Burst, n.Rate = h.policy.size(h.flow(a), horizon, h.policy.plenty(a.unspent(), a.prepaid))
 	if a.meter.young() && !h.stopping {
 		start := a.others
 		if start == 0 {
--- a/internal/escrow/sizing.go
+++ b/internal/escrow/sizing.go
@@ -12,11 +12,12 @@
 	Spread  float64       // standard deviations of the use held beside its mean
 	Burst   float64       // standard deviations spendable at once
 	Start   float64       // part of the unspent rest that all holders together ask for while nothing is measured
+	Scarce  float64       // part of the prepaid figure below which an unspent rest counts as scarce, more so as it falls
 }
 
 // DefaultPolicy outlives a cut of ten seconds.
 func DefaultPolicy() Policy {
-	return Policy{Horizon: 10 * time.Second, Surge: 1.1, Spread: 2, Burst: 1.2, Start: 0.15}
+	return Policy{Horizon: 10 * time.Second, Surge: 1.1, Spread: 2, Burst: 1.2, Start: 0.15, Scarce: 0.35}
 }
 
 // ahead is the use that is spendable at once: until the Grace of a report is over, and a little more.
@@ -34,11 +35,28 @@
 	return mean + deviations*math.Sqrt(mean*f.grain)
 }
 
+// tight is the use that is held of a budget that is nearly used up: what holders keep to themselves then is what a loss of power
+// takes from the customer's last requests. Draws for single requests do the rest.
+const tight = 600 * time.Millisecond
+
+// plenty says how far an unspent rest is from scarce: 1 is plenty, 0 is nothing.
+func (p Policy) plenty(rest, prepaid int64) float64 {
+	if prepaid <= 0 || p.Scarce <= 0 {
+		return 1
+	}
+	return min(1, max(0, float64(rest)/(p.Scarce*float64(prepaid))))
+}
+
 // size turns a measured flow into what is asked for: all of it is spendable once the horizon has passed.
-func (p Policy) size(f flow, horizon time.Duration) (want, burst, rate int64) {
-	w, b := p.amount(f, max(horizon, ahead), p.Spread), p.amount(f, ahead, p.Burst)
+func (p Policy) size(f flow, horizon time.Duration, plenty float64) (want, burst, rate int64) {
+	soon := tight + time.Duration(float64(ahead-tight)*plenty)
+	horizon = max(soon, time.Duration(float64(horizon)*plenty))
+	b := p.amount(f, soon, p.Burst*plenty)
+	w := max(b, p.amount(f, horizon, p.Spread*plenty))
 	if span := (horizon - Grace).Seconds(); span > 0 {
 		rate = int64((w - b) / span)
+	} else {
+		w = b
 	}
 	return int64(w), int64(b), rate
 }
