feat: large fleets: accounts in several pages, rarer draws, the fleet's own writes left out of the poll

Change: pages by the store's write rate; beats by the number of holders; above 16 holders the configuration and the endpoints are asked for apart from the fleet's own keys.

--- a/internal/escrow/draw.go
+++ b/internal/escrow/draw.go
@@ -35,7 +35,10 @@
 
 // pause waits for the next beat or for a request that waits; false means that ctx has ended.
 func (h *Holder) pause(ctx context.Context, last time.Time) bool {
-	t := time.NewTimer(h.times.Beat * 3 / 2)
+	h.mu.Lock()
+	wait := h.interval() * 3 / 2
+	h.mu.Unlock()
+	t := time.NewTimer(wait)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
@@ -75,7 +78,7 @@
 	if !p.joined || p.unsure >= 0 {
 		return len(h.accounts) > 0
 	}
-	if h.now().Sub(p.drawn) >= quietRefresh {
+	if h.now().Sub(p.drawn) >= max(quietRefresh, 2*h.interval()) {
 		return true
 	}
 	for name, a := range h.accounts {
@@ -137,7 +140,7 @@
 // load reads a page that is not known, or of which a write may still be under way.
 func (h *Holder) load(ctx context.Context, p *pageState) error {
 	h.mu.Lock()
-	fresh := p.known && p.unsure < 0
+	fresh := p.known && p.unsure < 0 && h.now().Sub(p.seen) < freshFor
 	h.mu.Unlock()
 	if fresh {
 		return nil
@@ -177,7 +180,8 @@
 	if err != nil {
 		return err
 	}
-	p.raw, p.revision, p.known = e.Data, e.Revision, true
+	p.raw, p.revision, p.known, p.seen = e.Data, e.Revision, true, h.now()
+	h.holders = len(page.Holders)
 	settled := p.unsure >= 0 && e.Revision > p.unsure
 	if settled {
 		p.unsure = -1
@@ -294,7 +298,7 @@
 	if revision > p.revision {
 		p.raw, p.revision = w.raw, revision
 	}
-	p.known, p.unsure, p.joined, p.drawn = true, -1, true, h.now()
+	p.known, p.unsure, p.joined, p.drawn, p.seen = true, -1, true, h.now(), h.now()
 	for name, i := range w.rows {
 		a := h.accounts[name]
 		a.confirm(i)
--- a/internal/escrow/holder.go
+++ b/internal/escrow/holder.go
@@ -40,6 +40,12 @@
 	}
 }
 
+const (
+	beatHolders = 12 // holders for each Beat between regular draws
+	mostBeats   = 6
+	freshFor    = 300 * time.Millisecond // a page that was the newest so long ago is read again before it is written
+)
+
 // Holder is this process's part of the escrow: a service, and the place where requests reserve.
 type Holder struct {
 	id     string
@@ -59,6 +65,7 @@
 	fleet    meter         // of all customers everywhere, as reported
 	answered time.Time     // the last answer of the store
 	beat     time.Time     // the last regular draw
+	holders  int           // that the store knows
 	changed  chan struct{} // closed and replaced after each draw
 	stopping bool
 
@@ -74,6 +81,7 @@
 	unsure   int64 // the base of a write whose outcome is not known; -1: none
 	joined   bool  // this holder's earlier processes are settled
 	drawn    time.Time
+	seen     time.Time        // when the copy was known to be the newest
 	reported map[string]int64 // spent, by customer, as last written
 }
 
@@ -276,17 +284,29 @@
 	return !h.answered.IsZero() && now.Sub(h.answered) < h.times.Lost && now.Sub(a.dry) > h.times.Dry
 }
 
-// Tick tells the holder that fresh pages have been observed: the best moment for a regular draw, as a write that stands on an
-// old page is in vain.
-func (h *Holder) Tick() {
+// Tick tells the holder that the store has just answered: the best moment for a regular draw. own says that all pages that have
+// changed were observed, so that a write can stand on them.
+func (h *Holder) Tick(own bool) {
 	h.mu.Lock()
-	due := h.now().Sub(h.beat) >= h.times.Beat*9/10
+	now := h.now()
+	due := now.Sub(h.beat) >= h.interval()*9/10
+	for _, p := range h.pages {
+		if own {
+			p.seen = now
+		}
+	}
 	h.mu.Unlock()
 	if due {
 		h.kick()
 	}
 }
 
+// interval is the time between regular draws: a large fleet draws more rarely, since all write the same pages. The caller holds
+// mu.
+func (h *Holder) interval() time.Duration {
+	return h.times.Beat * time.Duration(max(1, min(h.holders/beatHolders, mostBeats)))
+}
+
 // Ready says whether the holder has seen the store and knows its accounts.
 func (h *Holder) Ready() bool {
 	h.mu.Lock()
@@ -303,11 +323,7 @@
 func (h *Holder) Holders() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	page, err := DecodePage(h.pages[0].raw)
-	if err != nil {
-		return 1
-	}
-	return max(1, len(page.Holders))
+	return max(1, h.holders)
 }
 
 // Shrink asks for less from now on: the process is about to stop.
--- a/internal/escrow/sizing.go
+++ b/internal/escrow/sizing.go
@@ -17,7 +17,7 @@
 
 // DefaultPolicy outlives a cut of ten seconds.
 func DefaultPolicy() Policy {
-	return Policy{Horizon: 10 * time.Second, Surge: 1.1, Spread: 2, Burst: 1.2, Start: 0.15, Scarce: 0.35}
+	return Policy{Horizon: 10 * time.Second, Surge: 1.1, Spread: 2, Burst: 1.2, Start: 0.15, Scarce: 0.5}
 }
 
 // ahead is the use that is spendable at once: until the Grace of a report is over, and a little more.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -28,6 +28,7 @@
 	Entries   []external.Entry // other values
 	Bad       []error          // records that could not be read; the others hold
 	At        int64            // the revision to go on from
+	ConfigAt  int64            // the revision of the configuration that was read last; 0: none was
 	Events    int              // changes that the store told, of whatever kind
 }
 
@@ -35,8 +36,15 @@
 type Source interface {
 	// Snapshot reads everything.
 	Snapshot(ctx context.Context) (Update, error)
-	// Changes reads what has changed since a revision; external.ErrHistoryGone asks for a snapshot.
-	Changes(ctx context.Context, after int64) (Update, error)
+	// Changes reads what has changed since; external.ErrHistoryGone asks for a snapshot. Without own, it leaves out what the
+	// fleet writes itself.
+	Changes(ctx context.Context, since Cursor, own bool) (Update, error)
+}
+
+// Cursor is how far the store has been read, in its revisions.
+type Cursor struct {
+	At       int64 // of the last change that was told
+	ConfigAt int64 // of the last configuration
 }
 
 // Times are a follower's intervals.
@@ -62,10 +70,11 @@
 	table   atomic.Pointer[route.Table]
 	changed []func(*route.Table)
 	entries func(external.Entry)
-	polled  func()
+	polled  func(own bool)
+	own     func() bool
 
 	mu       sync.Mutex
-	after    int64
+	since    Cursor
 	answered time.Time
 	told     time.Time // the last time that the store told of any change
 	lost     bool
@@ -91,14 +100,19 @@
 // OnEntry sets what is told of other values.
 func OnEntry(g func(external.Entry)) Option { return func(f *Follower) { f.entries = g } }
 
-// OnPolled sets what is called after each answer of the store, once everything in it has been told.
-func OnPolled(g func()) Option { return func(f *Follower) { f.polled = g } }
+// OnPolled sets what is called after each answer that tells what has changed, once all of that has been told. own says whether
+// that included what the fleet writes itself.
+func OnPolled(g func(own bool)) Option { return func(f *Follower) { f.polled = g } }
+
+// WithOwn sets whether to ask for what the fleet writes itself. A small fleet gets it in the same call; in a large one each
+// instance would read what all others write.
+func WithOwn(g func() bool) Option { return func(f *Follower) { f.own = g } }
 
 // New makes a follower that fills a pool.
 func New(source Source, p *pool.Pool, opts ...Option) *Follower {
 	f := &Follower{
 		source: source, pool: p, times: DefaultTimes(), now: time.Now, log: zerolog.Nop(), entries: func(external.Entry) {},
-		polled: func() {},
+		polled: func(bool) {}, own: func() bool { return true },
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -142,10 +156,12 @@
 func (f *Follower) step(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.times.Call)
 	defer cancel()
-	if f.after > 0 && f.now().Sub(f.told) < f.times.Silence {
-		u, err := f.source.Changes(ctx, f.after)
+	own := f.own()
+	if f.since.At > 0 && f.now().Sub(f.told) < f.times.Silence {
+		u, err := f.source.Changes(ctx, f.since, own)
 		if err == nil {
 			f.apply(u, false)
+			f.polled(own)
 			return nil
 		}
 		if !errors.Is(err, external.ErrHistoryGone) {
@@ -169,7 +185,8 @@
 	if u.Events > 0 {
 		f.told = f.now()
 	}
-	f.after = max(f.after, u.At)
+	f.since.At = max(f.since.At, u.At)
+	f.since.ConfigAt = max(f.since.ConfigAt, u.ConfigAt)
 	if u.Config != nil {
 		f.take(*u.Config)
 	}
@@ -182,7 +199,6 @@
 	for _, e := range u.Entries {
 		f.entries(e)
 	}
-	f.polled()
 }
 
 func (f *Follower) applyEndpoints(u Update) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -23,6 +23,9 @@
 	"github.com/ledgemount/ledgemount/internal/upstream"
 )
 
+// smallFleet is the number of instances up to which each reads what all others write to the escrow, in one call with the rest.
+const smallFleet = 16
+
 // escrowPrefix is where the escrow's pages lie under the fleet's own prefix.
 const escrowPrefix = "escrow/"
 
@@ -54,9 +57,10 @@
 	r := &Router{set: set, log: log, kernel: kernel.New(), client: upstream.New(), metrics: newMeters(set)}
 	r.pool = pool.New(set.Instance.Zone, pool.OnGone(r.client.Forget))
 	id := set.Instance.ID + "/" + strings.ToLower(ulid.Make().String())
-	r.escrow = escrow.New(on.Store, set.Store.Prefix+escrowPrefix, set.Store.Pages, set.Instance.ID, id, escrow.WithLogger(log))
+	r.escrow = escrow.New(on.Store, set.Store.Prefix+escrowPrefix, set.Store.pages(), set.Instance.ID, id, escrow.WithLogger(log))
 	r.follow = follow.New(on.Source, r.pool,
-		follow.WithLogger(log), follow.OnTable(r.fundsOf), follow.OnEntry(r.escrow.Observe), follow.OnPolled(r.escrow.Tick))
+		follow.WithLogger(log), follow.OnTable(r.fundsOf), follow.OnEntry(r.escrow.Observe), follow.OnPolled(r.escrow.Tick),
+		follow.WithOwn(func() bool { return r.escrow.Holders() <= smallFleet }))
 	retries := retry.NewShared(set.Retry.Ratio, set.Retry.Slack, set.Retry.Window, r.escrow.Holders, time.Now)
 	r.core = relay.New(relay.Deps{
 		Tables: r.follow.Table, Pool: r.pool, Budgets: r.escrow, Retries: retries, Client: r.client, Dialect: on.Dialect,
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -42,7 +42,26 @@
 type Store struct {
 	Address string `json:"address" validate:"required,hostname_port"`
 	Prefix  string `json:"prefix" validate:"required,endswith=/"` // of the keys that this fleet writes
-	Pages   int    `json:"pages" validate:"min=1,max=4096"`       // values over which the customers' accounts are spread
+	Pages   int    `json:"pages" validate:"min=0,max=4096"`       // values over which accounts are spread; 0: by Writes
+	Writes  int    `json:"writes_per_second" validate:"min=0"`    // that the store takes of the whole fleet
+}
+
+// A page of accounts is one value, which one holder writes at a time. A store is sized by its fleet, so more writes mean more
+// holders.
+const (
+	onePageWrites = 400 // up to here all accounts lie in one page
+	writesPerPage = 150
+)
+
+// pages is the number of values over which accounts are spread. All instances must come to the same.
+func (s Store) pages() int {
+	switch {
+	case s.Pages > 0:
+		return s.Pages
+	case s.Writes <= onePageWrites:
+		return 1
+	}
+	return s.Writes / writesPerPage
 }
 
 // Retry bounds the requests that all instances together send again.
@@ -66,7 +85,7 @@
 func Defaults() Settings {
 	return Settings{
 		Probes: Probes{ReadyPath: "/ready", MetricsPath: "/metrics"},
-		Store:  Store{Prefix: "ledgemount/", Pages: 1},
+		Store:  Store{Prefix: "ledgemount/"},
 		Retry:  Retry{Ratio: 0.2, Slack: 20, Window: 10 * time.Second},
 		Stop:   Stop{Within: 8 * time.Second},
 		Log:    Log{Level: "info"},
