feat: a command that tells one request's story from the logs; fix: why a begun answer is not completed

Cause: a caller that left in the middle of an answer was logged as an answer that its endpoint had broken off. Change: explain reads log files of routers; an outcome tells truncated, cancelled and timed out apart.

--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -223,9 +223,7 @@
 	if err != nil {
 		v := verdict.From(err)
 		o.Code, o.Verdict, o.Detail = v.Code(), v.Verdict(), v.Detail()
-		if errors.Is(err, ErrBroken) {
-			o.Code = verdict.CodeTruncated
-		} else {
+		if !errors.Is(err, ErrBroken) {
 			o.Status = v.Code().Status()
 		}
 	} else {
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -94,7 +94,7 @@
 func (j *job) giveUp(ctx context.Context, failure *kept, res result) error {
 	switch {
 	case j.begun:
-		return ErrBroken
+		return j.broken(ctx, res)
 	case failure != nil:
 		j.begin(failure.status, failure.header, int64(len(failure.body)))
 		_ = j.out.Write(failure.body)
@@ -111,6 +111,18 @@
 	return verdict.New(verdict.MayHaveRun, verdict.CodeEndpointFailed, "the endpoint's answer was lost")
 }
 
+// broken tells why an answer that has begun is not completed.
+func (j *job) broken(ctx context.Context, res result) error {
+	code, detail := verdict.CodeTruncated, "the endpoint broke its answer off, and nothing else could complete it"
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		code, detail = verdict.CodeTimeout, "the time was up in the middle of the answer"
+	case ctx.Err() != nil, res == resultLeft:
+		code, detail = verdict.CodeCancelled, "the caller left in the middle of the answer"
+	}
+	return verdict.New(verdict.Ran, code, detail, verdict.WithCause(ErrBroken))
+}
+
 func (j *job) timedOut() error {
 	if j.ran {
 		return verdict.New(verdict.MayHaveRun, verdict.CodeTimeout, "the time was up before an answer came")
--- /dev/null
+++ b/internal/router/explain.go
@@ -0,0 +1,115 @@
+package router
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// Line is one line of an instance's log that tells of a request.
+type Line struct {
+	Event     string        `json:"event"`
+	Time      string        `json:"time"`
+	Instance  string        `json:"instance"`
+	Request   string        `json:"request"`
+	Route     string        `json:"route"`
+	Kind      string        `json:"kind"`
+	Service   string        `json:"service"`
+	Customer  string        `json:"customer"`
+	Version   int64         `json:"version"`
+	Status    int           `json:"status"`
+	Code      string        `json:"code"`
+	Verdict   string        `json:"verdict"`
+	Detail    string        `json:"detail"`
+	Attempts  int           `json:"attempts"`
+	Events    int64         `json:"events"`
+	Reserved  int64         `json:"reserved"`
+	Used      int64         `json:"used"`
+	Left      int64         `json:"escrow_left"`
+	Granted   int64         `json:"escrow_granted"`
+	Spent     int64         `json:"escrow_spent"`
+	Rest      int64         `json:"budget_rest"`
+	AgeMs     int64         `json:"escrow_age_ms"`
+	FirstMs   int64         `json:"first_ms"`
+	TotalMs   int64         `json:"total_ms"`
+	Endpoints []AttemptLine `json:"endpoints"`
+}
+
+// AttemptLine is one sending of a request in a Line.
+type AttemptLine struct {
+	Endpoint string `json:"endpoint"`
+	Reason   string `json:"reason"`
+	End      string `json:"end"`
+	AtMs     int64  `json:"at_ms"`
+}
+
+// longestLine is the longest line of a log that is read, in bytes.
+const longestLine = 1 << 20
+
+// ReadLines finds the lines about a request in a log. What stands before a line's JSON, as a time or a name, is passed over, and
+// so are lines that are none of ours.
+func ReadLines(r io.Reader, request string) ([]Line, error) {
+	var out []Line
+	scan := bufio.NewScanner(r)
+	scan.Buffer(make([]byte, 0, longestLine/16), longestLine)
+	for scan.Scan() {
+		text := scan.Text()
+		at := strings.IndexByte(text, '{')
+		if at < 0 || !strings.Contains(text, request) {
+			continue
+		}
+		var line Line
+		if json.Unmarshal([]byte(text[at:]), &line) == nil && line.Request == request {
+			out = append(out, line)
+		}
+	}
+	return out, eris.Wrap(scan.Err(), "reading a log")
+}
+
+// Explain tells a request's story in sentences, in the order of time.
+func Explain(w io.Writer, lines []Line) error {
+	sort.SliceStable(lines, func(i, j int) bool { return lines[i].Time < lines[j].Time })
+	for _, l := range lines {
+		if _, err := io.WriteString(w, l.story()); err != nil {
+			return eris.Wrap(err, "writing the story")
+		}
+	}
+	return nil
+}
+
+func (l Line) story() string {
+	var b strings.Builder
+	_, _ = fmt.Fprintf(&b, "%s at %s: request %s of %s on route %s (%s), configuration %d\n",
+		l.Time, l.Instance, l.Request, orNone(l.Customer), orNone(l.Route), orNone(l.Kind), l.Version)
+	if l.Reserved > 0 {
+		_, _ = fmt.Fprintf(&b, "  budget: %d tokens at its most; here %d granted, %d spent or reserved, %d left to reserve; %d unspent anywhere, known %d ms ago\n",
+			l.Reserved, l.Granted, l.Spent, l.Left, l.Rest, l.AgeMs)
+	}
+	for i, e := range l.Endpoints {
+		_, _ = fmt.Fprintf(&b, "  attempt %d: endpoint %s by %s, %d ms in: %s\n", i+1, e.Endpoint, e.Reason, e.AtMs, e.End)
+	}
+	_, _ = fmt.Fprintf(&b, "  %s; %d tokens billed\n", l.ending(), l.Used)
+	return b.String()
+}
+
+func (l Line) ending() string {
+	switch {
+	case l.Code != "":
+		return fmt.Sprintf("ended %d after %d ms, %s (%s): %s", l.Status, l.TotalMs, l.Code, l.Verdict, l.Detail)
+	case l.Events > 0:
+		return fmt.Sprintf("answered %d, first event after %d ms, %d events, whole after %d ms", l.Status, l.FirstMs, l.Events, l.TotalMs)
+	}
+	return fmt.Sprintf("answered %d after %d ms", l.Status, l.TotalMs)
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "(none)"
+	}
+	return s
+}
