--- a/internal/escrow/draw.go
+++ b/internal/escrow/draw.go
@@ -36,7 +36,7 @@
 // pause waits for the next beat or for a request that waits; false means that ctx has ended.
 func (h *Holder) pause(ctx context.Context, last time.Time) bool {
 	h.mu.Lock()
-	wait := h.interval() * 3 / 2
+	wait, least := h.interval()*3/2, h.times.Gap*h.crowd()
 	h.mu.Unlock()
 	t := time.NewTimer(wait)
 	defer t.Stop()
@@ -47,7 +47,7 @@
 		return true
 	case <-h.kicks:
 	}
-	gap := time.NewTimer(max(0, h.times.Gap-h.now().Sub(last)))
+	gap := time.NewTimer(max(0, least-h.now().Sub(last)))
 	defer gap.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/escrow/holder.go
+++ b/internal/escrow/holder.go
@@ -281,7 +281,7 @@
 	if a.free+a.row.row.Granted-a.used() < most && a.unspent() >= most {
 		return false // others hold it
 	}
-	return !h.answered.IsZero() && now.Sub(h.answered) < h.times.Lost && now.Sub(a.dry) > h.times.Dry
+	return !h.answered.IsZero() && now.Sub(h.answered) < h.times.Lost && now.Sub(a.dry) > h.times.Dry*h.crowd()
 }
 
 // Tick tells the holder that the store has just answered: the best moment for a regular draw. own says that all pages that have
@@ -304,7 +304,12 @@
 // interval is the time between regular draws: a large fleet draws more rarely, since all write the same pages. The caller holds
 // mu.
 func (h *Holder) interval() time.Duration {
-	return h.times.Beat * time.Duration(max(1, min(h.holders/beatHolders, mostBeats)))
+	return h.times.Beat * h.crowd()
+}
+
+// crowd is by how much draws are rarer than in a small fleet. The caller holds mu.
+func (h *Holder) crowd() time.Duration {
+	return time.Duration(max(1, min(h.holders/beatHolders, mostBeats)))
 }
 
 // Ready says whether the holder has seen the store and knows its accounts.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -76,7 +76,8 @@
 	mu       sync.Mutex
 	since    Cursor
 	answered time.Time
-	told     time.Time // the last time that the store told of any change
+	told     time.Time // the last answer that told of any change
+	deaf     bool      // answers have told nothing for too long
 	lost     bool
 }
 
@@ -154,37 +155,55 @@
 
 // step makes one call and applies what it brings.
 func (f *Follower) step(ctx context.Context) error {
+	if f.since.At > 0 && !f.deaf {
+		err := f.follow(ctx)
+		if !errors.Is(err, external.ErrHistoryGone) {
+			return err
+		}
+	}
+	return f.snapshot(ctx)
+}
+
+// follow reads what has changed. Answers that tell nothing for too long are suspect; calls that fail say nothing of that.
+func (f *Follower) follow(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.times.Call)
 	defer cancel()
 	own := f.own()
-	if f.since.At > 0 && f.now().Sub(f.told) < f.times.Silence {
-		u, err := f.source.Changes(ctx, f.since, own)
-		if err == nil {
-			f.apply(u, false)
-			f.polled(own)
-			return nil
-		}
-		if !errors.Is(err, external.ErrHistoryGone) {
-			return eris.Wrap(err, "reading what has changed")
-		}
+	u, err := f.source.Changes(ctx, f.since, own)
+	if err != nil {
+		return eris.Wrap(err, "reading what has changed")
 	}
+	now := f.now()
+	if u.Events > 0 || f.told.IsZero() {
+		f.told = now
+	}
+	f.deaf = now.Sub(f.told) >= f.times.Silence
+	f.apply(u, false)
+	f.polled(own)
+	return nil
+}
+
+// snapshot reads everything. It may take longer than a call for changes, as it is larger.
+func (f *Follower) snapshot(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, snapshotCalls*f.times.Call)
+	defer cancel()
 	u, err := f.source.Snapshot(ctx)
 	if err != nil {
 		return eris.Wrap(err, "reading the configuration and the endpoints")
 	}
-	f.told = f.now()
+	f.told, f.deaf = f.now(), false
 	f.apply(u, true)
 	return nil
 }
 
+// snapshotCalls is how many times the limit of a call a snapshot may take.
+const snapshotCalls = 2
+
 // apply brings the view up to date.
 func (f *Follower) apply(u Update, whole bool) {
 	for _, err := range u.Bad {
 		f.log.Warn().Str("event", "record_rejected").Err(err).Int64("revision", u.At).Msg("a record is not taken; what was known holds")
 	}
-	if u.Events > 0 {
-		f.told = f.now()
-	}
 	f.since.At = max(f.since.At, u.At)
 	f.since.ConfigAt = max(f.since.ConfigAt, u.ConfigAt)
 	if u.Config != nil {
--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,87 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ledgemount/ledgemount/internal/external"
+	"github.com/ledgemount/ledgemount/internal/pool"
+	"github.com/ledgemount/ledgemount/internal/route"
+)
+
+// script is a Source that answers as it is told.
+type script struct {
+	snapshots, changes int
+	whole, change      Update
+	err                error
+}
+
+func (s *script) Snapshot(context.Context) (Update, error) {
+	s.snapshots++
+	return s.whole, s.err
+}
+
+func (s *script) Changes(context.Context, Cursor, bool) (Update, error) {
+	s.changes++
+	return s.change, s.err
+}
+
+func TestFollower(t *testing.T) {
+	Convey("A follower", t, func() {
+		now := time.Unix(1000, 0)
+		src := &script{whole: Update{
+			At: 10, Config: &route.Config{Version: 5}, Endpoints: []pool.Endpoint{{ID: "a", Service: "s", Addr: "1:1"}},
+		}}
+		p := pool.New("z")
+		f := New(src, p, WithNow(func() time.Time { return now }))
+		step := func() error { return f.step(context.Background()) }
+		So(step(), ShouldBeNil)
+		So(f.Table().Version(), ShouldEqual, 5)
+
+		Convey("asks for what has changed, and never takes an older configuration", func() {
+			src.change = Update{At: 12, Events: 2, Config: &route.Config{Version: 4}, Gone: []string{"a"}}
+			So(step(), ShouldBeNil)
+			So(src.snapshots, ShouldEqual, 1)
+			So(f.Table().Version(), ShouldEqual, 5)
+			So(p.Len(), ShouldEqual, 0)
+			So(f.since.At, ShouldEqual, 12)
+		})
+
+		Convey("keeps what it has when a configuration cannot be compiled", func() {
+			src.change = Update{At: 12, Events: 1, Config: &route.Config{Version: 6, Routes: []route.Route{{Prefix: "x"}}}}
+			So(step(), ShouldBeNil)
+			So(f.Table().Version(), ShouldEqual, 5)
+		})
+
+		Convey("reads everything when history is gone", func() {
+			src.err = external.ErrHistoryGone
+			So(step(), ShouldNotBeNil)
+			So(src.snapshots, ShouldEqual, 2)
+		})
+
+		Convey("reads everything when answers tell nothing for too long", func() {
+			src.change = Update{At: 10}
+			So(step(), ShouldBeNil)
+			now = now.Add(f.times.Silence + time.Millisecond)
+			So(step(), ShouldBeNil)
+			So(src.snapshots, ShouldEqual, 1)
+			So(step(), ShouldBeNil)
+			So(src.snapshots, ShouldEqual, 2)
+		})
+
+		Convey("asks for changes, not for everything, after calls that failed", func() {
+			src.err = errors.New("no answer")
+			now = now.Add(time.Minute)
+			So(step(), ShouldNotBeNil)
+			So(step(), ShouldNotBeNil)
+			So(src.snapshots, ShouldEqual, 1)
+			src.err, src.change = nil, Update{At: 11, Events: 1}
+			So(step(), ShouldBeNil)
+			So(src.snapshots, ShouldEqual, 1)
+		})
+	})
+}
