--- a/internal/escrow/draw.go
+++ b/internal/escrow/draw.go
@@ -20,9 +20,9 @@
 func (h *Holder) Run(ctx context.Context) error {
 	var last time.Time
 	for {
-		h.startBeat()
+		regular := h.startBeat()
 		for _, p := range h.pages {
-			if ctx.Err() == nil && h.due(p) {
+			if ctx.Err() == nil && h.due(p, regular) {
 				h.draw(ctx, p)
 			}
 		}
@@ -57,11 +57,15 @@
 	}
 }
 
-// startBeat begins a round of draws.
-func (h *Holder) startBeat() {
+// startBeat begins a round of draws. It says whether the round is a regular one; between these, only what requests wait for is
+// drawn.
+func (h *Holder) startBeat() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.now()
+	if now.Sub(h.beat) < h.interval()*8/10 {
+		return false
+	}
 	h.beat = now
 	h.own.tick(now)
 	h.fleet.tick(now)
@@ -69,16 +73,17 @@
 		a.meter.tick(now)
 		a.fleet.tick(now)
 	}
+	return true
 }
 
 // due says whether a page has something to report. A page that is not joined or not settled is always due.
-func (h *Holder) due(p *pageState) bool {
+func (h *Holder) due(p *pageState, regular bool) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !p.joined || p.unsure >= 0 {
 		return len(h.accounts) > 0
 	}
-	if h.now().Sub(p.drawn) >= max(quietRefresh, 2*h.interval()) {
+	if regular && h.now().Sub(p.drawn) >= max(quietRefresh, 2*h.interval()) {
 		return true
 	}
 	for name, a := range h.accounts {
@@ -86,7 +91,7 @@
 			continue
 		}
 		reported, ok := p.reported[name]
-		if !ok || a.urgent > 0 || a.used() != reported {
+		if !ok || a.urgent > 0 || (regular && a.used() != reported) {
 			return true
 		}
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -57,7 +57,7 @@
 
 // DefaultTimes put a change in force well within two seconds of its acknowledgement.
 func DefaultTimes() Times {
-	return Times{Poll: 500 * time.Millisecond, Call: 800 * time.Millisecond, Retry: 150 * time.Millisecond, Silence: time.Second}
+	return Times{Poll: 500 * time.Millisecond, Call: 800 * time.Millisecond, Retry: 150 * time.Millisecond, Silence: 1200 * time.Millisecond}
 }
 
 // Follower is the service that follows the store.
@@ -140,6 +140,9 @@
 		err := f.step(ctx)
 		f.note(err)
 		wait := f.times.Poll
+		if !f.own() {
+			wait *= largeFleetPolls
+		}
 		if err != nil {
 			wait = f.times.Retry
 		}
@@ -153,6 +156,9 @@
 	return nil
 }
 
+// largeFleetPolls is by how much polls are rarer in a large fleet, where each of them takes two calls.
+const largeFleetPolls = 2
+
 // step makes one call and applies what it brings.
 func (f *Follower) step(ctx context.Context) error {
 	if f.since.At > 0 && !f.deaf {
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -50,7 +50,7 @@
 // holders.
 const (
 	onePageWrites = 400 // up to here all accounts lie in one page
-	writesPerPage = 150
+	writesPerPage = 300
 )
 
 // pages is the number of values over which accounts are spread. All instances must come to the same.
