--- a/internal/budget/client.go
+++ b/internal/budget/client.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/ledgemount/ledgemount/internal/kernel"
+
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
@@ -126,17 +128,9 @@
 
 // Run implements kernel.Service: it delivers settlements again and learns which have reached the store.
 func (c *Client) Run(ctx context.Context) error {
-	t := time.NewTicker(clientTick)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			c.jobs.Wait()
-			return nil
-		case <-t.C:
-			c.Tick(ctx)
-		}
-	}
+	kernel.Every(ctx, clientTick, c.Tick)
+	c.jobs.Wait()
+	return nil
 }
 
 // Homes ranks the instances that may hold a budget's escrow for requests served by self, best first. An instance does
--- a/internal/budget/tick.go
+++ b/internal/budget/tick.go
@@ -3,7 +3,8 @@
 import (
 	"context"
 	"errors"
-	"time"
+
+	"github.com/ledgemount/ledgemount/internal/kernel"
 
 	"github.com/rotisserie/eris"
 
@@ -13,18 +14,10 @@
 
 // Run implements kernel.Service: it flushes charges, returns idle escrow, resolves orphans and reclaims dead holders.
 func (h *Home) Run(ctx context.Context) error {
-	t := time.NewTicker(h.times.Tick)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			h.cancel()
-			h.jobs.Wait()
-			return nil
-		case <-t.C:
-			h.Tick(ctx)
-		}
-	}
+	kernel.Every(ctx, h.times.Tick, h.Tick)
+	h.cancel()
+	h.jobs.Wait()
+	return nil
 }
 
 // Tick does what is due. Tests call it directly.
--- a/internal/escrow/property_test.go
+++ b/internal/escrow/property_test.go
@@ -100,7 +100,7 @@
 }
 
 func (w *world) tell(n *simNode) {
-	var list []Prepaid
+	list := make([]Prepaid, 0, len(w.prepaid))
 	for c, p := range w.prepaid {
 		list = append(list, Prepaid{Customer: c, Tokens: p})
 	}
--- a/internal/external/memkv/memkv.go
+++ b/internal/external/memkv/memkv.go
@@ -179,7 +179,7 @@
 }
 
 func (s *Store) conflict(c external.Commit) error {
-	var current []external.Entry
+	current := make([]external.Entry, 0, len(c.When))
 	failed := false
 	for _, w := range c.When {
 		e := s.entries[w.Key]
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/ledgemount/ledgemount/internal/kernel"
+
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
@@ -153,16 +155,8 @@
 
 // Run implements kernel.Service: it forgets old answers, settles what was deferred and wakes the gates.
 func (g *Gateway) Run(ctx context.Context) error {
-	t := time.NewTicker(tickEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return g.work.wait(context.WithoutCancel(ctx))
-		case <-t.C:
-			g.Tick(ctx)
-		}
-	}
+	kernel.Every(ctx, tickEvery, g.Tick)
+	return g.work.wait(context.WithoutCancel(ctx))
 }
 
 // Tick does what is due. Tests call it directly.
--- a/internal/rollout/cache.go
+++ b/internal/rollout/cache.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/ledgemount/ledgemount/internal/kernel"
+
 	"github.com/ledgemount/ledgemount/internal/declare"
 	"github.com/ledgemount/ledgemount/internal/endpoint/wire"
 	"github.com/ledgemount/ledgemount/internal/mesh"
@@ -64,16 +66,8 @@
 
 // Run implements kernel.Service.
 func (s *Cache) Run(ctx context.Context) error {
-	t := time.NewTicker(cacheEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			s.Tick(ctx)
-		}
-	}
+	kernel.Every(ctx, cacheEvery, s.Tick)
+	return nil
 }
 
 // Tick reads what is new at this instance's endpoints. Late and missing events only cost cache hits.
--- a/internal/rollout/orders.go
+++ b/internal/rollout/orders.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/ledgemount/ledgemount/internal/kernel"
+
 	"github.com/rs/zerolog"
 
 	"github.com/ledgemount/ledgemount/internal/declare"
@@ -49,16 +51,8 @@
 
 // Run implements kernel.Service.
 func (o *Orders) Run(ctx context.Context) error {
-	t := time.NewTicker(ordersEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			o.Tick(ctx)
-		}
-	}
+	kernel.Every(ctx, ordersEvery, o.Tick)
+	return nil
 }
 
 // Tick gives the orders that are due, one after another, so that loads of weights are staggered.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -160,14 +160,6 @@
 
 // Run implements kernel.Service.
 func (s *sweeper) Run(ctx context.Context) error {
-	t := time.NewTicker(sweepEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			s.client.Sweep()
-		}
-	}
+	kernel.Every(ctx, sweepEvery, func(context.Context) { s.client.Sweep() })
+	return nil
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -37,14 +37,22 @@
 	return map[string]any{
 		"version": version,
 		"routes": []map[string]any{
-			{"name": "draft", "host": "api.example", "pathPrefix": "/draft/", "routeType": "streaming", "timeoutMs": 5000,
-				"targetLatencyMs": 800, "service": "models", "maxAttempts": 2, "resumable": true},
-			{"name": "once", "host": "api.example", "pathPrefix": "/once/", "routeType": "streaming", "timeoutMs": 5000,
-				"service": "models", "maxAttempts": 1},
-			{"name": "look", "host": "api.example", "pathPrefix": "/look/", "routeType": "safe", "timeoutMs": 3000,
-				"service": "portal", "maxAttempts": 2},
-			{"name": "pay", "host": "api.example", "pathPrefix": "/pay/", "routeType": "unsafe", "timeoutMs": 1500,
-				"service": "portal", "maxAttempts": 1},
+			{
+				"name": "draft", "host": "api.example", "pathPrefix": "/draft/", "routeType": "streaming", "timeoutMs": 5000,
+				"targetLatencyMs": 800, "service": "models", "maxAttempts": 2, "resumable": true,
+			},
+			{
+				"name": "once", "host": "api.example", "pathPrefix": "/once/", "routeType": "streaming", "timeoutMs": 5000,
+				"service": "models", "maxAttempts": 1,
+			},
+			{
+				"name": "look", "host": "api.example", "pathPrefix": "/look/", "routeType": "safe", "timeoutMs": 3000,
+				"service": "portal", "maxAttempts": 2,
+			},
+			{
+				"name": "pay", "host": "api.example", "pathPrefix": "/pay/", "routeType": "unsafe", "timeoutMs": 1500,
+				"service": "portal", "maxAttempts": 1,
+			},
 		},
 		"services": []map[string]any{
 			{"name": "models", "healthPath": "/health", "maxConnections": 100, "engine": map[string]any{"slots": 8, "stride": 5}},
