test: a soak of real processes under random faults, two at a time

Change: routers as processes, each behind a loopback proxy to the store: kills, planned stops, freezes, cuts, resets, a store that is down, loses answers, does writes late or forgets its history, endpoints that fail in eight ways or drain; clients keep their connections; an audit of what clients saw against what endpoints did. Clocks are not struck here.

--- /dev/null
+++ b/internal/router/soak_test.go
@@ -0,0 +1,523 @@
+package router_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/ledgemount/ledgemount/internal/router"
+	"github.com/ledgemount/ledgemount/platform"
+	"github.com/ledgemount/ledgemount/platform/standin"
+)
+
+var (
+	soakSeeds  = flag.Int("soak.seeds", 1, "seeds that the soak plays")
+	soakFirst  = flag.Uint64("soak.first", 1, "the first seed")
+	soakLength = flag.Duration("soak.length", 6*time.Second, "how long faults strike, for each seed")
+)
+
+// A soaked router is this test's program, started again with its settings in the environment.
+const (
+	soakSettings = "LEDGEMOUNT_SOAK_SETTINGS"
+	soakRouters  = 3
+	soakClients  = 12
+	soakPrepaid  = 60_000
+)
+
+func TestMain(m *testing.M) {
+	if raw := os.Getenv(soakSettings); raw != "" {
+		os.Exit(soakedRouter(raw))
+	}
+	os.Exit(m.Run())
+}
+
+// soakedRouter is the process that the soak strikes.
+func soakedRouter(raw string) int {
+	set, err := router.Decode([]byte(raw))
+	if err != nil {
+		return 2
+	}
+	r, err := router.New(set, platform.New(set), zerolog.Nop())
+	if err != nil {
+		return 3
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM)
+	ended := make(chan error, 1)
+	go func() { ended <- r.Run(context.Background()) }()
+	<-stop
+	_ = r.Stop()
+	<-ended
+	return 0
+}
+
+// proxy carries a router's connections to the store, or does not.
+type proxy struct {
+	listener net.Listener
+	to       string
+	mode     atomic.Int32
+	mu       sync.Mutex
+	conns    map[net.Conn]bool
+}
+
+// What a proxy does.
+const (
+	proxyPass int32 = iota
+	proxyHang       // bytes go nowhere
+	proxyReset
+)
+
+func newProxy(t *testing.T, to string) *proxy {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &proxy{listener: l, to: to, conns: make(map[net.Conn]bool)}
+	go p.serve()
+	return p
+}
+
+func (p *proxy) serve() {
+	for {
+		in, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.carry(in)
+	}
+}
+
+func (p *proxy) carry(in net.Conn) {
+	defer func() { _ = in.Close() }()
+	if p.mode.Load() == proxyReset {
+		return
+	}
+	out, err := net.Dial("tcp", p.to)
+	if err != nil {
+		return
+	}
+	p.keep(in, out)
+	defer p.drop(in, out)
+	done := make(chan struct{}, 2)
+	go func() { p.pipe(out, in); done <- struct{}{} }()
+	go func() { p.pipe(in, out); done <- struct{}{} }()
+	<-done
+}
+
+func (p *proxy) keep(conns ...net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range conns {
+		p.conns[c] = true
+	}
+}
+
+func (p *proxy) drop(conns ...net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Close()
+		delete(p.conns, c)
+	}
+}
+
+func (p *proxy) pipe(dst, src net.Conn) {
+	buf := make([]byte, 4096)
+	for {
+		n, err := src.Read(buf)
+		if err != nil || p.mode.Load() == proxyReset {
+			return
+		}
+		for p.mode.Load() == proxyHang {
+			time.Sleep(20 * time.Millisecond)
+		}
+		if _, err := dst.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
+
+func (p *proxy) close() {
+	p.mode.Store(proxyReset)
+	_ = p.listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		_ = c.Close()
+	}
+}
+
+// soakNode is one router's place: its process is replaced, its addresses stay.
+type soakNode struct {
+	set   router.Settings
+	proxy *proxy
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	since time.Time
+}
+
+func (n *soakNode) start() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	raw := fmt.Sprintf(`{"instance":{"id":%q,"zone":"a"},"callers":{"listen":%q},"probes":{"listen":%q},
+		"store":{"address":%q,"prefix":"ledgemount/"},"stop":{"within":"2s"}}`,
+		n.set.Instance.ID, n.set.Callers.Listen, n.set.Probes.Listen, n.proxy.listener.Addr().String())
+	n.cmd = exec.Command(os.Args[0])
+	n.cmd.Env = append(os.Environ(), soakSettings+"="+raw)
+	n.since = time.Now()
+	return n.cmd.Start()
+}
+
+func (n *soakNode) signal(s syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_ = n.cmd.Process.Signal(s)
+}
+
+// restart ends the process with a signal, waits for it, and starts the next one.
+func (n *soakNode) restart(s syscall.Signal) {
+	n.signal(s)
+	n.mu.Lock()
+	cmd := n.cmd
+	n.mu.Unlock()
+	_ = cmd.Wait()
+	_ = n.start()
+}
+
+// soak is one seed's world.
+type soak struct {
+	t       *testing.T
+	seed    uint64
+	store   *standin.Store
+	nodes   []*soakNode
+	engines []*standin.Endpoint
+	plain   []*standin.Endpoint
+	stopped atomic.Bool
+
+	mu       sync.Mutex
+	answers  []soakAnswer
+	problems []string
+}
+
+// soakAnswer is what a client knows of one of its requests.
+type soakAnswer struct {
+	id      string
+	unsafe  bool
+	status  int
+	whole   bool
+	events  int
+	tokens  int64
+	problem string
+}
+
+func newSoak(t *testing.T, seed uint64) *soak {
+	s := &soak{t: t, seed: seed, store: standin.NewStore()}
+	s.store.PutConfig(config(1, soakPrepaid))
+	for i := range 3 {
+		e := standin.NewEndpoint(fmt.Sprintf("engine-%d", i), "models", "a")
+		e.Events, e.Pace = 6, 5*time.Millisecond
+		s.engines = append(s.engines, e)
+	}
+	for i := range 2 {
+		s.plain = append(s.plain, standin.NewEndpoint(fmt.Sprintf("plain-%d", i), "portal", "a"))
+	}
+	for _, e := range s.endpoints() {
+		e.Register(s.store, "ready")
+	}
+	for i := range soakRouters {
+		n := &soakNode{proxy: newProxy(t, s.store.Addr())}
+		n.set.Instance.ID = fmt.Sprintf("node-%d", i)
+		n.set.Callers.Listen, n.set.Probes.Listen = freeAddr(t), freeAddr(t)
+		s.nodes = append(s.nodes, n)
+		if err := n.start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return s
+}
+
+func (s *soak) endpoints() []*standin.Endpoint {
+	return append(append([]*standin.Endpoint{}, s.engines...), s.plain...)
+}
+
+func (s *soak) close() {
+	for _, n := range s.nodes {
+		n.signal(syscall.SIGCONT)
+		n.signal(syscall.SIGKILL)
+		_ = n.cmd.Wait()
+		n.proxy.close()
+	}
+	for _, e := range s.endpoints() {
+		e.Close()
+	}
+	s.store.Close()
+}
+
+// strike lets one fault strike, and heals it after a while.
+func (s *soak) strike(r *rand.Rand) {
+	n := s.nodes[r.IntN(len(s.nodes))]
+	e := s.endpoints()[r.IntN(len(s.engines)+len(s.plain))]
+	pause := time.Duration(200+r.IntN(1500)) * time.Millisecond
+	faults := []standin.Fault{
+		standin.Full, standin.Errors, standin.Reset, standin.Truncate, standin.Crossed, standin.Unsigned, standin.Hang, standin.Surplus,
+	}
+	switch r.IntN(11) {
+	case 0:
+		n.restart(syscall.SIGKILL)
+	case 1:
+		n.restart(syscall.SIGTERM)
+	case 2:
+		n.signal(syscall.SIGSTOP)
+		time.Sleep(pause)
+		n.signal(syscall.SIGCONT)
+	case 3:
+		n.proxy.mode.Store(proxyHang)
+		time.Sleep(pause)
+		n.proxy.mode.Store(proxyPass)
+	case 4:
+		n.proxy.mode.Store(proxyReset)
+		time.Sleep(pause)
+		n.proxy.mode.Store(proxyPass)
+	case 5:
+		s.store.SetDown(true)
+		time.Sleep(pause)
+		s.store.SetDown(false)
+	case 6:
+		s.store.SetLose(true)
+		time.Sleep(pause)
+		s.store.SetLose(false)
+	case 7:
+		s.store.SetLate(true)
+		time.Sleep(pause)
+		s.store.SetLate(false)
+		s.store.Release()
+	case 8:
+		s.store.Forget()
+	case 9:
+		e.Fail(faults[r.IntN(len(faults))], 1+r.IntN(20))
+	case 10:
+		e.Register(s.store, "draining")
+		time.Sleep(pause)
+		e.Register(s.store, "ready")
+	}
+}
+
+// faults strike until the time is up, two at a time.
+func (s *soak) faults(until time.Time) {
+	var g sync.WaitGroup
+	for i := range 2 {
+		g.Go(func() {
+			r := rand.New(rand.NewPCG(s.seed, uint64(i)))
+			for time.Now().Before(until) {
+				s.strike(r)
+				time.Sleep(time.Duration(r.IntN(300)) * time.Millisecond)
+			}
+		})
+	}
+	g.Wait()
+	for _, n := range s.nodes {
+		n.signal(syscall.SIGCONT)
+		n.proxy.mode.Store(proxyPass)
+	}
+	s.store.SetDown(false)
+	s.store.SetLose(false)
+	s.store.SetLate(false)
+	s.store.Release()
+	for _, e := range s.endpoints() {
+		e.Fail(standin.None, 0)
+		e.Register(s.store, "ready")
+	}
+}
+
+// client sends requests over connections that it keeps, to one router after another.
+func (s *soak) client(number int) {
+	r := rand.New(rand.NewPCG(s.seed, uint64(100+number)))
+	c := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
+	defer c.CloseIdleConnections()
+	for i := 0; !s.stopped.Load(); i++ {
+		n := s.nodes[r.IntN(len(s.nodes))]
+		a := s.send(c, n, fmt.Sprintf("s%d-c%d-%d", s.seed, number, i), r.IntN(3))
+		s.mu.Lock()
+		s.answers = append(s.answers, a)
+		s.mu.Unlock()
+		time.Sleep(time.Duration(r.IntN(20)) * time.Millisecond)
+	}
+}
+
+// The kinds of request that a client sends, by number.
+const (
+	sendStream = iota
+	sendUnsafe
+	sendSafe
+)
+
+const (
+	soakIn  = 40
+	soakOut = 30
+)
+
+func (s *soak) send(c *http.Client, n *soakNode, id string, kind int) soakAnswer {
+	method, path := http.MethodPost, "/draft/x"
+	switch kind {
+	case sendUnsafe:
+		path = "/pay/x"
+	case sendSafe:
+		method, path = http.MethodGet, "/look/x"
+	}
+	req, _ := http.NewRequest(method, "http://"+n.set.Callers.Listen+path, nil)
+	req.Host = "api.example"
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Key", goodKey)
+	req.Header.Set("Deadline-Ms", "2500")
+	if kind == sendStream {
+		req.Header.Set("Token-Counts", fmt.Sprintf("%d,%d", soakIn, soakOut))
+		req.Header.Set("Prompt-Prefix", "p"+strconv.Itoa(len(id)%3)+":30,"+id+":10")
+	}
+	a := soakAnswer{id: id, unsafe: kind == sendUnsafe}
+	res, err := c.Do(req)
+	if err != nil {
+		return a
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	a.status, a.whole = res.StatusCode, err == nil
+	if res.StatusCode != http.StatusOK {
+		return a
+	}
+	if got := res.Header.Get("Request-Id"); got != id {
+		a.problem = "the answer of " + got
+	}
+	if kind == sendStream {
+		a.checkStream(string(body))
+	} else if a.whole && string(body) != "the account's balance" {
+		a.problem = "body " + string(body)
+	}
+	return a
+}
+
+// checkStream looks at the events that came: each once, in order, and all of them if the answer is whole.
+func (a *soakAnswer) checkStream(body string) {
+	for event := range strings.SplitSeq(body, "\n\n") {
+		if event == "" {
+			continue
+		}
+		id, data, _ := strings.Cut(event, "\n")
+		if !strings.HasPrefix(data, "data: ") {
+			break // cut off
+		}
+		a.events++
+		if id != fmt.Sprintf("id: %d", a.events) {
+			a.problem = fmt.Sprintf("event %q as number %d", id, a.events)
+		}
+	}
+	if a.whole && a.events != 6 {
+		a.problem = fmt.Sprintf("a whole stream of %d events", a.events)
+	}
+	if a.events > 0 {
+		a.tokens = soakIn + int64(a.events*5)
+	}
+}
+
+// audit holds what clients saw against what endpoints did. It trusts no router.
+func (s *soak) audit() (served int, tokens int64) {
+	ran := make(map[string]int)
+	for _, e := range s.endpoints() {
+		for _, seen := range e.Seen() {
+			if seen.Ran {
+				ran[seen.ID]++
+			}
+		}
+	}
+	for _, a := range s.answers {
+		tokens += a.tokens
+		if a.status == http.StatusOK && a.whole {
+			served++
+		}
+		if a.problem != "" {
+			s.problem("%s: %s", a.id, a.problem)
+		}
+		if a.unsafe && ran[a.id] > 1 {
+			s.problem("%s ran %d times", a.id, ran[a.id])
+		}
+		if refused := a.status == http.StatusServiceUnavailable || a.status == http.StatusPaymentRequired; refused && ran[a.id] > 0 {
+			s.problem("%s was refused with %d and ran", a.id, a.status)
+		}
+	}
+	if tokens > soakPrepaid {
+		s.problem("%d tokens of %d", tokens, soakPrepaid)
+	}
+	return served, tokens
+}
+
+func (s *soak) problem(format string, args ...any) {
+	s.problems = append(s.problems, fmt.Sprintf(format, args...))
+}
+
+// recovered says whether every router serves again.
+func (s *soak) recovered() error {
+	c := &http.Client{Timeout: 2 * time.Second}
+	var last error
+	for i, n := range s.nodes {
+		last = errors.New("not tried")
+		for end := time.Now().Add(settleFor); last != nil && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			a := s.send(c, n, fmt.Sprintf("s%d-last-%d-%d", s.seed, i, time.Now().UnixNano()), sendSafe)
+			last = nil
+			if a.status != http.StatusOK {
+				last = fmt.Errorf("router %d answers %d", i, a.status)
+			}
+		}
+		if last != nil {
+			return last
+		}
+	}
+	return nil
+}
+
+// TestSoak strikes real processes with random faults, two at a time, under clients that keep their connections.
+func TestSoak(t *testing.T) {
+	for i := range *soakSeeds {
+		seed := *soakFirst + uint64(i)
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { playSoak(t, seed) })
+	}
+}
+
+func playSoak(t *testing.T, seed uint64) {
+	s := newSoak(t, seed)
+	defer s.close()
+	if err := s.recovered(); err != nil {
+		t.Fatalf("before any fault: %v", err)
+	}
+	var clients sync.WaitGroup
+	for i := range soakClients {
+		clients.Go(func() { s.client(i) })
+	}
+	s.faults(time.Now().Add(*soakLength))
+	err := s.recovered()
+	s.stopped.Store(true)
+	clients.Wait()
+	served, tokens := s.audit()
+	t.Logf("seed %d: %d requests, %d served, %d of %d tokens", seed, len(s.answers), served, tokens, soakPrepaid)
+	if err != nil {
+		t.Errorf("after the faults: %v", err)
+	}
+	for _, p := range s.problems {
+		t.Error(p)
+	}
+}
