--- /dev/null
+++ b/internal/pool/bench_test.go
@@ -0,0 +1,22 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkPick picks by affinity among endpoints of one service.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{12, 140, 1300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p := New("a")
+			for i := range n {
+				p.Put(Endpoint{ID: fmt.Sprintf("e-%d", i), Service: "models", Addr: "10.0.0.1:80", Zone: "a", Slots: 64})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Pick(Query{Service: "models", Affinity: "5c1e07a2"}).Done(EndGood)
+			}
+		})
+	}
+}
--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -12,6 +12,9 @@
 
 // failing is the share of failures among an endpoint's last answers, older ones counting less.
 func (m *member) failing(now time.Time) float64 {
+	if m.errors == 0 {
+		return 0
+	}
 	return m.errors * math.Exp(-now.Sub(m.errorsAt).Seconds()/errorDecay.Seconds())
 }
 
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -39,24 +38,15 @@
 // Reason says why it was picked.
 func (s *Lease) Reason() Reason { return s.reason }
 
-// candidate is an endpoint that may be picked.
-type candidate struct {
-	m     *member
-	load  float64
-	order uint64
-	sound bool
-}
-
 // Pick chooses an endpoint and counts the request as open there. It returns nil if none takes work or all have been tried.
 func (l *Pool) Pick(q Query) *Lease {
 	now := l.now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	list := l.candidates(q, now)
-	if len(list) == 0 {
+	m, reason := l.choose(q, now)
+	if m == nil {
 		return nil
 	}
-	m, reason := l.choose(list, q.Affinity != "")
 	if m.open == 0 {
 		m.asked = now
 	}
@@ -65,64 +55,86 @@
 	return &Lease{pool: l, member: m, reason: reason}
 }
 
-func (l *Pool) candidates(q Query, now time.Time) []candidate {
+// choose picks among the sound endpoints. If none is sound the fault may be on this side, so it picks among all.
+func (l *Pool) choose(q Query, now time.Time) (*member, Reason) {
 	members := l.services[q.Service]
-	list := make([]candidate, 0, len(members))
-	for id, m := range members {
-		if m.Draining || q.Tried[id] || (m.Slots > 0 && m.open >= m.Slots) {
+	sound, open := 0, 0
+	for _, m := range members {
+		m.candidate = l.takes(m, q)
+		m.good = m.candidate && l.sound(m, now)
+		if m.good {
+			sound++
+			open += m.open
+		}
+	}
+	if sound == 0 {
+		return l.leastLoaded(members, q, func(m *member) bool { return m.candidate }), ReasonLast
+	}
+	if q.Affinity == "" {
+		return l.leastLoaded(members, q, func(m *member) bool { return m.good }), ReasonLoad
+	}
+	bound := l.policy.Slack*float64(open+1)/float64(sound) + float64(l.policy.SlackRoom)
+	return l.affine(members, q, bound)
+}
+
+// takes says whether an endpoint may be sent the request at all.
+func (l *Pool) takes(m *member, q Query) bool {
+	return !m.Draining && !q.Tried[m.ID] && (m.Slots <= 0 || m.open < m.Slots)
+}
+
+// leastLoaded picks the endpoint with the fewest open requests; one of another zone counts as a little busier.
+func (l *Pool) leastLoaded(members []*member, q Query, may func(*member) bool) *member {
+	key := xxhash.Sum64String(q.Affinity)
+	var best *member
+	var bestLoad float64
+	var bestOrder uint64
+	for _, m := range members {
+		if !may(m) {
 			continue
 		}
-		c := candidate{m: m, load: float64(m.open), sound: l.sound(m, now)}
+		load := float64(m.open)
 		if m.Zone != l.zone {
-			c.load += l.policy.OwnZoneHelp
+			load += l.policy.OwnZoneHelp
+		}
+		order := m.order(key)
+		if best == nil || load < bestLoad || (load == bestLoad && order < bestOrder) {
+			best, bestLoad, bestOrder = m, load, order
 		}
-		c.order = xxhash.Sum64String(q.Affinity + "\x00" + id)
-		list = append(list, c)
 	}
-	return l.soundOnly(list)
+	return best
 }
 
-// soundOnly leaves out endpoints that are suspect, unless they are more than half: then the fault may be on this side.
-func (l *Pool) soundOnly(list []candidate) []candidate {
-	sound := make([]candidate, 0, len(list))
-	for _, c := range list {
-		if c.sound {
-			sound = append(sound, c)
+// affine picks the first endpoint in the order of the request's affinity whose load is within the bound.
+func (l *Pool) affine(members []*member, q Query, bound float64) (*member, Reason) {
+	key := xxhash.Sum64String(q.Affinity)
+	var first, best *member
+	var firstOrder, bestOrder uint64
+	for _, m := range members {
+		if !m.good {
+			continue
+		}
+		order := m.order(key)
+		if first == nil || order > firstOrder {
+			first, firstOrder = m, order
+		}
+		if float64(m.open) < bound && (best == nil || order > bestOrder) {
+			best, bestOrder = m, order
 		}
 	}
-	if len(sound) == 0 {
-		return list
+	switch {
+	case best == nil:
+		return first, ReasonLast
+	case best == first:
+		return best, ReasonAffinity
 	}
-	return sound
+	return best, ReasonSpill
 }
 
-// choose picks from a list that is not empty.
-func (l *Pool) choose(list []candidate, affine bool) (*member, Reason) {
-	if !affine {
-		sort.Slice(list, func(i, j int) bool {
-			if list[i].load != list[j].load {
-				return list[i].load < list[j].load
-			}
-			return list[i].order < list[j].order
-		})
-		if !list[0].sound {
-			return list[0].m, ReasonLast
-		}
-		return list[0].m, ReasonLoad
-	}
-	sort.Slice(list, func(i, j int) bool { return list[i].order > list[j].order })
-	total := 0
-	for _, c := range list {
-		total += c.m.open
-	}
-	bound := l.policy.Slack*float64(total+1)/float64(len(list)) + float64(l.policy.SlackRoom)
-	for i, c := range list {
-		if float64(c.m.open) < bound {
-			if i == 0 {
-				return c.m, ReasonAffinity
-			}
-			return c.m, ReasonSpill
-		}
-	}
-	return list[0].m, ReasonLast
+// order ranks an endpoint for the hash of an affinity by rendezvous hashing: all instances come to the same order.
+func (m *member) order(key uint64) uint64 {
+	const mix = 0x9e3779b97f4a7c15
+	h := (key ^ m.hash) * mix
+	h ^= h >> 29
+	h *= 0xbf58476d1ce4e5b9
+	return h ^ h>>32
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -3,8 +3,11 @@
 package pool
 
 import (
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Endpoint is what an endpoint says of itself.
@@ -47,6 +50,9 @@
 	errors    float64 // share of failures among the last answers, at errorsAt
 	errorsAt  time.Time
 	busyTil   time.Time
+	hash      uint64 // of the ID
+	candidate bool   // within one pick: it may be sent the request
+	good      bool   // within one pick: and nothing speaks against it
 }
 
 // Pool is the directory of endpoints. All its methods may be called at once.
@@ -56,7 +62,7 @@
 	now    func() time.Time
 
 	mu       sync.RWMutex
-	services map[string]map[string]*member
+	services map[string][]*member
 	byID     map[string]*member
 	zones    map[string]*zoneHealth
 	gone     func(addr string)
@@ -78,7 +84,7 @@
 func New(zone string, opts ...Option) *Pool {
 	l := &Pool{
 		zone: zone, policy: DefaultPolicy(), now: time.Now,
-		services: make(map[string]map[string]*member), byID: make(map[string]*member),
+		services: make(map[string][]*member), byID: make(map[string]*member),
 		zones: make(map[string]*zoneHealth), gone: func(string) {},
 	}
 	for _, opt := range opts {
@@ -124,12 +130,9 @@
 	if m != nil {
 		l.remove(e.ID)
 	}
-	m = &member{Endpoint: e, heard: l.now()}
+	m = &member{Endpoint: e, heard: l.now(), hash: xxhash.Sum64String(e.ID)}
 	l.byID[e.ID] = m
-	if l.services[e.Service] == nil {
-		l.services[e.Service] = make(map[string]*member)
-	}
-	l.services[e.Service][e.ID] = m
+	l.services[e.Service] = append(l.services[e.Service], m)
 	return true
 }
 
@@ -146,7 +149,7 @@
 		return false
 	}
 	delete(l.byID, id)
-	delete(l.services[m.Service], id)
+	l.services[m.Service] = slices.DeleteFunc(l.services[m.Service], func(x *member) bool { return x == m })
 	l.gone(m.Addr)
 	return true
 }
--- a/internal/pool/zone.go
+++ b/internal/pool/zone.go
@@ -41,8 +41,11 @@
 // cutOff says whether the path to an endpoint's zone is suspect. Endpoints of the own zone are judged one by one. The caller
 // holds mu.
 func (l *Pool) cutOff(m *member, now time.Time) bool {
+	if len(l.zones) == 0 || m.Zone == l.zone {
+		return false
+	}
 	z := l.zones[m.Zone]
-	if z == nil || m.Zone == l.zone || len(z.missed) < zoneMissed || now.Sub(z.at) > zoneMemory {
+	if z == nil || len(z.missed) < zoneMissed || now.Sub(z.at) > zoneMemory {
 		return false
 	}
 	return now.Sub(z.probed) < zoneProbe
