--- a/cmd/router.go
+++ b/cmd/router.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"os"
 	"os/signal"
-	"strconv"
 	"syscall"
 	"time"
 
@@ -41,7 +42,7 @@
 	if err != nil {
 		return err
 	}
-	log, closeLog := routerLog(set)
+	log, closeLog := routerLog(set, os.Stdout, os.Stderr)
 	defer closeLog()
 	r, err := router.New(set, platform.New(set), log)
 	if err != nil {
@@ -63,10 +64,10 @@
 	return <-ended
 }
 
-// routerLog writes lines without ever blocking: what does not fit is dropped and counted.
-func routerLog(set *router.Settings) (zerolog.Logger, func()) {
-	out := diode.NewWriter(os.Stdout, logLines, 0, func(missed int) {
-		_, _ = os.Stderr.WriteString("{\"event\":\"log_lines_dropped\",\"lines\":" + strconv.Itoa(missed) + "}\n")
+// routerLog writes lines without ever blocking: what does not fit is dropped, and told in a line to dropped.
+func routerLog(set *router.Settings, w, dropped io.Writer) (zerolog.Logger, func()) {
+	out := diode.NewWriter(w, logLines, 0, func(missed int) {
+		_, _ = fmt.Fprintf(dropped, "{\"event\":\"log_lines_dropped\",\"lines\":%d}\n", missed)
 	})
 	return observe.Logger(out, set.Log.Level, set.Instance.ID, set.Instance.Zone), func() { _ = out.Close() }
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -1,12 +1,14 @@
 package router_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -26,6 +28,25 @@
 	router  *router.Router
 	set     *router.Settings
 	ended   chan error
+	log     *lines
+}
+
+// lines is a log that tests can read while it is written.
+type lines struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(p)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.String()
 }
 
 const (
@@ -73,7 +94,7 @@
 }
 
 func newBed(t *testing.T, prepaid int64) *bed {
-	b := &bed{store: standin.NewStore(), ended: make(chan error, 1)}
+	b := &bed{store: standin.NewStore(), ended: make(chan error, 1), log: &lines{}}
 	for i := range 2 {
 		b.engines = append(b.engines, standin.NewEndpoint(fmt.Sprintf("engine-%d", i), "models", "a"))
 	}
@@ -92,7 +113,7 @@
 }
 
 func (b *bed) start(t *testing.T) {
-	r, err := router.New(b.set, platform.New(b.set), zerolog.Nop())
+	r, err := router.New(b.set, platform.New(b.set), zerolog.New(b.log))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -200,6 +221,8 @@
 			So(seen.Header.Get("X-Own"), ShouldEqual, "kept")
 			So(seen.Header.Get("Deadline-Ms"), ShouldNotBeEmpty)
 			So(seen.Body, ShouldEqual, "the prompt")
+			b.until(t, "line of the request", func() bool { return strings.Contains(b.log.String(), `"request":"r-1"`) })
+			So(b.log.String(), ShouldNotContainSubstring, goodKey)
 		})
 
 		Convey("refuses what no route, no key or no limit allows, and runs nothing", func() {
