feat: where tokens are short a customer's last ranks give way

Cause: in cuts and at the end of a budget large urgent requests were refused while small ones of the least worth took the tokens. Change: requests of the third rank and lower leave half of a grant in a cut, and the last 8% of a budget, to the first ranks.

--- a/internal/escrow/bench_test.go
+++ b/internal/escrow/bench_test.go
@@ -15,7 +15,7 @@
 	h.draw(context.Background(), h.pages[0])
 	b.ReportAllocs()
 	for b.Loop() {
-		r, err := h.Reserve(context.Background(), "north", 10)
+		r, err := h.Reserve(context.Background(), "north", 10, 0)
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/internal/escrow/holder.go
+++ b/internal/escrow/holder.go
@@ -199,11 +199,12 @@
 }
 
 // Reserve sets aside the most that a request can use. Where the grant does not hold it, it draws on the store, but waits no
-// longer than Times.Wait. Its errors are verdicts: not run, with the time to come back where that makes sense.
-func (h *Holder) Reserve(ctx context.Context, customer string, most int64) (*Reservation, error) {
+// longer than Times.Wait. rank is the request's among the customer's own, 0 first: what is short is kept for the first ranks.
+// Its errors are verdicts: not run, with the time to come back where that makes sense.
+func (h *Holder) Reserve(ctx context.Context, customer string, most int64, rank int) (*Reservation, error) {
 	var end <-chan time.Time
 	for {
-		r, changed, err := h.try(customer, most)
+		r, changed, err := h.try(customer, most, rank)
 		if r != nil || err != nil {
 			return r, err
 		}
@@ -226,7 +227,7 @@
 	}
 }
 
-func (h *Holder) try(customer string, most int64) (*Reservation, <-chan struct{}, error) {
+func (h *Holder) try(customer string, most int64, rank int) (*Reservation, <-chan struct{}, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	a := h.accounts[customer]
@@ -237,6 +238,10 @@
 	if a.prepaid < 0 {
 		return &Reservation{}, nil, nil
 	}
+	if h.short(a, most, rank) {
+		return nil, nil, verdict.New(verdict.NotRun, verdict.CodeBudgetUnready, "what is left of the budget here is kept for the customer's first ranks",
+			verdict.WithRetryAfter(retryLater))
+	}
 	if a.headroom(h.clock.Now()) >= most {
 		a.open += most
 		h.count(a, most)
@@ -252,6 +257,29 @@
 	retryLater = 2 * time.Second
 )
 
+// Shares that are kept for a customer's first ranks.
+const (
+	lastRank  = 2    // from this rank on requests give way
+	keptInCut = 0.5  // of what was granted when the store was last heard
+	keptAtEnd = 0.08 // of the prepaid figure
+)
+
+// short says whether a request gives way to those of first ranks: in a cut they keep a part of what is granted here, and at the
+// end of a budget the last of it. The caller holds mu.
+func (h *Holder) short(a *account, most int64, rank int) bool {
+	if rank < lastRank {
+		return false
+	}
+	if float64(a.unspent()-most) < keptAtEnd*float64(a.prepaid) {
+		return true
+	}
+	if h.now().Sub(h.answered) < h.times.Lost {
+		return false
+	}
+	held := a.row.row.Granted - a.row.row.Spent
+	return float64(a.row.row.Granted-a.used()-most) < keptInCut*float64(held)
+}
+
 // count measures what is asked for. The caller holds mu.
 func (h *Holder) count(a *account, tokens int64) {
 	a.meter.add(tokens)
--- a/internal/escrow/property_test.go
+++ b/internal/escrow/property_test.go
@@ -116,7 +116,7 @@
 }
 
 func (w *world) reserve(n *simNode, customer string, most int64) {
-	r, _, err := n.holder.try(customer, most)
+	r, _, err := n.holder.try(customer, most, 0)
 	if err == nil && r != nil {
 		n.open = append(n.open, &simReservation{customer: customer, most: most, r: r})
 	}
--- /dev/null
+++ b/internal/escrow/rank_test.go
@@ -0,0 +1,52 @@
+package escrow
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ledgemount/ledgemount/internal/external/memkv"
+	"github.com/ledgemount/ledgemount/internal/verdict"
+)
+
+func TestRanks(t *testing.T) {
+	Convey("A holder with a grant", t, func() {
+		now := time.Unix(1000, 0)
+		h := New(memkv.New(), "p/", 1, "node", "node/1", WithNow(func() time.Time { return now }))
+		ctx := context.Background()
+		begin := func(prepaid int64) {
+			h.SetPrepaid([]Prepaid{{Customer: "north", Tokens: prepaid}})
+			h.startBeat()
+			h.draw(ctx, h.pages[0])
+		}
+
+		Convey("serves all ranks while the store answers and much is left", func() {
+			begin(1_000_000)
+			_, err := h.Reserve(ctx, "north", 1000, lastRank)
+			So(err, ShouldBeNil)
+		})
+
+		Convey("keeps half of the grant for first ranks in a cut", func() {
+			begin(1_000_000)
+			now = now.Add(2 * h.times.Lost)
+			held := h.View("north").Granted
+			_, err := h.Reserve(ctx, "north", held*2/5, lastRank)
+			So(err, ShouldBeNil)
+			_, err = h.Reserve(ctx, "north", held/5, lastRank)
+			So(verdict.Of(err), ShouldEqual, verdict.NotRun)
+			_, err = h.Reserve(ctx, "north", held/5, 0)
+			So(err, ShouldBeNil)
+		})
+
+		Convey("keeps the last of a budget for first ranks", func() {
+			begin(10_000)
+			_, err := h.Reserve(ctx, "north", 9_500, lastRank)
+			So(verdict.Of(err), ShouldEqual, verdict.NotRun)
+			So(verdict.From(err).RetryAfter(), ShouldBeGreaterThan, 0)
+			So(h.short(h.accounts["north"], 9_500, 0), ShouldBeFalse)
+			So(h.short(h.accounts["north"], 9_000, lastRank), ShouldBeFalse)
+		})
+	})
+}
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -17,7 +17,7 @@
 
 // Budgets reserves what requests may use.
 type Budgets interface {
-	Reserve(ctx context.Context, customer string, most int64) (*escrow.Reservation, error)
+	Reserve(ctx context.Context, customer string, most int64, rank int) (*escrow.Reservation, error)
 	View(customer string) escrow.View
 }
 
@@ -188,7 +188,7 @@
 		return nil
 	}
 	most := j.req.TokensIn + j.req.TokensOut
-	r, err := j.core.Budgets.Reserve(ctx, j.customer.Name, most)
+	r, err := j.core.Budgets.Reserve(ctx, j.customer.Name, most, j.route.Priority)
 	j.outcome.Reserved = most
 	j.outcome.Budget = j.core.Budgets.View(j.customer.Name)
 	j.escrow = r
