feat: heads over the configuration's limit get 431

Cause: only a fixed bound on heads was kept. Change: the limit of the configuration in force is checked before anything is read or run. Result: a test of the router. The times for heads and for idle connections stay fixed (10 s and 60 s): the server reads them once.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -96,6 +96,10 @@
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if err := s.checkHead(r); err != nil {
+		writeError(w, err)
+		return
+	}
 	body, err := s.body(w, r)
 	if err != nil {
 		writeError(w, err)
@@ -116,6 +120,25 @@
 	}
 }
 
+// checkHead holds a request's head against the limit of the configuration in force.
+func (s *Server) checkHead(r *http.Request) error {
+	most := s.core.MaxHead()
+	if most <= 0 {
+		return nil
+	}
+	const separators = len(": \r\n")
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v) + separators
+		}
+	}
+	if size > most {
+		return verdict.New(verdict.NotRun, verdict.CodeHeadTooLarge, "the head is over "+strconv.Itoa(most)+" bytes")
+	}
+	return nil
+}
+
 // body reads a request's body within the limit of the configuration in force.
 func (s *Server) body(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -87,6 +87,14 @@
 	return c.maxBody
 }
 
+// MaxHead is the largest head that the configuration in force lets a caller send, in bytes; 0: no limit.
+func (c *Core) MaxHead() int {
+	if t := c.Tables(); t != nil {
+		return t.Limits().MaxHeaderBytes
+	}
+	return 0
+}
+
 // Serve carries a request through. An error means that the caller has no answer yet and is to be told of it; ErrBroken, that
 // the answer has begun and cannot be completed.
 func (c *Core) Serve(ctx context.Context, req *Request, out Sink) error {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -79,7 +79,7 @@
 			{"name": "models", "healthPath": "/health", "maxConnections": 100, "engine": map[string]any{"slots": 8, "stride": 5}},
 			{"name": "portal", "healthPath": "/health", "maxConnections": 100},
 		},
-		"limits":  map[string]any{"maxBodyBytes": 1 << 16},
+		"limits":  map[string]any{"maxBodyBytes": 1 << 16, "maxHeaderBytes": 1 << 13},
 		"tenants": []map[string]any{{"name": "north", "apiKeys": []string{goodKey}, "prepaid": prepaid}},
 	}
 }
@@ -228,6 +228,7 @@
 		Convey("refuses what no route, no key or no limit allows, and runs nothing", func() {
 			So(b.send("GET", "/elsewhere/x", "r-2").status, ShouldEqual, http.StatusNotFound)
 			So(b.send("POST", "/pay/x", "r-3", "Key", "unknown").status, ShouldEqual, http.StatusUnauthorized)
+			So(b.send("POST", "/pay/x", "r-3b", "X-Long", strings.Repeat("x", 1<<13)).status, ShouldEqual, http.StatusRequestHeaderFieldsTooLarge)
 			So(b.draft("r-4", "Token-Counts", "-5,9").status, ShouldEqual, http.StatusBadRequest)
 			So(b.draft("r-5", "Token-Counts", "99999999999999999999,1").status, ShouldEqual, http.StatusBadRequest)
 			So(b.draft("r-6", "Prompt-Prefix", "aa").status, ShouldEqual, http.StatusBadRequest)
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -42,6 +42,7 @@
 	CodeForbidden        Code = "forbidden"
 	CodeNotFound         Code = "not-found"
 	CodeTooLarge         Code = "too-large"
+	CodeHeadTooLarge     Code = "head-too-large"
 	CodeKeyReused        Code = "key-reused"
 	CodeBudgetExhausted  Code = "budget-exhausted"
 	CodeBudgetUnknown    Code = "budget-unknown"
@@ -68,6 +69,7 @@
 	CodeForbidden:        http.StatusForbidden,
 	CodeNotFound:         http.StatusNotFound,
 	CodeTooLarge:         http.StatusRequestEntityTooLarge,
+	CodeHeadTooLarge:     http.StatusRequestHeaderFieldsTooLarge,
 	CodeKeyReused:        http.StatusUnprocessableEntity,
 	CodeBudgetExhausted:  http.StatusPaymentRequired,
 	CodeBudgetUnknown:    http.StatusNotFound,
