--- a/internal/escrow/draw.go
+++ b/internal/escrow/draw.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -11,6 +12,7 @@
 )
 
 const (
+	joinSpread      = 3                       // gaps over which tries to join are spread, for each of a crowd
 	drawAttempts    = 6                       // conflicts in a row before a draw waits for the next beat
 	quietRefresh    = 4 * time.Second         // a page on which nothing happens is reported this often
 	stoppingHorizon = 2500 * time.Millisecond // while the process is about to stop
@@ -35,9 +37,7 @@
 
 // pause waits for the next beat or for a request that waits; false means that ctx has ended.
 func (h *Holder) pause(ctx context.Context, last time.Time) bool {
-	h.mu.Lock()
-	wait, least := h.interval()*3/2, h.times.Gap*h.crowd()
-	h.mu.Unlock()
+	wait, least := h.waits()
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	select {
@@ -57,6 +57,20 @@
 	}
 }
 
+// waits are the longest and the least time until the next round. A holder that has not joined all its pages cannot serve, so it
+// tries again soon; not all at the same moment, as after a fault many start at once.
+func (h *Holder) waits() (longest, least time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	least = h.times.Gap * h.crowd()
+	for _, p := range h.pages {
+		if !p.joined && len(h.accounts) > 0 {
+			return h.times.Gap + rand.N(h.times.Gap*joinSpread*h.crowd()), least
+		}
+	}
+	return h.interval() * 3 / 2, least
+}
+
 // startBeat begins a round of draws. It says whether the round is a regular one; between these, only what requests wait for is
 // drawn.
 func (h *Holder) startBeat() bool {
