--- a/internal/escrow/herd_test.go
+++ b/internal/escrow/herd_test.go
@@ -16,7 +16,10 @@
 // slowKV takes a moment for each call, as a store on a network does, so that holders meet.
 type slowKV struct{ external.KV }
 
-const slowCall = 4 * time.Millisecond
+const (
+	slowCall = 4 * time.Millisecond
+	herdSize = 40
+)
 
 func (s slowKV) Read(ctx context.Context, key string) (external.Entry, int64, error) {
 	time.Sleep(slowCall)
@@ -34,8 +37,8 @@
 		for start := range 2 {
 			ctx, cancel := context.WithCancel(context.Background())
 			var g sync.WaitGroup
-			var holders []*Holder
-			for i := range 40 {
+			holders := make([]*Holder, 0, herdSize)
+			for i := range herdSize {
 				h := New(store, "p/", 1, fmt.Sprintf("node-%d", i), fmt.Sprintf("node-%d/%d", i, start))
 				h.SetPrepaid([]Prepaid{{Customer: "north", Tokens: 1_000_000}})
 				holders = append(holders, h)
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -121,10 +121,10 @@
 			best, bestOrder = m, order
 		}
 	}
-	switch {
-	case best == nil:
+	switch best {
+	case nil:
 		return first, ReasonLast
-	case best == first:
+	case first:
 		return best, ReasonAffinity
 	}
 	return best, ReasonSpill
