fix: a lease keeps its endpoint as it was picked

Cause: a request read its endpoint's record while the follower wrote a newer one (found once by the race detector in TestServing). Change: the lease has a copy. Result: the new test races before and passes after; router, relay, follow and cmd pass with the detector.

--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -28,12 +28,13 @@
 type Lease struct {
 	pool   *Pool
 	member *member
+	at     Endpoint // as it was when it was picked; its record may change meanwhile
 	reason Reason
 	ended  bool
 }
 
 // Endpoint is the endpoint that was picked.
-func (s *Lease) Endpoint() Endpoint { return s.member.Endpoint }
+func (s *Lease) Endpoint() Endpoint { return s.at }
 
 // Reason says why it was picked.
 func (s *Lease) Reason() Reason { return s.reason }
@@ -52,7 +53,7 @@
 	}
 	l.probe(m, now)
 	m.open++
-	return &Lease{pool: l, member: m, reason: reason}
+	return &Lease{pool: l, member: m, at: m.Endpoint, reason: reason}
 }
 
 // choose picks among the sound endpoints. If none is sound the fault may be on this side, so it picks among all.
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -131,6 +132,23 @@
 			So(p.Len(), ShouldEqual, 3)
 		})
 
+		Convey("keeps a lease as it was picked while records change", func() {
+			lease := pick("prompt")
+			picked := lease.Endpoint()
+			var g sync.WaitGroup
+			g.Go(func() {
+				for i := range 100 {
+					e := picked
+					e.Draining = i%2 == 0
+					p.Put(e)
+				}
+			})
+			for range 100 {
+				So(lease.Endpoint(), ShouldResemble, picked)
+			}
+			g.Wait()
+		})
+
 		Convey("counts a use that ends twice once", func() {
 			lease := pick("")
 			lease.Done(EndGood)
