--- a/cmd/router_test.go
+++ b/cmd/router_test.go
@@ -9,6 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/ledgemount/ledgemount/internal/router"
+	"github.com/ledgemount/ledgemount/platform"
 )
 
 // stalled is a reader that takes nothing until it is released.
@@ -43,7 +44,7 @@
 
 func TestRouterSettings(t *testing.T) {
 	Convey("A router without settings, or with faults in them, says so by field", t, func() {
-		t.Setenv("LEDGEMOUNT_"+"CONFIG", "")
+		t.Setenv(platform.SettingsVariable, "")
 		var out, errOut bytes.Buffer
 		So(execute(t.Context(), []string{"router"}, &out, &errOut), ShouldEqual, exitFailed)
 		So(errOut.String(), ShouldContainSubstring, "no settings file is named")
