--- a/internal/router/probes.go
+++ b/internal/router/probes.go
@@ -14,6 +14,7 @@
 
 // probes is the service that answers the platform's question whether callers may come, and serves metrics.
 type probes struct {
+	name     string
 	listener net.Listener
 	server   *http.Server
 	leaving  atomic.Bool
@@ -22,11 +23,7 @@
 const probeHeader = 5 * time.Second
 
 func listenProbes(set Probes, ready func() bool, metrics http.Handler) (*probes, error) {
-	l, err := net.Listen("tcp", set.Listen)
-	if err != nil {
-		return nil, eris.Wrapf(err, "listening for probes on %s", set.Listen)
-	}
-	p := &probes{listener: l}
+	p := &probes{name: "probes"}
 	e := echo.New()
 	e.GET(set.ReadyPath, func(c echo.Context) error {
 		if p.leaving.Load() || !ready() {
@@ -35,12 +32,29 @@
 		return c.NoContent(http.StatusOK)
 	})
 	e.GET(set.MetricsPath, echo.WrapHandler(metrics))
-	p.server = &http.Server{Handler: e, ReadHeaderTimeout: probeHeader}
-	return p, nil
+	return p, p.listen(set.Listen, e)
+}
+
+// listenMetrics serves metrics on an address of their own.
+func listenMetrics(set Probes, metrics http.Handler) (*probes, error) {
+	p := &probes{name: "metrics"}
+	e := echo.New()
+	e.GET(set.MetricsPath, echo.WrapHandler(metrics))
+	return p, p.listen(set.MetricsListen, e)
+}
+
+func (p *probes) listen(addr string, h http.Handler) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return eris.Wrapf(err, "listening for %s on %s", p.name, addr)
+	}
+	p.listener = l
+	p.server = &http.Server{Handler: h, ReadHeaderTimeout: probeHeader}
+	return nil
 }
 
 // Name implements kernel.Service.
-func (*probes) Name() string { return "probes" }
+func (p *probes) Name() string { return p.name }
 
 // leave makes the instance call itself not ready.
 func (p *probes) leave() { p.leaving.Store(true) }
@@ -53,5 +67,5 @@
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
-	return eris.Wrap(err, "serving probes")
+	return eris.Wrapf(err, "serving %s", p.name)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -49,6 +49,7 @@
 	core    *relay.Core
 	callers *edge.Server
 	probes  *probes
+	figures *probes // metrics on an address of their own; nil: none
 	metrics *meters
 }
 
@@ -73,7 +74,11 @@
 
 // services are the parts that run, in the order in which they start.
 func (r *Router) services() []kernel.Service {
-	return []kernel.Service{r.follow, r.escrow, &sweeper{client: r.client}, r.callers, r.probes}
+	list := []kernel.Service{r.follow, r.escrow, &sweeper{client: r.client}, r.callers, r.probes}
+	if r.figures != nil {
+		list = append(list, r.figures)
+	}
+	return list
 }
 
 func (r *Router) listen(on Platform) error {
@@ -83,6 +88,10 @@
 		return err
 	}
 	r.probes, err = listenProbes(r.set.Probes, r.ready, r.metrics.handler())
+	if err != nil || r.set.Probes.MetricsListen == "" {
+		return err
+	}
+	r.figures, err = listenMetrics(r.set.Probes, r.metrics.handler())
 	return err
 }
 
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -36,6 +36,8 @@
 	Listen      string `json:"listen" validate:"required,hostname_port"`
 	ReadyPath   string `json:"ready_path" validate:"required,startswith=/"`
 	MetricsPath string `json:"metrics_path" validate:"required,startswith=/"`
+	// MetricsListen is an address for metrics alone; empty: they are served on Listen only.
+	MetricsListen string `json:"metrics_listen" validate:"omitempty,hostname_port"`
 }
 
 // Store is the platform's key-value store.
