--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -78,6 +78,7 @@
 	answered time.Time
 	told     time.Time // the last answer that told of any change
 	deaf     bool      // answers have told nothing for too long
+	failed   int       // calls for changes that failed in a row
 	lost     bool
 }
 
@@ -161,15 +162,20 @@
 
 // step makes one call and applies what it brings.
 func (f *Follower) step(ctx context.Context) error {
-	if f.since.At > 0 && !f.deaf {
+	if f.since.At > 0 && !f.deaf && f.failed < mostFailed {
 		err := f.follow(ctx)
 		if !errors.Is(err, external.ErrHistoryGone) {
 			return err
 		}
 	}
+	f.failed = 0
 	return f.snapshot(ctx)
 }
 
+// mostFailed is the number of calls for changes that fail in a row before everything is read once instead: what has changed may be
+// more than everything, as when a large configuration was written many times, and never fit into the time of a call.
+const mostFailed = 2
+
 // follow reads what has changed. Answers that tell nothing for too long are suspect; calls that fail say nothing of that.
 func (f *Follower) follow(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.times.Call)
@@ -177,8 +183,10 @@
 	own := f.own()
 	u, err := f.source.Changes(ctx, f.since, own)
 	if err != nil {
+		f.failed++
 		return eris.Wrap(err, "reading what has changed")
 	}
+	f.failed = 0
 	now := f.now()
 	if u.Events > 0 || f.told.IsZero() {
 		f.told = now
