--- a/internal/matrix/node_test.go
+++ b/internal/matrix/node_test.go
@@ -77,9 +77,10 @@
 		n.frozen = nil
 	}
 	n.mu.Unlock()
-	n.cancel()
+	// Its connections break first: what ends inside a crashed process reaches nobody any more.
 	n.w.net.SetDown(n.peer.Addr, true)
 	n.w.http.SetDown(n.peer.Addr)
+	n.cancel()
 }
 
 func (n *node) freeze() {
