refactor: what nothing uses is gone

Cause: read again: a result that no attempt has, a limit on writes to callers that was set and never applied, a prefix that is only needed while a holder is made. Change: removed; behaviour stays. Found beside it and left: a caller that reads nothing is bounded by the connection alone.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -27,12 +27,11 @@
 type Times struct {
 	Header time.Duration // for a request's head
 	Idle   time.Duration // between requests on a connection
-	Write  time.Duration // for a piece of an answer to be taken
 }
 
 // DefaultTimes are generous; a configuration's own limits are tighter.
 func DefaultTimes() Times {
-	return Times{Header: 10 * time.Second, Idle: 60 * time.Second, Write: 20 * time.Second}
+	return Times{Header: 10 * time.Second, Idle: 60 * time.Second}
 }
 
 // maxHead is the largest head that is read, in bytes.
@@ -44,7 +43,6 @@
 	server   *http.Server
 	core     *relay.Core
 	parser   Parser
-	times    Times
 	now      func() time.Time
 	stopping atomic.Bool
 }
@@ -55,7 +53,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "listening for callers on %s", addr)
 	}
-	s := &Server{listener: l, core: core, parser: parser, times: times, now: time.Now}
+	s := &Server{listener: l, core: core, parser: parser, now: time.Now}
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: times.Header, IdleTimeout: times.Idle, MaxHeaderBytes: maxHead}
 	return s, nil
 }
@@ -110,7 +108,7 @@
 		writeError(w, err)
 		return
 	}
-	err = s.core.Serve(r.Context(), req, &sink{w: w, flush: http.NewResponseController(w), within: s.times.Write, now: s.now})
+	err = s.core.Serve(r.Context(), req, &sink{w: w, flush: http.NewResponseController(w)})
 	switch {
 	case err == nil:
 	case errors.Is(err, relay.ErrBroken):
@@ -177,8 +175,6 @@
 type sink struct {
 	w      http.ResponseWriter
 	flush  *http.ResponseController
-	within time.Duration
-	now    func() time.Time
 	stream bool
 }
 
--- a/internal/escrow/holder.go
+++ b/internal/escrow/holder.go
@@ -51,7 +51,6 @@
 	id     string
 	node   string
 	store  external.KV
-	prefix string
 	clock  Clock
 	now    func() time.Time
 	policy Policy
@@ -106,7 +105,7 @@
 // New makes a holder. node outlasts the process; id is this process's own. Pages lie under prefix in the store.
 func New(store external.KV, prefix string, pages int, node, id string, opts ...Option) *Holder {
 	h := &Holder{
-		id: id, node: node, store: store, prefix: prefix, clock: MachineClock(), now: time.Now,
+		id: id, node: node, store: store, clock: MachineClock(), now: time.Now,
 		policy: DefaultPolicy(), times: DefaultTimes(), log: zerolog.Nop(),
 		accounts: make(map[string]*account), changed: make(chan struct{}), kicks: make(chan struct{}, 1),
 	}
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -16,13 +16,12 @@
 type result int
 
 const (
-	resultDone    result = iota // the caller has a whole answer
-	resultUnsent                // the endpoint could not be reached: nothing was sent
-	resultNotRun                // the endpoint says that it did not run the request
-	resultFailed                // the endpoint answered that it failed; the answer is kept
-	resultBroken                // the request may have run; its answer is lost or broken off
-	resultLeft                  // the caller left, or does not take the answer
-	resultTimeout               // the request's time is up
+	resultDone   result = iota // the caller has a whole answer
+	resultUnsent               // the endpoint could not be reached: nothing was sent
+	resultNotRun               // the endpoint says that it did not run the request
+	resultFailed               // the endpoint answered that it failed; the answer is kept
+	resultBroken               // the request may have run; its answer is lost or broken off
+	resultLeft                 // the caller left, or does not take the answer
 )
 
 // kept is a failed answer that the caller gets if nothing better comes.
@@ -51,7 +50,7 @@
 			if j.dials < mostDials && ctx.Err() == nil {
 				continue
 			}
-		case resultNotRun, resultBroken, resultLeft, resultTimeout:
+		case resultNotRun, resultBroken, resultLeft:
 		}
 		if !j.again(ctx, res) {
 			return j.giveUp(ctx, failure, res)
@@ -78,7 +77,7 @@
 		if !j.route.Repeatable() {
 			return false
 		}
-	case resultDone, resultUnsent, resultLeft, resultTimeout:
+	case resultDone, resultUnsent, resultLeft:
 		return false
 	}
 	if left, ok := j.left(); ok && left < leastLeft {
@@ -157,7 +156,7 @@
 
 var resultNames = map[result]string{
 	resultDone: "done", resultUnsent: "unreachable", resultNotRun: "not-run", resultFailed: "failed", resultBroken: "broken",
-	resultLeft: "left", resultTimeout: "timeout",
+	resultLeft: "left",
 }
 
 func endOf(res result) pool.End {
@@ -172,7 +171,7 @@
 		return pool.EndBroken
 	case resultNotRun:
 		return pool.EndBusy
-	case resultLeft, resultTimeout:
+	case resultLeft:
 	}
 	return pool.EndNeutral
 }
