--- a/cmd/router.go
+++ b/cmd/router.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -44,6 +45,9 @@
 	}
 	log, closeLog := routerLog(set, os.Stdout, os.Stderr)
 	defer closeLog()
+	lines := log.With().Str("event", "library_message").Logger()
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(lines)
 	r, err := router.New(set, platform.New(set), log)
 	if err != nil {
 		return eris.Wrap(err, "starting the router")
--- a/internal/escrow/account.go
+++ b/internal/escrow/account.go
@@ -27,6 +27,10 @@
 	prepaid int64            // as last seen; Unlimited: no limit
 	rest    int64            // of the whole account when last seen: unspent by anyone
 	free    int64            // of the whole account when last seen: granted to nobody
+
+	told     bool    // by the zone's leader:
+	target   int64   // what this holder's unspent part should be
+	toldRate float64 // tokens a second that all holders use
 }
 
 // used is what is spent or reserved.
--- a/internal/escrow/draw.go
+++ b/internal/escrow/draw.go
@@ -22,12 +22,7 @@
 func (h *Holder) Run(ctx context.Context) error {
 	var last time.Time
 	for {
-		regular := h.startBeat()
-		for _, p := range h.pages {
-			if ctx.Err() == nil && h.due(p, regular) {
-				h.draw(ctx, p)
-			}
-		}
+		h.round(ctx, h.startBeat())
 		last = h.now()
 		if !h.pause(ctx, last) {
 			return nil
@@ -35,6 +30,26 @@
 	}
 }
 
+// round brings all pages up to date, by the zone's leader if there is one.
+func (h *Holder) round(ctx context.Context, regular bool) {
+	follows := h.follows()
+	if follows {
+		h.submit(ctx, regular)
+	}
+	for _, p := range h.pages {
+		if ctx.Err() == nil && ((!follows && h.due(p, regular)) || h.owes(p)) {
+			h.draw(ctx, p)
+		}
+	}
+}
+
+// owes says whether rows of others are to be written on a page now.
+func (h *Holder) owes(p *pageState) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.gathered(p)
+}
+
 // pause waits for the next beat or for a request that waits; false means that ctx has ended.
 func (h *Holder) pause(ctx context.Context, last time.Time) bool {
 	wait, least := h.waits()
@@ -60,6 +75,7 @@
 // waits are the longest and the least time until the next round. A holder that has not joined all its pages cannot serve, so it
 // tries again soon; not all at the same moment, as after a fault many start at once.
 func (h *Holder) waits() (longest, least time.Duration) {
+	follows := h.follows()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	least = h.times.Gap * h.crowd()
@@ -67,6 +83,12 @@
 		if !p.joined && len(h.accounts) > 0 {
 			return h.times.Gap + rand.N(h.times.Gap*joinSpread*h.crowd()), least
 		}
+		if len(p.pending) > 0 {
+			return h.times.Hasty, least
+		}
+	}
+	if follows {
+		return h.times.Follow, least
 	}
 	return h.interval() * 3 / 2, least
 }
@@ -97,6 +119,7 @@
 	if !p.joined || p.unsure >= 0 {
 		return len(h.accounts) > 0
 	}
+	regular = regular && h.now().Sub(p.drawn) >= h.times.Beat*6/10
 	if regular && h.now().Sub(p.drawn) >= max(quietRefresh, 2*h.interval()) {
 		return true
 	}
@@ -141,9 +164,11 @@
 
 // write is one conditional write of a page.
 type write struct {
-	raw  []byte
-	base int64             // the revision that it stands on
-	rows map[string]issued // this holder's rows in it
+	raw    []byte
+	base   int64             // the revision that it stands on
+	count  int64             // of this holder's writes
+	rows   map[string]issued // this holder's rows in it
+	others []*pending        // rows of others in it
 }
 
 func (h *Holder) write(ctx context.Context, p *pageState, w write) error {
@@ -159,7 +184,7 @@
 // load reads a page that is not known, or of which a write may still be under way.
 func (h *Holder) load(ctx context.Context, p *pageState) error {
 	h.mu.Lock()
-	fresh := p.known && p.unsure < 0 && h.now().Sub(p.seen) < freshFor
+	fresh := p.known && p.unsure < 0 && !p.submitted && h.now().Sub(p.seen) < freshFor
 	h.mu.Unlock()
 	if fresh {
 		return nil
@@ -201,11 +226,11 @@
 	}
 	p.raw, p.revision, p.known, p.seen = e.Data, e.Revision, true, h.now()
 	h.holders = len(page.Holders)
-	settled := p.unsure >= 0 && e.Revision > p.unsure
+	report, present := page.Holders[h.id]
+	settled := p.settles(e.Revision, report, present)
 	if settled {
-		p.unsure = -1
+		p.unsure, p.submitted, p.count = -1, false, report.Count
 	}
-	report, present := page.Holders[h.id]
 	for name, a := range h.accounts {
 		if h.pageOf(name) != p {
 			continue
@@ -225,6 +250,15 @@
 	return nil
 }
 
+// settles says whether a page at a revision shows what became of all writes of this holder whose outcome is not known. A direct
+// write cannot happen any more once the page has moved on; rows that a leader has can, until a later write of this holder stands.
+func (p *pageState) settles(revision int64, report Report, present bool) bool {
+	if p.submitted {
+		return report.Count > p.count || (p.joined && !present)
+	}
+	return p.unsure >= 0 && revision > p.unsure
+}
+
 // prepare computes the page to be written, and notes its rows as possibly in force.
 func (h *Holder) prepare(p *pageState) (write, error) {
 	h.mu.Lock()
@@ -233,14 +267,9 @@
 	if err != nil {
 		return write{}, err
 	}
-	now := h.clock.Now()
-	report := Report{Node: h.node, Boot: h.clock.Boot(), Clock: now.Milliseconds(), Wall: h.now().UnixMilli(), Count: page.Holders[h.id].Count + 1}
+	report := h.report(h.clock.Now(), page.Holders[h.id].Count+1)
 	if !p.joined {
-		for _, f := range page.Fold(h.id, report) {
-			h.log.Info().Str("event", "escrow_settled").Str("holder", f.Holder).Str("page", p.key).Bool("age_known", f.Known).
-				Int64("age_ms", f.Age.Milliseconds()).Int64("spent", f.Spent).Int64("granted", f.Granted).Int64("settled", f.Settled).
-				Msg("an earlier process's escrow is settled")
-		}
+		h.logFolded(page.Fold(h.id, report), p.key)
 	}
 	page.Holders[h.id] = report
 	rows := make(map[string]issued)
@@ -256,9 +285,23 @@
 		}
 		a.unsure = append(a.unsure, rows[name])
 	}
+	others := h.applyAll(p, page)
 	p.unsure = p.revision
 	raw, err := page.Encode()
-	return write{raw: raw, base: p.revision, rows: rows}, err
+	return write{raw: raw, base: p.revision, count: report.Count, rows: rows, others: others}, err
+}
+
+// report is what this holder says of itself with a write.
+func (h *Holder) report(now time.Duration, count int64) Report {
+	return Report{Node: h.node, Boot: h.clock.Boot(), Clock: now.Milliseconds(), Wall: h.now().UnixMilli(), Count: count}
+}
+
+func (h *Holder) logFolded(list []Folded, page string) {
+	for _, f := range list {
+		h.log.Info().Str("event", "escrow_settled").Str("holder", f.Holder).Str("page", page).Bool("age_known", f.Known).
+			Int64("age_ms", f.Age.Milliseconds()).Int64("spent", f.Spent).Int64("granted", f.Granted).Int64("settled", f.Settled).
+			Msg("an earlier process's escrow is settled")
+	}
 }
 
 // need sizes what the holder asks for. The caller holds mu.
@@ -285,12 +328,15 @@
 // The caller holds mu.
 func (h *Holder) flow(a *account) flow {
 	local := a.meter.rate()
-	all := h.fleet.rate()
+	all, mine := h.fleet.rate(), a.fleet.rate()
+	if a.told {
+		all, mine = h.toldRate, a.toldRate
+	}
 	if all <= 0 {
 		return flow{rate: local, grain: h.own.grain()}
 	}
 	part := min(1, h.own.rate()/all)
-	return flow{rate: (local + part*a.fleet.rate()) / 2, grain: h.own.grain()}
+	return flow{rate: (local + part*mine) / 2, grain: h.own.grain()}
 }
 
 // outcome takes the store's answer to a write.
@@ -318,6 +364,8 @@
 		p.raw, p.revision = w.raw, revision
 	}
 	p.known, p.unsure, p.joined, p.drawn, p.seen = true, -1, true, h.now(), h.now()
+	p.count, p.submitted = w.count, false
+	h.written(p, w.others)
 	for name, i := range w.rows {
 		a := h.accounts[name]
 		a.confirm(i)
--- /dev/null
+++ b/internal/escrow/group.go
@@ -0,0 +1,228 @@
+package escrow
+
+import (
+	"context"
+	"time"
+
+	"github.com/ledgemount/ledgemount/internal/verdict"
+)
+
+const (
+	submissionLife = 2500 * time.Millisecond // a submission that was not written by then is dropped
+	loanLife       = 90 * time.Second        // a loan that was not repaid by then counts as used
+)
+
+// pending is a part that waits for the next write of its page.
+type pending struct {
+	holder  string
+	part    Part
+	came    time.Time
+	hasty   bool // the holder cannot serve before it is written
+	receipt PartReceipt
+	done    chan struct{} // closed once the receipt stands
+}
+
+// Submit takes rows of another holder of the zone, and returns once they are written.
+func (h *Holder) Submit(ctx context.Context, s Submission) (Receipt, error) {
+	list := h.enqueue(s)
+	var out Receipt
+	for _, p := range list {
+		select {
+		case <-p.done:
+			out.Parts = append(out.Parts, p.receipt)
+		case <-ctx.Done():
+			return Receipt{}, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the rows were not written in time")
+		}
+	}
+	return out, nil
+}
+
+func (h *Holder) enqueue(s Submission) []*pending {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
+	var out []*pending
+	for _, part := range s.Parts {
+		if part.Page < 0 || part.Page >= len(h.pages) {
+			continue
+		}
+		p := &pending{holder: s.Holder, part: part, came: now, hasty: part.Report.Count == 1, done: make(chan struct{})}
+		page := h.pages[part.Page]
+		page.pending = append(page.pending, p)
+		out = append(out, p)
+	}
+	h.kick()
+	return out
+}
+
+// gathered says whether the parts that wait for a page are to be written now. The caller holds mu.
+func (h *Holder) gathered(p *pageState) bool {
+	if len(p.pending) == 0 {
+		return false
+	}
+	now := h.now()
+	for _, x := range p.pending {
+		if x.hasty && now.Sub(x.came) >= h.times.Hasty {
+			return true
+		}
+	}
+	return now.Sub(p.pending[0].came) >= h.times.Gather && now.Sub(p.drawn) >= h.times.Group
+}
+
+// expire drops parts whose holders have stopped waiting. The caller holds mu.
+func (h *Holder) expire(p *pageState) {
+	now := h.now()
+	kept := p.pending[:0]
+	for _, x := range p.pending {
+		if now.Sub(x.came) < submissionLife {
+			kept = append(kept, x)
+		}
+	}
+	clear(p.pending[len(kept):])
+	p.pending = kept
+}
+
+// applyAll puts the parts that wait into a page that is about to be written. The caller holds mu.
+func (h *Holder) applyAll(p *pageState, page *Page) []*pending {
+	h.expire(p)
+	list := append([]*pending(nil), p.pending...)
+	for _, x := range list {
+		x.receipt = h.apply(x, page)
+	}
+	return list
+}
+
+// apply puts one part into a page, unless the holder's row there is not the one that the part follows. The caller holds mu.
+func (h *Holder) apply(x *pending, page *Page) PartReceipt {
+	before, present := page.Holders[x.holder]
+	targets := make(map[string]int64, len(x.part.Rows))
+	if before.Count+1 == x.part.Report.Count && (present || before.Count == 0) {
+		h.grantAll(x, page, targets)
+	}
+	return h.receipt(x, page, targets)
+}
+
+// grantAll sets the rows of one part. The caller holds mu.
+func (h *Holder) grantAll(x *pending, page *Page, targets map[string]int64) {
+	report := x.part.Report
+	if report.Count == 1 {
+		h.logFolded(page.Fold(x.holder, report), h.pages[x.part.Page].key)
+	}
+	page.Holders[x.holder] = report
+	for name, need := range x.part.Rows {
+		a := h.accounts[name]
+		if a == nil || a.prepaid < 0 {
+			continue
+		}
+		acc := page.account(name)
+		targets[name] = acc.share(x.holder, need, a.prepaid)
+		acc.Grant(x.holder, need, a.prepaid)
+	}
+}
+
+// receipt tells how a page stands for a holder. The caller holds mu.
+func (h *Holder) receipt(x *pending, page *Page, targets map[string]int64) PartReceipt {
+	report, present := page.Holders[x.holder]
+	r := PartReceipt{
+		Page: x.part.Page, Present: present, Report: report, Holders: len(page.Holders), Rate: h.fleet.rate(),
+		Rows: make(map[string]Held, len(x.part.Rows)),
+	}
+	for name := range x.part.Rows {
+		a, acc := h.accounts[name], page.Accounts[name]
+		if a == nil || acc == nil {
+			continue
+		}
+		r.Rows[name] = Held{
+			Row: acc.Rows[x.holder], Target: targets[name], Rest: a.prepaid - acc.Spent(), Free: a.prepaid - acc.Committed(),
+			Others: a.others, Rate: a.fleet.rate(),
+		}
+	}
+	return r
+}
+
+// written tells holders whose parts are in the store. The caller holds mu.
+func (h *Holder) written(p *pageState, list []*pending) {
+	done := make(map[*pending]bool, len(list))
+	for _, x := range list {
+		done[x] = true
+		close(x.done)
+	}
+	kept := p.pending[:0]
+	for _, x := range p.pending {
+		if !done[x] {
+			kept = append(kept, x)
+		}
+	}
+	clear(p.pending[len(kept):])
+	p.pending = kept
+}
+
+// lent is a loan that this holder has given.
+type lent struct {
+	reservation *Reservation
+	at          time.Time
+}
+
+type loanKey struct {
+	holder string
+	number int64
+}
+
+// Lend reserves a part of this holder's grant for a request at another holder of the zone.
+func (h *Holder) Lend(ctx context.Context, l Loan) error {
+	r, err := h.reserveOwn(ctx, l.Customer, l.Most, l.Rank)
+	if err != nil {
+		return err
+	}
+	h.mu.Lock()
+	key := loanKey{l.Holder, l.Number}
+	_, over := h.returned[key]
+	if !over {
+		h.loans[key] = lent{reservation: r, at: h.now()}
+	}
+	h.mu.Unlock()
+	if over {
+		r.Settle(0)
+		return refuseBudget("the loan was returned before it was given", retrySoon)
+	}
+	return nil
+}
+
+// Repaid ends loans. One that is not known yet, as its holder did not wait for it, is remembered, so that it is not given.
+func (h *Holder) Repaid(r Repayment) {
+	for number, used := range r.Used {
+		h.mu.Lock()
+		key := loanKey{r.Holder, number}
+		l, ok := h.loans[key]
+		delete(h.loans, key)
+		if !ok {
+			h.returned[key] = h.now()
+		}
+		h.mu.Unlock()
+		if ok {
+			l.reservation.Settle(used)
+		}
+	}
+}
+
+// writeOff takes loans that nobody has repaid for long as used.
+func (h *Holder) writeOff() {
+	h.mu.Lock()
+	now := h.now()
+	var old []*Reservation
+	for key, l := range h.loans {
+		if now.Sub(l.at) > loanLife {
+			old = append(old, l.reservation)
+			delete(h.loans, key)
+		}
+	}
+	for key, at := range h.returned {
+		if now.Sub(at) > loanLife {
+			delete(h.returned, key)
+		}
+	}
+	h.mu.Unlock()
+	for _, r := range old {
+		r.Settle(r.most)
+	}
+}
--- a/internal/escrow/holder.go
+++ b/internal/escrow/holder.go
@@ -1,7 +1,6 @@
 package escrow
 
 import (
-	"context"
 	"fmt"
 	"sync"
 	"time"
@@ -10,7 +9,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/ledgemount/ledgemount/internal/external"
-	"github.com/ledgemount/ledgemount/internal/verdict"
 )
 
 // Prepaid is a customer's prepaid figure as the configuration in force tells it.
@@ -30,6 +28,14 @@
 	Wait time.Duration // how long a reservation waits for a draw
 	Lost time.Duration // without an answer for this long, no reservation waits
 	Dry  time.Duration // after a draw that brought too little, no reservation of the customer waits for this long
+
+	// Of zones that are led.
+	Follow time.Duration // from a leader's receipt to the next submission
+	Gather time.Duration // the rows of others wait for more of them so long
+	Hasty  time.Duration // the same, where one of them cannot serve before
+	Group  time.Duration // least time between writes of a page for others
+	Borrow time.Duration // limit of a loan; the leader may have to draw for it
+	Repay  time.Duration // between returns of loans
 }
 
 // DefaultTimes suit a store that answers in milliseconds.
@@ -37,6 +43,8 @@
 	return Times{
 		Beat: time.Second, Gap: 30 * time.Millisecond, Call: 900 * time.Millisecond,
 		Wait: 90 * time.Millisecond, Lost: 1500 * time.Millisecond, Dry: 300 * time.Millisecond,
+		Follow: 800 * time.Millisecond, Gather: 120 * time.Millisecond, Hasty: 40 * time.Millisecond, Group: 700 * time.Millisecond,
+		Borrow: 180 * time.Millisecond, Repay: 200 * time.Millisecond,
 	}
 }
 
@@ -68,6 +76,14 @@
 	changed  chan struct{} // closed and replaced after each draw
 	stopping bool
 
+	leader    Leader // nil: there are none
+	toldRate  float64
+	loanCount int64
+	loans     map[loanKey]lent           // given to others
+	returned  map[loanKey]time.Time      // returned before they were given
+	owed      map[string]map[int64]int64 // loans that have ended, by leader and number
+	unpaid    map[string]time.Time       // since when a leader has not taken them; only Repayments uses it
+
 	kicks chan struct{}
 }
 
@@ -77,11 +93,15 @@
 	raw      []byte
 	revision int64
 	known    bool
+	count    int64 // of this holder's last write that is known to have happened
 	unsure   int64 // the base of a write whose outcome is not known; -1: none
-	joined   bool  // this holder's earlier processes are settled
-	drawn    time.Time
-	seen     time.Time        // when the copy was known to be the newest
-	reported map[string]int64 // spent, by customer, as last written
+	// submitted: a leader may still write rows of this holder that follow count
+	submitted bool
+	pending   []*pending // rows of others
+	joined    bool       // this holder's earlier processes are settled
+	drawn     time.Time
+	seen      time.Time        // when the copy was known to be the newest
+	reported  map[string]int64 // spent, by customer, as last written
 }
 
 // Option changes a Holder.
@@ -99,6 +119,9 @@
 // WithNow replaces the process's clock.
 func WithNow(now func() time.Time) Option { return func(h *Holder) { h.now = now } }
 
+// WithLeader sets the way to the zone's leader.
+func WithLeader(l Leader) Option { return func(h *Holder) { h.leader = l } }
+
 // WithLogger sets the logger.
 func WithLogger(log zerolog.Logger) Option { return func(h *Holder) { h.log = log } }
 
@@ -108,6 +131,8 @@
 		id: id, node: node, store: store, clock: MachineClock(), now: time.Now,
 		policy: DefaultPolicy(), times: DefaultTimes(), log: zerolog.Nop(),
 		accounts: make(map[string]*account), changed: make(chan struct{}), kicks: make(chan struct{}, 1),
+		loans: make(map[loanKey]lent), returned: make(map[loanKey]time.Time),
+		owed: make(map[string]map[int64]int64), unpaid: make(map[string]time.Time),
 	}
 	for i := range max(1, pages) {
 		h.pages = append(h.pages, &pageState{key: fmt.Sprintf("%s%d", prefix, i), unsure: -1, reported: make(map[string]int64)})
@@ -153,169 +178,15 @@
 	}
 }
 
-// Reservation is a part of a budget that a request may use.
-type Reservation struct {
-	holder   *Holder
-	customer string
-	most     int64
-	once     sync.Once
-}
-
-// View is what the holder knows of a customer's budget, in tokens.
-type View struct {
-	Left    int64         // may be reserved here now
-	Granted int64         // held here
-	Spent   int64         // spent or reserved here
-	Rest    int64         // unspent by all holders, as last reported
-	Age     time.Duration // since the store last answered
-}
-
-// View shows what decides about a customer's next reservation.
-func (h *Holder) View(customer string) View {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	a := h.accounts[customer]
-	if a == nil {
-		return View{}
-	}
-	return View{
-		Left: a.headroom(h.clock.Now()), Granted: a.row.row.Granted, Spent: a.used(), Rest: a.unspent(), Age: h.now().Sub(h.answered),
-	}
-}
-
-// Settle ends the reservation: used tokens are spent, the rest is free again. Only the first call counts.
-func (r *Reservation) Settle(used int64) {
-	if r == nil || r.holder == nil {
-		return
-	}
-	r.once.Do(func() {
-		r.holder.mu.Lock()
-		defer r.holder.mu.Unlock()
-		a := r.holder.accounts[r.customer]
-		a.open -= r.most
-		a.spent += min(max(used, 0), r.most)
-	})
-}
-
-// Reserve sets aside the most that a request can use. Where the grant does not hold it, it draws on the store, but waits no
-// longer than Times.Wait. rank is the request's among the customer's own, 0 first: what is short is kept for the first ranks.
-// Its errors are verdicts: not run, with the time to come back where that makes sense.
-func (h *Holder) Reserve(ctx context.Context, customer string, most int64, rank int) (*Reservation, error) {
-	var end <-chan time.Time
-	for {
-		r, changed, err := h.try(customer, most, rank)
-		if r != nil || err != nil {
-			return r, err
-		}
-		if end == nil {
-			if !h.worthDrawing(customer, most) {
-				return nil, h.refuse(customer, most)
-			}
-			t := time.NewTimer(h.times.Wait)
-			defer t.Stop()
-			end = t.C
-		}
-		h.kick()
-		select {
-		case <-changed:
-		case <-end:
-			return nil, h.refuse(customer, most)
-		case <-ctx.Done():
-			return nil, verdict.New(verdict.NotRun, verdict.CodeCancelled, "the caller left", verdict.WithCause(ctx.Err()))
-		}
-	}
-}
-
-func (h *Holder) try(customer string, most int64, rank int) (*Reservation, <-chan struct{}, error) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	a := h.accounts[customer]
-	if a == nil {
-		return nil, nil, verdict.New(verdict.NotRun, verdict.CodeBudgetUnready, "the customer's budget is not known yet",
-			verdict.WithRetryAfter(retrySoon))
-	}
-	if a.prepaid < 0 {
-		return &Reservation{}, nil, nil
-	}
-	if h.short(a, most, rank) {
-		return nil, nil, verdict.New(verdict.NotRun, verdict.CodeBudgetUnready, "what is left of the budget here is kept for the customer's first ranks",
-			verdict.WithRetryAfter(retryLater))
-	}
-	if a.headroom(h.clock.Now()) >= most {
-		a.open += most
-		h.count(a, most)
-		return &Reservation{holder: h, customer: customer, most: most}, nil, nil
-	}
-	a.urgent = max(a.urgent, most)
-	return nil, h.changed, nil
-}
-
-// Times after which a refused request may be served.
-const (
-	retrySoon  = 250 * time.Millisecond
-	retryLater = 2 * time.Second
-)
-
-// Shares that are kept for a customer's first ranks.
-const (
-	lastRank  = 2    // from this rank on requests give way
-	keptInCut = 0.5  // of what was granted when the store was last heard
-	keptAtEnd = 0.08 // of the prepaid figure
-)
-
-// short says whether a request gives way to those of first ranks: in a cut they keep a part of what is granted here, and at the
-// end of a budget the last of it. The caller holds mu.
-func (h *Holder) short(a *account, most int64, rank int) bool {
-	if rank < lastRank {
-		return false
-	}
-	if float64(a.unspent()-most) < keptAtEnd*float64(a.prepaid) {
-		return true
-	}
-	if h.now().Sub(h.answered) < h.times.Lost {
-		return false
-	}
-	held := a.row.row.Granted - a.row.row.Spent
-	return float64(a.row.row.Granted-a.used()-most) < keptInCut*float64(held)
-}
-
-// count measures what is asked for. The caller holds mu.
-func (h *Holder) count(a *account, tokens int64) {
-	a.meter.add(tokens)
-	h.own.add(tokens)
-}
-
-// refuse explains a refusal: the budget is used up, or this instance does not hold enough of it right now.
-func (h *Holder) refuse(customer string, most int64) error {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	a := h.accounts[customer]
-	h.count(a, most)
-	if a.unspent() < most && h.now().Sub(h.answered) < h.times.Lost {
-		return verdict.New(verdict.NotRun, verdict.CodeBudgetExhausted, "what remains of the budget cannot hold the request",
-			verdict.WithRetryAfter(retryLater))
-	}
-	return verdict.New(verdict.NotRun, verdict.CodeBudgetUnready, "this instance holds too little of the budget now",
-		verdict.WithRetryAfter(retrySoon))
-}
-
-// worthDrawing says whether a draw is likely to be answered and to bring something.
-func (h *Holder) worthDrawing(customer string, most int64) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	now := h.now()
-	a := h.accounts[customer]
-	if a.free+a.row.row.Granted-a.used() < most && a.unspent() >= most {
-		return false // others hold it
-	}
-	return !h.answered.IsZero() && now.Sub(h.answered) < h.times.Lost && now.Sub(a.dry) > h.times.Dry*h.crowd()
-}
-
 // Tick tells the holder that the store has just answered: the best moment for a regular draw. own says that all pages that have
 // changed were observed, so that a write can stand on them.
 func (h *Holder) Tick(own bool) {
+	follows := h.follows()
 	h.mu.Lock()
 	now := h.now()
+	if follows {
+		h.heard()
+	}
 	due := now.Sub(h.beat) >= h.interval()*9/10
 	for _, p := range h.pages {
 		if own {
@@ -334,8 +205,11 @@
 	return h.times.Beat * h.crowd()
 }
 
-// crowd is by how much draws are rarer than in a small fleet. The caller holds mu.
+// crowd is by how much draws are rarer than in a small fleet. Where zones are led few holders write. The caller holds mu.
 func (h *Holder) crowd() time.Duration {
+	if h.leader != nil && h.leader.Large() && !h.leader.Stranded() {
+		return 1
+	}
 	return time.Duration(max(1, min(h.holders/beatHolders, mostBeats)))
 }
 
--- /dev/null
+++ b/internal/escrow/leader.go
@@ -0,0 +1,80 @@
+package escrow
+
+import (
+	"context"
+	"errors"
+)
+
+// Leader is the way to the instance that leads the zone. It writes the rows of the zone's holders in one go, and lends them what
+// their own grants do not hold.
+type Leader interface {
+	// Large says whether the fleet's zones are led.
+	Large() bool
+	// Leads says whether this holder does its own writing: it leads, or no leader can be reached.
+	Leads() bool
+	// Stranded says whether it does so only because those that lead cannot be reached.
+	Stranded() bool
+	// Submit hands rows to the leader. ErrNotTaken promises that none of them will be written; after any other error they may be.
+	Submit(ctx context.Context, s Submission) (Receipt, error)
+	// Borrow reserves a part of the leader's grant. Its errors are verdicts. Lent names where it was borrowed.
+	Borrow(ctx context.Context, b Loan) (lent string, err error)
+	// Return ends loans that one leader has given.
+	Return(ctx context.Context, lent string, r Repayment) error
+}
+
+// ErrNotTaken says that a leader has not seen a submission.
+var ErrNotTaken = errors.New("no leader has taken the rows")
+
+// Submission is what a holder asks its zone's leader to write.
+type Submission struct {
+	Holder string `cbor:"1,keyasint"`
+	Parts  []Part `cbor:"2,keyasint"`
+}
+
+// Part is a Submission's part for one page. It is written only if the holder's last write there is the one that Report.Count
+// follows, so it is written once at most, and never after a newer one.
+type Part struct {
+	Page   int             `cbor:"1,keyasint"`
+	Report Report          `cbor:"2,keyasint"`
+	Rows   map[string]Need `cbor:"3,keyasint,omitempty"` // by customer
+}
+
+// Receipt answers a Submission.
+type Receipt struct {
+	Parts []PartReceipt `cbor:"1,keyasint"`
+}
+
+// PartReceipt says how a page stands after a Part was taken, or was not because the holder's row is another one.
+type PartReceipt struct {
+	Page    int             `cbor:"1,keyasint"`
+	Present bool            `cbor:"2,keyasint,omitempty"` // the page knows the holder
+	Report  Report          `cbor:"3,keyasint"`           // of the holder, as it stands there
+	Rows    map[string]Held `cbor:"4,keyasint,omitempty"`
+	Holders int             `cbor:"5,keyasint,omitempty"`
+	Rate    float64         `cbor:"6,keyasint,omitempty"` // tokens a second that all holders use of all customers
+}
+
+// Held is how one customer's account stands for a holder.
+type Held struct {
+	Row    Row     `cbor:"1,keyasint"`
+	Target int64   `cbor:"2,keyasint,omitempty"` // what the holder's unspent part should be
+	Rest   int64   `cbor:"3,keyasint,omitempty"` // unspent by anyone
+	Free   int64   `cbor:"4,keyasint,omitempty"` // granted to nobody
+	Others int64   `cbor:"5,keyasint,omitempty"` // mean of what other holders want
+	Rate   float64 `cbor:"6,keyasint,omitempty"` // tokens a second that all holders use
+}
+
+// Loan is a part of a leader's grant that another holder's request reserves.
+type Loan struct {
+	Holder   string `cbor:"1,keyasint"`
+	Number   int64  `cbor:"2,keyasint"` // of the loan, by its holder
+	Customer string `cbor:"3,keyasint"`
+	Most     int64  `cbor:"4,keyasint"`
+	Rank     int    `cbor:"5,keyasint,omitempty"`
+}
+
+// Repayment ends loans: what was used of each.
+type Repayment struct {
+	Holder string          `cbor:"1,keyasint"`
+	Used   map[int64]int64 `cbor:"2,keyasint"` // by number
+}
--- a/internal/escrow/property_test.go
+++ b/internal/escrow/property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -15,8 +16,8 @@
 const (
 	propertyPrefix  = "escrow/"
 	propertyPrepaid = 60_000
-	propertyNodes   = 2
-	propertySteps   = 50
+	propertyNodes   = 3
+	propertySteps   = 60
 )
 
 var propertyCustomers = []string{"north"}
@@ -51,11 +52,87 @@
 	return g.KV.Commit(ctx, c)
 }
 
+// What becomes of calls to a leader.
+const (
+	linkNone  = iota // there is no leader
+	linkPass         // they are answered
+	linkLost         // they are done, and the answers are lost
+	linkLate         // rows are taken, and written at the leader's next draw
+	linkBroke        // the leader cannot be reached
+	linkModes
+)
+
+// simLeader is a node's way to the first node, which leads.
+type simLeader struct {
+	world *world
+	node  *simNode
+}
+
+func (l *simLeader) Large() bool    { return true }
+func (l *simLeader) Stranded() bool { return false }
+func (l *simLeader) Leads() bool    { return l.node == l.world.nodes[0] || l.node.link == linkNone }
+
+var errSimLost = errors.New("the answer was lost")
+
+func (l *simLeader) Submit(_ context.Context, s Submission) (Receipt, error) {
+	if l.node.link == linkBroke {
+		return Receipt{}, ErrNotTaken
+	}
+	leads := l.world.nodes[0]
+	list := leads.holder.enqueue(s)
+	if l.node.link == linkLate {
+		return Receipt{}, errSimLost
+	}
+	l.world.draw(leads)
+	var out Receipt
+	for _, p := range list {
+		select {
+		case <-p.done:
+			out.Parts = append(out.Parts, p.receipt)
+		default:
+			return Receipt{}, errSimLost
+		}
+	}
+	if l.node.link == linkLost {
+		return Receipt{}, errSimLost
+	}
+	return out, nil
+}
+
+func (l *simLeader) Borrow(ctx context.Context, loan Loan) (string, error) {
+	if l.node.link == linkBroke {
+		return "", ErrNotTaken
+	}
+	leads := l.world.nodes[0]
+	if err := leads.holder.Lend(ctx, loan); err != nil {
+		return "", err
+	}
+	if l.node.link != linkPass {
+		return leads.holder.id, errSimLost
+	}
+	return leads.holder.id, nil
+}
+
+func (l *simLeader) Return(_ context.Context, lent string, r Repayment) error {
+	leads := l.world.nodes[0]
+	if l.node.link == linkBroke {
+		return errSimLost
+	}
+	if leads.holder.id == lent {
+		leads.holder.Repaid(r)
+	}
+	if l.node.link != linkPass {
+		return errSimLost
+	}
+	return nil
+}
+
 // simNode is a machine with a holder.
 type simNode struct {
 	name   string
 	clock  *simClock
 	gate   *gate
+	link   int
 	holder *Holder
 	open   []*simReservation
 	starts int
@@ -70,6 +147,7 @@
 
 // world is a small fleet under one store, in virtual time.
 type world struct {
+	policy  Policy
 	store   *memkv.Store
 	elapsed time.Duration
 	nodes   []*simNode
@@ -77,8 +155,8 @@
 	prepaid map[string]int64
 }
 
-func newWorld() *world {
-	w := &world{store: memkv.New(), spent: make(map[string]int64), prepaid: make(map[string]int64)}
+func newWorld(policy Policy) *world {
+	w := &world{policy: policy, store: memkv.New(), spent: make(map[string]int64), prepaid: make(map[string]int64)}
 	for _, c := range propertyCustomers {
 		w.prepaid[c] = propertyPrepaid
 	}
@@ -95,7 +173,8 @@
 	n.starts++
 	n.open = nil
 	now := func() time.Time { return time.Unix(1_000_000, 0).Add(w.elapsed + n.step) }
-	n.holder = New(n.gate, propertyPrefix, 2, n.name, fmt.Sprintf("%s/%d", n.name, n.starts), WithClock(n.clock), WithNow(now))
+	n.holder = New(n.gate, propertyPrefix, 2, n.name, fmt.Sprintf("%s/%d", n.name, n.starts), WithClock(n.clock), WithNow(now),
+		WithLeader(&simLeader{world: w, node: n}), WithPolicy(w.policy))
 	w.tell(n)
 }
 
@@ -110,13 +189,19 @@
 // draw makes one round of draws, as the holder's loop does.
 func (w *world) draw(n *simNode) {
 	n.holder.startBeat()
+	if n.holder.follows() {
+		n.holder.submit(context.Background(), true)
+		return
+	}
 	for _, p := range n.holder.pages {
 		n.holder.draw(context.Background(), p)
 	}
 }
 
 func (w *world) reserve(n *simNode, customer string, most int64) {
-	r, _, err := n.holder.try(customer, most, 0)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel() // nothing waits
+	r, err := n.holder.Reserve(ctx, customer, most, 0)
 	if err == nil && r != nil {
 		n.open = append(n.open, &simReservation{customer: customer, most: most, r: r})
 	}
@@ -167,10 +252,12 @@
 // TestNothingIsOverspent plays any mixture of use, cuts, lost and late answers, kills, losses of power and planned stops.
 func TestNothingIsOverspent(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld()
+		policy := DefaultPolicy()
+		policy.Start = rapid.SampledFrom([]float64{policy.Start, 1, 3}).Draw(t, "start")
+		w := newWorld(policy)
 		for range propertySteps {
 			n := w.nodes[rapid.IntRange(0, propertyNodes-1).Draw(t, "node")]
-			w.act(t, n, rapid.IntRange(0, 15).Draw(t, "action"))
+			w.act(t, n, rapid.IntRange(0, 20).Draw(t, "action"))
 			w.check(t)
 		}
 	})
@@ -205,6 +292,27 @@
 		w.store.Release()
 	case 15:
 		w.leave(n)
+	case 16, 17:
+		n.link = rapid.IntRange(linkNone, linkModes-1).Draw(t, "link")
+	case 18:
+		n.holder.repayAll(context.Background())
+	case 19:
+		w.observe(n)
+	case 20:
+		n.holder.mu.Lock()
+		n.holder.stopping = rapid.Bool().Draw(t, "stopping")
+		n.holder.mu.Unlock()
+	}
+}
+
+// observe shows a node the pages as they are.
+func (w *world) observe(n *simNode) {
+	entries, _, err := n.gate.ReadAll(context.Background(), propertyPrefix)
+	if err != nil {
+		return
+	}
+	for _, e := range entries {
+		n.holder.Observe(e)
 	}
 }
 
--- /dev/null
+++ b/internal/escrow/reserve.go
@@ -0,0 +1,189 @@
+package escrow
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/ledgemount/ledgemount/internal/verdict"
+)
+
+// Reservation is a part of a budget that a request may use.
+type Reservation struct {
+	holder   *Holder
+	customer string
+	most     int64
+	once     sync.Once
+	lent     string // the leader that has lent it; empty: it is this holder's own
+	number   int64  // of the loan
+}
+
+// View is what the holder knows of a customer's budget, in tokens.
+type View struct {
+	Left    int64         // may be reserved here now
+	Granted int64         // held here
+	Spent   int64         // spent or reserved here
+	Rest    int64         // unspent by all holders, as last reported
+	Age     time.Duration // since the store last answered
+}
+
+// View shows what decides about a customer's next reservation.
+func (h *Holder) View(customer string) View {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a := h.accounts[customer]
+	if a == nil {
+		return View{}
+	}
+	return View{
+		Left: a.headroom(h.clock.Now()), Granted: a.row.row.Granted, Spent: a.used(), Rest: a.unspent(), Age: h.now().Sub(h.answered),
+	}
+}
+
+// Settle ends the reservation: used tokens are spent, the rest is free again. Only the first call counts.
+func (r *Reservation) Settle(used int64) {
+	if r == nil || r.holder == nil {
+		return
+	}
+	used = min(max(used, 0), r.most)
+	r.once.Do(func() {
+		r.holder.mu.Lock()
+		defer r.holder.mu.Unlock()
+		if r.lent != "" {
+			r.holder.repay(r.lent, r.number, used)
+			return
+		}
+		a := r.holder.accounts[r.customer]
+		a.open -= r.most
+		a.spent += used
+	})
+}
+
+// Reserve sets aside the most that a request can use. Where the grant does not hold it, it borrows from the zone's leader, or
+// draws on the store if there is none, but waits no longer than Times.Wait. rank is the request's among the customer's own, 0
+// first: what is short is kept for the first ranks. Its errors are verdicts: not run, with the time to come back where that makes
+// sense.
+func (h *Holder) Reserve(ctx context.Context, customer string, most int64, rank int) (*Reservation, error) {
+	if !h.follows() {
+		return h.reserveOwn(ctx, customer, most, rank)
+	}
+	r, _, err := h.try(customer, most, rank)
+	if r != nil || err != nil {
+		return r, err
+	}
+	return h.borrow(ctx, customer, most, rank)
+}
+
+// reserveOwn reserves of this holder's own grant.
+func (h *Holder) reserveOwn(ctx context.Context, customer string, most int64, rank int) (*Reservation, error) {
+	var end <-chan time.Time
+	for {
+		r, changed, err := h.try(customer, most, rank)
+		if r != nil || err != nil {
+			return r, err
+		}
+		if end == nil {
+			if !h.worthDrawing(customer, most) {
+				return nil, h.refuse(customer, most)
+			}
+			t := time.NewTimer(h.times.Wait)
+			defer t.Stop()
+			end = t.C
+		}
+		h.kick()
+		select {
+		case <-changed:
+		case <-end:
+			return nil, h.refuse(customer, most)
+		case <-ctx.Done():
+			return nil, verdict.New(verdict.NotRun, verdict.CodeCancelled, "the caller left", verdict.WithCause(ctx.Err()))
+		}
+	}
+}
+
+func (h *Holder) try(customer string, most int64, rank int) (*Reservation, <-chan struct{}, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a := h.accounts[customer]
+	if a == nil {
+		return nil, nil, refuseBudget("the customer's budget is not known yet", retrySoon)
+	}
+	if a.prepaid < 0 {
+		return &Reservation{}, nil, nil
+	}
+	if h.short(a, most, rank) {
+		return nil, nil, refuseBudget("what is left of the budget here is kept for the customer's first ranks", retryLater)
+	}
+	if a.headroom(h.clock.Now()) >= most {
+		a.open += most
+		h.count(a, most)
+		return &Reservation{holder: h, customer: customer, most: most}, nil, nil
+	}
+	a.urgent = max(a.urgent, most)
+	return nil, h.changed, nil
+}
+
+// Times after which a refused request may be served.
+const (
+	retrySoon  = 250 * time.Millisecond
+	retryLater = 2 * time.Second
+)
+
+// Shares that are kept for a customer's first ranks.
+const (
+	lastRank  = 2    // from this rank on requests give way
+	keptInCut = 0.5  // of what was granted when the store was last heard
+	keptAtEnd = 0.08 // of the prepaid figure
+)
+
+// short says whether a request gives way to those of first ranks: in a cut they keep a part of what is granted here, and at the
+// end of a budget the last of it. The caller holds mu.
+func (h *Holder) short(a *account, most int64, rank int) bool {
+	if rank < lastRank {
+		return false
+	}
+	if float64(a.unspent()-most) < keptAtEnd*float64(a.prepaid) {
+		return true
+	}
+	if h.now().Sub(h.answered) < h.times.Lost {
+		return false
+	}
+	held := a.row.row.Granted - a.row.row.Spent
+	return float64(a.row.row.Granted-a.used()-most) < keptInCut*float64(held)
+}
+
+// count measures what is asked for. The caller holds mu.
+func (h *Holder) count(a *account, tokens int64) {
+	a.meter.add(tokens)
+	h.own.add(tokens)
+}
+
+// refuse explains a refusal: the budget is used up, or this instance does not hold enough of it right now.
+func (h *Holder) refuse(customer string, most int64) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a := h.accounts[customer]
+	h.count(a, most)
+	if a.unspent() < most && h.now().Sub(h.answered) < h.times.Lost {
+		return verdict.New(verdict.NotRun, verdict.CodeBudgetExhausted, "what remains of the budget cannot hold the request",
+			verdict.WithRetryAfter(retryLater))
+	}
+	return refuseBudget("this instance holds too little of the budget now", retrySoon)
+}
+
+// refuseBudget is a refusal for now.
+func refuseBudget(detail string, after time.Duration) error {
+	return verdict.New(verdict.NotRun, verdict.CodeBudgetUnready, detail, verdict.WithRetryAfter(after))
+}
+
+// worthDrawing says whether a draw is likely to be answered and to bring something.
+func (h *Holder) worthDrawing(customer string, most int64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
+	a := h.accounts[customer]
+	if a.free+a.row.row.Granted-a.used() < most && a.unspent() >= most {
+		return false // others hold it
+	}
+	return !h.answered.IsZero() && now.Sub(h.answered) < h.times.Lost && now.Sub(a.dry) > h.times.Dry*h.crowd()
+}
--- a/internal/escrow/sizing.go
+++ b/internal/escrow/sizing.go
@@ -63,11 +63,12 @@
 
 // Need is what a holder asks for of one account.
 type Need struct {
-	Spent  int64 // spent or reserved so far
-	Want   int64 // to hold unspent
-	Burst  int64
-	Rate   int64
-	Urgent int64 // the least that a waiting request needs unspent; 0: none waits
+	Spent  int64 `cbor:"1,keyasint,omitempty"` // spent or reserved so far
+	Want   int64 `cbor:"2,keyasint,omitempty"` // to hold unspent
+	Burst  int64 `cbor:"3,keyasint,omitempty"`
+	Rate   int64 `cbor:"4,keyasint,omitempty"`
+	Urgent int64 `cbor:"5,keyasint,omitempty"` // the least that a waiting request needs unspent; 0: none waits
+	Keep   int64 `cbor:"6,keyasint,omitempty"` // the holder counts on a grant of this much already
 }
 
 // Grant sets a holder's row of an account so that nothing is overspent, and returns it. prepaid < 0 is no limit.
@@ -79,7 +80,7 @@
 	row := Row{Spent: n.Spent, Want: n.Want, Burst: n.Burst, Rate: n.Rate}
 	free := prepaid - a.Committed() + old.Granted // what the row may reach, counted from the holder's start
 	target := n.Spent + max(a.share(holder, n, prepaid), n.Urgent)
-	row.Granted = max(n.Spent, min(target, free))
+	row.Granted = max(n.Spent, n.Keep, min(target, free))
 	a.Rows[holder] = row
 	return row
 }
--- /dev/null
+++ b/internal/escrow/submit.go
@@ -0,0 +1,124 @@
+package escrow
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// submit lets the leader write this holder's rows: those of all pages on which something has changed.
+func (h *Holder) submit(ctx context.Context, regular bool) {
+	s := h.submission(regular)
+	if len(s.Parts) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, submissionLife)
+	defer cancel()
+	receipt, err := h.leader.Submit(ctx, s)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case err == nil:
+		h.heard()
+		for _, r := range receipt.Parts {
+			h.received(r)
+		}
+		close(h.changed)
+		h.changed = make(chan struct{})
+	case errors.Is(err, ErrNotTaken):
+		for _, part := range s.Parts {
+			h.withdrawn(part)
+		}
+	}
+	if err != nil {
+		h.log.Debug().Str("event", "escrow_submission_failed").Err(err).Msg("the zone's leader did not write the rows")
+	}
+}
+
+// submission collects what is to be written, and notes it as possibly in force.
+func (h *Holder) submission(regular bool) Submission {
+	s := Submission{Holder: h.id}
+	for i, p := range h.pages {
+		if !h.due(p, regular) {
+			continue
+		}
+		h.mu.Lock()
+		s.Parts = append(s.Parts, h.part(i, p))
+		h.mu.Unlock()
+	}
+	return s
+}
+
+// part makes the part of one page. The caller holds mu.
+func (h *Holder) part(i int, p *pageState) Part {
+	now := h.clock.Now()
+	part := Part{Page: i, Report: h.report(now, p.count+1), Rows: make(map[string]Need)}
+	for name, a := range h.accounts {
+		if h.pageOf(name) != p || a.prepaid < 0 {
+			continue
+		}
+		need := h.need(a, max(1, h.holders))
+		need.Keep = a.keep(need)
+		part.Rows[name] = need
+		least := Row{Granted: max(need.Keep, need.Spent), Spent: need.Spent, Want: need.Want, Burst: need.Burst, Rate: need.Rate}
+		a.unsure = append(a.unsure, issued{row: least, clock: time.Duration(part.Report.Clock) * time.Millisecond})
+	}
+	p.submitted = true
+	return part
+}
+
+// keep is the least that a holder's row may become while it does not know what it is: what it has, less what it gives back.
+func (a *account) keep(n Need) int64 {
+	held := a.row.row.Granted
+	for _, u := range a.unsure {
+		held = min(held, u.row.Granted)
+	}
+	if !a.told {
+		return held
+	}
+	return min(held, n.Spent+max(a.target, n.Urgent))
+}
+
+// received takes a leader's receipt for a page. The caller holds mu.
+func (h *Holder) received(r PartReceipt) {
+	if r.Page < 0 || r.Page >= len(h.pages) {
+		return
+	}
+	p := h.pages[r.Page]
+	if r.Present && r.Report.Count <= p.count {
+		return // an older word than the one that is known
+	}
+	if !r.Present && !p.joined {
+		return
+	}
+	p.count, p.submitted, p.unsure = r.Report.Count, false, -1
+	p.joined, p.known, p.drawn = true, false, h.now()
+	h.holders, h.toldRate = r.Holders, r.Rate
+	for name, a := range h.accounts {
+		if h.pageOf(name) != p {
+			continue
+		}
+		held, ok := r.Rows[name]
+		if !ok {
+			a.confirm(issued{})
+			continue
+		}
+		a.confirm(issued{row: held.Row, clock: time.Duration(r.Report.Clock) * time.Millisecond})
+		a.rest, a.free, a.others, a.target, a.toldRate, a.told = held.Rest, held.Free, held.Others, held.Target, held.Rate, true
+		p.reported[name] = held.Row.Spent
+	}
+}
+
+// withdrawn takes back a part that no leader has seen. The caller holds mu.
+func (h *Holder) withdrawn(part Part) {
+	p := h.pages[part.Page]
+	left := false
+	for name := range part.Rows {
+		a := h.accounts[name]
+		a.unsure = a.unsure[:max(0, len(a.unsure)-1)]
+		left = left || len(a.unsure) > 0
+	}
+	if !left {
+		p.submitted = false
+	}
+}
--- a/internal/external/kv.go
+++ b/internal/external/kv.go
@@ -25,6 +25,7 @@
 type Commit struct {
 	When []Condition
 	Put  []Entry // Revision is not used
+	Drop []string
 }
 
 // ConflictError says that a condition did not hold. Current has the keys of the conditions as they are.
@@ -38,6 +39,17 @@
 // Is makes the error match ErrConflict.
 func (e *ConflictError) Is(target error) bool { return target == ErrConflict }
 
+type staleKey struct{}
+
+// WithStale marks reads under ctx that may be answered from a copy some seconds old, where the store has such reads cheaper.
+func WithStale(ctx context.Context) context.Context { return context.WithValue(ctx, staleKey{}, true) }
+
+// Stale says whether WithStale marked a read.
+func Stale(ctx context.Context) bool {
+	on, _ := ctx.Value(staleKey{}).(bool)
+	return on
+}
+
 // KV is a store with conditional writes of several keys and a history of changes.
 type KV interface {
 	// Read reads a key; an absent key has revision 0 and no error. The second value is the store's revision.
--- a/internal/external/memkv/memkv.go
+++ b/internal/external/memkv/memkv.go
@@ -85,6 +85,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
+	s.drop(key)
+}
+
+// drop removes a key at the present revision. The caller holds mu.
+func (s *Store) drop(key string) {
 	delete(s.entries, key)
 	s.history = append(s.history, external.Change{Entry: external.Entry{Key: key, Revision: s.revision}, Gone: true})
 }
@@ -200,5 +205,8 @@
 		s.entries[p.Key] = p
 		s.history = append(s.history, external.Change{Entry: p})
 	}
+	for _, key := range c.Drop {
+		s.drop(key)
+	}
 	return s.revision
 }
--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,177 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ledgemount/ledgemount/internal/external/memkv"
+	"github.com/ledgemount/ledgemount/internal/follow"
+	"github.com/ledgemount/ledgemount/internal/mesh"
+	"github.com/ledgemount/ledgemount/internal/mesh/meshtest"
+	"github.com/ledgemount/ledgemount/internal/peers"
+	"github.com/ledgemount/ledgemount/internal/pool"
+	"github.com/ledgemount/ledgemount/internal/route"
+)
+
+// script is a store's side that answers what a test sets.
+type script struct {
+	update follow.Update
+	err    error
+	calls  int
+}
+
+func (s *script) Snapshot(context.Context) (follow.Update, error) {
+	s.calls++
+	return s.update, s.err
+}
+
+func (s *script) Changes(context.Context, follow.Cursor, bool) (follow.Update, error) {
+	s.calls++
+	return s.update, s.err
+}
+
+var errDown = errors.New("the store is down")
+
+// end is one instance: its directory, its path to the store, and its follower.
+type end struct {
+	dir      *peers.Directory
+	store    *script
+	source   *Source
+	follower *follow.Follower
+	pool     *pool.Pool
+}
+
+// bed is two instances of one zone; the first one leads.
+type bed struct {
+	net          *meshtest.Net
+	at           time.Time
+	lead, member *end
+}
+
+func newBed(ctx context.Context) *bed {
+	b := &bed{net: meshtest.New(), at: time.Unix(1000, 0)}
+	kv := memkv.New()
+	now := func() time.Time { return b.at }
+	for i, id := range []string{"lead", "member"} {
+		r := mesh.NewRouter()
+		self := mesh.Peer{ID: id, Zone: "a", Addr: id + ":1"}
+		e := &end{store: &script{}, pool: pool.New("a")}
+		e.dir = peers.New(kv, "p/", peers.Record{Peer: self, Capacity: float64(9 - i)}, r, peers.WithLarge(2),
+			peers.WithNow(now), peers.WithCaller(b.net.Join(self, r)))
+		e.source = NewSource(e.dir, e.store)
+		e.follower = follow.New(e.source, e.pool, follow.WithNow(now), follow.WithOwn(func() bool { return false }))
+		Serve(r, e.follower)
+		if i == 0 {
+			b.lead = e
+		} else {
+			b.member = e
+		}
+	}
+	for range 2 {
+		for _, e := range []*end{b.lead, b.member} {
+			run, cancel := context.WithCancel(ctx)
+			go func() { time.Sleep(20 * time.Millisecond); cancel() }()
+			So(e.dir.Run(run), ShouldBeNil)
+		}
+	}
+	return b
+}
+
+func config(version int64) *route.Config {
+	return &route.Config{
+		Version: version, Services: []route.Service{{Name: "models"}},
+		Routes: []route.Route{{Host: "h", Prefix: "/", Timeout: time.Second, Split: []route.Share{{Service: "models", Weight: 1}}}},
+	}
+}
+
+func endpoint(id string) pool.Endpoint {
+	return pool.Endpoint{ID: id, Service: "models", Addr: id + ":80", Zone: "a", Slots: 4}
+}
+
+func TestFeed(t *testing.T) {
+	ctx := context.Background()
+	Convey("An instance whose zone is led", t, func() {
+		b := newBed(ctx)
+		b.lead.store.update = follow.Update{
+			Config: config(3), ConfigAt: 7, At: 9, Events: 2, Endpoints: []pool.Endpoint{endpoint("e-1"), endpoint("e-2")},
+		}
+		So(b.lead.follower.Step(ctx), ShouldBeNil)
+
+		Convey("learns everything from the leader, without a call to the store", func() {
+			So(b.member.follower.Step(ctx), ShouldBeNil)
+			So(b.member.store.calls, ShouldEqual, 0)
+			So(b.member.follower.Table().Version(), ShouldEqual, 3)
+			r, ok := b.member.follower.Table().Match("h", "/x")
+			So(ok, ShouldBeTrue)
+			So(r.Timeout, ShouldEqual, time.Second)
+			So(b.member.pool.Len(), ShouldEqual, 2)
+
+			Convey("and then what changes: an endpoint that drains, one that goes and one that comes back", func() {
+				draining := endpoint("e-1")
+				draining.Draining = true
+				b.lead.store.update = follow.Update{At: 12, ConfigAt: 7, Events: 2, Endpoints: []pool.Endpoint{draining}, Gone: []string{"e-2"}}
+				So(b.lead.follower.Step(ctx), ShouldBeNil)
+				So(b.member.follower.Step(ctx), ShouldBeNil)
+				So(b.member.pool.Len(), ShouldEqual, 0)
+				b.lead.store.update = follow.Update{At: 14, ConfigAt: 7, Events: 1, Gone: []string{"e-1"}}
+				So(b.lead.follower.Step(ctx), ShouldBeNil)
+				b.lead.store.update = follow.Update{At: 15, ConfigAt: 7, Events: 1, Endpoints: []pool.Endpoint{endpoint("e-2")}}
+				So(b.lead.follower.Step(ctx), ShouldBeNil)
+				So(b.member.follower.Step(ctx), ShouldBeNil)
+				So(b.member.pool.Len(), ShouldEqual, 1)
+				So(b.member.store.calls, ShouldEqual, 0)
+			})
+
+			Convey("and a newer configuration, which is packed once", func() {
+				b.lead.store.update = follow.Update{At: 20, ConfigAt: 20, Events: 1, Config: config(5)}
+				So(b.lead.follower.Step(ctx), ShouldBeNil)
+				So(b.member.follower.Step(ctx), ShouldBeNil)
+				So(b.member.follower.Table().Version(), ShouldEqual, 5)
+			})
+		})
+
+		Convey("asks the store where the leader has not heard it lately", func() {
+			b.lead.store.err = errDown
+			b.at = b.at.Add(mostAge + time.Millisecond)
+			So(b.lead.follower.Step(ctx), ShouldNotBeNil)
+			b.member.store.update = follow.Update{Config: config(4), ConfigAt: 8, At: 10, Events: 1}
+			So(b.member.follower.Step(ctx), ShouldBeNil)
+			So(b.member.store.calls, ShouldEqual, 1)
+			So(b.member.follower.Table().Version(), ShouldEqual, 4)
+		})
+
+		Convey("asks the store where the leader cannot be reached, and goes on from there at the leader", func() {
+			So(b.member.follower.Step(ctx), ShouldBeNil)
+			b.net.SetDown("lead:1", true)
+			b.member.store.update = follow.Update{At: 30, ConfigAt: 7, Events: 1, Gone: []string{"e-1"}}
+			So(b.member.follower.Step(ctx), ShouldBeNil)
+			So(b.member.pool.Len(), ShouldEqual, 1)
+			b.net.SetDown("lead:1", false)
+			b.at = b.at.Add(800 * time.Millisecond)
+			So(b.member.follower.Step(ctx), ShouldBeNil)
+			So(b.member.store.calls, ShouldEqual, 1)
+			So(b.member.pool.Len(), ShouldEqual, 1)
+		})
+
+		Convey("is told everything when it has missed too much", func() {
+			So(b.member.follower.Step(ctx), ShouldBeNil)
+			for i := range 100 {
+				e := endpoint("e-1")
+				e.Draining = i%2 == 0
+				b.lead.store.update = follow.Update{At: int64(20 + i), ConfigAt: 7, Events: 1, Endpoints: []pool.Endpoint{e}}
+				So(b.lead.follower.Step(ctx), ShouldBeNil)
+			}
+			So(b.member.follower.Step(ctx), ShouldBeNil)
+			So(b.member.pool.Len(), ShouldEqual, 2)
+		})
+	})
+
+	Convey("A packed configuration that is torn is an error", t, func() {
+		_, err := unpack([]byte("torn"))
+		So(err, ShouldNotBeNil)
+	})
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,9 @@
 	At        int64            // the revision to go on from
 	ConfigAt  int64            // the revision of the configuration that was read last; 0: none was
 	Events    int              // changes that the store told, of whatever kind
+	Whole     bool             // Endpoints is all of them, though changes were asked for
+	Peer      bool             // it comes from another instance, which follows the store
+	Age       time.Duration    // since that instance heard the store
 }
 
 // Source reads the store in the product's terms.
@@ -50,6 +54,7 @@
 // Times are a follower's intervals.
 type Times struct {
 	Poll    time.Duration // between calls
+	Ask     time.Duration // between calls that another instance answers
 	Call    time.Duration // limit of one call
 	Retry   time.Duration // after a call that failed
 	Silence time.Duration // without any change for this long, everything is read again
@@ -57,7 +62,10 @@
 
 // DefaultTimes put a change in force well within two seconds of its acknowledgement.
 func DefaultTimes() Times {
-	return Times{Poll: 500 * time.Millisecond, Call: 800 * time.Millisecond, Retry: 150 * time.Millisecond, Silence: 1200 * time.Millisecond}
+	return Times{
+		Poll: 500 * time.Millisecond, Ask: 300 * time.Millisecond, Call: 800 * time.Millisecond, Retry: 150 * time.Millisecond,
+		Silence: 1200 * time.Millisecond,
+	}
 }
 
 // Follower is the service that follows the store.
@@ -72,6 +80,7 @@
 	entries func(external.Entry)
 	polled  func(own bool)
 	own     func() bool
+	history *history
 
 	mu       sync.Mutex
 	since    Cursor
@@ -79,6 +88,7 @@
 	told     time.Time // the last answer that told of any change
 	deaf     bool      // answers have told nothing for too long
 	failed   int       // calls for changes that failed in a row
+	near     bool      // the last answer came from another instance
 	lost     bool
 }
 
@@ -114,7 +124,7 @@
 func New(source Source, p *pool.Pool, opts ...Option) *Follower {
 	f := &Follower{
 		source: source, pool: p, times: DefaultTimes(), now: time.Now, log: zerolog.Nop(), entries: func(external.Entry) {},
-		polled: func(bool) {}, own: func() bool { return true },
+		polled: func(bool) {}, own: func() bool { return true }, history: newHistory(),
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -138,16 +148,9 @@
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		err := f.step(ctx)
+		err := f.Step(ctx)
 		f.note(err)
-		wait := f.times.Poll
-		if !f.own() {
-			wait *= largeFleetPolls
-		}
-		if err != nil {
-			wait = f.times.Retry
-		}
-		t := time.NewTimer(wait)
+		t := time.NewTimer(f.wait(err))
 		select {
 		case <-ctx.Done():
 		case <-t.C:
@@ -157,11 +160,24 @@
 	return nil
 }
 
-// largeFleetPolls is by how much polls are rarer in a large fleet, where each of them takes two calls.
-const largeFleetPolls = 2
+// wait is the time until the next call.
+func (f *Follower) wait(err error) time.Duration {
+	switch {
+	case err != nil && f.own():
+		return f.times.Retry
+	case err != nil:
+		return largeFleetRetries*f.times.Retry + rand.N(f.times.Retry)
+	case f.near:
+		return f.times.Ask
+	}
+	return f.times.Poll
+}
+
+// largeFleetRetries is by how much calls that failed are repeated more rarely in a large fleet.
+const largeFleetRetries = 4
 
-// step makes one call and applies what it brings.
-func (f *Follower) step(ctx context.Context) error {
+// Step makes one call and applies what it brings.
+func (f *Follower) Step(ctx context.Context) error {
 	if f.since.At > 0 && !f.deaf && f.failed < mostFailed {
 		err := f.follow(ctx)
 		if !errors.Is(err, external.ErrHistoryGone) {
@@ -187,13 +203,14 @@
 		return eris.Wrap(err, "reading what has changed")
 	}
 	f.failed = 0
+	f.near = u.Peer
 	now := f.now()
 	if u.Events > 0 || f.told.IsZero() {
 		f.told = now
 	}
 	f.deaf = now.Sub(f.told) >= f.times.Silence
-	f.apply(u, false)
-	f.polled(own)
+	f.apply(u, u.Whole)
+	f.polled(own && !u.Peer)
 	return nil
 }
 
@@ -205,7 +222,7 @@
 	if err != nil {
 		return eris.Wrap(err, "reading the configuration and the endpoints")
 	}
-	f.told, f.deaf = f.now(), false
+	f.told, f.deaf, f.near = f.now(), false, u.Peer
 	f.apply(u, true)
 	return nil
 }
@@ -223,6 +240,7 @@
 	if u.Config != nil {
 		f.take(*u.Config)
 	}
+	f.history.add(u, whole, f.since, f.now().Add(-u.Age))
 	if whole {
 		came, went := f.pool.Replace(u.Endpoints)
 		f.logEndpoints("endpoints_read", came, went, u.At)
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -38,7 +38,7 @@
 		}}
 		p := pool.New("z")
 		f := New(src, p, WithNow(func() time.Time { return now }))
-		step := func() error { return f.step(context.Background()) }
+		step := func() error { return f.Step(context.Background()) }
 		So(step(), ShouldBeNil)
 		So(f.Table().Version(), ShouldEqual, 5)
 
--- a/internal/mesh/keys.go
+++ b/internal/mesh/keys.go
@@ -52,6 +52,32 @@
 	return &Authority{cert: cert, key: key, pem: encodePEM("CERTIFICATE", der)}, nil
 }
 
+// LoadAuthority reads an authority from its certificate and key, both PEM.
+func LoadAuthority(certPEM, keyPEM []byte) (*Authority, error) {
+	pair, err := tls.X509KeyPair(certPEM, keyPEM)
+	if err != nil {
+		return nil, eris.Wrap(err, "reading the authority's certificate and key")
+	}
+	cert, err := x509.ParseCertificate(pair.Certificate[0])
+	if err != nil {
+		return nil, eris.Wrap(err, "parsing the authority's certificate")
+	}
+	key, ok := pair.PrivateKey.(*ecdsa.PrivateKey)
+	if !ok || !cert.IsCA {
+		return nil, eris.New("reading the authority's certificate and key: they are not an authority's")
+	}
+	return &Authority{cert: cert, key: key, pem: certPEM}, nil
+}
+
+// KeyPEM is the authority's key: whoever has it can make certificates of the fleet.
+func (a *Authority) KeyPEM() ([]byte, error) {
+	der, err := x509.MarshalPKCS8PrivateKey(a.key)
+	if err != nil {
+		return nil, eris.Wrap(err, "encoding the authority's key")
+	}
+	return encodePEM("PRIVATE KEY", der), nil
+}
+
 // PEM is the authority's certificate.
 func (a *Authority) PEM() []byte { return a.pem }
 
--- a/internal/mesh/transport.go
+++ b/internal/mesh/transport.go
@@ -364,6 +364,20 @@
 	close(l.ready)
 }
 
+// Forget gives up the connection to an address. The next call dials anew: one that was cut for long takes long to recover.
+func (t *Transport) Forget(addr string) {
+	t.mu.Lock()
+	var conn *quic.Conn
+	if l, ok := t.conns[addr]; ok {
+		conn = l.conn
+		delete(t.conns, addr)
+	}
+	t.mu.Unlock()
+	if conn != nil {
+		_ = conn.CloseWithError(closeNormally, "given up")
+	}
+}
+
 func (t *Transport) drop(addr string, conn *quic.Conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- /dev/null
+++ b/internal/peers/directory.go
@@ -0,0 +1,336 @@
+// Package peers knows the fleet's other instances and carries calls to those that lead this instance's availability zone.
+//
+// Each instance keeps a record of itself in the store and reads all of them now and then. In a small fleet that is all. In a
+// large one the instances of a zone are ranked, and each asks the first that it can reach before it asks the store itself, so
+// that the store's calls grow with zones and not with instances. The rank is a hint, never a proof: two instances may both
+// believe that they lead, and only efficiency suffers.
+package peers
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"github.com/ledgemount/ledgemount/internal/external"
+	"github.com/ledgemount/ledgemount/internal/mesh"
+)
+
+// Record is what an instance tells the fleet of itself.
+type Record struct {
+	Peer     mesh.Peer `cbor:"1,keyasint"`
+	Capacity float64   `cbor:"2,keyasint,omitempty"` // size of its machine; larger ones lead
+}
+
+// Times are a directory's intervals.
+type Times struct {
+	Young  time.Duration // after the start the records are read more often
+	Soon   time.Duration // between reads while young
+	Read   time.Duration // between reads later on
+	Call   time.Duration // limit of one call to the store
+	First  time.Duration // an instance that could not be reached is left alone for this long
+	Longer time.Duration // the most that this grows to
+}
+
+// DefaultTimes suit a store that answers in milliseconds and zones a millisecond wide.
+func DefaultTimes() Times {
+	return Times{
+		Young: 8 * time.Second, Soon: 700 * time.Millisecond, Read: 5 * time.Second, Call: 900 * time.Millisecond,
+		First: 700 * time.Millisecond, Longer: 3 * time.Second,
+	}
+}
+
+// DefaultLarge is the number of instances from which a fleet is large.
+const DefaultLarge = 17
+
+// mostLeaders is the number of instances that one tries to reach before it does the work itself.
+const mostLeaders = 3
+
+// Where records lie under the fleet's prefix.
+const (
+	recordsPrefix = "peers/"
+	authorityKey  = "authority"
+)
+
+// Directory is the service that keeps the records.
+type Directory struct {
+	store  external.KV
+	prefix string
+	self   Record
+	router *mesh.Router
+	times  Times
+	now    func() time.Time
+	log    zerolog.Logger
+	large  int
+	open   func() (mesh.Caller, error) // nil: over QUIC
+	caller atomic.Pointer[mesh.Caller]
+
+	mu       sync.Mutex
+	begun    time.Time
+	records  map[string]Record
+	ahead    []Record // of the own zone, ranked before this instance, best first
+	zone     int      // instances of the own zone, this one among them
+	suspects map[string]*suspicion
+	leaving  bool
+	leader   string // as last logged
+}
+
+// Option changes a Directory.
+type Option func(*Directory)
+
+// WithTimes replaces the intervals.
+func WithTimes(t Times) Option { return func(d *Directory) { d.times = t } }
+
+// WithNow replaces the clock.
+func WithNow(now func() time.Time) Option { return func(d *Directory) { d.now = now } }
+
+// WithLogger sets the logger.
+func WithLogger(log zerolog.Logger) Option { return func(d *Directory) { d.log = log } }
+
+// WithLarge sets the number of instances from which a fleet is large.
+func WithLarge(n int) Option { return func(d *Directory) { d.large = n } }
+
+// WithCaller replaces QUIC.
+func WithCaller(c mesh.Caller) Option {
+	return func(d *Directory) { d.open = func() (mesh.Caller, error) { return c, nil } }
+}
+
+// New makes a directory. Records lie under prefix in the store; router has the handlers for calls of other instances. An
+// instance without an address in self keeps no record, and leads itself.
+func New(store external.KV, prefix string, self Record, router *mesh.Router, opts ...Option) *Directory {
+	d := &Directory{
+		store: store, prefix: prefix, self: self, router: router, times: DefaultTimes(), now: time.Now, log: zerolog.Nop(),
+		large: DefaultLarge, records: make(map[string]Record), suspects: make(map[string]*suspicion), zone: 1,
+	}
+	for _, opt := range opts {
+		opt(d)
+	}
+	return d
+}
+
+// Name implements kernel.Service.
+func (*Directory) Name() string { return "peers" }
+
+// Run implements kernel.Service: it keeps this instance's record, and reads those of all.
+func (d *Directory) Run(ctx context.Context) error {
+	if d.self.Peer.Addr == "" {
+		<-ctx.Done()
+		return nil
+	}
+	d.mu.Lock()
+	d.begun = d.now()
+	d.mu.Unlock()
+	told := false
+	for ctx.Err() == nil {
+		if !told && !d.leaves() {
+			told = d.tell(ctx) == nil
+		}
+		if err := d.read(ctx); err != nil {
+			d.log.Debug().Str("event", "peers_unread").Err(err).Msg("the instances' records were not read")
+		}
+		d.connect(ctx)
+		d.sleep(ctx)
+	}
+	return d.disconnect()
+}
+
+func (d *Directory) sleep(ctx context.Context) {
+	wait := d.times.Read
+	if d.now().Sub(d.begun) < d.times.Young {
+		wait = d.times.Soon
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// tell writes this instance's record.
+func (d *Directory) tell(ctx context.Context) error {
+	raw, err := cbor.Marshal(d.self)
+	if err != nil {
+		return eris.Wrap(err, "encoding the instance's record")
+	}
+	return d.commit(ctx, external.Commit{Put: []external.Entry{{Key: d.recordKey(), Data: raw}}})
+}
+
+func (d *Directory) leaves() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.leaving
+}
+
+// Leave removes this instance's record: others ask it no more.
+func (d *Directory) Leave(ctx context.Context) error {
+	if d.self.Peer.Addr == "" {
+		return nil
+	}
+	d.mu.Lock()
+	d.leaving = true
+	d.mu.Unlock()
+	return d.commit(ctx, external.Commit{Drop: []string{d.recordKey()}})
+}
+
+func (d *Directory) commit(ctx context.Context, c external.Commit) error {
+	ctx, cancel := context.WithTimeout(ctx, d.times.Call)
+	defer cancel()
+	_, err := d.store.Commit(ctx, c)
+	return eris.Wrap(err, "writing the instance's record")
+}
+
+func (d *Directory) recordKey() string { return d.prefix + recordsPrefix + d.self.Peer.ID }
+
+// read reads all records, from a copy that may be some seconds old.
+func (d *Directory) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(external.WithStale(ctx), d.times.Call)
+	defer cancel()
+	entries, _, err := d.store.ReadAll(ctx, d.prefix+recordsPrefix)
+	if err != nil {
+		return eris.Wrap(err, "reading the instances' records")
+	}
+	records := make(map[string]Record, len(entries)+1)
+	for _, e := range entries {
+		var r Record
+		if err := cbor.Unmarshal(e.Data, &r); err != nil || r.Peer.ID == "" {
+			d.log.Warn().Str("event", "record_rejected").Str("key", e.Key).Err(err).Msg("an instance's record cannot be read")
+			continue
+		}
+		records[r.Peer.ID] = r
+	}
+	records[d.self.Peer.ID] = d.self
+	d.take(records)
+	return nil
+}
+
+// connect opens the links once the fleet is large.
+func (d *Directory) connect(ctx context.Context) {
+	if !d.Large() || d.caller.Load() != nil {
+		return
+	}
+	c, err := d.dialer(ctx)
+	if err != nil {
+		d.log.Warn().Str("event", "peers_unlinked").Err(err).Msg("no links to other instances yet")
+		return
+	}
+	d.caller.Store(&c)
+	d.log.Info().Str("event", "peers_linked").Str("listen", d.self.Peer.Addr).Int("zone", d.ZoneSize()).Msg("links to other instances are open")
+}
+
+func (d *Directory) dialer(ctx context.Context) (mesh.Caller, error) {
+	if d.open != nil {
+		return d.open()
+	}
+	cfg, err := d.identity(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return mesh.Listen(d.self.Peer, cfg, d.router, mesh.WithLogger(d.log))
+}
+
+func (d *Directory) disconnect() error {
+	c := d.caller.Load()
+	if c == nil {
+		return nil
+	}
+	if t, ok := (*c).(interface{ Close() error }); ok {
+		return t.Close()
+	}
+	return nil
+}
+
+// Large says whether the fleet is so large that its zones are led.
+func (d *Directory) Large() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.records) >= d.large
+}
+
+// Size is the number of instances whose records are known, at least 1.
+func (d *Directory) Size() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return max(1, len(d.records))
+}
+
+// ZoneSize is the number of instances of the own zone, this one among them.
+func (d *Directory) ZoneSize() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.zone
+}
+
+// Leads says whether this instance leads its zone, as far as it knows.
+func (d *Directory) Leads() bool { return len(d.Leaders()) == 0 }
+
+// Stranded says whether this instance does the work itself only because those that lead cannot be reached.
+func (d *Directory) Stranded() bool {
+	d.mu.Lock()
+	ahead := len(d.ahead)
+	d.mu.Unlock()
+	return ahead > 0 && d.Large() && d.Leads()
+}
+
+// Leaders are the instances to ask, best first; none means that this instance does the work itself.
+func (d *Directory) Leaders() []mesh.Peer {
+	if d.caller.Load() == nil {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	var out []mesh.Peer
+	for _, r := range d.ahead[:min(len(d.ahead), mostLeaders)] {
+		if s := d.suspects[r.Peer.ID]; s != nil && now.Before(s.until) {
+			continue
+		}
+		out = append(out, r.Peer)
+	}
+	d.note(out)
+	return out
+}
+
+// note logs who leads when that has changed. The caller holds mu.
+func (d *Directory) note(leaders []mesh.Peer) {
+	leader := d.self.Peer.ID
+	if len(leaders) > 0 {
+		leader = leaders[0].ID
+	}
+	if leader == d.leader {
+		return
+	}
+	d.log.Info().Str("event", "leader_changed").Str("leader", leader).Str("before", d.leader).Int("zone", d.zone).Msg("another instance leads the zone")
+	d.leader = leader
+}
+
+// Call asks an instance. One that cannot be reached, or does not answer in time, is left alone for a while.
+func Call[Req, Resp any](ctx context.Context, d *Directory, to mesh.Peer, kind mesh.Kind, req Req) (Resp, error) {
+	var none Resp
+	c := d.caller.Load()
+	if c == nil {
+		return none, eris.Wrap(mesh.ErrUnreachable, "no links are open")
+	}
+	resp, err := mesh.Call[Req, Resp](ctx, *c, to.Addr, kind, req)
+	d.learn(to, *c, err)
+	return resp, err
+}
+
+func (d *Directory) learn(to mesh.Peer, c mesh.Caller, err error) {
+	failed := errors.Is(err, mesh.ErrUnreachable) || errors.Is(err, mesh.ErrNoReply)
+	d.mu.Lock()
+	if failed {
+		d.suspect(to.ID)
+	} else {
+		delete(d.suspects, to.ID)
+	}
+	d.mu.Unlock()
+	if f, ok := c.(interface{ Forget(addr string) }); ok && failed {
+		f.Forget(to.Addr)
+	}
+}
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,160 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ledgemount/ledgemount/internal/external/memkv"
+	"github.com/ledgemount/ledgemount/internal/mesh"
+	"github.com/ledgemount/ledgemount/internal/mesh/meshtest"
+)
+
+const kindEcho mesh.Kind = "test.echo"
+
+// fleet is some directories over one store and one net, in one zone, the first with the largest machine.
+type fleet struct {
+	store *memkv.Store
+	net   *meshtest.Net
+	at    time.Time
+	dirs  []*Directory
+}
+
+func newFleet(n, large int) *fleet {
+	f := &fleet{store: memkv.New(), net: meshtest.New(), at: time.Unix(1000, 0)}
+	for i := range n {
+		r := mesh.NewRouter()
+		peer := mesh.Peer{ID: fmt.Sprintf("i-%d", i), Zone: "a", Addr: fmt.Sprintf("10.0.0.%d:1", i)}
+		mesh.Handle(r, kindEcho, func(context.Context, mesh.Peer, string) (string, error) { return peer.ID, nil })
+		d := New(f.store, "p/", Record{Peer: peer, Capacity: float64(n - i)}, r, WithLarge(large),
+			WithNow(func() time.Time { return f.at }), WithCaller(f.net.Join(peer, r)))
+		f.dirs = append(f.dirs, d)
+	}
+	return f
+}
+
+// meet lets all tell of themselves and read of the others.
+func (f *fleet) meet(ctx context.Context) {
+	for _, d := range f.dirs {
+		So(d.tell(ctx), ShouldBeNil)
+	}
+	for _, d := range f.dirs {
+		So(d.read(ctx), ShouldBeNil)
+		d.connect(ctx)
+	}
+}
+
+func ids(peers []mesh.Peer) []string {
+	out := make([]string, 0, len(peers))
+	for _, p := range peers {
+		out = append(out, p.ID)
+	}
+	return out
+}
+
+func TestDirectory(t *testing.T) {
+	ctx := context.Background()
+
+	Convey("In a small fleet each instance does its own work", t, func() {
+		f := newFleet(3, 4)
+		f.meet(ctx)
+		for _, d := range f.dirs {
+			So(d.Large(), ShouldBeFalse)
+			So(d.Leads(), ShouldBeTrue)
+			So(d.Stranded(), ShouldBeFalse)
+			So(d.Size(), ShouldEqual, 3)
+		}
+	})
+
+	Convey("In a large fleet", t, func() {
+		f := newFleet(6, 4)
+		f.meet(ctx)
+		last := f.dirs[5]
+
+		Convey("the largest machines lead, and at most three are asked", func() {
+			So(ids(last.Leaders()), ShouldResemble, []string{"i-0", "i-1", "i-2"})
+			So(f.dirs[0].Leads(), ShouldBeTrue)
+			So(f.dirs[0].Stranded(), ShouldBeFalse)
+			So(ids(f.dirs[1].Leaders()), ShouldResemble, []string{"i-0"})
+			So(last.ZoneSize(), ShouldEqual, 6)
+		})
+
+		Convey("one that cannot be reached is left alone, longer each time, and asked again once it answers", func() {
+			f.net.SetDown("10.0.0.0:1", true)
+			first := last.Leaders()[0]
+			_, err := Call[string, string](ctx, last, first, kindEcho, "")
+			So(errors.Is(err, mesh.ErrUnreachable), ShouldBeTrue)
+			So(ids(last.Leaders()), ShouldResemble, []string{"i-1", "i-2"})
+			f.at = f.at.Add(last.times.First)
+			So(ids(last.Leaders())[0], ShouldEqual, "i-0")
+			_, _ = Call[string, string](ctx, last, first, kindEcho, "")
+			f.at = f.at.Add(last.times.First)
+			So(ids(last.Leaders())[0], ShouldEqual, "i-1")
+			f.net.SetDown("10.0.0.0:1", false)
+			f.at = f.at.Add(last.times.Longer)
+			got, err := Call[string, string](ctx, last, first, kindEcho, "")
+			So(err, ShouldBeNil)
+			So(got, ShouldEqual, "i-0")
+			So(last.suspects, ShouldBeEmpty)
+		})
+
+		Convey("an instance that can reach none does the work itself, and knows why", func() {
+			f.net.SetCut(func(_, _ mesh.Peer) bool { return true })
+			for _, p := range last.Leaders() {
+				_, _ = Call[string, string](ctx, last, p, kindEcho, "")
+			}
+			So(last.Leads(), ShouldBeTrue)
+			So(last.Stranded(), ShouldBeTrue)
+		})
+
+		Convey("one that has left is asked no more", func() {
+			So(f.dirs[0].Leave(ctx), ShouldBeNil)
+			So(last.read(ctx), ShouldBeNil)
+			So(ids(last.Leaders())[0], ShouldEqual, "i-1")
+			So(last.Size(), ShouldEqual, 5)
+		})
+
+		Convey("instances of other zones and records that cannot be read are passed over", func() {
+			raw, _ := cbor.Marshal(Record{Peer: mesh.Peer{ID: "far", Zone: "b", Addr: "10.1.0.1:1"}, Capacity: 99})
+			f.store.Put("p/peers/far", raw)
+			f.store.Put("p/peers/torn", []byte("?"))
+			So(last.read(ctx), ShouldBeNil)
+			So(last.Size(), ShouldEqual, 7)
+			So(ids(last.Leaders())[0], ShouldEqual, "i-0")
+		})
+	})
+}
+
+func TestIdentity(t *testing.T) {
+	Convey("Instances that need the fleet's authority at once make one, and trust each other", t, func() {
+		ctx := context.Background()
+		store := memkv.New()
+		router := mesh.NewRouter()
+		mesh.Handle(router, kindEcho, func(_ context.Context, from mesh.Peer, _ string) (string, error) { return from.ID, nil })
+		ends := make([]*mesh.Transport, 0, 2)
+		for _, id := range []string{"i-0", "i-1"} {
+			self := mesh.Peer{ID: id, Zone: "a", Addr: "127.0.0.1:0"}
+			d := New(store, "p/", Record{Peer: self}, router)
+			cfg, err := d.identity(ctx)
+			So(err, ShouldBeNil)
+			end, err := mesh.Listen(self, cfg, router)
+			So(err, ShouldBeNil)
+			defer func() { _ = end.Close() }()
+			ends = append(ends, end)
+		}
+		got, err := mesh.Call[string, string](ctx, ends[1], ends[0].Self().Addr, kindEcho, "")
+		So(err, ShouldBeNil)
+		So(got, ShouldEqual, "i-1")
+
+		Convey("and one that cannot be read is an error", func() {
+			store.Put("p/"+authorityKey, []byte("?"))
+			_, err := New(store, "p/", Record{}, router).identity(ctx)
+			So(err, ShouldNotBeNil)
+		})
+	})
+}
--- /dev/null
+++ b/internal/peers/rank.go
@@ -0,0 +1,66 @@
+package peers
+
+import (
+	"sort"
+	"time"
+
+	"github.com/ledgemount/ledgemount/internal/member"
+	"github.com/ledgemount/ledgemount/internal/mesh"
+)
+
+// suspicion keeps calls from an instance that could not be reached.
+type suspicion struct {
+	until time.Time
+	pause time.Duration
+}
+
+// suspect leaves an instance alone for a while, longer each time in a row. The caller holds mu.
+func (d *Directory) suspect(id string) {
+	s := d.suspects[id]
+	if s == nil {
+		s = &suspicion{}
+		d.suspects[id] = s
+	}
+	if s.pause == 0 {
+		s.pause = d.times.First
+	} else {
+		s.pause = min(2*s.pause, d.times.Longer)
+	}
+	s.until = d.now().Add(s.pause)
+}
+
+// take puts new records in the place of the old.
+func (d *Directory) take(records map[string]Record) {
+	ranked := rank(d.self.Peer.Zone, records)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.records, d.zone, d.ahead = records, len(ranked), nil
+	for _, r := range ranked {
+		if r.Peer.ID == d.self.Peer.ID {
+			break
+		}
+		d.ahead = append(d.ahead, r)
+	}
+	for id := range d.suspects {
+		if _, known := records[id]; !known {
+			delete(d.suspects, id)
+		}
+	}
+}
+
+// rank orders a zone's instances: larger machines first, equal ones by rendezvous hashing. All instances with the same records
+// come to the same order.
+func rank(zone string, records map[string]Record) []Record {
+	var list []mesh.Peer
+	for _, r := range records {
+		if r.Peer.Zone == zone {
+			list = append(list, r.Peer)
+		}
+	}
+	out := make([]Record, 0, len(list))
+	for _, p := range member.Rank(zone, list) {
+		out = append(out, records[p.ID])
+	}
+	sort.SliceStable(out, func(i, j int) bool { return out[i].Capacity > out[j].Capacity })
+	return out
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -13,9 +13,13 @@
 
 	"github.com/ledgemount/ledgemount/internal/edge"
 	"github.com/ledgemount/ledgemount/internal/escrow"
+	"github.com/ledgemount/ledgemount/internal/escrow/remote"
 	"github.com/ledgemount/ledgemount/internal/external"
+	"github.com/ledgemount/ledgemount/internal/feed"
 	"github.com/ledgemount/ledgemount/internal/follow"
 	"github.com/ledgemount/ledgemount/internal/kernel"
+	"github.com/ledgemount/ledgemount/internal/mesh"
+	"github.com/ledgemount/ledgemount/internal/peers"
 	"github.com/ledgemount/ledgemount/internal/pool"
 	"github.com/ledgemount/ledgemount/internal/relay"
 	"github.com/ledgemount/ledgemount/internal/retry"
@@ -23,9 +27,6 @@
 	"github.com/ledgemount/ledgemount/internal/upstream"
 )
 
-// smallFleet is the number of instances up to which each reads what all others write to the escrow, in one call with the rest.
-const smallFleet = 16
-
 // escrowPrefix is where the escrow's pages lie under the fleet's own prefix.
 const escrowPrefix = "escrow/"
 
@@ -44,6 +45,7 @@
 	kernel  *kernel.Kernel
 	client  *upstream.Client
 	pool    *pool.Pool
+	peers   *peers.Directory
 	follow  *follow.Follower
 	escrow  *escrow.Holder
 	core    *relay.Core
@@ -58,10 +60,19 @@
 	r := &Router{set: set, log: log, kernel: kernel.New(), client: upstream.New(), metrics: newMeters(set)}
 	r.pool = pool.New(set.Instance.Zone, pool.OnGone(r.client.Forget))
 	id := set.Instance.ID + "/" + strings.ToLower(ulid.Make().String())
-	r.escrow = escrow.New(on.Store, set.Store.Prefix+escrowPrefix, set.Store.pages(), set.Instance.ID, id, escrow.WithLogger(log))
-	r.follow = follow.New(on.Source, r.pool,
+	links := mesh.NewRouter()
+	self := peers.Record{
+		Peer:     mesh.Peer{ID: set.Instance.ID, Zone: set.Instance.Zone, Addr: set.Peers.Listen, Inc: id},
+		Capacity: set.Instance.Capacity,
+	}
+	r.peers = peers.New(on.Store, set.Store.Prefix, self, links, peers.WithLogger(log), peers.WithLarge(set.Peers.Large))
+	r.escrow = escrow.New(on.Store, set.Store.Prefix+escrowPrefix, set.Store.pages(), set.Instance.ID, id,
+		escrow.WithLogger(log), escrow.WithLeader(remote.New(r.peers)))
+	r.follow = follow.New(feed.NewSource(r.peers, on.Source), r.pool,
 		follow.WithLogger(log), follow.OnTable(r.fundsOf), follow.OnEntry(r.escrow.Observe), follow.OnPolled(r.escrow.Tick),
-		follow.WithOwn(func() bool { return r.escrow.Holders() <= smallFleet }))
+		follow.WithOwn(func() bool { return !r.peers.Large() }))
+	remote.Serve(links, r.escrow)
+	feed.Serve(links, r.follow)
 	retries := retry.NewShared(set.Retry.Ratio, set.Retry.Slack, set.Retry.Window, r.escrow.Holders, time.Now)
 	r.core = relay.New(relay.Deps{
 		Tables: r.follow.Table, Pool: r.pool, Budgets: r.escrow, Retries: retries, Client: r.client, Dialect: on.Dialect,
@@ -74,7 +85,7 @@
 
 // services are the parts that run, in the order in which they start.
 func (r *Router) services() []kernel.Service {
-	list := []kernel.Service{r.follow, r.escrow, &sweeper{client: r.client}, r.callers, r.probes}
+	list := []kernel.Service{r.peers, r.follow, r.escrow, r.escrow.Repayments(), &sweeper{client: r.client}, r.callers, r.probes}
 	if r.figures != nil {
 		list = append(list, r.figures)
 	}
@@ -141,6 +152,7 @@
 	r.probes.leave()
 	r.callers.Leave()
 	r.escrow.Shrink()
+	errPeers := r.leavePeers()
 	time.Sleep(time.Duration(float64(r.set.Stop.Within) * lingerShare))
 	open, cancel := context.WithDeadline(context.Background(), begun.Add(r.set.Stop.Within-giveBack-exitMargin))
 	defer cancel()
@@ -148,11 +160,18 @@
 	back, cancelBack := context.WithDeadline(context.Background(), begun.Add(r.set.Stop.Within-exitMargin))
 	defer cancelBack()
 	errBack := r.escrow.Leave(back)
-	r.log.Info().Str("event", "instance_stopped").AnErr("requests", err).AnErr("escrow", errBack).
+	r.log.Info().Str("event", "instance_stopped").AnErr("requests", err).AnErr("escrow", errBack).AnErr("peers", errPeers).
 		Dur("took", time.Since(begun)).Msg("instance stopped")
 	return eris.Wrap(r.kernel.Close(), "ending the services")
 }
 
+// leavePeers tells the other instances that this one is about to stop.
+func (r *Router) leavePeers() error {
+	ctx, cancel := context.WithTimeout(context.Background(), giveBack)
+	defer cancel()
+	return r.peers.Leave(ctx)
+}
+
 // Reload takes settings that have changed; those that cannot change while the process runs hold until it starts again.
 func (r *Router) Reload(set *Settings) {
 	r.log.Info().Str("event", "settings_reloaded").Int("retry_slack", set.Retry.Slack).Dur("stop_within", set.Stop.Within).
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/ledgemount/ledgemount/internal/declare"
+	"github.com/ledgemount/ledgemount/internal/peers"
 )
 
 // Settings are everything that one router is told at its start. Times are written like "2s" or "150ms".
@@ -17,6 +18,7 @@
 	Store    Store    `json:"store"`
 	Retry    Retry    `json:"retry"`
 	Stop     Stop     `json:"stop"`
+	Peers    Peers    `json:"peers"`
 	Log      Log      `json:"log"`
 }
 
@@ -24,6 +26,14 @@
 type Instance struct {
 	ID   string `json:"id" validate:"required"`   // outlasts the process: a successor has the same
 	Zone string `json:"zone" validate:"required"` // availability zone
+	// Capacity is the size of the instance's machine in any unit: in a large fleet the larger ones lead their zones.
+	Capacity float64 `json:"capacity" validate:"min=0"`
+}
+
+// Peers is the side towards the fleet's other instances.
+type Peers struct {
+	Listen string `json:"listen" validate:"omitempty,hostname_port"` // UDP address; empty: the instance stays by itself
+	Large  int    `json:"large" validate:"min=2"`                    // instances from which zones are led
 }
 
 // Callers is the callers' side.
@@ -90,6 +100,7 @@
 		Store:  Store{Prefix: "ledgemount/"},
 		Retry:  Retry{Ratio: 0.2, Slack: 20, Window: 10 * time.Second},
 		Stop:   Stop{Within: 8 * time.Second},
+		Peers:  Peers{Large: peers.DefaultLarge},
 		Log:    Log{Level: "info"},
 	}
 }
