fix: a dead holder's row is settled by the time to its successor's start, not to its joining

Change: the successor's report of its own start goes into the fold; a settlement is logged once it is in the store. Test: TestFold (3,600 settled before, 100 after).

--- a/internal/escrow/draw.go
+++ b/internal/escrow/draw.go
@@ -169,6 +169,7 @@
 	count  int64             // of this holder's writes
 	rows   map[string]issued // this holder's rows in it
 	others []*pending        // rows of others in it
+	folded []Folded
 }
 
 func (h *Holder) write(ctx context.Context, p *pageState, w write) error {
@@ -268,8 +269,9 @@
 		return write{}, err
 	}
 	report := h.report(h.clock.Now(), page.Holders[h.id].Count+1)
+	var folded []Folded
 	if !p.joined {
-		h.logFolded(page.Fold(h.id, report), p.key)
+		folded = page.Fold(h.id, h.begun)
 	}
 	page.Holders[h.id] = report
 	rows := make(map[string]issued)
@@ -288,7 +290,7 @@
 	others := h.applyAll(p, page)
 	p.unsure = p.revision
 	raw, err := page.Encode()
-	return write{raw: raw, base: p.revision, count: report.Count, rows: rows, others: others}, err
+	return write{raw: raw, base: p.revision, count: report.Count, rows: rows, others: others, folded: folded}, err
 }
 
 // report is what this holder says of itself with a write.
@@ -365,6 +367,7 @@
 	}
 	p.known, p.unsure, p.joined, p.drawn, p.seen = true, -1, true, h.now(), h.now()
 	p.count, p.submitted = w.count, false
+	h.logFolded(w.folded, p.key)
 	h.written(p, w.others)
 	for name, i := range w.rows {
 		a := h.accounts[name]
--- a/internal/escrow/group.go
+++ b/internal/escrow/group.go
@@ -19,6 +19,7 @@
 	came    time.Time
 	hasty   bool // the holder cannot serve before it is written
 	receipt PartReceipt
+	folded  []Folded
 	done    chan struct{} // closed once the receipt stands
 }
 
@@ -105,8 +106,9 @@
 // grantAll sets the rows of one part. The caller holds mu.
 func (h *Holder) grantAll(x *pending, page *Page, targets map[string]int64) {
 	report := x.part.Report
+	x.folded = nil
 	if report.Count == 1 {
-		h.logFolded(page.Fold(x.holder, report), h.pages[x.part.Page].key)
+		x.folded = page.Fold(x.holder, x.part.Begun)
 	}
 	page.Holders[x.holder] = report
 	for name, need := range x.part.Rows {
@@ -145,6 +147,7 @@
 	done := make(map[*pending]bool, len(list))
 	for _, x := range list {
 		done[x] = true
+		h.logFolded(x.folded, p.key)
 		close(x.done)
 	}
 	kept := p.pending[:0]
--- a/internal/escrow/holder.go
+++ b/internal/escrow/holder.go
@@ -58,6 +58,7 @@
 type Holder struct {
 	id     string
 	node   string
+	begun  Report // of the process's start
 	store  external.KV
 	clock  Clock
 	now    func() time.Time
@@ -140,6 +141,7 @@
 	for _, opt := range opts {
 		opt(h)
 	}
+	h.begun = h.report(h.clock.Now(), 0)
 	return h
 }
 
--- a/internal/escrow/leader.go
+++ b/internal/escrow/leader.go
@@ -37,6 +37,7 @@
 	Page   int             `cbor:"1,keyasint"`
 	Report Report          `cbor:"2,keyasint"`
 	Rows   map[string]Need `cbor:"3,keyasint,omitempty"` // by customer
+	Begun  Report          `cbor:"4,keyasint,omitempty"` // in a holder's first: of its process's start, when all before had ended
 }
 
 // Receipt answers a Submission.
--- a/internal/escrow/page.go
+++ b/internal/escrow/page.go
@@ -109,32 +109,32 @@
 type Folded struct {
 	Holder  string
 	Known   bool          // one clock tells its last report and now
-	Age     time.Duration // since that report
+	Age     time.Duration // from that report to the start of the successor
 	Spent   int64         // as last reported
 	Granted int64
 	Settled int64 // taken as spent; the rest is free again
 }
 
-// Fold settles the rows of a node's earlier holders, which have ended. now is the successor's report: where it comes from
-// the same clock, no more than Ceiling can have been spent; else all that was granted counts as spent.
-func (p *Page) Fold(successor string, now Report) []Folded {
+// Fold settles the rows of a node's earlier holders. They had ended when the successor's process began, which begun tells: where
+// that comes from the same clock, no more than Ceiling can have been spent; else all that was granted counts as spent.
+func (p *Page) Fold(successor string, begun Report) []Folded {
 	var gone []string
 	for id, r := range p.Holders {
-		if r.Node == now.Node && id != successor {
+		if r.Node == begun.Node && id != successor {
 			gone = append(gone, id)
 		}
 	}
 	sort.Strings(gone)
 	out := make([]Folded, 0, len(gone))
 	for _, id := range gone {
-		out = append(out, p.fold(id, now))
+		out = append(out, p.fold(id, begun))
 	}
 	return out
 }
 
-func (p *Page) fold(id string, now Report) Folded {
+func (p *Page) fold(id string, begun Report) Folded {
 	f := Folded{Holder: id}
-	f.Age, f.Known = ageOf(p.Holders[id], now)
+	f.Age, f.Known = ageOf(p.Holders[id], begun)
 	for _, a := range p.Accounts {
 		row, ok := a.Rows[id]
 		if !ok {
--- /dev/null
+++ b/internal/escrow/page_test.go
@@ -0,0 +1,62 @@
+package escrow
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestFold(t *testing.T) {
+	const north = "north"
+	report := func(at time.Duration) Report {
+		return Report{Node: "node", Boot: "one", Clock: at.Milliseconds(), Wall: 1_000_000 + at.Milliseconds(), Count: 1}
+	}
+	page := func() *Page {
+		p, _ := DecodePage(nil)
+		p.Holders["node/1"] = report(10 * time.Second)
+		p.account(north).Rows["node/1"] = Row{Granted: 1000, Spent: 100, Burst: 50, Rate: 200}
+		return p
+	}
+
+	Convey("What a dead holder may have spent", t, func() {
+		Convey("is told by the time from its report to the start of its successor", func() {
+			p := page()
+			f := p.Fold("node/2", report(10*time.Second+Grace+time.Second))
+			So(f[0].Settled, ShouldEqual, 100+50+200)
+			So(p.Accounts[north].Settled, ShouldEqual, f[0].Settled)
+			So(p.Holders, ShouldBeEmpty)
+		})
+
+		Convey("is all that was granted where no clock tells that time", func() {
+			p := page()
+			So(p.Fold("node/2", Report{Node: "node"})[0].Settled, ShouldEqual, 1000)
+		})
+
+		Convey("is taken to be more across a loss of power, by as much as a time of day may step", func() {
+			p := page()
+			other := report(10*time.Second + Grace)
+			other.Boot, other.Clock = "two", 5
+			So(p.Fold("node/2", other)[0].Settled, ShouldEqual, 100+50+200*int64(ClockError/time.Second))
+		})
+	})
+
+	Convey("A successor that joins late settles by its start, not by its joining", t, func() {
+		w := newWorld(DefaultPolicy())
+		n := w.nodes[0]
+		w.draw(n)
+		key := n.holder.pageOf(north).key
+		entry, _, _ := w.store.Read(context.Background(), key)
+		p, _ := DecodePage(entry.Data)
+		before := Row{Granted: 9000, Burst: 100, Rate: 500}
+		p.Accounts[north].Rows[n.holder.id] = before
+		raw, _ := p.Encode()
+		w.store.Put(key, raw)
+		w.start(n)
+		w.elapsed += 9 * time.Second
+		w.draw(n)
+		So(before.Ceiling(9*time.Second), ShouldEqual, 100+7*500)
+		So(w.page(north).Accounts[north].Settled, ShouldEqual, 100)
+	})
+}
--- a/internal/escrow/submit.go
+++ b/internal/escrow/submit.go
@@ -53,6 +53,9 @@
 func (h *Holder) part(i int, p *pageState) Part {
 	now := h.clock.Now()
 	part := Part{Page: i, Report: h.report(now, p.count+1), Rows: make(map[string]Need)}
+	if !p.joined {
+		part.Begun = h.begun
+	}
 	for name, a := range h.accounts {
 		if h.pageOf(name) != p || a.prepaid < 0 {
 			continue
