feat: instances lend each other escrow; in a large fleet a zone's tokens are pooled

Change: a request that its instance's grant does not hold borrows from another instance: in large zones from the one of two that pools the customer's tokens, sized by what the whole zone is asked for; else from zone mates, then from one of each other zone. What is lent counts as reserved at the lender until it is returned.

Tests: TestLenders; the property test lends between nodes of all roles, with lost answers.

--- a/internal/escrow/account.go
+++ b/internal/escrow/account.go
@@ -18,10 +18,11 @@
 	open    int64 // reservations
 	urgent  int64 // unspent tokens that the largest waiting request needs
 	meter   meter
-	fleet   meter            // use by all holders, as reported
+	all     meter            // use by all holders, as reported
 	reports map[string]int64 // spent, by holder, when last seen
 	others  int64            // mean of what other holders want
-	dry     time.Time        // the last draw that brought too little
+	dry     time.Time        // the last draw or loan that brought too little
+	dryFor  int64            // tokens that were asked for then
 	row     issued           // confirmed
 	unsure  []issued         // written with an unknown outcome, older than row or not
 	prepaid int64            // as last seen; Unlimited: no limit
@@ -31,6 +32,7 @@
 	told     bool    // by the zone's leader:
 	target   int64   // what this holder's unspent part should be
 	toldRate float64 // tokens a second that all holders use
+	zoneRate float64 // tokens a second that the zone is asked for
 }
 
 // used is what is spent or reserved.
@@ -71,6 +73,6 @@
 		a.others /= n
 	}
 	a.reports = reports
-	a.fleet.pending += float64(used)
+	a.all.pending += float64(used)
 	return used
 }
--- a/internal/escrow/borrow.go
+++ b/internal/escrow/borrow.go
@@ -7,42 +7,45 @@
 )
 
 // follows says whether the zone's leader writes this holder's rows.
-func (h *Holder) follows() bool { return h.leader != nil && !h.leader.Leads() }
+func (h *Holder) follows() bool { return h.fleet != nil && !h.fleet.Leads() }
 
-// borrow reserves of the leader's grant.
-func (h *Holder) borrow(ctx context.Context, customer string, most int64, rank int) (*Reservation, error) {
-	number, ok := h.nextLoan(customer)
+// role is this holder's part in keeping a customer's tokens.
+func (h *Holder) role(customer string) Role {
+	if h.fleet == nil {
+		return RoleAlone
+	}
+	return h.fleet.Role(customer)
+}
+
+// borrow reserves of another holder's grant; nil if none lends.
+func (h *Holder) borrow(ctx context.Context, customer string, most int64, rank int) *Reservation {
+	number, ok := h.nextLoan(customer, most)
 	if !ok {
-		return nil, h.refuse(customer, most)
+		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, h.times.Borrow)
 	defer cancel()
-	lent, err := h.leader.Borrow(ctx, Loan{Holder: h.id, Number: number, Customer: customer, Most: most, Rank: rank})
-	if err != nil {
-		h.notLent(customer, lent, number)
-		return nil, h.refuse(customer, most)
-	}
+	got := h.fleet.Borrow(ctx, Loan{Holder: h.id, Number: number, Customer: customer, Most: most, Rank: rank})
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.count(h.accounts[customer], most)
-	return &Reservation{holder: h, customer: customer, most: most, lent: lent, number: number}, nil
-}
-
-// notLent notes that a loan was refused. Where that is not known, as the answer was lost, it is returned all the same.
-func (h *Holder) notLent(customer, lent string, number int64) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.accounts[customer].dry = h.now()
-	if lent != "" {
-		h.repay(lent, number, 0)
+	for _, lender := range got.Unsure {
+		h.repay(lender, number, 0)
+	}
+	a := h.accounts[customer]
+	if got.Lender == "" {
+		a.dry, a.dryFor = h.now(), most
+		return nil
 	}
+	h.count(a, most)
+	return &Reservation{holder: h, customer: customer, most: most, lender: got.Lender, number: number}
 }
 
-// nextLoan numbers a loan; not while the last one was refused only just now.
-func (h *Holder) nextLoan(customer string) (int64, bool) {
+// nextLoan numbers a loan; not while as much was refused only just now.
+func (h *Holder) nextLoan(customer string, most int64) (int64, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.now().Sub(h.accounts[customer].dry) < h.times.Dry {
+	a := h.accounts[customer]
+	if h.fleet == nil || (most >= a.dryFor && h.now().Sub(a.dry) < h.times.Dry) {
 		return 0, false
 	}
 	h.loanCount++
@@ -50,11 +53,11 @@
 }
 
 // repay notes what was used of a loan. The caller holds mu.
-func (h *Holder) repay(lent string, number, used int64) {
-	owed := h.owed[lent]
+func (h *Holder) repay(lender string, number, used int64) {
+	owed := h.owed[lender]
 	if owed == nil {
 		owed = make(map[int64]int64)
-		h.owed[lent] = owed
+		h.owed[lender] = owed
 	}
 	owed[number] = used
 }
@@ -62,7 +65,7 @@
 // repayments is the service that returns loans that have ended.
 type repayments struct{ holder *Holder }
 
-// Repayments is the service that returns ended loans to the leaders that gave them.
+// Repayments is the service that returns ended loans to the holders that gave them.
 func (h *Holder) Repayments() kernel.Service { return &repayments{holder: h} }
 
 // Name implements kernel.Service.
@@ -79,30 +82,30 @@
 	owed := h.owed
 	h.owed = make(map[string]map[int64]int64)
 	h.mu.Unlock()
-	for lent, used := range owed {
-		h.repayOne(ctx, lent, used)
+	for lender, used := range owed {
+		h.repayOne(ctx, lender, used)
 	}
 	h.writeOff()
 }
 
-// repayOne returns loans to one leader. What did not arrive is tried again until it is too old to matter.
-func (h *Holder) repayOne(ctx context.Context, lent string, used map[int64]int64) {
+// repayOne returns loans to one lender. What did not arrive is tried again until the lender has written it off.
+func (h *Holder) repayOne(ctx context.Context, lender string, used map[int64]int64) {
 	ctx, cancel := context.WithTimeout(ctx, h.times.Borrow)
 	defer cancel()
-	if h.leader.Return(ctx, lent, Repayment{Holder: h.id, Used: used}) == nil {
-		delete(h.unpaid, lent)
+	if h.fleet.Return(ctx, lender, Repayment{Holder: h.id, Used: used}) == nil {
+		delete(h.unpaid, lender)
 		return
 	}
-	if h.unpaid[lent].IsZero() {
-		h.unpaid[lent] = h.now()
+	if h.unpaid[lender].IsZero() {
+		h.unpaid[lender] = h.now()
 	}
-	if h.now().Sub(h.unpaid[lent]) > loanLife {
-		delete(h.unpaid, lent)
+	if h.now().Sub(h.unpaid[lender]) > loanLife {
+		delete(h.unpaid, lender)
 		return
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for number, n := range used {
-		h.repay(lent, number, n)
+		h.repay(lender, number, n)
 	}
 }
--- a/internal/escrow/draw.go
+++ b/internal/escrow/draw.go
@@ -104,10 +104,10 @@
 	}
 	h.beat = now
 	h.own.tick(now)
-	h.fleet.tick(now)
+	h.all.tick(now)
 	for _, a := range h.accounts {
 		a.meter.tick(now)
-		a.fleet.tick(now)
+		a.all.tick(now)
 	}
 	return true
 }
@@ -241,7 +241,7 @@
 			acc = &Account{}
 		}
 		a.rest, a.free = a.prepaid-acc.Spent(), a.prepaid-acc.Committed()
-		h.fleet.pending += float64(a.observe(acc, h.id))
+		h.all.pending += float64(a.observe(acc, h.id))
 		if settled && present {
 			a.confirm(issued{row: acc.Rows[h.id], clock: time.Duration(report.Clock) * time.Millisecond})
 		} else if settled {
@@ -280,7 +280,7 @@
 			continue
 		}
 		acc := page.account(name)
-		row := acc.Grant(h.id, h.need(a, len(page.Holders)), a.prepaid)
+		row := acc.Grant(h.id, h.need(name, a, len(page.Holders)), a.prepaid)
 		rows[name] = issued{
 			row: row, clock: time.Duration(report.Clock) * time.Millisecond,
 			rest: a.prepaid - acc.Spent(), free: a.prepaid - acc.Committed(),
@@ -306,19 +306,20 @@
 	}
 }
 
-// need sizes what the holder asks for. The caller holds mu.
-func (h *Holder) need(a *account, holders int) Need {
+// need sizes what the holder asks for of a customer's account. The caller holds mu.
+func (h *Holder) need(name string, a *account, holders int) Need {
+	role := h.role(name)
 	horizon := h.policy.Horizon
+	if role == RolePooled {
+		horizon = h.policy.Near
+	}
 	if h.stopping {
-		horizon = stoppingHorizon
+		horizon = min(horizon, stoppingHorizon)
 	}
 	n := Need{Spent: a.used(), Urgent: a.urgent}
-	n.Want, n.Burst, n.Rate = h.policy.size(h.flow(a), horizon, h.policy.plenty(a.unspent(), a.prepaid))
+	n.Want, n.Burst, n.Rate = h.policy.size(h.flow(a, role), horizon, h.policy.plenty(a.unspent(), a.prepaid))
 	if a.meter.young() && !h.stopping {
-		start := a.others
-		if start == 0 {
-			start = int64(float64(max(0, a.rest)) * h.policy.Start / float64(max(1, holders)))
-		}
+		start := h.start(a, role, max(1, holders))
 		n.Want = max(n.Want, start)
 		n.Burst = max(n.Burst, start)
 	}
@@ -326,11 +327,26 @@
 	return n
 }
 
+// start is what the holder asks for while nothing is measured. The caller holds mu.
+func (h *Holder) start(a *account, role Role, holders int) int64 {
+	rest := float64(max(0, a.rest))
+	switch {
+	case role == RolePool:
+		return int64(rest * h.policy.Pools * min(1, float64(h.fleet.ZoneSize())/float64(holders)))
+	case a.others > 0 && role == RoleAlone:
+		return a.others
+	}
+	return int64(rest * h.policy.Start / float64(holders))
+}
+
 // flow is a customer's use here: half as measured here, which is little, and half this holder's part of what all holders report.
-// The caller holds mu.
-func (h *Holder) flow(a *account) flow {
+// At a pool it is what the zone is asked for. The caller holds mu.
+func (h *Holder) flow(a *account, role Role) flow {
+	if role == RolePool {
+		return flow{rate: max(a.zoneRate, a.meter.rate()), grain: h.own.grain()}
+	}
 	local := a.meter.rate()
-	all, mine := h.fleet.rate(), a.fleet.rate()
+	all, mine := h.all.rate(), a.all.rate()
 	if a.told {
 		all, mine = h.toldRate, a.toldRate
 	}
--- a/internal/escrow/leader.go
+++ b/internal/escrow/fleet.go
@@ -5,9 +5,9 @@
 	"errors"
 )
 
-// Leader is the way to the instance that leads the zone. It writes the rows of the zone's holders in one go, and lends them what
-// their own grants do not hold.
-type Leader interface {
+// Fleet is the way to the other holders. In a large fleet one holder of each zone leads: it writes the rows of the others in one
+// go. All lend each other what a request needs beyond its holder's own grant.
+type Fleet interface {
 	// Large says whether the fleet's zones are led.
 	Large() bool
 	// Leads says whether this holder does its own writing: it leads, or no leader can be reached.
@@ -16,10 +16,30 @@
 	Stranded() bool
 	// Submit hands rows to the leader. ErrNotTaken promises that none of them will be written; after any other error they may be.
 	Submit(ctx context.Context, s Submission) (Receipt, error)
-	// Borrow reserves a part of the leader's grant. Its errors are verdicts. Lent names where it was borrowed.
-	Borrow(ctx context.Context, b Loan) (lent string, err error)
-	// Return ends loans that one leader has given.
-	Return(ctx context.Context, lent string, r Repayment) error
+	// Role is this holder's part in keeping a customer's tokens.
+	Role(customer string) Role
+	// ZoneSize is the number of holders of the own zone.
+	ZoneSize() int
+	// Borrow reserves a part of another holder's grant.
+	Borrow(ctx context.Context, l Loan) Borrowed
+	// Return ends loans that one holder has given.
+	Return(ctx context.Context, lender string, r Repayment) error
+}
+
+// Role is a holder's part in keeping a customer's tokens.
+type Role int
+
+// The roles.
+const (
+	RoleAlone  Role = iota // it keeps what it needs itself
+	RolePool               // it keeps what its zone needs
+	RolePooled             // another holder of its zone keeps that
+)
+
+// Borrowed tells what became of a loan.
+type Borrowed struct {
+	Lender string   // who has given it; empty: nobody
+	Unsure []string // who may have given it, though no answer came
 }
 
 // ErrNotTaken says that a leader has not seen a submission.
@@ -27,8 +47,9 @@
 
 // Submission is what a holder asks its zone's leader to write.
 type Submission struct {
-	Holder string `cbor:"1,keyasint"`
-	Parts  []Part `cbor:"2,keyasint"`
+	Holder string             `cbor:"1,keyasint"`
+	Parts  []Part             `cbor:"2,keyasint"`
+	Asked  map[string]float64 `cbor:"3,keyasint,omitempty"` // tokens a second that are asked for here, by customer
 }
 
 // Part is a Submission's part for one page. It is written only if the holder's last write there is the one that Report.Count
@@ -63,18 +84,20 @@
 	Free   int64   `cbor:"4,keyasint,omitempty"` // granted to nobody
 	Others int64   `cbor:"5,keyasint,omitempty"` // mean of what other holders want
 	Rate   float64 `cbor:"6,keyasint,omitempty"` // tokens a second that all holders use
+	Zone   float64 `cbor:"7,keyasint,omitempty"` // tokens a second that the zone is asked for
 }
 
-// Loan is a part of a leader's grant that another holder's request reserves.
+// Loan is a part of a holder's grant that a request at another holder reserves.
 type Loan struct {
 	Holder   string `cbor:"1,keyasint"`
 	Number   int64  `cbor:"2,keyasint"` // of the loan, by its holder
 	Customer string `cbor:"3,keyasint"`
 	Most     int64  `cbor:"4,keyasint"`
 	Rank     int    `cbor:"5,keyasint,omitempty"`
+	AtHand   bool   `cbor:"6,keyasint,omitempty"` // only of what the lender has; it draws nothing for it
 }
 
-// Repayment ends loans: what was used of each.
+// Repayment ends loans of one lender: what was used of each.
 type Repayment struct {
 	Holder string          `cbor:"1,keyasint"`
 	Used   map[int64]int64 `cbor:"2,keyasint"` // by number
--- a/internal/escrow/group.go
+++ b/internal/escrow/group.go
@@ -26,7 +26,7 @@
 // Submit takes rows of another holder of the zone, and returns once they are written.
 func (h *Holder) Submit(ctx context.Context, s Submission) (Receipt, error) {
 	list := h.enqueue(s)
-	var out Receipt
+	out := Receipt{Parts: make([]PartReceipt, 0, len(list))}
 	for _, p := range list {
 		select {
 		case <-p.done:
@@ -42,7 +42,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.now()
-	var out []*pending
+	h.asked[s.Holder] = asked{rates: s.Asked, at: now}
+	out := make([]*pending, 0, len(s.Parts))
 	for _, part := range s.Parts {
 		if part.Page < 0 || part.Page >= len(h.pages) {
 			continue
@@ -86,6 +87,7 @@
 // applyAll puts the parts that wait into a page that is about to be written. The caller holds mu.
 func (h *Holder) applyAll(p *pageState, page *Page) []*pending {
 	h.expire(p)
+	h.sumZone(p)
 	list := append([]*pending(nil), p.pending...)
 	for _, x := range list {
 		x.receipt = h.apply(x, page)
@@ -93,6 +95,34 @@
 	return list
 }
 
+// asked is what one holder of the zone is asked for, in tokens a second by customer.
+type asked struct {
+	rates map[string]float64
+	at    time.Time
+}
+
+// askedLife is how long it counts.
+const askedLife = 6 * time.Second
+
+// sumZone adds up what the zone is asked for of a page's customers. The caller holds mu.
+func (h *Holder) sumZone(p *pageState) {
+	now := h.now()
+	for holder, x := range h.asked {
+		if now.Sub(x.at) > askedLife {
+			delete(h.asked, holder)
+		}
+	}
+	for name, a := range h.accounts {
+		if h.pageOf(name) != p {
+			continue
+		}
+		a.zoneRate = a.meter.rate()
+		for _, x := range h.asked {
+			a.zoneRate += x.rates[name]
+		}
+	}
+}
+
 // apply puts one part into a page, unless the holder's row there is not the one that the part follows. The caller holds mu.
 func (h *Holder) apply(x *pending, page *Page) PartReceipt {
 	before, present := page.Holders[x.holder]
@@ -126,7 +156,7 @@
 func (h *Holder) receipt(x *pending, page *Page, targets map[string]int64) PartReceipt {
 	report, present := page.Holders[x.holder]
 	r := PartReceipt{
-		Page: x.part.Page, Present: present, Report: report, Holders: len(page.Holders), Rate: h.fleet.rate(),
+		Page: x.part.Page, Present: present, Report: report, Holders: len(page.Holders), Rate: h.all.rate(),
 		Rows: make(map[string]Held, len(x.part.Rows)),
 	}
 	for name := range x.part.Rows {
@@ -136,7 +166,7 @@
 		}
 		r.Rows[name] = Held{
 			Row: acc.Rows[x.holder], Target: targets[name], Rest: a.prepaid - acc.Spent(), Free: a.prepaid - acc.Committed(),
-			Others: a.others, Rate: a.fleet.rate(),
+			Others: a.others, Rate: a.all.rate(), Zone: a.zoneRate,
 		}
 	}
 	return r
@@ -171,9 +201,24 @@
 	number int64
 }
 
-// Lend reserves a part of this holder's grant for a request at another holder of the zone.
+// lend reserves what is lent, of what there is or of what a draw brings.
+func (h *Holder) lend(ctx context.Context, l Loan) (*Reservation, error) {
+	var r *Reservation
+	var err error
+	if l.AtHand || h.follows() {
+		r, _, err = h.try(l.Customer, l.Most, l.Rank, true)
+	} else {
+		r, err = h.draws(ctx, l.Customer, l.Most, l.Rank, true)
+	}
+	if r == nil || r.holder == nil {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeBudgetUnready, "nothing to lend", verdict.WithCause(err))
+	}
+	return r, nil
+}
+
+// Lend reserves a part of this holder's grant for a request at another holder.
 func (h *Holder) Lend(ctx context.Context, l Loan) error {
-	r, err := h.reserveOwn(ctx, l.Customer, l.Most, l.Rank)
+	r, err := h.lend(ctx, l)
 	if err != nil {
 		return err
 	}
--- a/internal/escrow/holder.go
+++ b/internal/escrow/holder.go
@@ -34,7 +34,7 @@
 	Gather time.Duration // the rows of others wait for more of them so long
 	Hasty  time.Duration // the same, where one of them cannot serve before
 	Group  time.Duration // least time between writes of a page for others
-	Borrow time.Duration // limit of a loan; the leader may have to draw for it
+	Borrow time.Duration // limit of a loan; the lender may have to draw for it
 	Repay  time.Duration // between returns of loans
 }
 
@@ -70,20 +70,21 @@
 	accounts map[string]*account
 	pages    []*pageState
 	own      meter         // of all customers here
-	fleet    meter         // of all customers everywhere, as reported
+	all      meter         // of all customers everywhere, as reported
 	answered time.Time     // the last answer of the store
 	beat     time.Time     // the last regular draw
 	holders  int           // that the store knows
 	changed  chan struct{} // closed and replaced after each draw
 	stopping bool
 
-	leader    Leader // nil: there are none
-	toldRate  float64
+	fleet     Fleet            // nil: this holder is by itself
+	toldRate  float64          // by the zone's leader: tokens a second that all holders use of all customers
+	asked     map[string]asked // by holder of the zone that this one leads
 	loanCount int64
 	loans     map[loanKey]lent           // given to others
 	returned  map[loanKey]time.Time      // returned before they were given
-	owed      map[string]map[int64]int64 // loans that have ended, by leader and number
-	unpaid    map[string]time.Time       // since when a leader has not taken them; only Repayments uses it
+	owed      map[string]map[int64]int64 // loans that have ended, by lender and number
+	unpaid    map[string]time.Time       // since when a lender has not taken them; only Repayments uses it
 
 	kicks chan struct{}
 }
@@ -120,8 +121,8 @@
 // WithNow replaces the process's clock.
 func WithNow(now func() time.Time) Option { return func(h *Holder) { h.now = now } }
 
-// WithLeader sets the way to the zone's leader.
-func WithLeader(l Leader) Option { return func(h *Holder) { h.leader = l } }
+// WithFleet sets the way to the other holders.
+func WithFleet(f Fleet) Option { return func(h *Holder) { h.fleet = f } }
 
 // WithLogger sets the logger.
 func WithLogger(log zerolog.Logger) Option { return func(h *Holder) { h.log = log } }
@@ -132,7 +133,7 @@
 		id: id, node: node, store: store, clock: MachineClock(), now: time.Now,
 		policy: DefaultPolicy(), times: DefaultTimes(), log: zerolog.Nop(),
 		accounts: make(map[string]*account), changed: make(chan struct{}), kicks: make(chan struct{}, 1),
-		loans: make(map[loanKey]lent), returned: make(map[loanKey]time.Time),
+		asked: make(map[string]asked), loans: make(map[loanKey]lent), returned: make(map[loanKey]time.Time),
 		owed: make(map[string]map[int64]int64), unpaid: make(map[string]time.Time),
 	}
 	for i := range max(1, pages) {
@@ -209,7 +210,7 @@
 
 // crowd is by how much draws are rarer than in a small fleet. Where zones are led few holders write. The caller holds mu.
 func (h *Holder) crowd() time.Duration {
-	if h.leader != nil && h.leader.Large() && !h.leader.Stranded() {
+	if h.fleet != nil && h.fleet.Large() && !h.fleet.Stranded() {
 		return 1
 	}
 	return time.Duration(max(1, min(h.holders/beatHolders, mostBeats)))
--- a/internal/escrow/property_test.go
+++ b/internal/escrow/property_test.go
@@ -62,28 +62,35 @@
 	linkModes
 )
 
-// simLeader is a node's way to the first node, which leads.
-type simLeader struct {
+// simFleet is a node's way to the first node, which leads and lends.
+type simFleet struct {
 	world *world
 	node  *simNode
 }
 
-func (l *simLeader) Large() bool    { return true }
-func (l *simLeader) Stranded() bool { return false }
-func (l *simLeader) Leads() bool    { return l.node == l.world.nodes[0] || l.node.link == linkNone }
+func (f *simFleet) Large() bool    { return true }
+func (f *simFleet) Stranded() bool { return false }
+func (f *simFleet) Leads() bool    { return f.node == f.world.nodes[0] || f.node.link == linkNone }
+func (f *simFleet) ZoneSize() int  { return propertyNodes }
+func (f *simFleet) Role(string) Role {
+	if f.node == f.world.nodes[0] {
+		return RolePool
+	}
+	return f.node.role
+}
 
 var errSimLost = errors.New("the answer was lost")
 
-func (l *simLeader) Submit(_ context.Context, s Submission) (Receipt, error) {
-	if l.node.link == linkBroke {
+func (f *simFleet) Submit(_ context.Context, s Submission) (Receipt, error) {
+	if f.node.link == linkBroke {
 		return Receipt{}, ErrNotTaken
 	}
-	leads := l.world.nodes[0]
+	leads := f.world.nodes[0]
 	list := leads.holder.enqueue(s)
-	if l.node.link == linkLate {
+	if f.node.link == linkLate {
 		return Receipt{}, errSimLost
 	}
-	l.world.draw(leads)
+	f.world.draw(leads)
 	var out Receipt
 	for _, p := range list {
 		select {
@@ -93,35 +100,34 @@
 			return Receipt{}, errSimLost
 		}
 	}
-	if l.node.link == linkLost {
+	if f.node.link == linkLost {
 		return Receipt{}, errSimLost
 	}
 	return out, nil
 }
 
-func (l *simLeader) Borrow(ctx context.Context, loan Loan) (string, error) {
-	if l.node.link == linkBroke {
-		return "", ErrNotTaken
-	}
-	leads := l.world.nodes[0]
-	if err := leads.holder.Lend(ctx, loan); err != nil {
-		return "", err
-	}
-	if l.node.link != linkPass {
-		return leads.holder.id, errSimLost
+func (f *simFleet) Borrow(ctx context.Context, loan Loan) Borrowed {
+	leads := f.world.nodes[0]
+	switch {
+	case f.node == leads, f.node.link == linkBroke, f.node.link == linkNone:
+		return Borrowed{}
+	case leads.holder.Lend(ctx, loan) != nil:
+		return Borrowed{}
+	case f.node.link != linkPass:
+		return Borrowed{Unsure: []string{leads.holder.id}}
 	}
-	return leads.holder.id, nil
+	return Borrowed{Lender: leads.holder.id}
 }
 
-func (l *simLeader) Return(_ context.Context, lent string, r Repayment) error {
-	leads := l.world.nodes[0]
-	if l.node.link == linkBroke {
+func (f *simFleet) Return(_ context.Context, lender string, r Repayment) error {
+	leads := f.world.nodes[0]
+	if f.node.link == linkBroke {
 		return errSimLost
 	}
-	if leads.holder.id == lent {
+	if leads.holder.id == lender {
 		leads.holder.Repaid(r)
 	}
-	if l.node.link != linkPass {
+	if f.node.link != linkPass {
 		return errSimLost
 	}
 	return nil
@@ -133,6 +139,7 @@
 	clock  *simClock
 	gate   *gate
 	link   int
+	role   Role
 	holder *Holder
 	open   []*simReservation
 	starts int
@@ -174,7 +181,7 @@
 	n.open = nil
 	now := func() time.Time { return time.Unix(1_000_000, 0).Add(w.elapsed + n.step) }
 	n.holder = New(n.gate, propertyPrefix, 2, n.name, fmt.Sprintf("%s/%d", n.name, n.starts), WithClock(n.clock), WithNow(now),
-		WithLeader(&simLeader{world: w, node: n}), WithPolicy(w.policy))
+		WithFleet(&simFleet{world: w, node: n}), WithPolicy(w.policy))
 	w.tell(n)
 }
 
@@ -294,6 +301,7 @@
 		w.leave(n)
 	case 16, 17:
 		n.link = rapid.IntRange(linkNone, linkModes-1).Draw(t, "link")
+		n.role = rapid.SampledFrom([]Role{RoleAlone, RolePooled}).Draw(t, "role")
 	case 18:
 		n.holder.repayAll(context.Background())
 	case 19:
--- a/internal/escrow/remote/remote.go
+++ b/internal/escrow/remote/remote.go
@@ -1,4 +1,4 @@
-// Package remote carries an escrow's submissions and loans between a zone's holders and the holder that leads it.
+// Package remote carries an escrow's submissions and loans between the fleet's holders.
 package remote
 
 import (
@@ -18,27 +18,42 @@
 	KindReturn mesh.Kind = "escrow.return"
 )
 
-// Leader is the way to the instance that leads the zone.
-type Leader struct{ dir *peers.Directory }
+// Fleet is the way to the fleet's other holders.
+type Fleet struct{ dir *peers.Directory }
 
-var _ escrow.Leader = (*Leader)(nil)
+var _ escrow.Fleet = (*Fleet)(nil)
 
-// New makes a way to the leaders that a directory names.
-func New(dir *peers.Directory) *Leader { return &Leader{dir: dir} }
+// New makes a way to the holders that a directory names.
+func New(dir *peers.Directory) *Fleet { return &Fleet{dir: dir} }
 
-// Large implements escrow.Leader.
-func (l *Leader) Large() bool { return l.dir.Large() }
+// Large implements escrow.Fleet.
+func (f *Fleet) Large() bool { return f.dir.Large() }
 
-// Leads implements escrow.Leader.
-func (l *Leader) Leads() bool { return l.dir.Leads() }
+// Leads implements escrow.Fleet.
+func (f *Fleet) Leads() bool { return f.dir.Leads() }
 
-// Stranded implements escrow.Leader.
-func (l *Leader) Stranded() bool { return l.dir.Stranded() }
+// Stranded implements escrow.Fleet.
+func (f *Fleet) Stranded() bool { return f.dir.Stranded() }
 
-// Submit implements escrow.Leader: the next leader is asked only where the one before has certainly not seen the rows.
-func (l *Leader) Submit(ctx context.Context, s escrow.Submission) (escrow.Receipt, error) {
-	for _, p := range l.dir.Leaders() {
-		r, err := peers.Call[escrow.Submission, escrow.Receipt](ctx, l.dir, p, KindSubmit, s)
+// Role implements escrow.Fleet.
+func (f *Fleet) Role(customer string) escrow.Role {
+	pooled, here := f.dir.Pool(customer)
+	switch {
+	case here:
+		return escrow.RolePool
+	case pooled:
+		return escrow.RolePooled
+	}
+	return escrow.RoleAlone
+}
+
+// ZoneSize implements escrow.Fleet.
+func (f *Fleet) ZoneSize() int { return f.dir.ZoneSize() }
+
+// Submit implements escrow.Fleet: the next leader is asked only where the one before has certainly not seen the rows.
+func (f *Fleet) Submit(ctx context.Context, s escrow.Submission) (escrow.Receipt, error) {
+	for _, p := range f.dir.Leaders() {
+		r, err := peers.Call[escrow.Submission, escrow.Receipt](ctx, f.dir, p, KindSubmit, s)
 		if !errors.Is(err, mesh.ErrUnreachable) {
 			return r, err
 		}
@@ -46,27 +61,34 @@
 	return escrow.Receipt{}, escrow.ErrNotTaken
 }
 
-// Borrow implements escrow.Leader.
-func (l *Leader) Borrow(ctx context.Context, loan escrow.Loan) (string, error) {
-	leaders := l.dir.Leaders()
-	if len(leaders) == 0 {
-		return "", escrow.ErrNotTaken
-	}
-	p := leaders[0]
-	_, err := peers.Call[escrow.Loan, mesh.Empty](ctx, l.dir, p, KindBorrow, loan)
-	if err == nil || (verdict.Of(err) != verdict.NotRun && !errors.Is(err, mesh.ErrUnreachable)) {
-		return p.Addr, err
+// Borrow implements escrow.Fleet. It asks one holder after another until one lends, or the time is up.
+func (f *Fleet) Borrow(ctx context.Context, loan escrow.Loan) escrow.Borrowed {
+	var out escrow.Borrowed
+	large := f.dir.Large()
+	for _, p := range f.dir.Lenders(loan.Customer) {
+		loan.AtHand = !large || !f.dir.Near(p)
+		_, err := peers.Call[escrow.Loan, mesh.Empty](ctx, f.dir, p, KindBorrow, loan)
+		switch {
+		case err == nil:
+			out.Lender = p.Addr
+			return out
+		case verdict.Of(err) != verdict.NotRun && !errors.Is(err, mesh.ErrUnreachable):
+			out.Unsure = append(out.Unsure, p.Addr)
+		}
+		if ctx.Err() != nil {
+			break
+		}
 	}
-	return "", err
+	return out
 }
 
-// Return implements escrow.Leader.
-func (l *Leader) Return(ctx context.Context, lent string, r escrow.Repayment) error {
-	_, err := peers.Call[escrow.Repayment, mesh.Empty](ctx, l.dir, mesh.Peer{ID: lent, Addr: lent}, KindReturn, r)
+// Return implements escrow.Fleet.
+func (f *Fleet) Return(ctx context.Context, lender string, r escrow.Repayment) error {
+	_, err := peers.Call[escrow.Repayment, mesh.Empty](ctx, f.dir, mesh.Peer{ID: lender, Addr: lender}, KindReturn, r)
 	return err
 }
 
-// Serve lets a holder write and lend for others.
+// Serve lets a holder write for others and lend to them.
 func Serve(router *mesh.Router, h *escrow.Holder) {
 	mesh.Handle(router, KindSubmit, func(ctx context.Context, _ mesh.Peer, s escrow.Submission) (escrow.Receipt, error) {
 		return h.Submit(ctx, s)
--- a/internal/escrow/reserve.go
+++ b/internal/escrow/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -14,7 +15,7 @@
 	customer string
 	most     int64
 	once     sync.Once
-	lent     string // the leader that has lent it; empty: it is this holder's own
+	lender   string // the holder that has lent it; empty: it is this holder's own
 	number   int64  // of the loan
 }
 
@@ -49,8 +50,8 @@
 	r.once.Do(func() {
 		r.holder.mu.Lock()
 		defer r.holder.mu.Unlock()
-		if r.lent != "" {
-			r.holder.repay(r.lent, r.number, used)
+		if r.lender != "" {
+			r.holder.repay(r.lender, r.number, used)
 			return
 		}
 		a := r.holder.accounts[r.customer]
@@ -59,32 +60,42 @@
 	})
 }
 
-// Reserve sets aside the most that a request can use. Where the grant does not hold it, it borrows from the zone's leader, or
-// draws on the store if there is none, but waits no longer than Times.Wait. rank is the request's among the customer's own, 0
-// first: what is short is kept for the first ranks. Its errors are verdicts: not run, with the time to come back where that makes
-// sense.
+// Reserve sets aside the most that a request can use. Where the grant does not hold it, it draws on the store if this holder does
+// its own writing, or borrows from others, but waits no longer than Times.Wait and Times.Borrow. rank is the request's among the
+// customer's own, 0 first: what is short is kept for the first ranks. Its errors are verdicts: not run, with the time to come back
+// where that makes sense.
 func (h *Holder) Reserve(ctx context.Context, customer string, most int64, rank int) (*Reservation, error) {
-	if !h.follows() {
-		return h.reserveOwn(ctx, customer, most, rank)
-	}
-	r, _, err := h.try(customer, most, rank)
-	if r != nil || err != nil {
+	r, _, err := h.try(customer, most, rank, false)
+	if r != nil || (err != nil && !errors.Is(err, errKept)) {
 		return r, err
 	}
-	return h.borrow(ctx, customer, most, rank)
+	if h.role(customer) == RolePooled {
+		if r := h.borrow(ctx, customer, most, rank); r != nil {
+			return r, nil
+		}
+	}
+	if err == nil && !h.follows() {
+		if r, err := h.draws(ctx, customer, most, rank, false); r != nil || ctx.Err() != nil {
+			return r, err
+		}
+	}
+	if r := h.borrow(ctx, customer, most, rank); r != nil {
+		return r, nil
+	}
+	return nil, h.refuse(customer, most, err)
 }
 
-// reserveOwn reserves of this holder's own grant.
-func (h *Holder) reserveOwn(ctx context.Context, customer string, most int64, rank int) (*Reservation, error) {
+// draws reserves of this holder's own grant, and draws on the store for it.
+func (h *Holder) draws(ctx context.Context, customer string, most int64, rank int, lent bool) (*Reservation, error) {
 	var end <-chan time.Time
 	for {
-		r, changed, err := h.try(customer, most, rank)
+		r, changed, err := h.try(customer, most, rank, lent)
 		if r != nil || err != nil {
 			return r, err
 		}
 		if end == nil {
 			if !h.worthDrawing(customer, most) {
-				return nil, h.refuse(customer, most)
+				return nil, errDry
 			}
 			t := time.NewTimer(h.times.Wait)
 			defer t.Stop()
@@ -94,14 +105,22 @@
 		select {
 		case <-changed:
 		case <-end:
-			return nil, h.refuse(customer, most)
+			return nil, errDry
 		case <-ctx.Done():
 			return nil, verdict.New(verdict.NotRun, verdict.CodeCancelled, "the caller left", verdict.WithCause(ctx.Err()))
 		}
 	}
 }
 
-func (h *Holder) try(customer string, most int64, rank int) (*Reservation, <-chan struct{}, error) {
+// Why a holder's own grant does not serve.
+var (
+	errDry  = errors.New("the holder's grant does not hold it, nor would a draw")
+	errKept = errors.New("what is left of the grant is kept for the customer's first ranks")
+)
+
+// try reserves of this holder's own grant, as it is. Without a reservation or an error it is worth another try once the channel
+// is closed. lent says that it is for a request at another holder.
+func (h *Holder) try(customer string, most int64, rank int, lent bool) (*Reservation, <-chan struct{}, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	a := h.accounts[customer]
@@ -112,14 +131,18 @@
 		return &Reservation{}, nil, nil
 	}
 	if h.short(a, most, rank) {
-		return nil, nil, refuseBudget("what is left of the budget here is kept for the customer's first ranks", retryLater)
+		return nil, nil, errKept
 	}
 	if a.headroom(h.clock.Now()) >= most {
 		a.open += most
-		h.count(a, most)
+		if !lent {
+			h.count(a, most)
+		}
 		return &Reservation{holder: h, customer: customer, most: most}, nil, nil
 	}
-	a.urgent = max(a.urgent, most)
+	if lent || h.role(customer) != RolePooled {
+		a.urgent = max(a.urgent, most)
+	}
 	return nil, h.changed, nil
 }
 
@@ -159,7 +182,7 @@
 }
 
 // refuse explains a refusal: the budget is used up, or this instance does not hold enough of it right now.
-func (h *Holder) refuse(customer string, most int64) error {
+func (h *Holder) refuse(customer string, most int64, why error) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	a := h.accounts[customer]
@@ -168,6 +191,9 @@
 		return verdict.New(verdict.NotRun, verdict.CodeBudgetExhausted, "what remains of the budget cannot hold the request",
 			verdict.WithRetryAfter(retryLater))
 	}
+	if errors.Is(why, errKept) {
+		return refuseBudget("what is left of the budget is kept for the customer's first ranks", retryLater)
+	}
 	return refuseBudget("this instance holds too little of the budget now", retrySoon)
 }
 
--- a/internal/escrow/submit.go
+++ b/internal/escrow/submit.go
@@ -14,7 +14,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, submissionLife)
 	defer cancel()
-	receipt, err := h.leader.Submit(ctx, s)
+	receipt, err := h.fleet.Submit(ctx, s)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch {
@@ -37,7 +37,7 @@
 
 // submission collects what is to be written, and notes it as possibly in force.
 func (h *Holder) submission(regular bool) Submission {
-	s := Submission{Holder: h.id}
+	s := Submission{Holder: h.id, Asked: h.askedHere()}
 	for i, p := range h.pages {
 		if !h.due(p, regular) {
 			continue
@@ -49,6 +49,19 @@
 	return s
 }
 
+// askedHere is what this holder is asked for, in tokens a second by customer.
+func (h *Holder) askedHere() map[string]float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := make(map[string]float64, len(h.accounts))
+	for name, a := range h.accounts {
+		if r := a.meter.rate(); r > 0 {
+			out[name] = r
+		}
+	}
+	return out
+}
+
 // part makes the part of one page. The caller holds mu.
 func (h *Holder) part(i int, p *pageState) Part {
 	now := h.clock.Now()
@@ -60,7 +73,7 @@
 		if h.pageOf(name) != p || a.prepaid < 0 {
 			continue
 		}
-		need := h.need(a, max(1, h.holders))
+		need := h.need(name, a, h.holders)
 		need.Keep = a.keep(need)
 		part.Rows[name] = need
 		least := Row{Granted: max(need.Keep, need.Spent), Spent: need.Spent, Want: need.Want, Burst: need.Burst, Rate: need.Rate}
@@ -107,7 +120,8 @@
 			continue
 		}
 		a.confirm(issued{row: held.Row, clock: time.Duration(r.Report.Clock) * time.Millisecond})
-		a.rest, a.free, a.others, a.target, a.toldRate, a.told = held.Rest, held.Free, held.Others, held.Target, held.Rate, true
+		a.rest, a.free, a.others, a.target = held.Rest, held.Free, held.Others, held.Target
+		a.toldRate, a.zoneRate, a.told = held.Rate, held.Zone, true
 		p.reported[name] = held.Row.Spent
 	}
 }
--- a/internal/peers/directory.go
+++ b/internal/peers/directory.go
@@ -73,8 +73,8 @@
 	mu       sync.Mutex
 	begun    time.Time
 	records  map[string]Record
-	ahead    []Record // of the own zone, ranked before this instance, best first
-	zone     int      // instances of the own zone, this one among them
+	zones    map[string][]Record // by zone, ranked
+	ahead    []Record            // of the own zone, ranked before this instance, best first
 	suspects map[string]*suspicion
 	leaving  bool
 	leader   string // as last logged
@@ -105,7 +105,7 @@
 func New(store external.KV, prefix string, self Record, router *mesh.Router, opts ...Option) *Directory {
 	d := &Directory{
 		store: store, prefix: prefix, self: self, router: router, times: DefaultTimes(), now: time.Now, log: zerolog.Nop(),
-		large: DefaultLarge, records: make(map[string]Record), suspects: make(map[string]*suspicion), zone: 1,
+		large: DefaultLarge, records: make(map[string]Record), suspects: make(map[string]*suspicion),
 	}
 	for _, opt := range opts {
 		opt(d)
@@ -209,9 +209,9 @@
 	return nil
 }
 
-// connect opens the links once the fleet is large.
+// connect opens the links once there are other instances.
 func (d *Directory) connect(ctx context.Context) {
-	if !d.Large() || d.caller.Load() != nil {
+	if d.Size() < 2 || d.caller.Load() != nil {
 		return
 	}
 	c, err := d.dialer(ctx)
@@ -263,7 +263,7 @@
 func (d *Directory) ZoneSize() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.zone
+	return max(1, len(d.zones[d.self.Peer.Zone]))
 }
 
 // Leads says whether this instance leads its zone, as far as it knows.
@@ -284,13 +284,14 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.now()
-	var out []mesh.Peer
+	if len(d.records) < d.large {
+		return nil
+	}
+	out := make([]mesh.Peer, 0, mostLeaders)
 	for _, r := range d.ahead[:min(len(d.ahead), mostLeaders)] {
-		if s := d.suspects[r.Peer.ID]; s != nil && now.Before(s.until) {
-			continue
+		if !d.suspected(r.Peer.ID) {
+			out = append(out, r.Peer)
 		}
-		out = append(out, r.Peer)
 	}
 	d.note(out)
 	return out
@@ -305,7 +306,7 @@
 	if leader == d.leader {
 		return
 	}
-	d.log.Info().Str("event", "leader_changed").Str("leader", leader).Str("before", d.leader).Int("zone", d.zone).Msg("another instance leads the zone")
+	d.log.Info().Str("event", "leader_changed").Str("leader", leader).Str("before", d.leader).Msg("another instance leads the zone")
 	d.leader = leader
 }
 
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -130,6 +130,68 @@
 	})
 }
 
+func TestLenders(t *testing.T) {
+	ctx := context.Background()
+	Convey("In a small fleet", t, func() {
+		f := newFleet(3, 9)
+		f.meet(ctx)
+
+		Convey("every instance keeps its own, and borrows from all others", func() {
+			pooled, _ := f.dirs[0].Pool("north")
+			So(pooled, ShouldBeFalse)
+			So(f.dirs[0].Leads(), ShouldBeTrue)
+			So(ids(f.dirs[0].Lenders("north")), ShouldHaveLength, 2)
+			So(ids(f.dirs[0].Lenders("north")), ShouldNotContain, "i-0")
+		})
+
+		Convey("one that could not be reached is not asked for a while", func() {
+			f.net.SetDown("10.0.0.1:1", true)
+			for _, p := range f.dirs[0].Lenders("north") {
+				_, _ = Call[string, string](ctx, f.dirs[0], p, kindEcho, "")
+			}
+			So(ids(f.dirs[0].Lenders("north")), ShouldResemble, []string{"i-2"})
+		})
+	})
+
+	Convey("In a large fleet", t, func() {
+		f := newFleet(6, 4)
+		f.meet(ctx)
+
+		Convey("two instances of a zone keep its pools, each for a part of the customers", func() {
+			keepers := make(map[string]int)
+			for i := range 40 {
+				customer := fmt.Sprintf("customer-%d", i)
+				for _, d := range f.dirs {
+					pooled, here := d.Pool(customer)
+					So(pooled, ShouldBeTrue)
+					if here {
+						keepers[d.self.Peer.ID]++
+					}
+				}
+				So(f.dirs[5].Lenders(customer)[0].ID, ShouldBeIn, "i-0", "i-1")
+			}
+			So(keepers, ShouldHaveLength, 2)
+			So(keepers["i-0"]+keepers["i-1"], ShouldEqual, 40)
+		})
+
+		Convey("the pool is asked first, then the other one, then one of each other zone", func() {
+			for _, zone := range []string{"b", "c"} {
+				for i := range 2 {
+					id := fmt.Sprintf("%s-%d", zone, i)
+					raw, _ := cbor.Marshal(Record{Peer: mesh.Peer{ID: id, Zone: zone, Addr: id}})
+					f.store.Put("p/peers/"+id, raw)
+				}
+			}
+			last := f.dirs[5]
+			So(last.read(ctx), ShouldBeNil)
+			got := last.Lenders("north")
+			So(got, ShouldHaveLength, 4)
+			So(last.Near(got[0]) && last.Near(got[1]), ShouldBeTrue)
+			So(got[2].Zone, ShouldNotEqual, got[3].Zone)
+		})
+	})
+}
+
 func TestIdentity(t *testing.T) {
 	Convey("Instances that need the fleet's authority at once make one, and trust each other", t, func() {
 		ctx := context.Background()
--- a/internal/peers/rank.go
+++ b/internal/peers/rank.go
@@ -29,13 +29,25 @@
 	s.until = d.now().Add(s.pause)
 }
 
+// suspected says whether an instance is left alone now. The caller holds mu.
+func (d *Directory) suspected(id string) bool {
+	s := d.suspects[id]
+	return s != nil && d.now().Before(s.until)
+}
+
 // take puts new records in the place of the old.
 func (d *Directory) take(records map[string]Record) {
-	ranked := rank(d.self.Peer.Zone, records)
+	zones := make(map[string][]Record)
+	for _, r := range records {
+		zones[r.Peer.Zone] = append(zones[r.Peer.Zone], r)
+	}
+	for zone, list := range zones {
+		zones[zone] = rank(zone, list)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.records, d.zone, d.ahead = records, len(ranked), nil
-	for _, r := range ranked {
+	d.records, d.zones, d.ahead = records, zones, nil
+	for _, r := range zones[d.self.Peer.Zone] {
 		if r.Peer.ID == d.self.Peer.ID {
 			break
 		}
@@ -50,16 +62,16 @@
 
 // rank orders a zone's instances: larger machines first, equal ones by rendezvous hashing. All instances with the same records
 // come to the same order.
-func rank(zone string, records map[string]Record) []Record {
-	var list []mesh.Peer
+func rank(zone string, records []Record) []Record {
+	byID := make(map[string]Record, len(records))
+	list := make([]mesh.Peer, 0, len(records))
 	for _, r := range records {
-		if r.Peer.Zone == zone {
-			list = append(list, r.Peer)
-		}
+		byID[r.Peer.ID] = r
+		list = append(list, r.Peer)
 	}
 	out := make([]Record, 0, len(list))
 	for _, p := range member.Rank(zone, list) {
-		out = append(out, records[p.ID])
+		out = append(out, byID[p.ID])
 	}
 	sort.SliceStable(out, func(i, j int) bool { return out[i].Capacity > out[j].Capacity })
 	return out
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -67,7 +67,7 @@
 	}
 	r.peers = peers.New(on.Store, set.Store.Prefix, self, links, peers.WithLogger(log), peers.WithLarge(set.Peers.Large))
 	r.escrow = escrow.New(on.Store, set.Store.Prefix+escrowPrefix, set.Store.pages(), set.Instance.ID, id,
-		escrow.WithLogger(log), escrow.WithLeader(remote.New(r.peers)))
+		escrow.WithLogger(log), escrow.WithFleet(remote.New(r.peers)))
 	r.follow = follow.New(feed.NewSource(r.peers, on.Source), r.pool,
 		follow.WithLogger(log), follow.OnTable(r.fundsOf), follow.OnEntry(r.escrow.Observe), follow.OnPolled(r.escrow.Tick),
 		follow.WithOwn(func() bool { return !r.peers.Large() }))
