fix: shares of the start are held until the first request, and meters begin with it

Cause: meters aged from the process's start, so that before traffic came (10 to 14 s) nothing was wanted, the start's shares went back, and the first two seconds were refused; a rate measured for 5 s was taken for the mean of 20. Change: a holder's start lasts until 3 s after its first request, or its zone's; all meters begin with that.

--- a/internal/escrow/draw.go
+++ b/internal/escrow/draw.go
@@ -103,11 +103,12 @@
 		return false
 	}
 	h.beat = now
-	h.own.tick(now)
-	h.all.tick(now)
+	idle := !h.asks()
+	h.own.tick(now, idle)
+	h.all.tick(now, idle)
 	for _, a := range h.accounts {
-		a.meter.tick(now)
-		a.all.tick(now)
+		a.meter.tick(now, idle)
+		a.all.tick(now, idle)
 	}
 	return true
 }
@@ -317,8 +318,12 @@
 		horizon = min(horizon, stoppingHorizon)
 	}
 	n := Need{Spent: a.used(), Urgent: a.urgent}
-	n.Want, n.Burst, n.Rate = h.policy.size(h.flow(a, role), horizon, h.policy.plenty(a.unspent(), a.prepaid))
-	if a.meter.young() && !h.stopping {
+	policy := h.policy
+	if role == RolePooled {
+		policy.Spread = policy.NearSpread
+	}
+	n.Want, n.Burst, n.Rate = policy.size(h.flow(a, role), horizon, policy.plenty(a.unspent(), a.prepaid))
+	if h.fresh() && !h.stopping {
 		start := h.start(a, role, max(1, holders))
 		n.Want = max(n.Want, start)
 		n.Burst = max(n.Burst, start)
@@ -327,6 +332,30 @@
 	return n
 }
 
+// freshFlow is how long after the first request what is measured says too little.
+const freshFlow = 3 * time.Second
+
+// fresh says whether too little is measured yet, here or in the zone that this holder pools tokens for. The caller holds mu.
+func (h *Holder) fresh() bool {
+	if h.first.IsZero() && h.asks() {
+		h.first = h.now()
+	}
+	return h.first.IsZero() || h.now().Sub(h.first) < freshFlow
+}
+
+// asks says whether anything was asked for yet. The caller holds mu.
+func (h *Holder) asks() bool {
+	if h.own.sizes > 0 {
+		return true
+	}
+	for _, a := range h.accounts {
+		if a.zoneRate > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // start is what the holder asks for while nothing is measured. The caller holds mu.
 func (h *Holder) start(a *account, role Role, holders int) int64 {
 	rest := float64(max(0, a.rest))
--- a/internal/escrow/holder.go
+++ b/internal/escrow/holder.go
@@ -73,6 +73,7 @@
 	all      meter         // of all customers everywhere, as reported
 	answered time.Time     // the last answer of the store
 	beat     time.Time     // the last regular draw
+	first    time.Time     // when a request was first asked for, as far as it was noticed
 	holders  int           // that the store knows
 	changed  chan struct{} // closed and replaced after each draw
 	stopping bool
--- a/internal/escrow/meter.go
+++ b/internal/escrow/meter.go
@@ -29,9 +29,9 @@
 	m.squares += x * x
 }
 
-// tick brings the rate up to date.
-func (m *meter) tick(now time.Time) {
-	if m.at.IsZero() {
+// tick brings the rate up to date. A meter begins with the first requests, whatever they are: idle says that there were none yet.
+func (m *meter) tick(now time.Time, idle bool) {
+	if m.at.IsZero() || idle {
 		m.at = now
 		return
 	}
@@ -65,6 +65,3 @@
 	}
 	return m.squares / m.sizes
 }
-
-// young says whether the meter has seen too little to be trusted.
-func (m *meter) young() bool { return m.age < meterWindow/2 }
