feat: an instance sends callers to others before its link is full

Change: internal/pressure counts what the link carries and how long connections within the zone take to come up. Settings: instance.link_mbps, which also ranks leaders.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -44,16 +44,32 @@
 	core     *relay.Core
 	parser   Parser
 	now      func() time.Time
+	away     func() bool
+	wrap     func(net.Listener) net.Listener
 	stopping atomic.Bool
 }
 
+// Option changes a Server.
+type Option func(*Server)
+
+// WithAway sets what says whether callers are to be sent to other instances: their connections end with their answers.
+func WithAway(f func() bool) Option { return func(s *Server) { s.away = f } }
+
+// WithWrap sets what is put around the listener.
+func WithWrap(f func(net.Listener) net.Listener) Option { return func(s *Server) { s.wrap = f } }
+
 // Listen opens the callers' address.
-func Listen(addr string, core *relay.Core, parser Parser, times Times) (*Server, error) {
+func Listen(addr string, core *relay.Core, parser Parser, times Times, opts ...Option) (*Server, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, eris.Wrapf(err, "listening for callers on %s", addr)
 	}
-	s := &Server{listener: l, core: core, parser: parser, now: time.Now}
+	s := &Server{listener: l, core: core, parser: parser, now: time.Now, away: func() bool { return false }}
+	s.wrap = func(l net.Listener) net.Listener { return l }
+	for _, opt := range opts {
+		opt(s)
+	}
+	s.listener = s.wrap(l)
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: times.Header, IdleTimeout: times.Idle, MaxHeaderBytes: maxHead}
 	return s, nil
 }
@@ -91,7 +107,7 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := s.now()
-	if s.stopping.Load() {
+	if s.stopping.Load() || s.away() {
 		w.Header().Set("Connection", "close")
 	}
 	if err := s.checkHead(r); err != nil {
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -37,6 +37,8 @@
 	now     func() time.Time
 	random  func() float64
 	ended   func(Outcome)
+	dialed  func(zone string, took time.Duration)
+	crowded func() bool
 	stall   time.Duration
 	maxBody int64
 }
@@ -53,6 +55,14 @@
 // WithEnded sets what is told of each request that has ended.
 func WithEnded(f func(Outcome)) Option { return func(c *Core) { c.ended = f } }
 
+// WithDialed sets what is told how long new connections to endpoints took to come up, by the endpoint's availability zone.
+func WithDialed(f func(zone string, took time.Duration)) Option {
+	return func(c *Core) { c.dialed = f }
+}
+
+// WithCrowded sets what says whether this instance's link is so crowded that requests are better served elsewhere.
+func WithCrowded(f func() bool) Option { return func(c *Core) { c.crowded = f } }
+
 // WithStall sets how long an endpoint may be silent before a request that may be repeated looks elsewhere.
 func WithStall(d time.Duration) Option { return func(c *Core) { c.stall = d } }
 
@@ -71,7 +81,8 @@
 // New makes a core.
 func New(deps Deps, opts ...Option) *Core {
 	c := &Core{
-		Deps: deps, now: time.Now, random: rand.Float64, ended: func(Outcome) {}, stall: defaultStall, maxBody: defaultMaxBody,
+		Deps: deps, now: time.Now, random: rand.Float64, ended: func(Outcome) {}, dialed: func(string, time.Duration) {},
+		crowded: func() bool { return false }, stall: defaultStall, maxBody: defaultMaxBody,
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -136,6 +147,9 @@
 	if err := j.admit(); err != nil {
 		return err
 	}
+	if j.core.crowded() {
+		return refuse(verdict.CodeOverloaded, "this instance's link is crowded", retryNow)
+	}
 	if !j.end.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, j.end)
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -189,7 +189,9 @@
 	if left, ok := j.left(); ok {
 		a.Left = max(left, time.Millisecond)
 	}
-	res, err := j.core.Client.Do(ctx, e.Addr, j.core.Dialect.Outbound(j.req, a))
+	out := j.core.Dialect.Outbound(j.req, a)
+	out.Dialed = func(took time.Duration) { j.core.dialed(e.Zone, took) }
+	res, err := j.core.Client.Do(ctx, e.Addr, out)
 	if errors.Is(err, upstream.ErrNotSent) {
 		return resultUnsent, nil
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -21,6 +21,7 @@
 	"github.com/ledgemount/ledgemount/internal/mesh"
 	"github.com/ledgemount/ledgemount/internal/peers"
 	"github.com/ledgemount/ledgemount/internal/pool"
+	"github.com/ledgemount/ledgemount/internal/pressure"
 	"github.com/ledgemount/ledgemount/internal/relay"
 	"github.com/ledgemount/ledgemount/internal/retry"
 	"github.com/ledgemount/ledgemount/internal/route"
@@ -53,17 +54,21 @@
 	probes  *probes
 	figures *probes // metrics on an address of their own; nil: none
 	metrics *meters
+
+	pressure *pressure.Gauge
 }
 
 // New builds a router; it listens already, but runs only with Run.
 func New(set *Settings, on Platform, log zerolog.Logger) (*Router, error) {
-	r := &Router{set: set, log: log, kernel: kernel.New(), client: upstream.New(), metrics: newMeters(set)}
+	r := &Router{set: set, log: log, kernel: kernel.New(), metrics: newMeters(set)}
+	r.pressure = pressure.New(pressure.OnChange(r.logPressure), pressure.WithLink(set.Instance.LinkMbps))
+	r.client = upstream.New(upstream.WithWrap(r.pressure.Conn))
 	r.pool = pool.New(set.Instance.Zone, pool.OnGone(r.client.Forget))
 	id := set.Instance.ID + "/" + strings.ToLower(ulid.Make().String())
 	links := mesh.NewRouter()
 	self := peers.Record{
 		Peer:     mesh.Peer{ID: set.Instance.ID, Zone: set.Instance.Zone, Addr: set.Peers.Listen, Inc: id},
-		Capacity: set.Instance.Capacity,
+		Capacity: set.Instance.LinkMbps,
 	}
 	r.peers = peers.New(on.Store, set.Store.Prefix, self, links, peers.WithLogger(log), peers.WithLarge(set.Peers.Large))
 	r.escrow = escrow.New(on.Store, set.Store.Prefix+escrowPrefix, set.Store.pages(), set.Instance.ID, id,
@@ -76,7 +81,7 @@
 	retries := retry.NewShared(set.Retry.Ratio, set.Retry.Slack, set.Retry.Window, r.escrow.Holders, time.Now)
 	r.core = relay.New(relay.Deps{
 		Tables: r.follow.Table, Pool: r.pool, Budgets: r.escrow, Retries: retries, Client: r.client, Dialect: on.Dialect,
-	}, relay.WithEnded(r.ended))
+	}, relay.WithEnded(r.ended), relay.WithDialed(r.dialed), relay.WithCrowded(r.pressure.Crowded))
 	if err := r.listen(on); err != nil {
 		return nil, err
 	}
@@ -94,7 +99,7 @@
 
 func (r *Router) listen(on Platform) error {
 	var err error
-	r.callers, err = edge.Listen(r.set.Callers.Listen, r.core, on.Parser, edge.DefaultTimes())
+	r.callers, err = edge.Listen(r.set.Callers.Listen, r.core, on.Parser, edge.DefaultTimes(), edge.WithAway(r.pressure.Away), edge.WithWrap(r.pressure.Listener))
 	if err != nil {
 		return err
 	}
@@ -121,9 +126,25 @@
 		Msg("prepaid figures are in force")
 }
 
-// ready says whether callers may be sent here: the configuration, the endpoints and the escrow are known.
+// dialed tells the gauge of this instance's link of connections within the zone: others may be slow for other reasons.
+func (r *Router) dialed(zone string, took time.Duration) {
+	if zone == r.set.Instance.Zone {
+		r.pressure.Dialed(took)
+	}
+}
+
+// logPressure tells that the instance begins or ends to send callers away.
+func (r *Router) logPressure(away bool) {
+	if away {
+		r.log.Warn().Str("event", "link_crowded").Msg("connections come up slowly: callers are sent to other instances")
+		return
+	}
+	r.log.Info().Str("event", "link_calm").Msg("callers may come again")
+}
+
+// ready says whether callers may be sent here: the configuration, the endpoints and the escrow are known, and the link is calm.
 func (r *Router) ready() bool {
-	return r.follow.Table() != nil && r.escrow.Ready() && r.pool.Len() > 0
+	return !r.pressure.Away() && r.follow.Table() != nil && r.escrow.Ready() && r.pool.Len() > 0
 }
 
 // Run runs the router until ctx ends, without a planned stop: use Stop for that.
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -26,8 +26,9 @@
 type Instance struct {
 	ID   string `json:"id" validate:"required"`   // outlasts the process: a successor has the same
 	Zone string `json:"zone" validate:"required"` // availability zone
-	// Capacity is the size of the instance's machine in any unit: in a large fleet the larger ones lead their zones.
-	Capacity float64 `json:"capacity" validate:"min=0"`
+	// LinkMbps is what the machine's link carries each way, in megabits a second; 0: not known. Callers are sent to other instances
+	// before it is full, and in a large fleet the machines with the larger links lead their zones.
+	LinkMbps float64 `json:"link_mbps" validate:"min=0"`
 }
 
 // Peers is the side towards the fleet's other instances.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -25,6 +25,7 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	Dialed func(took time.Duration) // told how long a new connection took to come up, or to be given up; nil: nobody is
 }
 
 // Response is an endpoint's answer. Close ends the exchange; a body that was not read to its end costs the connection.
@@ -54,6 +55,7 @@
 	maxIdle int
 	idleFor time.Duration
 	now     func() time.Time
+	wrap    func(net.Conn) net.Conn
 
 	mu     sync.Mutex
 	idle   map[string][]*conn
@@ -72,6 +74,9 @@
 // WithIdle sets how long a connection is kept where the endpoint names no time.
 func WithIdle(d time.Duration) Option { return func(c *Client) { c.idleFor = d } }
 
+// WithWrap sets what is put around each connection.
+func WithWrap(f func(net.Conn) net.Conn) Option { return func(c *Client) { c.wrap = f } }
+
 // New makes a client without connections.
 func New(opts ...Option) *Client {
 	c := &Client{
@@ -79,6 +84,7 @@
 		maxIdle: DefaultMaxIdle,
 		idleFor: DefaultIdle,
 		now:     time.Now,
+		wrap:    func(c net.Conn) net.Conn { return c },
 		idle:    make(map[string][]*conn),
 	}
 	for _, opt := range opts {
@@ -98,7 +104,7 @@
 // Do sends a request and returns the head of the answer. The exchange ends with ctx, even in the middle of the body.
 // An error that matches ErrNotSent promises that nothing was sent; after any other the request may have run.
 func (c *Client) Do(ctx context.Context, addr string, req *Request) (*Response, error) {
-	cn, err := c.take(ctx, addr)
+	cn, err := c.take(ctx, addr, req.Dialed)
 	if err != nil {
 		return nil, err
 	}
@@ -116,7 +122,7 @@
 	return res, nil
 }
 
-func (c *Client) take(ctx context.Context, addr string) (*conn, error) {
+func (c *Client) take(ctx context.Context, addr string, dialed func(time.Duration)) (*conn, error) {
 	for {
 		cn := c.pop(addr)
 		if cn == nil {
@@ -127,10 +133,15 @@
 		}
 		_ = cn.Close()
 	}
+	begun := c.now()
 	nc, err := c.dialer.DialContext(ctx, "tcp", addr)
+	if dialed != nil {
+		dialed(c.now().Sub(begun))
+	}
 	if err != nil {
 		return nil, eris.Wrapf(errors.Join(ErrNotSent, err), "connecting to %s", addr)
 	}
+	nc = c.wrap(nc)
 	return &conn{Conn: nc, addr: addr, br: bufio.NewReaderSize(nc, readBuffer)}, nil
 }
 
