feat: fewer store calls in a large fleet, and refusals in a cut say when enough of the grant is released

Change: an instance begins once it knows the others, in a large fleet once it reaches a leader (3 s at most); one page up to 1,200 writes/s; a leader that has not heard the store says so at once, and answers after 1.8 s in any case. Counter and histogram of store calls (external.Observed). Change: the time after which the grant's steps release enough, the lender's where it has one, else 3 s.

--- a/internal/escrow/borrow.go
+++ b/internal/escrow/borrow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/ledgemount/ledgemount/internal/kernel"
 )
@@ -17,11 +18,11 @@
 	return h.fleet.Role(customer)
 }
 
-// borrow reserves of another holder's grant; nil if none lends.
-func (h *Holder) borrow(ctx context.Context, customer string, most int64, rank int) *Reservation {
+// borrow reserves of another holder's grant; nil if none lends. later is when one may; 0: none has said.
+func (h *Holder) borrow(ctx context.Context, customer string, most int64, rank int) (r *Reservation, later time.Duration) {
 	number, ok := h.nextLoan(customer, most)
 	if !ok {
-		return nil
+		return nil, 0
 	}
 	ctx, cancel := context.WithTimeout(ctx, h.times.Borrow)
 	defer cancel()
@@ -34,10 +35,10 @@
 	a := h.accounts[customer]
 	if got.Lender == "" {
 		a.dry, a.dryFor = h.now(), most
-		return nil
+		return nil, got.Later
 	}
 	h.count(a, most)
-	return &Reservation{holder: h, customer: customer, most: most, lender: got.Lender, number: number}
+	return &Reservation{holder: h, customer: customer, most: most, lender: got.Lender, number: number}, 0
 }
 
 // nextLoan numbers a loan; not while as much was refused only just now.
--- a/internal/escrow/draw.go
+++ b/internal/escrow/draw.go
@@ -32,6 +32,9 @@
 
 // round brings all pages up to date, by the zone's leader if there is one.
 func (h *Holder) round(ctx context.Context, regular bool) {
+	if h.fleet != nil && !h.Ready() && !h.fleet.Settled() {
+		return
+	}
 	follows := h.follows()
 	if follows {
 		h.submit(ctx, regular)
--- a/internal/escrow/fleet.go
+++ b/internal/escrow/fleet.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"time"
 )
 
 // Fleet is the way to the other holders. In a large fleet one holder of each zone leads: it writes the rows of the others in one
 // go. All lend each other what a request needs beyond its holder's own grant.
 type Fleet interface {
+	// Settled says whether this holder knows the others well enough to begin: not just after its start.
+	Settled() bool
 	// Large says whether the fleet's zones are led.
 	Large() bool
 	// Leads says whether this holder does its own writing: it leads, or no leader can be reached.
@@ -38,8 +41,9 @@
 
 // Borrowed tells what became of a loan.
 type Borrowed struct {
-	Lender string   // who has given it; empty: nobody
-	Unsure []string // who may have given it, though no answer came
+	Lender string        // who has given it; empty: nobody
+	Unsure []string      // who may have given it, though no answer came
+	Later  time.Duration // the first moment at which one that refused may have enough; 0: none has said
 }
 
 // ErrNotTaken says that a leader has not seen a submission.
--- a/internal/escrow/group.go
+++ b/internal/escrow/group.go
@@ -7,7 +7,15 @@
 	"github.com/ledgemount/ledgemount/internal/verdict"
 )
 
+// hears says whether the store has answered lately, or was not asked yet.
+func (h *Holder) hears() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.answered.IsZero() || h.now().Sub(h.answered) < 2*h.times.Lost
+}
+
 const (
+	submissionWait = 1800 * time.Millisecond // for the write
 	submissionLife = 2500 * time.Millisecond // a submission that was not written by then is dropped
 	loanLife       = 90 * time.Second        // a loan that was not repaid by then counts as used
 )
@@ -25,6 +33,11 @@
 
 // Submit takes rows of another holder of the zone, and returns once they are written.
 func (h *Holder) Submit(ctx context.Context, s Submission) (Receipt, error) {
+	if !h.hears() {
+		return Receipt{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the store does not answer here")
+	}
+	ctx, cancel := context.WithTimeout(ctx, submissionWait)
+	defer cancel()
 	list := h.enqueue(s)
 	out := Receipt{Parts: make([]PartReceipt, 0, len(list))}
 	for _, p := range list {
@@ -210,10 +223,16 @@
 	} else {
 		r, err = h.draws(ctx, l.Customer, l.Most, l.Rank, true)
 	}
-	if r == nil || r.holder == nil {
-		return nil, verdict.New(verdict.NotRun, verdict.CodeBudgetUnready, "nothing to lend", verdict.WithCause(err))
+	if r != nil && r.holder != nil {
+		return r, nil
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	after := retryLater
+	if a := h.accounts[l.Customer]; a != nil {
+		after = h.comeBack(a, l.Most)
 	}
-	return r, nil
+	return nil, verdict.New(verdict.NotRun, verdict.CodeBudgetUnready, "nothing to lend", verdict.WithRetryAfter(after), verdict.WithCause(err))
 }
 
 // Lend reserves a part of this holder's grant for a request at another holder.
--- a/internal/escrow/group_test.go
+++ b/internal/escrow/group_test.go
@@ -98,6 +98,12 @@
 			So(h.pageOf(north).submitted, ShouldBeFalse)
 		})
 
+		Convey("is told at once that the leader does not reach the store", func() {
+			w.elapsed += 3 * leads.holder.times.Lost
+			_, err := leads.holder.Submit(context.Background(), h.submission(true))
+			So(verdict.Of(err), ShouldEqual, verdict.NotRun)
+		})
+
 		Convey("is told that its rows are gone, and spends nothing more", func() {
 			entry, _, _ := w.store.Read(context.Background(), h.pageOf(north).key)
 			p, _ := DecodePage(entry.Data)
--- a/internal/escrow/property_test.go
+++ b/internal/escrow/property_test.go
@@ -68,6 +68,7 @@
 	node  *simNode
 }
 
+func (f *simFleet) Settled() bool  { return true }
 func (f *simFleet) Large() bool    { return true }
 func (f *simFleet) Stranded() bool { return false }
 func (f *simFleet) Leads() bool    { return f.node == f.world.nodes[0] || f.node.link == linkNone }
--- a/internal/escrow/rank_test.go
+++ b/internal/escrow/rank_test.go
@@ -50,3 +50,34 @@
 		})
 	})
 }
+
+func TestComeBack(t *testing.T) {
+	Convey("A refused request is told when to come back", t, func() {
+		w := newWorld(DefaultPolicy())
+		n := w.nodes[0]
+		w.draw(n)
+		h := n.holder
+		a := h.accounts["north"]
+		a.row.row = Row{Granted: 1000, Burst: 100, Rate: 200}
+		a.row.clock = h.clock.Now()
+
+		Convey("soon, while the store answers", func() {
+			So(h.comeBack(a, 500), ShouldEqual, retrySoon)
+		})
+
+		Convey("in a cut, when enough of the grant is released", func() {
+			w.elapsed += Grace + 500*time.Millisecond
+			So(a.headroom(h.clock.Now()), ShouldEqual, 200)
+			So(h.comeBack(a, 500), ShouldEqual, 1500*time.Millisecond)
+			So(h.comeBack(a, 201), ShouldEqual, retrySoon)
+			So(h.comeBack(a, 1000), ShouldEqual, retryCut)
+			So(h.comeBack(a, 1001), ShouldEqual, retryCut)
+		})
+
+		Convey("by a lender too", func() {
+			w.elapsed += Grace + 500*time.Millisecond
+			err := h.Lend(context.Background(), Loan{Holder: "other", Number: 1, Customer: "north", Most: 500, AtHand: true})
+			So(verdict.From(err).RetryAfter(), ShouldEqual, 1500*time.Millisecond)
+		})
+	})
+}
--- a/internal/escrow/remote/remote.go
+++ b/internal/escrow/remote/remote.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/ledgemount/ledgemount/internal/escrow"
 	"github.com/ledgemount/ledgemount/internal/mesh"
@@ -26,6 +27,9 @@
 // New makes a way to the holders that a directory names.
 func New(dir *peers.Directory) *Fleet { return &Fleet{dir: dir} }
 
+// Settled implements escrow.Fleet.
+func (f *Fleet) Settled() bool { return f.dir.Settled() }
+
 // Large implements escrow.Fleet.
 func (f *Fleet) Large() bool { return f.dir.Large() }
 
@@ -54,7 +58,7 @@
 func (f *Fleet) Submit(ctx context.Context, s escrow.Submission) (escrow.Receipt, error) {
 	for _, p := range f.dir.Leaders() {
 		r, err := peers.Call[escrow.Submission, escrow.Receipt](ctx, f.dir, p, KindSubmit, s)
-		if !errors.Is(err, mesh.ErrUnreachable) {
+		if err == nil || (verdict.Of(err) != verdict.NotRun && !errors.Is(err, mesh.ErrUnreachable)) {
 			return r, err
 		}
 	}
@@ -74,6 +78,8 @@
 			return out
 		case verdict.Of(err) != verdict.NotRun && !errors.Is(err, mesh.ErrUnreachable):
 			out.Unsure = append(out.Unsure, p.Addr)
+		default:
+			out.Later = sooner(out.Later, verdict.From(err).RetryAfter())
 		}
 		if ctx.Err() != nil {
 			break
@@ -82,6 +88,14 @@
 	return out
 }
 
+// sooner is the smaller of two times, of which 0 is none.
+func sooner(a, b time.Duration) time.Duration {
+	if a == 0 || (b > 0 && b < a) {
+		return b
+	}
+	return a
+}
+
 // Return implements escrow.Fleet.
 func (f *Fleet) Return(ctx context.Context, lender string, r escrow.Repayment) error {
 	_, err := peers.Call[escrow.Repayment, mesh.Empty](ctx, f.dir, mesh.Peer{ID: lender, Addr: lender}, KindReturn, r)
--- a/internal/escrow/reserve.go
+++ b/internal/escrow/reserve.go
@@ -69,8 +69,9 @@
 	if r != nil || (err != nil && !errors.Is(err, errKept)) {
 		return r, err
 	}
+	var later time.Duration
 	if h.role(customer) == RolePooled {
-		if r := h.borrow(ctx, customer, most, rank); r != nil {
+		if r, later = h.borrow(ctx, customer, most, rank); r != nil {
 			return r, nil
 		}
 	}
@@ -79,10 +80,11 @@
 			return r, err
 		}
 	}
-	if r := h.borrow(ctx, customer, most, rank); r != nil {
+	r, again := h.borrow(ctx, customer, most, rank)
+	if r != nil {
 		return r, nil
 	}
-	return nil, h.refuse(customer, most, err)
+	return nil, h.refuse(customer, most, err, max(later, again))
 }
 
 // draws reserves of this holder's own grant, and draws on the store for it.
@@ -150,6 +152,7 @@
 const (
 	retrySoon  = 250 * time.Millisecond
 	retryLater = 2 * time.Second
+	retryCut   = 3 * time.Second // out of touch with the store
 )
 
 // Shares that are kept for a customer's first ranks.
@@ -168,7 +171,7 @@
 	if float64(a.unspent()-most) < keptAtEnd*float64(a.prepaid) {
 		return true
 	}
-	if h.now().Sub(h.answered) < h.times.Lost {
+	if h.inTouch() {
 		return false
 	}
 	held := a.row.row.Granted - a.row.row.Spent
@@ -181,20 +184,42 @@
 	h.own.add(tokens)
 }
 
-// refuse explains a refusal: the budget is used up, or this instance does not hold enough of it right now.
-func (h *Holder) refuse(customer string, most int64, why error) error {
+// refuse explains a refusal: the budget is used up, or this instance does not hold enough of it right now. later is when another
+// holder may lend; 0: none has said.
+func (h *Holder) refuse(customer string, most int64, why error, later time.Duration) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	a := h.accounts[customer]
 	h.count(a, most)
-	if a.unspent() < most && h.now().Sub(h.answered) < h.times.Lost {
+	if a.unspent() < most && h.inTouch() {
 		return verdict.New(verdict.NotRun, verdict.CodeBudgetExhausted, "what remains of the budget cannot hold the request",
 			verdict.WithRetryAfter(retryLater))
 	}
 	if errors.Is(why, errKept) {
 		return refuseBudget("what is left of the budget is kept for the customer's first ranks", retryLater)
 	}
-	return refuseBudget("this instance holds too little of the budget now", retrySoon)
+	after := h.comeBack(a, most)
+	if later > 0 {
+		after = min(after, later)
+	}
+	return refuseBudget("this instance holds too little of the budget now", after)
+}
+
+// inTouch says whether the store has answered lately. The caller holds mu.
+func (h *Holder) inTouch() bool { return h.now().Sub(h.answered) < h.times.Lost }
+
+// comeBack is when a request that was refused may be served: at the next draw, or in a cut once the steps in which the grant is
+// released allow it. The caller holds mu.
+func (h *Holder) comeBack(a *account, most int64) time.Duration {
+	if h.inTouch() {
+		return retrySoon
+	}
+	row := a.row.row
+	if row.Rate <= 0 || row.Granted-a.used() < most {
+		return retryCut
+	}
+	missing := float64(most - a.headroom(h.clock.Now()))
+	return min(retryCut, max(retrySoon, time.Duration(missing/float64(row.Rate)*float64(time.Second))))
 }
 
 // refuseBudget is a refusal for now.
@@ -211,5 +236,5 @@
 	if a.free+a.row.row.Granted-a.used() < most && a.unspent() >= most {
 		return false // others hold it
 	}
-	return !h.answered.IsZero() && now.Sub(h.answered) < h.times.Lost && now.Sub(a.dry) > h.times.Dry*h.crowd()
+	return !h.answered.IsZero() && h.inTouch() && now.Sub(a.dry) > h.times.Dry*h.crowd()
 }
--- a/internal/peers/directory.go
+++ b/internal/peers/directory.go
@@ -33,6 +33,7 @@
 	Soon   time.Duration // between reads while young
 	Read   time.Duration // between reads later on
 	Call   time.Duration // limit of one call to the store
+	Settle time.Duration // after the start others may not have told of themselves yet, or their links are not open
 	First  time.Duration // an instance that could not be reached is left alone for this long
 	Longer time.Duration // the most that this grows to
 }
@@ -41,7 +42,7 @@
 func DefaultTimes() Times {
 	return Times{
 		Young: 8 * time.Second, Soon: 700 * time.Millisecond, Read: 5 * time.Second, Call: 900 * time.Millisecond,
-		First: 700 * time.Millisecond, Longer: 3 * time.Second,
+		Settle: 500 * time.Millisecond, First: 700 * time.Millisecond, Longer: 3 * time.Second,
 	}
 }
 
@@ -141,7 +142,10 @@
 
 func (d *Directory) sleep(ctx context.Context) {
 	wait := d.times.Read
-	if d.now().Sub(d.begun) < d.times.Young {
+	switch age := d.now().Sub(d.begun); {
+	case age < d.times.Settle:
+		wait = d.times.Settle - age
+	case age < d.times.Young:
 		wait = d.times.Soon
 	}
 	t := time.NewTimer(wait)
@@ -245,6 +249,31 @@
 	return nil
 }
 
+// Settled says whether the others are known well enough to begin with: in a large fleet a leader is to be found first, for a few
+// seconds.
+func (d *Directory) Settled() bool {
+	if d.self.Peer.Addr == "" {
+		return true
+	}
+	d.mu.Lock()
+	age, known := d.now().Sub(d.begun), len(d.records)
+	d.mu.Unlock()
+	switch {
+	case known == 0:
+		return false
+	case age > settleMost*d.times.Settle:
+		return true
+	case known < d.large:
+		return known > soleRecords || age > d.times.Settle
+	}
+	return d.caller.Load() != nil && !d.Stranded()
+}
+
+const (
+	settleMost  = 6 // times Settle
+	soleRecords = 2 // no more records than these may be a fleet that is just starting
+)
+
 // Large says whether the fleet is so large that its zones are led.
 func (d *Directory) Large() bool {
 	d.mu.Lock()
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -130,6 +130,47 @@
 	})
 }
 
+func TestSettled(t *testing.T) {
+	ctx := context.Background()
+	Convey("An instance begins", t, func() {
+		Convey("not before it has read the records", func() {
+			f := newFleet(3, 9)
+			d := f.dirs[0]
+			d.begun = f.at
+			So(d.Settled(), ShouldBeFalse)
+			f.meet(ctx)
+			So(d.Settled(), ShouldBeTrue)
+		})
+
+		Convey("a moment later where it finds itself alone, as others may be starting too", func() {
+			f := newFleet(1, 9)
+			d := f.dirs[0]
+			d.begun = f.at
+			f.meet(ctx)
+			So(d.Settled(), ShouldBeFalse)
+			f.at = f.at.Add(d.times.Settle + 1)
+			So(d.Settled(), ShouldBeTrue)
+		})
+
+		Convey("in a large fleet once it reaches a leader, or has tried for a few seconds", func() {
+			f := newFleet(6, 4)
+			last := f.dirs[5]
+			for _, d := range f.dirs {
+				d.begun = f.at
+			}
+			f.meet(ctx)
+			So(last.Settled(), ShouldBeTrue)
+			f.net.SetCut(func(_, _ mesh.Peer) bool { return true })
+			for _, p := range last.Leaders() {
+				_, _ = Call[string, string](ctx, last, p, kindEcho, "")
+			}
+			So(last.Settled(), ShouldBeFalse)
+			f.at = f.at.Add(settleMost*last.times.Settle + 1)
+			So(last.Settled(), ShouldBeTrue)
+		})
+	})
+}
+
 func TestLenders(t *testing.T) {
 	ctx := context.Background()
 	Convey("In a small fleet", t, func() {
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/observe"
 	"github.com/ledgemount/ledgemount/internal/relay"
 )
@@ -16,6 +17,7 @@
 	metrics *observe.Metrics
 	first   tally.Histogram
 	total   tally.Histogram
+	store   tally.Histogram
 }
 
 func newMeters(set *Settings) *meters {
@@ -26,9 +28,17 @@
 		metrics: m,
 		first:   m.Scope().Histogram("relay_first_byte_seconds", buckets),
 		total:   m.Scope().Histogram("relay_request_seconds", buckets),
+		store:   m.Scope().Histogram("store_call_seconds", buckets),
 	}
 }
 
+// called counts a call to the store.
+func (m *meters) called(c external.Call) {
+	scope := m.metrics.Scope().Tagged(map[string]string{"call": c.Name, "outcome": c.Outcome})
+	scope.Counter("store_calls_total").Inc(1)
+	m.store.RecordDuration(c.Took)
+}
+
 func (m *meters) handler() http.Handler { return m.metrics.Handler() }
 
 // Close ends the reporting.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -33,7 +33,7 @@
 
 // Platform is what a router needs of the place where it runs.
 type Platform struct {
-	Store   external.KV
+	Store   *external.Observed
 	Source  follow.Source
 	Dialect relay.Dialect
 	Parser  edge.Parser
@@ -61,6 +61,7 @@
 // New builds a router; it listens already, but runs only with Run.
 func New(set *Settings, on Platform, log zerolog.Logger) (*Router, error) {
 	r := &Router{set: set, log: log, kernel: kernel.New(), metrics: newMeters(set)}
+	on.Store.OnCall(r.metrics.called)
 	r.pressure = pressure.New(pressure.OnChange(r.logPressure), pressure.WithLink(set.Instance.LinkMbps))
 	r.client = upstream.New(upstream.WithWrap(r.pressure.Conn))
 	r.pool = pool.New(set.Instance.Zone, pool.OnGone(r.client.Forget))
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -60,10 +60,10 @@
 }
 
 // A page of accounts is one value, which one holder writes at a time. A store is sized by its fleet, so more writes mean more
-// holders.
+// zones, each of which writes a page about once a second.
 const (
-	onePageWrites = 400 // up to here all accounts lie in one page
-	writesPerPage = 300
+	onePageWrites = 1200 // up to here all accounts lie in one page
+	writesPerPage = 1000
 )
 
 // pages is the number of values over which accounts are spread. All instances must come to the same.
