fix: the platform's settings are read field by field, in any spelling

Cause: the template laid the product's JSON with the names of one deployment; where provider.writes_per_s is spelled writesPerS it left a hole, and 215 processes ended with a JSON position.

--- a/cmd/check.go
+++ b/cmd/check.go
@@ -10,7 +10,9 @@
 
 	"github.com/ledgemount/ledgemount/internal/declare"
 	"github.com/ledgemount/ledgemount/internal/intent"
+	"github.com/ledgemount/ledgemount/internal/router"
 	"github.com/ledgemount/ledgemount/internal/settings"
+	"github.com/ledgemount/ledgemount/platform"
 )
 
 type checkCmd struct {
@@ -23,7 +25,12 @@
 
 // Execute implements flags.Commander: it says the path of every fault of a file.
 func (c *checkCmd) Execute([]string) error {
-	kind, err := check(c.Args.File)
+	kind, notes, err := check(c.Args.File)
+	for _, n := range notes {
+		if _, err := fmt.Fprintf(c.env.out, "%s: %s: %s\n", n.Field, n.Use, n.Detail); err != nil {
+			return eris.Wrap(err, "writing what was found")
+		}
+	}
 	if err != nil {
 		return err
 	}
@@ -31,24 +38,42 @@
 	return err
 }
 
-func check(path string) (kind string, err error) {
+// check says what kind of file it is and what is wrong with it; notes tell of the fields of the platform's settings.
+func check(path string) (kind string, notes []platform.Note, err error) {
 	info, err := os.Stat(path)
 	if err != nil {
-		return "", eris.Wrap(err, "checking")
+		return "", nil, eris.Wrap(err, "checking")
 	}
 	if info.IsDir() {
 		_, err := declare.ReadDir(os.DirFS(path))
-		return "declarations", err
+		return "declarations", nil, err
 	}
 	data, err := os.ReadFile(path) //nolint:gosec // the operator names the file
 	if err != nil {
-		return "", eris.Wrap(err, "checking")
+		return "", nil, eris.Wrap(err, "checking")
 	}
-	if looksLikeIntent(data) {
-		return "intent", checkIntent(data)
+	switch {
+	case looksLikeIntent(data):
+		return "intent", nil, checkIntent(data)
+	case platform.LooksLikeSettings(data):
+		_, notes, err = platform.DecodeSettings(data)
+		return "settings of a router, as the platform lays them", notes, err
+	case looksLikeRouter(data):
+		_, err = router.Decode(data)
+		return "settings of a router", nil, err
 	}
 	_, err = settings.Decode(data)
-	return "settings", err
+	return "settings", nil, err
+}
+
+// looksLikeRouter tells a router's settings from an instance's by the store, which only a router has.
+func looksLikeRouter(data []byte) bool {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(data, &fields) != nil {
+		return false
+	}
+	_, ok := fields["store"]
+	return ok
 }
 
 // looksLikeIntent tells an intent from settings by its fields.
--- a/cmd/router.go
+++ b/cmd/router.go
@@ -32,19 +32,17 @@
 
 // Execute implements flags.Commander: it runs one router until a signal, then stops it as planned.
 func (c *routerCmd) Execute([]string) error {
-	path := c.Settings
-	if path == "" {
-		path = platform.SettingsPath()
-	}
-	if path == "" {
-		return eris.New("no settings file is named")
+	file, err := c.file()
+	if err != nil {
+		return err
 	}
-	set, err := router.Read(path)
+	set, notes, err := file.read()
 	if err != nil {
 		return err
 	}
 	log, closeLog := routerLog(set, os.Stdout, os.Stderr)
 	defer closeLog()
+	logNotes(log, notes)
 	lines := log.With().Str("event", "library_message").Logger()
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(lines)
@@ -56,7 +54,7 @@
 	go func() { ended <- r.Run(context.Background()) }()
 	reload, stop := context.WithCancel(context.Background())
 	defer stop()
-	go followSettings(reload, path, r, log)
+	go followSettings(reload, file, r, log)
 	select {
 	case err := <-ended:
 		return err
@@ -68,6 +66,40 @@
 	return <-ended
 }
 
+// settingsFile is where the settings lie: in the product's own form, or as the platform lays them.
+type settingsFile struct {
+	path     string
+	platform bool
+}
+
+func (c *routerCmd) file() (settingsFile, error) {
+	if c.Settings != "" {
+		return settingsFile{path: c.Settings}, nil
+	}
+	if path := platform.SettingsPath(); path != "" {
+		return settingsFile{path: path, platform: true}, nil
+	}
+	return settingsFile{}, eris.New("no settings file is named")
+}
+
+// read reads the file; notes tell of the platform's fields.
+func (f settingsFile) read() (*router.Settings, []platform.Note, error) {
+	if f.platform {
+		return platform.ReadSettings(f.path)
+	}
+	set, err := router.Read(f.path)
+	return set, nil, err
+}
+
+// logNotes tells of the platform's fields that are missing or cannot be right.
+func logNotes(log zerolog.Logger, notes []platform.Note) {
+	for _, n := range notes {
+		if n.Use == platform.UseDefaulted {
+			log.Warn().Str("event", "setting_defaulted").Str("field", n.Field).Str("detail", n.Detail).Msg("a setting is not usable")
+		}
+	}
+}
+
 // routerLog writes lines without ever blocking: what does not fit is dropped, and told in a line to dropped.
 func routerLog(set *router.Settings, w, dropped io.Writer) (zerolog.Logger, func()) {
 	out := diode.NewWriter(w, logLines, 0, func(missed int) {
@@ -77,29 +109,30 @@
 }
 
 // followSettings reads the settings again when a signal says so and when the file has changed.
-func followSettings(ctx context.Context, path string, r *router.Router, log zerolog.Logger) {
+func followSettings(ctx context.Context, file settingsFile, r *router.Router, log zerolog.Logger) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
 	defer signal.Stop(signals)
 	t := time.NewTicker(settingsAge)
 	defer t.Stop()
-	seen := modified(path)
+	seen := modified(file.path)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-signals:
 		case <-t.C:
-			if modified(path).Equal(seen) {
+			if modified(file.path).Equal(seen) {
 				continue
 			}
 		}
-		seen = modified(path)
-		set, err := router.Read(path)
+		seen = modified(file.path)
+		set, notes, err := file.read()
 		if err != nil {
 			log.Error().Str("event", "settings_rejected").Err(err).Msg("the settings in force hold")
 			continue
 		}
+		logNotes(log, notes)
 		r.Reload(set)
 	}
 }
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -114,12 +114,15 @@
 	if err := declare.DecodeStrict(data, &s); err != nil {
 		return nil, err
 	}
-	if err := validate.Check(s).OrNil(); err != nil {
+	if err := Check(&s); err != nil {
 		return nil, err
 	}
 	return &s, nil
 }
 
+// Check says what is wrong with settings, with the path of every field.
+func Check(s *Settings) error { return validate.Check(*s).OrNil() }
+
 // Read reads a settings file.
 func Read(path string) (*Settings, error) {
 	data, err := os.ReadFile(path) //nolint:gosec // the operator names the file
