feat: across a loss of power the fleet's time tells how old a dead holder's report is

Cause: after a loss of power only the machine's own time of day tells how old its last report is, which may step, so 3 s were added and what a holder could have spent in them was counted as spent. Change: instances tell their clocks to one of them (the zone's leader in a large fleet), which answers with the times that most of them lie between; reports and starts carry these bounds. Rows wait up to 3 s for the bound. Three clocks in ten may step by any amount (TestClock); the property test has clocks that step and bounds that are off by 300 ms to the unsafe side.

--- a/internal/escrow/draw.go
+++ b/internal/escrow/draw.go
@@ -123,6 +123,9 @@
 	if !p.joined || p.unsure >= 0 {
 		return len(h.accounts) > 0
 	}
+	if p.unsettled && !h.start().Later {
+		return true
+	}
 	regular = regular && h.now().Sub(p.drawn) >= h.times.Beat*6/10
 	if regular && h.now().Sub(p.drawn) >= max(quietRefresh, 2*h.interval()) {
 		return true
@@ -174,6 +177,8 @@
 	rows   map[string]issued // this holder's rows in it
 	others []*pending        // rows of others in it
 	folded []Folded
+	// unsettled: it leaves rows of this node's earlier holders
+	unsettled bool
 }
 
 func (h *Holder) write(ctx context.Context, p *pageState, w write) error {
@@ -274,8 +279,8 @@
 	}
 	report := h.report(h.clock.Now(), page.Holders[h.id].Count+1)
 	var folded []Folded
-	if !p.joined {
-		folded = page.Fold(h.id, h.begun)
+	if !p.joined || p.unsettled {
+		folded = page.Fold(h.id, h.start())
 	}
 	page.Holders[h.id] = report
 	rows := make(map[string]issued)
@@ -294,14 +299,45 @@
 	others := h.applyAll(p, page)
 	p.unsure = p.revision
 	raw, err := page.Encode()
-	return write{raw: raw, base: p.revision, count: report.Count, rows: rows, others: others, folded: folded}, err
+	return write{
+		raw: raw, base: p.revision, count: report.Count, rows: rows, others: others, folded: folded,
+		unsettled: page.Unsettled(h.id, h.node),
+	}, err
 }
 
 // report is what this holder says of itself with a write.
 func (h *Holder) report(now time.Duration, count int64) Report {
-	return Report{Node: h.node, Boot: h.clock.Boot(), Clock: now.Milliseconds(), Wall: h.now().UnixMilli(), Count: count}
+	low, _ := h.fleetTime()
+	return Report{Node: h.node, Boot: h.clock.Boot(), Clock: now.Milliseconds(), Wall: h.now().UnixMilli(), Count: count, Fleet: low}
+}
+
+// fleetTime bounds the fleet's time of day in ms; 0 while it is not known.
+func (h *Holder) fleetTime() (low, high int64) {
+	if h.fleet == nil {
+		return 0, 0
+	}
+	b, ok := h.fleet.Time()
+	if !ok {
+		return 0, 0
+	}
+	return b.Low.UnixMilli(), b.High.UnixMilli()
 }
 
+// start tells of the start of this holder's process. The fleet's time of then is told by that of now and the steady clock.
+func (h *Holder) start() Report {
+	r := h.begun
+	age := h.clock.Now() - time.Duration(r.Clock)*time.Millisecond
+	if _, high := h.fleetTime(); high != 0 {
+		r.Fleet = high - age.Milliseconds()
+		return r
+	}
+	r.Later = h.fleet != nil && age < fleetTimeWait
+	return r
+}
+
+// fleetTimeWait is how long a new process waits for the fleet's time before it settles without.
+const fleetTimeWait = 3 * time.Second
+
 func (h *Holder) logFolded(list []Folded, page string) {
 	for _, f := range list {
 		h.log.Info().Str("event", "escrow_settled").Str("holder", f.Holder).Str("page", page).Bool("age_known", f.Known).
@@ -327,9 +363,9 @@
 	}
 	n.Want, n.Burst, n.Rate = policy.size(h.flow(a, role), horizon, policy.plenty(a.unspent(), a.prepaid))
 	if h.fresh() && !h.stopping {
-		start := h.start(a, role, max(1, holders))
-		n.Want = max(n.Want, start)
-		n.Burst = max(n.Burst, start)
+		share := h.startShare(a, role, max(1, holders))
+		n.Want = max(n.Want, share)
+		n.Burst = max(n.Burst, share)
 	}
 	n.Burst = max(n.Burst, n.Urgent)
 	return n
@@ -359,8 +395,8 @@
 	return false
 }
 
-// start is what the holder asks for while nothing is measured. The caller holds mu.
-func (h *Holder) start(a *account, role Role, holders int) int64 {
+// startShare is what the holder asks for while nothing is measured. The caller holds mu.
+func (h *Holder) startShare(a *account, role Role, holders int) int64 {
 	rest := float64(max(0, a.rest))
 	switch {
 	case role == RolePool:
@@ -414,7 +450,7 @@
 		p.raw, p.revision = w.raw, revision
 	}
 	p.known, p.unsure, p.joined, p.drawn, p.seen = true, -1, true, h.now(), h.now()
-	p.count, p.submitted = w.count, false
+	p.count, p.submitted, p.unsettled = w.count, false, w.unsettled
 	h.logFolded(w.folded, p.key)
 	h.written(p, w.others)
 	for name, i := range w.rows {
--- a/internal/escrow/fleet.go
+++ b/internal/escrow/fleet.go
@@ -4,11 +4,15 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/ledgemount/ledgemount/internal/fleettime"
 )
 
 // Fleet is the way to the other holders. In a large fleet one holder of each zone leads: it writes the rows of the others in one
 // go. All lend each other what a request needs beyond its holder's own grant.
 type Fleet interface {
+	// Time bounds the fleet's time of day; false while it is not known.
+	Time() (fleettime.Bounds, bool)
 	// Settled says whether this holder knows the others well enough to begin: not just after its start.
 	Settled() bool
 	// Large says whether the fleet's zones are led.
@@ -62,7 +66,7 @@
 	Page   int             `cbor:"1,keyasint"`
 	Report Report          `cbor:"2,keyasint"`
 	Rows   map[string]Need `cbor:"3,keyasint,omitempty"` // by customer
-	Begun  Report          `cbor:"4,keyasint,omitempty"` // in a holder's first: of its process's start, when all before had ended
+	Begun  Report          `cbor:"4,keyasint,omitempty"` // until rows of earlier processes are settled: this process's start
 }
 
 // Receipt answers a Submission.
@@ -78,6 +82,8 @@
 	Rows    map[string]Held `cbor:"4,keyasint,omitempty"`
 	Holders int             `cbor:"5,keyasint,omitempty"`
 	Rate    float64         `cbor:"6,keyasint,omitempty"` // tokens a second that all holders use of all customers
+	// Unsettled: rows of the node's earlier holders are left
+	Unsettled bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Held is how one customer's account stands for a holder.
--- a/internal/escrow/group.go
+++ b/internal/escrow/group.go
@@ -150,7 +150,7 @@
 func (h *Holder) grantAll(x *pending, page *Page, targets map[string]int64) {
 	report := x.part.Report
 	x.folded = nil
-	if report.Count == 1 {
+	if x.part.Begun.Node != "" {
 		x.folded = page.Fold(x.holder, x.part.Begun)
 	}
 	page.Holders[x.holder] = report
@@ -169,7 +169,7 @@
 func (h *Holder) receipt(x *pending, page *Page, targets map[string]int64) PartReceipt {
 	report, present := page.Holders[x.holder]
 	r := PartReceipt{
-		Page: x.part.Page, Present: present, Report: report, Holders: len(page.Holders), Rate: h.all.rate(),
+		Page: x.part.Page, Present: present, Unsettled: page.Unsettled(x.holder, x.part.Report.Node), Report: report, Holders: len(page.Holders), Rate: h.all.rate(),
 		Rows: make(map[string]Held, len(x.part.Rows)),
 	}
 	for name := range x.part.Rows {
--- a/internal/escrow/holder.go
+++ b/internal/escrow/holder.go
@@ -101,7 +101,9 @@
 	// submitted: a leader may still write rows of this holder that follow count
 	submitted bool
 	pending   []*pending // rows of others
-	joined    bool       // this holder's earlier processes are settled
+	joined    bool       // this holder is in it
+	// unsettled: rows of this node's earlier processes are left
+	unsettled bool
 	drawn     time.Time
 	seen      time.Time        // when the copy was known to be the newest
 	reported  map[string]int64 // spent, by customer, as last written
--- a/internal/escrow/page.go
+++ b/internal/escrow/page.go
@@ -61,6 +61,11 @@
 	Clock int64  `cbor:"3,keyasint,omitempty"` // steady clock, ms
 	Count int64  `cbor:"4,keyasint,omitempty"` // writes of this holder
 	Wall  int64  `cbor:"5,keyasint,omitempty"` // time of day, ms
+	// Fleet is a bound of the fleet's time of day in ms, 0 where it is not known: the lower one in a holder's report, the upper one
+	// in what a successor tells of its start.
+	Fleet int64 `cbor:"6,keyasint,omitempty"`
+	// Later says, of a successor's start, that Fleet will be known soon.
+	Later bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Page holds the accounts of some customers in one value of the store.
@@ -116,7 +121,8 @@
 }
 
 // Fold settles the rows of a node's earlier holders. They had ended when the successor's process began, which begun tells: where
-// that comes from the same clock, no more than Ceiling can have been spent; else all that was granted counts as spent.
+// that comes from the same clock, no more than Ceiling can have been spent; else all that was granted counts as spent. Rows that wait
+// for begun.Fleet stay.
 func (p *Page) Fold(successor string, begun Report) []Folded {
 	var gone []string
 	for id, r := range p.Holders {
@@ -127,11 +133,28 @@
 	sort.Strings(gone)
 	out := make([]Folded, 0, len(gone))
 	for _, id := range gone {
-		out = append(out, p.fold(id, begun))
+		if !p.Holders[id].waitsFor(begun) {
+			out = append(out, p.fold(id, begun))
+		}
 	}
 	return out
 }
 
+// Unsettled says whether rows of a node's earlier holders are left.
+func (p *Page) Unsettled(successor, node string) bool {
+	for id, r := range p.Holders {
+		if r.Node == node && id != successor {
+			return true
+		}
+	}
+	return false
+}
+
+// waitsFor says whether the age of a report at a successor's start will be known better soon.
+func (r Report) waitsFor(begun Report) bool {
+	return begun.Later && begun.Fleet == 0 && r.Fleet != 0 && !sameRun(r, begun)
+}
+
 func (p *Page) fold(id string, begun Report) Folded {
 	f := Folded{Holder: id}
 	f.Age, f.Known = ageOf(p.Holders[id], begun)
@@ -154,27 +177,39 @@
 	return f
 }
 
-// ClockError is how far a machine's time of day may be off between two readings, by steps and drift.
-const ClockError = 3 * time.Second
+// How far clocks may be off between two readings.
+const (
+	ClockError = 3 * time.Second        // one machine's time of day, by steps and drift
+	FleetError = 600 * time.Millisecond // the bounds of the fleet's time, by the delay of messages
+)
 
 // ageOf is the longest time that can have passed between two reports of one machine. Within one run of the machine the steady
-// clock tells it. Across a loss of power only the time of day does, which may have stepped.
+// clock tells it. Across a loss of power the fleet's time does, or else the machine's own time of day, which may have stepped.
 func ageOf(then, now Report) (time.Duration, bool) {
-	steady := time.Duration(now.Clock-then.Clock) * time.Millisecond
 	wall := time.Duration(now.Wall-then.Wall) * time.Millisecond
 	if then.Wall == 0 || now.Wall == 0 {
 		return 0, false
 	}
-	off := wall - steady
-	if then.Boot != "" && then.Boot == now.Boot && steady >= 0 && -ClockError < off && off < ClockError {
-		return steady, true
+	if sameRun(then, now) {
+		return time.Duration(now.Clock-then.Clock) * time.Millisecond, true
 	}
 	if wall < -ClockError {
 		return 0, false
 	}
+	fleet := time.Duration(now.Fleet-then.Fleet) * time.Millisecond
+	if then.Fleet != 0 && now.Fleet != 0 && fleet >= 0 {
+		return max(wall, fleet+FleetError), true
+	}
 	return wall + ClockError, true
 }
 
+// sameRun says whether two reports come from one run of a machine, as far as its clocks do not contradict each other.
+func sameRun(then, now Report) bool {
+	steady := time.Duration(now.Clock-then.Clock) * time.Millisecond
+	off := time.Duration(now.Wall-then.Wall)*time.Millisecond - steady
+	return then.Boot != "" && then.Boot == now.Boot && steady >= 0 && -ClockError < off && off < ClockError
+}
+
 // Leave settles what a holder has spent and gives the rest back. The holder spends nothing afterwards.
 func (p *Page) Leave(holder string, spent map[string]int64) {
 	for customer, a := range p.Accounts {
--- a/internal/escrow/page_test.go
+++ b/internal/escrow/page_test.go
@@ -42,6 +42,58 @@
 		})
 	})
 
+	Convey("Across a loss of power the fleet's time tells more than one machine's", t, func() {
+		p := page()
+		then := report(10 * time.Second)
+		then.Fleet = 5_000_000
+		p.Holders["node/1"] = then
+		begun := report(10*time.Second + Grace)
+		begun.Boot, begun.Clock = "two", 5
+		const seconds = 4
+		begun.Fleet = then.Fleet + Grace.Milliseconds() + seconds*1000
+		spent := func(age time.Duration) int64 {
+			return Row{Granted: 1000, Spent: 100, Burst: 50, Rate: 200}.Ceiling(age)
+		}
+
+		Convey("where its own time of day was set back", func() {
+			So(p.Fold("node/2", begun)[0].Settled, ShouldEqual, spent(Grace+seconds*time.Second+FleetError))
+		})
+
+		Convey("unless its own says more", func() {
+			begun.Wall = then.Wall + (Grace + 2*seconds*time.Second).Milliseconds()
+			So(p.Fold("node/2", begun)[0].Settled, ShouldEqual, spent(Grace+2*seconds*time.Second))
+		})
+
+		Convey("and is waited for where it will be known soon", func() {
+			begun.Fleet, begun.Later = 0, true
+			So(p.Fold("node/2", begun), ShouldBeEmpty)
+			So(p.Unsettled("node/2", "node"), ShouldBeTrue)
+			begun.Later = false
+			So(p.Fold("node/2", begun)[0].Settled, ShouldEqual, spent(Grace+ClockError))
+			So(p.Unsettled("node/2", "node"), ShouldBeFalse)
+		})
+	})
+
+	Convey("A successor settles once it knows the fleet's time, by its leader as by itself", t, func() {
+		for _, link := range []int{linkNone, linkPass} {
+			w := newWorld(DefaultPolicy())
+			lead, n := w.nodes[0], w.nodes[1]
+			lead.timed, n.timed, n.link = true, true, link
+			w.draw(lead)
+			w.draw(n)
+			old := n.holder.id
+			n.timed = false
+			w.powerLoss(n)
+			w.draw(n)
+			So(n.holder.Ready(), ShouldBeTrue)
+			So(w.page(north).Holders, ShouldContainKey, old)
+			n.timed = true
+			w.elapsed += time.Second
+			w.draw(n)
+			So(w.page(north).Holders, ShouldNotContainKey, old)
+		}
+	})
+
 	Convey("A successor that joins late settles by its start, not by its joining", t, func() {
 		w := newWorld(DefaultPolicy())
 		n := w.nodes[0]
--- a/internal/escrow/property_test.go
+++ b/internal/escrow/property_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/external/memkv"
+	"github.com/ledgemount/ledgemount/internal/fleettime"
 )
 
 const (
@@ -68,6 +69,13 @@
 	node  *simNode
 }
 
+// Time is off by as much as messages may delay it, to the unsafe side.
+func (f *simFleet) Time() (fleettime.Bounds, bool) {
+	now := time.Unix(2_000_000, 0).Add(f.world.elapsed)
+	const off = 300 * time.Millisecond
+	return fleettime.Bounds{Low: now.Add(off), High: now.Add(-off)}, f.node.timed
+}
+
 func (f *simFleet) Settled() bool  { return true }
 func (f *simFleet) Large() bool    { return true }
 func (f *simFleet) Stranded() bool { return false }
@@ -141,6 +149,7 @@
 	gate   *gate
 	link   int
 	role   Role
+	timed  bool // the fleet's time is known
 	holder *Holder
 	open   []*simReservation
 	starts int
@@ -292,6 +301,8 @@
 		w.die(n)
 		w.start(n)
 	case 12:
+		n.step = time.Duration(rapid.IntRange(0, 2900).Draw(t, "step")) * time.Millisecond
+		n.timed = n.timed && rapid.Bool().Draw(t, "timed")
 		w.powerLoss(n)
 	case 13:
 		w.store.SetLose(rapid.Bool().Draw(t, "lose"))
@@ -302,6 +313,7 @@
 		w.leave(n)
 	case 16, 17:
 		n.link = rapid.IntRange(linkNone, linkModes-1).Draw(t, "link")
+		n.timed = rapid.Bool().Draw(t, "timed")
 		n.role = rapid.SampledFrom([]Role{RoleAlone, RolePooled}).Draw(t, "role")
 	case 18:
 		n.holder.repayAll(context.Background())
--- a/internal/escrow/remote/remote.go
+++ b/internal/escrow/remote/remote.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ledgemount/ledgemount/internal/escrow"
+	"github.com/ledgemount/ledgemount/internal/fleettime"
 	"github.com/ledgemount/ledgemount/internal/mesh"
 	"github.com/ledgemount/ledgemount/internal/peers"
 	"github.com/ledgemount/ledgemount/internal/verdict"
@@ -20,12 +21,18 @@
 )
 
 // Fleet is the way to the fleet's other holders.
-type Fleet struct{ dir *peers.Directory }
+type Fleet struct {
+	dir   *peers.Directory
+	clock *fleettime.Clock
+}
 
 var _ escrow.Fleet = (*Fleet)(nil)
 
 // New makes a way to the holders that a directory names.
-func New(dir *peers.Directory) *Fleet { return &Fleet{dir: dir} }
+func New(dir *peers.Directory, clock *fleettime.Clock) *Fleet { return &Fleet{dir: dir, clock: clock} }
+
+// Time implements escrow.Fleet.
+func (f *Fleet) Time() (fleettime.Bounds, bool) { return f.clock.Now() }
 
 // Settled implements escrow.Fleet.
 func (f *Fleet) Settled() bool { return f.dir.Settled() }
--- a/internal/escrow/submit.go
+++ b/internal/escrow/submit.go
@@ -66,8 +66,8 @@
 func (h *Holder) part(i int, p *pageState) Part {
 	now := h.clock.Now()
 	part := Part{Page: i, Report: h.report(now, p.count+1), Rows: make(map[string]Need)}
-	if !p.joined {
-		part.Begun = h.begun
+	if !p.joined || p.unsettled {
+		part.Begun = h.start()
 	}
 	for name, a := range h.accounts {
 		if h.pageOf(name) != p || a.prepaid < 0 {
@@ -108,7 +108,7 @@
 		return
 	}
 	p.count, p.submitted, p.unsure = r.Report.Count, false, -1
-	p.joined, p.known, p.drawn = true, false, h.now()
+	p.joined, p.unsettled, p.known, p.drawn = true, r.Unsettled, false, h.now()
 	h.holders, h.toldRate = r.Holders, r.Rate
 	for name, a := range h.accounts {
 		if h.pageOf(name) != p {
--- /dev/null
+++ b/internal/fleettime/fleettime_test.go
@@ -0,0 +1,106 @@
+package fleettime
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ledgemount/ledgemount/internal/external/memkv"
+	"github.com/ledgemount/ledgemount/internal/mesh"
+	"github.com/ledgemount/ledgemount/internal/mesh/meshtest"
+	"github.com/ledgemount/ledgemount/internal/peers"
+)
+
+// bed is some instances whose clocks agree but for what a test sets.
+type bed struct {
+	net    *meshtest.Net
+	now    time.Time
+	off    map[string]time.Duration
+	clocks []*Clock
+}
+
+func newBed(ctx context.Context, n int) *bed {
+	b := &bed{net: meshtest.New(), now: time.Unix(1_000_000, 0), off: make(map[string]time.Duration)}
+	store := memkv.New()
+	begun := b.now
+	dirs := make([]*peers.Directory, 0, n)
+	for i := range n {
+		r := mesh.NewRouter()
+		self := mesh.Peer{ID: fmt.Sprintf("i-%d", i), Zone: "a", Addr: fmt.Sprintf("i-%d:1", i)}
+		d := peers.New(store, "p/", peers.Record{Peer: self, Capacity: float64(n - i)}, r,
+			peers.WithNow(func() time.Time { return b.now }), peers.WithCaller(b.net.Join(self, r)))
+		b.clocks = append(b.clocks, New(d, self.ID, r,
+			WithSteady(func() time.Duration { return b.now.Sub(begun) }),
+			WithWall(func() time.Time { return b.now.Add(b.off[self.ID]) })))
+		dirs = append(dirs, d)
+	}
+	for range 2 {
+		for _, d := range dirs {
+			run, cancel := context.WithCancel(ctx)
+			go func() { time.Sleep(10 * time.Millisecond); cancel() }()
+			So(d.Run(run), ShouldBeNil)
+		}
+	}
+	return b
+}
+
+func (b *bed) sync(ctx context.Context) {
+	for range 2 {
+		for _, c := range b.clocks {
+			c.Sync(ctx)
+		}
+	}
+}
+
+func TestClock(t *testing.T) {
+	ctx := context.Background()
+	Convey("Five instances", t, func() {
+		b := newBed(ctx, 5)
+		last := b.clocks[4]
+
+		Convey("know the time once enough of them have told theirs", func() {
+			b.clocks[4].Sync(ctx)
+			_, known := last.Now()
+			So(known, ShouldBeFalse)
+			b.sync(ctx)
+			got, known := last.Now()
+			So(known, ShouldBeTrue)
+			So(got.Low, ShouldEqual, b.now)
+			So(got.High, ShouldEqual, b.now)
+		})
+
+		Convey("bound it, whatever three clocks in ten say", func() {
+			b.off["i-1"], b.off["i-4"] = -3*time.Second, 30*time.Millisecond
+			b.sync(ctx)
+			got, _ := last.Now()
+			So(got.Low, ShouldHappenOnOrBefore, b.now)
+			So(got.Low, ShouldHappenOnOrAfter, b.now.Add(-time.Second))
+			So(got.High, ShouldHappenOnOrAfter, b.now)
+			So(got.High, ShouldHappenOnOrBefore, b.now.Add(time.Second))
+		})
+
+		Convey("go on by their steady clocks when they reach nobody and their time of day steps", func() {
+			b.sync(ctx)
+			b.net.SetCut(func(_, _ mesh.Peer) bool { return true })
+			b.now = b.now.Add(20 * time.Second)
+			b.off["i-4"] = time.Minute
+			last.Sync(ctx)
+			got, known := last.Now()
+			So(known, ShouldBeTrue)
+			So(got.High, ShouldEqual, b.now)
+		})
+
+		Convey("ask the next one when the first is gone", func() {
+			b.net.SetDown("i-0:1", true)
+			for _, c := range b.clocks[1:] {
+				c.Sync(ctx)
+			}
+			b.sync(ctx)
+			_, known := last.Now()
+			So(known, ShouldBeTrue)
+		})
+	})
+}
--- a/internal/peers/directory.go
+++ b/internal/peers/directory.go
@@ -76,6 +76,7 @@
 	records  map[string]Record
 	zones    map[string][]Record // by zone, ranked
 	ahead    []Record            // of the own zone, ranked before this instance, best first
+	all      []Record            // of all zones, likewise
 	suspects map[string]*suspicion
 	leaving  bool
 	leader   string // as last logged
@@ -295,6 +296,14 @@
 	return max(1, len(d.zones[d.self.Peer.Zone]))
 }
 
+// GroupSize is the number of instances that agree through the same keepers: those of the zone, or of the whole of a small fleet.
+func (d *Directory) GroupSize() int {
+	if d.Large() {
+		return d.ZoneSize()
+	}
+	return d.Size()
+}
+
 // Leads says whether this instance leads its zone, as far as it knows.
 func (d *Directory) Leads() bool { return len(d.Leaders()) == 0 }
 
@@ -316,13 +325,34 @@
 	if len(d.records) < d.large {
 		return nil
 	}
+	out := d.reachable(d.ahead)
+	d.note(out)
+	return out
+}
+
+// Keepers are the instances that keep what all agree on, best first; none means that this instance does. In a large fleet these are
+// the zone's leaders.
+func (d *Directory) Keepers() []mesh.Peer {
+	if d.caller.Load() == nil {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ahead := d.ahead
+	if len(d.records) < d.large {
+		ahead = d.all
+	}
+	return d.reachable(ahead)
+}
+
+// reachable are the first of a list that are not left alone. The caller holds mu.
+func (d *Directory) reachable(list []Record) []mesh.Peer {
 	out := make([]mesh.Peer, 0, mostLeaders)
-	for _, r := range d.ahead[:min(len(d.ahead), mostLeaders)] {
+	for _, r := range list[:min(len(list), mostLeaders)] {
 		if !d.suspected(r.Peer.ID) {
 			out = append(out, r.Peer)
 		}
 	}
-	d.note(out)
 	return out
 }
 
--- a/internal/peers/rank.go
+++ b/internal/peers/rank.go
@@ -1,6 +1,8 @@
 package peers
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -46,13 +48,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.records, d.zones, d.ahead = records, zones, nil
-	for _, r := range zones[d.self.Peer.Zone] {
-		if r.Peer.ID == d.self.Peer.ID {
-			break
-		}
-		d.ahead = append(d.ahead, r)
-	}
+	d.records, d.zones = records, zones
+	d.ahead = d.before(zones[d.self.Peer.Zone])
+	d.all = d.before(rank(wholeFleet, slices.Collect(maps.Values(records))))
 	for id := range d.suspects {
 		if _, known := records[id]; !known {
 			delete(d.suspects, id)
@@ -60,6 +58,15 @@
 	}
 }
 
+// wholeFleet is the key by which the instances of all zones are ranked.
+const wholeFleet = "fleet"
+
+// before is the part of a ranked list that stands before this instance.
+func (d *Directory) before(ranked []Record) []Record {
+	at := slices.IndexFunc(ranked, func(r Record) bool { return r.Peer.ID == d.self.Peer.ID })
+	return ranked[:max(0, at)]
+}
+
 // rank orders a zone's instances: larger machines first, equal ones by rendezvous hashing. All instances with the same records
 // come to the same order.
 func rank(zone string, records []Record) []Record {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -16,6 +16,7 @@
 	"github.com/ledgemount/ledgemount/internal/escrow/remote"
 	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/feed"
+	"github.com/ledgemount/ledgemount/internal/fleettime"
 	"github.com/ledgemount/ledgemount/internal/follow"
 	"github.com/ledgemount/ledgemount/internal/kernel"
 	"github.com/ledgemount/ledgemount/internal/mesh"
@@ -47,6 +48,7 @@
 	client  *upstream.Client
 	pool    *pool.Pool
 	peers   *peers.Directory
+	clock   *fleettime.Clock
 	follow  *follow.Follower
 	escrow  *escrow.Holder
 	core    *relay.Core
@@ -72,8 +74,9 @@
 		Capacity: set.Instance.LinkMbps,
 	}
 	r.peers = peers.New(on.Store, set.Store.Prefix, self, links, peers.WithLogger(log), peers.WithLarge(set.Peers.Large))
+	r.clock = fleettime.New(r.peers, set.Instance.ID, links)
 	r.escrow = escrow.New(on.Store, set.Store.Prefix+escrowPrefix, set.Store.pages(), set.Instance.ID, id,
-		escrow.WithLogger(log), escrow.WithFleet(remote.New(r.peers)))
+		escrow.WithLogger(log), escrow.WithFleet(remote.New(r.peers, r.clock)))
 	r.follow = follow.New(feed.NewSource(r.peers, on.Source), r.pool,
 		follow.WithLogger(log), follow.OnTable(r.fundsOf), follow.OnEntry(r.escrow.Observe), follow.OnPolled(r.escrow.Tick),
 		follow.WithOwn(func() bool { return !r.peers.Large() }))
@@ -91,7 +94,7 @@
 
 // services are the parts that run, in the order in which they start.
 func (r *Router) services() []kernel.Service {
-	list := []kernel.Service{r.peers, r.follow, r.escrow, r.escrow.Repayments(), &sweeper{client: r.client}, r.callers, r.probes}
+	list := []kernel.Service{r.peers, r.clock, r.follow, r.escrow, r.escrow.Repayments(), &sweeper{client: r.client}, r.callers, r.probes}
 	if r.figures != nil {
 		list = append(list, r.figures)
 	}
