--- a/cmd/root.go
+++ b/cmd/root.go
@@ -64,6 +64,7 @@
 		{"serve", "Run one instance", &serveCmd{env: e}},
 		{"router", "Run one instance that stands alone on the users' platform", &routerCmd{env: e}},
 		{"explain", "Tell one request's story from the logs of routers", &explainCmd{env: e}},
+		{"losses", "Tell from the logs of routers where requests were lost or late", &lossesCmd{env: e}},
 		{"standin", "Run the stand-ins of the platform and the endpoints", &standinCmd{env: e}},
 		{"check", "Check settings or declarations", &checkCmd{env: e}},
 		{"keys", "Make the fleet's keys, or hash a key", &keysCmd{env: e}},
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -138,6 +138,7 @@
 	ran      bool // an endpoint may have run it
 	begun    bool // the caller has seen the head
 	events   int64
+	heard    time.Time // when the last event came
 	// wholeMetered: the caller has an answer without events, of which the tokens cannot be counted
 	wholeMetered bool
 	last         string // ID of the last event that was passed on
@@ -242,6 +243,7 @@
 	o := &j.outcome
 	o.Attempts, o.Events = j.attempts, j.events
 	o.Total = j.core.now().Sub(j.req.Arrived)
+	o.Late = j.lateness()
 	if err != nil {
 		v := verdict.From(err)
 		o.Code, o.Verdict, o.Detail = v.Code(), v.Verdict(), v.Detail()
@@ -254,6 +256,19 @@
 	j.core.ended(*o)
 }
 
+// lateness judges an answer that has begun by what its route wants.
+func (j *job) lateness() Lateness {
+	switch {
+	case !j.begun || j.route == nil:
+		return LateNot
+	case j.route.Objective > 0 && j.outcome.First > j.route.Objective:
+		return LateFirst
+	case j.route.Gap > 0 && j.outcome.Pause > j.route.Gap:
+		return LatePause
+	}
+	return LateNot
+}
+
 // left is the time that the request still has; ok is false if it has no limit.
 func (j *job) left() (time.Duration, bool) {
 	if j.end.IsZero() {
--- /dev/null
+++ b/internal/relay/late_test.go
@@ -0,0 +1,31 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ledgemount/ledgemount/internal/route"
+)
+
+func TestLateness(t *testing.T) {
+	Convey("An answer is judged by its route's objective and longest pause", t, func() {
+		now := time.Unix(1000, 0)
+		j := &job{core: New(Deps{}, WithNow(func() time.Time { return now })), route: &route.Route{Objective: time.Second, Gap: 500 * time.Millisecond}}
+		So(j.lateness(), ShouldEqual, LateNot)
+		j.begun = true
+		for _, gap := range []time.Duration{0, 100 * time.Millisecond, 600 * time.Millisecond, 20 * time.Millisecond} {
+			now = now.Add(gap)
+			j.hear("7")
+		}
+		So(j.events, ShouldEqual, 4)
+		So(j.last, ShouldEqual, "7")
+		So(j.outcome.Pause, ShouldEqual, 600*time.Millisecond)
+		So(j.lateness(), ShouldEqual, LatePause)
+		j.outcome.First = 2 * time.Second
+		So(j.lateness(), ShouldEqual, LateFirst)
+		j.route = &route.Route{}
+		So(j.lateness(), ShouldEqual, LateNot)
+	})
+}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -100,9 +100,21 @@
 	Reserved  int64         // tokens that were asked for, or refused
 	Budget    escrow.View   // after that
 	First     time.Duration // until the answer's first byte; 0: none came
+	Pause     time.Duration // the longest between two events of a stream
+	Late      Lateness      // against the route's objective and its longest pause
 	Total     time.Duration
 }
 
+// Lateness says what of an answer came later than its route wants it.
+type Lateness string
+
+// What may be late. An answer whose first event is late is not judged by its pauses.
+const (
+	LateNot   Lateness = ""
+	LateFirst Lateness = "first" // the answer, or its first event
+	LatePause Lateness = "pause" // an event in the middle of a stream
+)
+
 // Step is one attempt in an Outcome.
 type Step struct {
 	Endpoint string
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -50,16 +50,26 @@
 		watch.heard()
 		id := eventID(event)
 		j.begin(res.Status, res.Header, -1)
-		if id != "" {
-			j.events++
-			j.last = id
-		}
+		j.hear(id)
 		if j.out.Write(event) != nil {
 			return resultLeft
 		}
 	}
 }
 
+// hear notes an event, by its ID if it has one.
+func (j *job) hear(id string) {
+	now := j.core.now()
+	if !j.heard.IsZero() {
+		j.outcome.Pause = max(j.outcome.Pause, now.Sub(j.heard))
+	}
+	j.heard = now
+	if id != "" {
+		j.events++
+		j.last = id
+	}
+}
+
 // readEvent appends the next event, with the empty line that ends it. io.EOF with no bytes is the end of the stream; bytes
 // without an end are an event that was cut off.
 func readEvent(r *bufio.Reader, event []byte) ([]byte, error) {
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -64,13 +64,17 @@
 	if o.Code != "" {
 		e = r.log.Warn()
 	}
-	e = e.Str("event", "request_ended").Str("request", o.Request.ID).Str("route", o.Route).Str("kind", o.Kind).
+	e = e.Str("event", requestEnded).Str("request", o.Request.ID).Str("route", o.Route).Str("kind", o.Kind).
 		Str("service", o.Service).Str("customer", o.Customer).Int64("version", o.Version).Int("status", o.Status).
 		Str("verdict", o.Verdict.String()).Int("attempts", o.Attempts).Int64("events", o.Events).
 		Int64("reserved", o.Reserved).Int64("used", o.Used).Int64("escrow_left", o.Budget.Left).
 		Int64("escrow_granted", o.Budget.Granted).Int64("escrow_spent", o.Budget.Spent).Int64("budget_rest", o.Budget.Rest).
 		Int64("escrow_age_ms", o.Budget.Age.Milliseconds()).
-		Int64("first_ms", o.First.Milliseconds()).Int64("total_ms", o.Total.Milliseconds())
+		Int64("first_ms", o.First.Milliseconds()).Int64("total_ms", o.Total.Milliseconds()).
+		Int64("pause_ms", o.Pause.Milliseconds()).Int64("prompt_tokens", o.Request.TokensIn)
+	if o.Late != relay.LateNot {
+		e = e.Str("late", string(o.Late))
+	}
 	if o.Code != "" {
 		e = e.Str("code", string(o.Code)).Str("detail", o.Detail)
 	}
--- a/internal/router/explain.go
+++ b/internal/router/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -16,6 +17,7 @@
 	Event     string        `json:"event"`
 	Time      string        `json:"time"`
 	Instance  string        `json:"instance"`
+	Zone      string        `json:"zone"`
 	Request   string        `json:"request"`
 	Route     string        `json:"route"`
 	Kind      string        `json:"kind"`
@@ -37,6 +39,9 @@
 	AgeMs     int64         `json:"escrow_age_ms"`
 	FirstMs   int64         `json:"first_ms"`
 	TotalMs   int64         `json:"total_ms"`
+	PauseMs   int64         `json:"pause_ms"` // the longest between two events
+	Prompt    int64         `json:"prompt_tokens"`
+	Late      string        `json:"late"` // what came later than the route wants it; empty: nothing
 	Endpoints []AttemptLine `json:"endpoints"`
 }
 
@@ -51,24 +56,37 @@
 // longestLine is the longest line of a log that is read, in bytes.
 const longestLine = 1 << 20
 
-// ReadLines finds the lines about a request in a log. What stands before a line's JSON, as a time or a name, is passed over, and
-// so are lines that are none of ours.
-func ReadLines(r io.Reader, request string) ([]Line, error) {
-	var out []Line
+// requestEnded is the event of the line that tells of a request's end.
+const requestEnded = "request_ended"
+
+// EachEnded hands the lines about requests that have ended to f, those that hold a text. What stands before a line's JSON, as a time
+// or a name, is passed over, and so are lines that are none of ours.
+func EachEnded(r io.Reader, text string, f func(Line)) error {
 	scan := bufio.NewScanner(r)
 	scan.Buffer(make([]byte, 0, longestLine/16), longestLine)
 	for scan.Scan() {
-		text := scan.Text()
-		at := strings.IndexByte(text, '{')
-		if at < 0 || !strings.Contains(text, request) {
+		raw := scan.Bytes()
+		at := bytes.IndexByte(raw, '{')
+		if at < 0 || !bytes.Contains(raw, []byte(text)) {
 			continue
 		}
 		var line Line
-		if json.Unmarshal([]byte(text[at:]), &line) == nil && line.Request == request {
-			out = append(out, line)
+		if json.Unmarshal(raw[at:], &line) == nil && line.Event == requestEnded {
+			f(line)
 		}
 	}
-	return out, eris.Wrap(scan.Err(), "reading a log")
+	return eris.Wrap(scan.Err(), "reading a log")
+}
+
+// ReadLines finds the lines about a request in a log.
+func ReadLines(r io.Reader, request string) ([]Line, error) {
+	var out []Line
+	err := EachEnded(r, request, func(l Line) {
+		if l.Request == request {
+			out = append(out, l)
+		}
+	})
+	return out, err
 }
 
 // Explain tells a request's story in sentences, in the order of time.
