feat: an endpoint's silence is judged by what its prompt is expected to take

Change: the time to the first word is bounded by four times what a prompt of that length takes (learnt from answers, by service), 700 ms at least, 5 s at most; a stream may rest for three times its longest pause that is in time, since going on elsewhere means reading the prompt again. TestPatience fails before.

--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -41,7 +41,7 @@
 	if m.heard.After(since) {
 		since = m.heard
 	}
-	return now.Sub(since) > l.policy.Silence
+	return now.Sub(since) > max(l.policy.Silence, m.patience)
 }
 
 // Heard notes that the endpoint has sent something.
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -10,6 +10,7 @@
 type Query struct {
 	Service  string
 	Affinity string          // requests with the same text go to the same endpoint while its load allows; empty: none
+	Prompt   int64           // tokens that are to be read where nothing of them is kept
 	Tried    map[string]bool // endpoints that have had the request
 }
 
@@ -31,6 +32,8 @@
 	at     Endpoint // as it was when it was picked; its record may change meanwhile
 	reason Reason
 	ended  bool
+	// patience is how long the first word of the answer may take before something is wrong
+	patience time.Duration
 }
 
 // Endpoint is the endpoint that was picked.
@@ -52,8 +55,13 @@
 		m.asked = now
 	}
 	l.probe(m, now)
+	patience := l.patience(q)
+	if m.open == 0 {
+		m.patience = 0
+	}
+	m.patience = max(m.patience, patience)
 	m.open++
-	return &Lease{pool: l, member: m, at: m.Endpoint, reason: reason}
+	return &Lease{pool: l, member: m, at: m.Endpoint, reason: reason, patience: patience}
 }
 
 // choose picks among the sound endpoints. If none is sound the fault may be on this side, so it picks among all.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -23,6 +23,7 @@
 // Policy holds the figures by which endpoints are judged.
 type Policy struct {
 	Silence     time.Duration // an endpoint that owes an answer and says nothing for this long is suspected
+	Patience    float64       // how many times its expected time an answer to a long prompt may take before that
 	FirstPause  time.Duration // without new work after a failure
 	LongPause   time.Duration // the most that a pause grows to
 	Slack       float64       // how far over the mean load an endpoint may be for the sake of a kept prompt
@@ -34,7 +35,7 @@
 // DefaultPolicy suits endpoints that answer within a second.
 func DefaultPolicy() Policy {
 	return Policy{
-		Silence: 700 * time.Millisecond, FirstPause: 400 * time.Millisecond, LongPause: 4 * time.Second,
+		Silence: 700 * time.Millisecond, Patience: 4, FirstPause: 400 * time.Millisecond, LongPause: 4 * time.Second,
 		Slack: 1.5, SlackRoom: 3, OwnZoneHelp: 0.5, ErrorShare: 0.35,
 	}
 }
@@ -42,9 +43,10 @@
 // member is an endpoint with what this instance has seen of it.
 type member struct {
 	Endpoint
-	open      int       // requests of this instance
-	heard     time.Time // the last byte
-	asked     time.Time // since when it owes an answer without a break; zero: it owes none
+	open      int           // requests of this instance
+	patience  time.Duration // the most that one of them has
+	heard     time.Time     // the last byte
+	asked     time.Time     // since when it owes an answer without a break; zero: it owes none
 	pausedTil time.Time
 	pause     time.Duration
 	errors    float64 // share of failures among the last answers, at errorsAt
@@ -66,6 +68,7 @@
 	byID     map[string]*member
 	zones    map[string]*zoneHealth
 	gone     func(addr string)
+	speeds   map[string]*speed // by service
 }
 
 // Option changes a Pool.
@@ -86,6 +89,7 @@
 		zone: zone, policy: DefaultPolicy(), now: time.Now,
 		services: make(map[string][]*member), byID: make(map[string]*member),
 		zones: make(map[string]*zoneHealth), gone: func(string) {},
+		speeds: make(map[string]*speed),
 	}
 	for _, opt := range opts {
 		opt(l)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -168,3 +168,39 @@
 		So(closed, ShouldResemble, []string{"1:1"})
 	})
 }
+
+func TestPatience(t *testing.T) {
+	Convey("An endpoint that reads a long prompt", t, func() {
+		clock := &testClock{at: time.Unix(1000, 0)}
+		p := newPool(clock, 4)
+		long := Query{Service: "models", Affinity: "prompt", Prompt: 10_000}
+		for range 10 {
+			lease := p.Pick(long)
+			clock.pass(500 * time.Millisecond)
+			lease.First(long.Prompt, 500*time.Millisecond)
+			lease.Heard()
+			lease.Done(EndGood)
+		}
+		lease := p.Pick(long)
+
+		Convey("may be silent for some times what such a prompt takes", func() {
+			So(lease.Patience(), ShouldEqual, 2*time.Second)
+			clock.pass(1900 * time.Millisecond)
+			So(lease.Silent(), ShouldBeFalse)
+			clock.pass(200 * time.Millisecond)
+			So(lease.Silent(), ShouldBeTrue)
+		})
+
+		Convey("may not be silent for longer than any other once that prompt is done with", func() {
+			lease.Done(EndGood)
+			short := p.Pick(Query{Service: "models", Affinity: "prompt", Prompt: 500})
+			So(short.Patience(), ShouldEqual, p.policy.Silence)
+			clock.pass(p.policy.Silence + time.Millisecond)
+			So(short.Silent(), ShouldBeTrue)
+		})
+
+		Convey("is given up at some point, however long its prompt", func() {
+			So(p.Pick(Query{Service: "models", Prompt: 1 << 30}).Patience(), ShouldEqual, mostPatience)
+		})
+	})
+}
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -59,7 +59,9 @@
 }
 
 func (j *job) pick() *pool.Lease {
-	lease := j.core.Pool.Pick(pool.Query{Service: j.service.Name, Affinity: j.req.Subject(), Tried: j.tried})
+	lease := j.core.Pool.Pick(pool.Query{
+		Service: j.service.Name, Affinity: j.req.Subject(), Prompt: j.req.TokensIn, Tried: j.tried,
+	})
 	if lease != nil {
 		j.tried[lease.Endpoint().ID] = true
 	}
@@ -190,6 +192,7 @@
 		a.Left = max(left, time.Millisecond)
 	}
 	out := j.core.Dialect.Outbound(j.req, a)
+	sent := j.core.now()
 	out.Dialed = func(took time.Duration) { j.core.dialed(e.Zone, took) }
 	res, err := j.core.Client.Do(ctx, e.Addr, out)
 	if errors.Is(err, upstream.ErrNotSent) {
@@ -216,7 +219,7 @@
 	}
 	j.ran = true
 	if j.streams(res) {
-		return j.stream(res, watch), nil
+		return j.stream(res, watch, lease, sent), nil
 	}
 	return j.whole(res, watch)
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -33,8 +33,8 @@
 	return err == nil && kind == eventStream
 }
 
-// stream passes events on as they come, only whole ones.
-func (j *job) stream(res *upstream.Response, watch *watchdog) result {
+// stream passes events on as they come, only whole ones. sent is when the request went to the endpoint.
+func (j *job) stream(res *upstream.Response, watch *watchdog, lease *pool.Lease, sent time.Time) result {
 	r := bufio.NewReader(res.Body)
 	var event []byte
 	for {
@@ -48,6 +48,10 @@
 			return resultBroken
 		}
 		watch.heard()
+		watch.begin()
+		if j.heard.IsZero() {
+			lease.First(j.req.TokensIn, j.core.now().Sub(sent))
+		}
 		id := eventID(event)
 		j.begin(res.Status, res.Header, -1)
 		j.hear(id)
@@ -109,7 +113,10 @@
 type watchdog struct {
 	lease *pool.Lease
 	now   func() time.Time
-	last  atomic.Int64 // nanoseconds of the core's clock
+	first time.Duration // how long the endpoint may be silent before the first event
+	later time.Duration // and after it
+	last  atomic.Int64  // nanoseconds of the core's clock
+	begun atomic.Bool
 	fired atomic.Bool
 
 	mu    sync.Mutex
@@ -118,20 +125,36 @@
 
 // watch starts a watchdog; for a request that may not be repeated it only notes what is heard.
 func (j *job) watch(lease *pool.Lease, cancel func()) *watchdog {
-	w := &watchdog{lease: lease, now: j.core.now}
+	w := &watchdog{
+		lease: lease, now: j.core.now, first: max(j.core.stall, lease.Patience()), later: max(j.core.stall, stallGaps*j.route.Gap),
+	}
 	w.last.Store(j.core.now().UnixNano())
 	if !j.route.Repeatable() || j.attempts+1 >= j.route.MaxAttempts {
 		return w
 	}
-	stall := j.core.stall
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(stall, func() { w.check(stall, cancel) })
+	w.timer = time.AfterFunc(w.first, func() { w.check(cancel) })
 	return w
 }
 
+// stallGaps is how many times the longest pause that is in time a stream may rest: going on elsewhere means reading the prompt again.
+const stallGaps = 3
+
+// limit is how long the endpoint may be silent now.
+func (w *watchdog) limit() time.Duration {
+	if w.begun.Load() {
+		return w.later
+	}
+	return w.first
+}
+
+// begin notes the first event.
+func (w *watchdog) begin() { w.begun.Store(true) }
+
 // check ends the attempt if the endpoint says nothing, to this request nor to any other of this instance.
-func (w *watchdog) check(stall time.Duration, cancel func()) {
+func (w *watchdog) check(cancel func()) {
+	stall := w.limit()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.timer == nil {
