feat: calls to the store are counted and logged by what they are for

Change: a call tells its duty and whether a copy was good enough; the counter has a label for it, and a line each 5 s sums them up (store_calls).

--- a/internal/external/meter.go
+++ b/internal/external/meter.go
@@ -20,6 +20,7 @@
 	DutyClaim   Duty = "claim"
 	DutyDeposit Duty = "deposit"
 	DutyAudit   Duty = "audit"
+	DutyMembers Duty = "members" // the instances' records
 	DutyOther   Duty = "other"
 )
 
--- a/internal/external/observed.go
+++ b/internal/external/observed.go
@@ -10,6 +10,8 @@
 // Call tells of one call to a store.
 type Call struct {
 	Name    string        // read, list, changes or commit
+	Duty    Duty          // what it is for
+	Stale   bool          // a copy some seconds old was good enough
 	Outcome string        // ok, conflict, unavailable, unknown or gone
 	Took    time.Duration // until its answer, or until it was given up
 }
@@ -28,9 +30,9 @@
 // OnCall sets what is told of each call.
 func (o *Observed) OnCall(f func(Call)) { o.told.Store(&f) }
 
-func (o *Observed) tell(name string, begun time.Time, err error) {
+func (o *Observed) tell(ctx context.Context, name string, begun time.Time, err error) {
 	if f := o.told.Load(); f != nil {
-		(*f)(Call{Name: name, Outcome: outcomeOf(err), Took: time.Since(begun)})
+		(*f)(Call{Name: name, Duty: DutyOf(ctx), Stale: Stale(ctx), Outcome: outcomeOf(err), Took: time.Since(begun)})
 	}
 }
 
@@ -52,7 +54,7 @@
 func (o *Observed) Read(ctx context.Context, key string) (Entry, int64, error) {
 	begun := time.Now()
 	e, at, err := o.next.Read(ctx, key)
-	o.tell("read", begun, err)
+	o.tell(ctx, "read", begun, err)
 	return e, at, err
 }
 
@@ -60,7 +62,7 @@
 func (o *Observed) ReadAll(ctx context.Context, prefix string) ([]Entry, int64, error) {
 	begun := time.Now()
 	entries, at, err := o.next.ReadAll(ctx, prefix)
-	o.tell("list", begun, err)
+	o.tell(ctx, "list", begun, err)
 	return entries, at, err
 }
 
@@ -68,7 +70,7 @@
 func (o *Observed) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Change, int64, error) {
 	begun := time.Now()
 	changes, at, err := o.next.Changes(ctx, prefix, after, wait)
-	o.tell("changes", begun, err)
+	o.tell(ctx, "changes", begun, err)
 	return changes, at, err
 }
 
@@ -76,6 +78,6 @@
 func (o *Observed) Commit(ctx context.Context, c Commit) (int64, error) {
 	begun := time.Now()
 	at, err := o.next.Commit(ctx, c)
-	o.tell("commit", begun, err)
+	o.tell(ctx, "commit", begun, err)
 	return at, err
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -194,7 +194,7 @@
 
 // follow reads what has changed. Answers that tell nothing for too long are suspect; calls that fail say nothing of that.
 func (f *Follower) follow(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.times.Call)
+	ctx, cancel := context.WithTimeout(external.WithDuty(ctx, external.DutyConfig), f.times.Call)
 	defer cancel()
 	own := f.own()
 	u, err := f.source.Changes(ctx, f.since, own)
@@ -216,7 +216,7 @@
 
 // snapshot reads everything. It may take longer than a call for changes, as it is larger.
 func (f *Follower) snapshot(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, snapshotCalls*f.times.Call)
+	ctx, cancel := context.WithTimeout(external.WithDuty(ctx, external.DutyConfig), snapshotCalls*f.times.Call)
 	defer cancel()
 	u, err := f.source.Snapshot(ctx)
 	if err != nil {
--- a/internal/peers/directory.go
+++ b/internal/peers/directory.go
@@ -184,7 +184,7 @@
 }
 
 func (d *Directory) commit(ctx context.Context, c external.Commit) error {
-	ctx, cancel := context.WithTimeout(ctx, d.times.Call)
+	ctx, cancel := context.WithTimeout(external.WithDuty(ctx, external.DutyMembers), d.times.Call)
 	defer cancel()
 	_, err := d.store.Commit(ctx, c)
 	return eris.Wrap(err, "writing the instance's record")
@@ -194,7 +194,7 @@
 
 // read reads all records, from a copy that may be some seconds old.
 func (d *Directory) read(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(external.WithStale(ctx), d.times.Call)
+	ctx, cancel := context.WithTimeout(external.WithDuty(external.WithStale(ctx), external.DutyMembers), d.times.Call)
 	defer cancel()
 	entries, _, err := d.store.ReadAll(ctx, d.prefix+recordsPrefix)
 	if err != nil {
--- a/internal/peers/keys.go
+++ b/internal/peers/keys.go
@@ -20,7 +20,7 @@
 
 // identity makes this instance's certificate with the fleet's authority, which the first instance that needs it makes.
 func (d *Directory) identity(ctx context.Context) (*tls.Config, error) {
-	ctx, cancel := context.WithTimeout(ctx, 2*d.times.Call)
+	ctx, cancel := context.WithTimeout(external.WithDuty(ctx, external.DutyMembers), 2*d.times.Call)
 	defer cancel()
 	e, _, err := d.store.Read(ctx, d.prefix+authorityKey)
 	if err != nil {
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -18,6 +18,7 @@
 	first   tally.Histogram
 	total   tally.Histogram
 	store   tally.Histogram
+	calls   *callCounts
 }
 
 func newMeters(set *Settings) *meters {
@@ -26,6 +27,7 @@
 	buckets := tally.MustMakeExponentialDurationBuckets(smallest, growth, steps)
 	return &meters{
 		metrics: m,
+		calls:   newCallCounts(),
 		first:   m.Scope().Histogram("relay_first_byte_seconds", buckets),
 		total:   m.Scope().Histogram("relay_request_seconds", buckets),
 		store:   m.Scope().Histogram("store_call_seconds", buckets),
@@ -34,9 +36,10 @@
 
 // called counts a call to the store.
 func (m *meters) called(c external.Call) {
-	scope := m.metrics.Scope().Tagged(map[string]string{"call": c.Name, "outcome": c.Outcome})
+	scope := m.metrics.Scope().Tagged(map[string]string{"call": c.Name, "duty": string(c.Duty), "outcome": c.Outcome})
 	scope.Counter("store_calls_total").Inc(1)
 	m.store.RecordDuration(c.Took)
+	m.calls.add(c)
 }
 
 func (m *meters) handler() http.Handler { return m.metrics.Handler() }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -94,7 +94,7 @@
 
 // services are the parts that run, in the order in which they start.
 func (r *Router) services() []kernel.Service {
-	list := []kernel.Service{r.peers, r.clock, r.follow, r.escrow, r.escrow.Repayments(), &sweeper{client: r.client}, r.callers, r.probes}
+	list := []kernel.Service{r.peers, r.clock, r.follow, r.escrow, r.escrow.Repayments(), &sweeper{client: r.client}, &callLog{counts: r.metrics.calls, log: r.log}, r.callers, r.probes}
 	if r.figures != nil {
 		list = append(list, r.figures)
 	}
