feat: instances tell each other what they have under way at endpoints, and how it ended

Cause: an instance of 86 sees a part in 86 of what runs at an endpoint. Most streams that rest for too long do so beside a prompt of over 16,000 tokens (measured: 24 to 90% of them, by its length; 2 to 4% beside 9,000), and what fails at an endpoint is learnt once for each instance. Change: instances exchange open requests, prompts sent weighted by that harm, and ends, through the zone's leader (in a small fleet through one instance), leaders among each other. Prompts of which little can be kept go to the calmest of the first four in the order of their affinity; an endpoint at which over 35% of the fleet's requests failed lately is avoided. Old knowledge counts as none. TestExchange, TestRoaming.

--- /dev/null
+++ b/internal/load/load.go
@@ -0,0 +1,167 @@
+// Package load lets the instances of a fleet know what others have under way at the endpoints.
+//
+// An instance sees only its own requests, which in a large fleet is next to nothing of what runs at an endpoint. Each tells one
+// instance (its zone's leader in a large fleet) what it has there, and gets what all others have. Leaders exchange the sums of
+// their zones. All of it is a hint: picks work without, and what is old counts as unknown.
+package load
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/ledgemount/ledgemount/internal/kernel"
+	"github.com/ledgemount/ledgemount/internal/mesh"
+	"github.com/ledgemount/ledgemount/internal/peers"
+	"github.com/ledgemount/ledgemount/internal/pool"
+)
+
+// KindTell tells what the sender has under way and asks for what all others have.
+const KindTell mesh.Kind = "load.tell"
+
+// KindZone tells the sum of a zone and asks for that of the answering instance's zone.
+const KindZone mesh.Kind = "load.zone"
+
+const (
+	tellEvery = 300 * time.Millisecond // between exchanges: a stream lasts some seconds, and each exchange costs a message
+	askLimit  = 250 * time.Millisecond // of one exchange
+	life      = time.Second            // what was told counts for so long
+)
+
+// digest is what some instances have under way, by endpoint.
+type digest struct {
+	Loads map[uint32]pool.Load `cbor:"1,keyasint,omitempty"`
+}
+
+// told is what one instance or zone said last.
+type told struct {
+	loads pool.Loads
+	at    time.Time
+}
+
+// Exchange is the service that tells and asks.
+type Exchange struct {
+	dir  *peers.Directory
+	pool *pool.Pool
+	now  func() time.Time
+
+	mu      sync.Mutex
+	members map[string]told // by instance, where this one gathers
+	zones   map[string]told // by zone other than its own, likewise
+}
+
+// Option changes an Exchange.
+type Option func(*Exchange)
+
+// WithNow replaces the clock.
+func WithNow(now func() time.Time) Option { return func(x *Exchange) { x.now = now } }
+
+// New makes an exchange and registers its messages.
+func New(dir *peers.Directory, p *pool.Pool, router *mesh.Router, opts ...Option) *Exchange {
+	x := &Exchange{dir: dir, pool: p, now: time.Now, members: make(map[string]told), zones: make(map[string]told)}
+	for _, opt := range opts {
+		opt(x)
+	}
+	mesh.Handle(router, KindTell, x.tell)
+	mesh.Handle(router, KindZone, x.zone)
+	return x
+}
+
+// Name implements kernel.Service.
+func (*Exchange) Name() string { return "load" }
+
+// Run implements kernel.Service.
+func (x *Exchange) Run(ctx context.Context) error {
+	kernel.Every(ctx, tellEvery, x.Sync)
+	return nil
+}
+
+// Sync makes one exchange.
+func (x *Exchange) Sync(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	defer cancel()
+	keepers := x.dir.Keepers()
+	if len(keepers) == 0 {
+		x.askZones(ctx)
+		x.pool.SetOthers(x.sum(""))
+		return
+	}
+	mine := digest{Loads: x.pool.Loads()}
+	for _, p := range keepers {
+		others, err := peers.Call[digest, digest](ctx, x.dir, p, KindTell, mine)
+		if err == nil {
+			x.pool.SetOthers(others.Loads)
+			return
+		}
+	}
+}
+
+// askZones exchanges sums with one instance of each other zone, if the fleet is so large that its zones are led.
+func (x *Exchange) askZones(ctx context.Context) {
+	if !x.dir.Large() {
+		return
+	}
+	mine := digest{Loads: x.zoneSum()}
+	var wg sync.WaitGroup
+	for _, p := range x.dir.Heads() {
+		wg.Go(func() {
+			theirs, err := peers.Call[digest, digest](ctx, x.dir, p, KindZone, mine)
+			if err == nil {
+				x.note(x.zones, p.Zone, theirs.Loads)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// tell takes what another instance has under way and answers with what all but that one have.
+func (x *Exchange) tell(_ context.Context, from mesh.Peer, d digest) (digest, error) {
+	x.note(x.members, from.ID, d.Loads)
+	sum := x.sum(from.ID)
+	sum.Add(x.pool.Loads())
+	return digest{Loads: sum}, nil
+}
+
+// zone takes the sum of another zone and answers with that of the own.
+func (x *Exchange) zone(_ context.Context, from mesh.Peer, d digest) (digest, error) {
+	x.note(x.zones, from.Zone, d.Loads)
+	return digest{Loads: x.zoneSum()}, nil
+}
+
+func (x *Exchange) note(list map[string]told, key string, loads pool.Loads) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	list[key] = told{loads: loads, at: x.now()}
+}
+
+// zoneSum is what the instances that tell this one have under way, and this one itself.
+func (x *Exchange) zoneSum() pool.Loads {
+	out := x.pool.Loads()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.add(out, x.members, "")
+	return out
+}
+
+// sum is what all others have under way but one.
+func (x *Exchange) sum(without string) pool.Loads {
+	out := make(pool.Loads)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.add(out, x.members, without)
+	x.add(out, x.zones, "")
+	return out
+}
+
+// add adds up what was told lately, and forgets what is old. The caller holds mu.
+func (x *Exchange) add(to pool.Loads, list map[string]told, without string) {
+	now := x.now()
+	for key, t := range list {
+		switch {
+		case now.Sub(t.at) > life:
+			delete(list, key)
+		case key != without:
+			to.Add(t.loads)
+		}
+	}
+}
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,114 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ledgemount/ledgemount/internal/external/memkv"
+	"github.com/ledgemount/ledgemount/internal/mesh"
+	"github.com/ledgemount/ledgemount/internal/mesh/meshtest"
+	"github.com/ledgemount/ledgemount/internal/peers"
+	"github.com/ledgemount/ledgemount/internal/pool"
+)
+
+// bed is two instances in each of two zones, which know the same endpoints. The first of each zone leads it where the fleet is large.
+type bed struct {
+	net   *meshtest.Net
+	now   time.Time
+	pools []*pool.Pool
+	nodes []*Exchange
+}
+
+const zoneNodes = 2
+
+func newBed(ctx context.Context, large int) *bed {
+	b := &bed{net: meshtest.New(), now: time.Unix(1_000_000, 0)}
+	clock := func() time.Time { return b.now }
+	store := memkv.New()
+	var dirs []*peers.Directory
+	for i := range 2 * zoneNodes {
+		r := mesh.NewRouter()
+		self := mesh.Peer{ID: fmt.Sprintf("i-%d", i), Zone: string(rune('a' + i/zoneNodes)), Addr: fmt.Sprintf("i-%d:1", i)}
+		d := peers.New(store, "p/", peers.Record{Peer: self, Capacity: float64(9 - i)}, r, peers.WithLarge(large),
+			peers.WithNow(clock), peers.WithCaller(b.net.Join(self, r)))
+		p := pool.New(self.Zone, pool.WithNow(clock))
+		for e := range 8 {
+			p.Put(pool.Endpoint{ID: fmt.Sprintf("e-%d", e), Service: "models", Addr: fmt.Sprintf("10.0.0.%d:80", e), Zone: "a", Slots: 8})
+		}
+		b.pools = append(b.pools, p)
+		b.nodes = append(b.nodes, New(d, p, r, WithNow(clock)))
+		dirs = append(dirs, d)
+	}
+	for range 2 {
+		for _, d := range dirs {
+			run, cancel := context.WithCancel(ctx)
+			go func() { time.Sleep(10 * time.Millisecond); cancel() }()
+			So(d.Run(run), ShouldBeNil)
+		}
+	}
+	return b
+}
+
+func (b *bed) sync(ctx context.Context) {
+	for range 3 {
+		for _, x := range b.nodes {
+			x.Sync(ctx)
+		}
+	}
+}
+
+// open sums what a pool knows to be open at endpoints.
+func open(loads pool.Loads) int {
+	n := 0
+	for _, l := range loads {
+		n += l.Open
+	}
+	return n
+}
+
+func TestExchange(t *testing.T) {
+	ctx := context.Background()
+	for _, fleet := range []struct {
+		name  string
+		large int
+	}{{"small fleet", 9}, {"large fleet, whose zones are led", 2}} {
+		Convey("In a "+fleet.name, t, func() {
+			b := newBed(ctx, fleet.large)
+			for i, p := range b.pools {
+				for range i + 1 {
+					So(p.Pick(pool.Query{Service: "models"}), ShouldNotBeNil)
+				}
+			}
+			const all = 1 + 2 + 3 + 4
+			b.sync(ctx)
+
+			Convey("each instance knows what all others have under way, and its own not twice", func() {
+				for i, p := range b.pools {
+					So(open(p.Others()), ShouldEqual, all-(i+1))
+				}
+			})
+
+			Convey("what an instance said counts no longer once it is silent", func() {
+				b.net.SetDown("i-3:1", true)
+				b.now = b.now.Add(life + time.Millisecond)
+				for range 3 {
+					for _, x := range b.nodes[:3] {
+						x.Sync(ctx)
+					}
+				}
+				So(open(b.pools[0].Others()), ShouldEqual, all-1-4)
+			})
+
+			Convey("an instance that reaches nobody forgets what it was told", func() {
+				b.net.SetCut(func(_, _ mesh.Peer) bool { return true })
+				b.now = b.now.Add(life + time.Millisecond)
+				b.sync(ctx)
+				So(open(b.pools[3].Others()), ShouldEqual, 0)
+			})
+		})
+	}
+}
--- a/internal/peers/directory.go
+++ b/internal/peers/directory.go
@@ -345,6 +345,25 @@
 	return d.reachable(ahead)
 }
 
+// Heads are the instances that lead the other zones, as far as they can be reached.
+func (d *Directory) Heads() []mesh.Peer {
+	if d.caller.Load() == nil {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []mesh.Peer
+	for zone, list := range d.zones {
+		if zone == d.self.Peer.Zone {
+			continue
+		}
+		if heads := d.reachable(list); len(heads) > 0 {
+			out = append(out, heads[0])
+		}
+	}
+	return out
+}
+
 // reachable are the first of a list that are not left alone. The caller holds mu.
 func (d *Directory) reachable(list []Record) []mesh.Peer {
 	out := make([]mesh.Peer, 0, mostLeaders)
--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -26,6 +26,9 @@
 
 // sound says whether nothing speaks against an endpoint.
 func (l *Pool) sound(m *member, now time.Time) bool {
+	if l.told(now) && l.total(m, now).failing() > l.policy.ErrorShare {
+		return false
+	}
 	if l.cutOff(m, now) || now.Before(m.pausedTil) || now.Before(m.busyTil) || m.failing(now) > l.policy.ErrorShare {
 		return false
 	}
@@ -89,10 +92,15 @@
 	case EndGood:
 		m.learn(now, 0)
 		m.pause = 0
+		m.ended.add(now, 1)
 	case EndFailed:
 		m.learn(now, 1)
+		m.ended.add(now, 1)
+		m.failed.add(now, 1)
 	case EndBroken:
 		l.pauseMember(m, now)
+		m.ended.add(now, 1)
+		m.failed.add(now, 1)
 	case EndUnreachable:
 		l.miss(m, now)
 		l.pauseMember(m, now)
--- /dev/null
+++ b/internal/pool/load.go
@@ -0,0 +1,127 @@
+package pool
+
+import (
+	"math"
+	"time"
+)
+
+// Load is what some instances have under way at an endpoint.
+type Load struct {
+	Open int `cbor:"1,keyasint,omitempty"` // requests
+	// Heavy is how many times a second a prompt that was sent there makes the streams beside it rest for too long; see harm.
+	Heavy  float64 `cbor:"2,keyasint,omitempty"`
+	Ended  float64 `cbor:"3,keyasint,omitempty"` // requests a second that ended well or badly
+	Failed float64 `cbor:"4,keyasint,omitempty"` // those that ended badly
+}
+
+// Loads are loads by the lower half of the hash of the endpoint's ID, which all instances compute alike.
+type Loads map[uint32]Load
+
+// Add adds other loads to these.
+func (l Loads) Add(other Loads) {
+	for key, x := range other {
+		l[key] = l[key].plus(x)
+	}
+}
+
+func (x Load) plus(y Load) Load {
+	return Load{Open: x.Open + y.Open, Heavy: x.Heavy + y.Heavy, Ended: x.Ended + y.Ended, Failed: x.Failed + y.Failed}
+}
+
+// failing is the part of requests that ended badly; 0 while too few have ended to tell.
+func (x Load) failing() float64 {
+	if x.Ended*flowDecay.Seconds() < leastEnded {
+		return 0
+	}
+	return x.Failed / x.Ended
+}
+
+// nothing says whether there is nothing to tell.
+func (x Load) nothing() bool { return x.Open == 0 && x.Heavy < leastFlow && x.Ended < leastFlow }
+
+const (
+	flowDecay  = 10 * time.Second // the time constant with which all this is forgotten: sessions come back in some seconds
+	othersLife = time.Second      // what others have counts for so long
+	harmGaps   = 2                // reading for so many times what a stream may rest harms for certain
+	leastFlow  = 0.001            // below this a flow is nothing
+	leastEnded = 4                // requests that must have ended lately before their failures say anything
+)
+
+// flow is a decaying sum, in units a second, as of a moment.
+type flow struct {
+	perSecond float64
+	at        time.Time
+}
+
+// now brings the flow to a moment.
+func (f flow) now(now time.Time) float64 {
+	if f.perSecond == 0 {
+		return 0
+	}
+	return f.perSecond * math.Exp(-now.Sub(f.at).Seconds()/flowDecay.Seconds())
+}
+
+// add counts something.
+func (f *flow) add(now time.Time, x float64) {
+	f.perSecond = f.now(now) + x/flowDecay.Seconds()
+	f.at = now
+}
+
+// harm is the chance that a prompt makes a stream beside it rest for too long. While a prompt is read each token of the streams waits
+// for a piece of it, and pieces take longer with the prompt's length. Measured at endpoints that read 27 tokens a millisecond, of streams
+// that may rest for 500 ms: 2 to 4 in 100 beside prompts of 9,000 tokens, 11 of 13,000, 24 to 43 of 18,000, 60 to 90 over 20,000.
+func harm(reading, gap time.Duration) float64 {
+	x := reading.Seconds() / (harmGaps * gap.Seconds())
+	return min(1, x*x*x)
+}
+
+func (m *member) key() uint32 { return uint32(m.hash) }
+
+// Loads is what this instance has under way.
+func (l *Pool) Loads() Loads {
+	now := l.now()
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	out := make(Loads)
+	for _, m := range l.byID {
+		if x := m.load(now); !x.nothing() {
+			out[m.key()] = x
+		}
+	}
+	return out
+}
+
+// load is what this instance has under way at an endpoint.
+func (m *member) load(now time.Time) Load {
+	return Load{Open: m.open, Heavy: m.heavy.now(now), Ended: m.ended.now(now), Failed: m.failed.now(now)}
+}
+
+// SetOthers takes what all other instances have under way.
+func (l *Pool) SetOthers(others Loads) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.others, l.othersAt = others, l.now()
+}
+
+// told says whether it is known what others have under way. The caller holds mu.
+func (l *Pool) told(now time.Time) bool { return l.others != nil && now.Sub(l.othersAt) < othersLife }
+
+// Others is what all other instances have under way, as far as it is known.
+func (l *Pool) Others() Loads {
+	now := l.now()
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	if !l.told(now) {
+		return nil
+	}
+	return l.others
+}
+
+// total is what all instances have under way at an endpoint, as far as it is known. The caller holds mu.
+func (l *Pool) total(m *member, now time.Time) Load {
+	x := m.load(now)
+	if l.told(now) {
+		x = x.plus(l.others[m.key()])
+	}
+	return x
+}
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -11,6 +11,9 @@
 	Service  string
 	Affinity string          // requests with the same text go to the same endpoint while its load allows; empty: none
 	Prompt   int64           // tokens that are to be read where nothing of them is kept
+	Shared   int64           // those of them that an endpoint which had others of the same affinity may keep
+	Target   time.Duration   // within which the first event is wanted; 0: not known
+	Gap      time.Duration   // the longest that the answer's stream may rest; 0: not known
 	Tried    map[string]bool // endpoints that have had the request
 }
 
@@ -61,6 +64,9 @@
 	}
 	m.patience = max(m.patience, patience)
 	m.open++
+	if q.Prompt > 0 {
+		m.heavy.add(now, harm(l.reading(q), q.gap()))
+	}
 	return &Lease{pool: l, member: m, at: m.Endpoint, reason: reason, patience: patience}
 }
 
@@ -82,6 +88,9 @@
 	if q.Affinity == "" {
 		return l.leastLoaded(members, q, func(m *member) bool { return m.good }), ReasonLoad
 	}
+	if l.roams(q, now) {
+		return l.calmest(members, q, now)
+	}
 	bound := l.policy.Slack*float64(open+1)/float64(sound) + float64(l.policy.SlackRoom)
 	return l.affine(members, q, bound)
 }
--- /dev/null
+++ b/internal/pool/place_test.go
@@ -0,0 +1,91 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestRoaming(t *testing.T) {
+	Convey("Where it is known what others have under way", t, func() {
+		clock := &testClock{at: time.Unix(1000, 0)}
+		p := newPool(clock, 8)
+		short := func(i int) Query {
+			return Query{Service: "models", Affinity: fmt.Sprint("topic-", i), Prompt: 800, Shared: 200, Target: time.Second}
+		}
+		// others have much at all endpoints but one
+		calm := p.byID["e-3"]
+		others := make(Loads)
+		for _, m := range p.byID {
+			if m != calm {
+				others[m.key()] = Load{Heavy: 0.4}
+			}
+		}
+		p.SetOthers(others)
+		picks := func(q func(int) Query) map[string]int {
+			seen := make(map[string]int)
+			for i := range 64 {
+				lease := p.Pick(q(i))
+				seen[lease.Endpoint().ID]++
+				lease.Done(EndGood)
+			}
+			return seen
+		}
+
+		Convey("short prompts go where few long ones are read, though not all to one", func() {
+			seen := picks(short)
+			So(seen[calm.ID], ShouldBeGreaterThan, 20)
+			So(len(seen), ShouldBeGreaterThan, 3)
+		})
+
+		Convey("full endpoints get none of them while others have room", func() {
+			p.SetOthers(Loads{calm.key(): {Open: 8}})
+			So(picks(short)[calm.ID], ShouldEqual, 0)
+		})
+
+		Convey("prompts of which much may be kept stay where others of theirs went", func() {
+			seen := picks(func(i int) Query {
+				q := short(0)
+				q.Prompt, q.Shared = 12_000, 9000
+				return q
+			})
+			So(len(seen), ShouldEqual, 1)
+		})
+
+		Convey("short prompts stay with others of theirs once that knowledge is old", func() {
+			clock.pass(othersLife + time.Millisecond)
+			So(len(picks(func(int) Query { return short(0) })), ShouldEqual, 1)
+		})
+	})
+
+	Convey("An endpoint at which others' requests fail is avoided by an instance that has sent it none", t, func() {
+		clock := &testClock{at: time.Unix(1000, 0)}
+		p := newPool(clock, 4)
+		long := Query{Service: "models", Affinity: "topic", Prompt: 12_000, Shared: 9000}
+		first := p.Pick(long)
+		m := first.member
+		first.Done(EndNeutral)
+		tell := func(ended, failed float64) { p.SetOthers(Loads{m.key(): {Ended: ended, Failed: failed}}) }
+
+		tell(1, 0.6)
+		So(p.Pick(long).Endpoint().ID, ShouldNotEqual, m.ID)
+		Convey("but not for a few failures among many, nor for one alone", func() {
+			tell(1, 0.1)
+			So(p.Pick(long).Endpoint().ID, ShouldEqual, m.ID)
+			tell(0.1, 0.1)
+			So(p.Pick(long).Endpoint().ID, ShouldEqual, m.ID)
+		})
+		Convey("nor once that word is old", func() {
+			clock.pass(othersLife + time.Millisecond)
+			So(p.Pick(long).Endpoint().ID, ShouldEqual, m.ID)
+		})
+	})
+
+	Convey("A prompt harms the streams beside it more than in proportion to its length", t, func() {
+		So(harm(300*time.Millisecond, defaultGap), ShouldBeLessThan, 0.05)
+		So(harm(600*time.Millisecond, defaultGap), ShouldBeBetween, 0.15, 0.3)
+		So(harm(2*time.Second, defaultGap), ShouldEqual, 1)
+	})
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -46,6 +46,9 @@
 	open      int           // requests of this instance
 	patience  time.Duration // the most that one of them has
 	heard     time.Time     // the last byte
+	heavy     flow          // of this instance's prompts: see Load
+	ended     flow          // this instance's requests that ended well or badly
+	failed    flow          // those that ended badly
 	asked     time.Time     // since when it owes an answer without a break; zero: it owes none
 	pausedTil time.Time
 	pause     time.Duration
@@ -68,6 +71,8 @@
 	byID     map[string]*member
 	zones    map[string]*zoneHealth
 	gone     func(addr string)
+	others   Loads // what other instances have under way; nil: never told
+	othersAt time.Time
 	speeds   map[string]*speed // by service
 }
 
--- a/internal/pool/speed.go
+++ b/internal/pool/speed.go
@@ -45,6 +45,10 @@
 
 // patience is how long an endpoint may take to the first word of an answer. The caller holds mu.
 func (l *Pool) patience(q Query) time.Duration {
-	expected := float64(q.Prompt) / l.speeds[q.Service].perSecond()
-	return max(l.policy.Silence, min(mostPatience, time.Duration(l.policy.Patience*expected*float64(time.Second))))
+	return max(l.policy.Silence, min(mostPatience, time.Duration(l.policy.Patience*float64(l.reading(q)))))
+}
+
+// reading is how long an endpoint is expected to take to the first word of an answer. The caller holds mu.
+func (l *Pool) reading(q Query) time.Duration {
+	return time.Duration(float64(q.Prompt) / l.speeds[q.Service].perSecond() * float64(time.Second))
 }
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -41,6 +41,7 @@
 	crowded func() bool
 	stall   time.Duration
 	maxBody int64
+	apart   bool // requests of one subject are not kept together
 }
 
 // Option changes a Core.
@@ -66,6 +67,9 @@
 // WithStall sets how long an endpoint may be silent before a request that may be repeated looks elsewhere.
 func WithStall(d time.Duration) Option { return func(c *Core) { c.stall = d } }
 
+// WithoutAffinity sends requests wherever there is least to do, whatever they share.
+func WithoutAffinity() Option { return func(c *Core) { c.apart = true } }
+
 const (
 	defaultStall   = 700 * time.Millisecond
 	defaultMaxBody = 4 << 20
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -59,9 +59,14 @@
 }
 
 func (j *job) pick() *pool.Lease {
-	lease := j.core.Pool.Pick(pool.Query{
-		Service: j.service.Name, Affinity: j.req.Subject(), Prompt: j.req.TokensIn, Tried: j.tried,
-	})
+	q := pool.Query{
+		Service: j.service.Name, Affinity: j.req.Subject(), Prompt: j.req.TokensIn, Shared: j.req.Shared(),
+		Target: j.route.Objective, Gap: j.route.Gap, Tried: j.tried,
+	}
+	if j.core.apart {
+		q.Affinity = ""
+	}
+	lease := j.core.Pool.Pick(q)
 	if lease != nil {
 		j.tried[lease.Endpoint().ID] = true
 	}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -48,6 +48,15 @@
 	}
 }
 
+// Shared is the number of tokens up to and with the last part that others share.
+func (r *Request) Shared() int64 {
+	var n int64
+	for i := range len(r.Parts) - 1 {
+		n += r.Parts[i].Tokens
+	}
+	return n
+}
+
 // Attempt is one sending of a request to an endpoint.
 type Attempt struct {
 	Endpoint string // the endpoint's ID
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -19,6 +19,7 @@
 	"github.com/ledgemount/ledgemount/internal/fleettime"
 	"github.com/ledgemount/ledgemount/internal/follow"
 	"github.com/ledgemount/ledgemount/internal/kernel"
+	"github.com/ledgemount/ledgemount/internal/load"
 	"github.com/ledgemount/ledgemount/internal/mesh"
 	"github.com/ledgemount/ledgemount/internal/peers"
 	"github.com/ledgemount/ledgemount/internal/pool"
@@ -49,6 +50,7 @@
 	pool    *pool.Pool
 	peers   *peers.Directory
 	clock   *fleettime.Clock
+	load    *load.Exchange
 	follow  *follow.Follower
 	escrow  *escrow.Holder
 	core    *relay.Core
@@ -80,6 +82,7 @@
 	r.follow = follow.New(feed.NewSource(r.peers, on.Source), r.pool,
 		follow.WithLogger(log), follow.OnTable(r.fundsOf), follow.OnEntry(r.escrow.Observe), follow.OnPolled(r.escrow.Tick),
 		follow.WithOwn(func() bool { return !r.peers.Large() }))
+	r.load = load.New(r.peers, r.pool, links)
 	remote.Serve(links, r.escrow)
 	feed.Serve(links, r.follow)
 	retries := retry.NewShared(set.Retry.Ratio, set.Retry.Slack, set.Retry.Window, r.escrow.Holders, time.Now)
@@ -94,7 +97,7 @@
 
 // services are the parts that run, in the order in which they start.
 func (r *Router) services() []kernel.Service {
-	list := []kernel.Service{r.peers, r.clock, r.follow, r.escrow, r.escrow.Repayments(), &sweeper{client: r.client}, &callLog{counts: r.metrics.calls, log: r.log}, r.callers, r.probes}
+	list := []kernel.Service{r.peers, r.clock, r.load, r.follow, r.escrow, r.escrow.Repayments(), &sweeper{client: r.client}, &callLog{counts: r.metrics.calls, log: r.log}, r.callers, r.probes}
 	if r.figures != nil {
 		list = append(list, r.figures)
 	}
