feat: draws bring what all need that wait, failed calls rest, and 14 s of use are held for a cut of ten

Change: 1.4 times the use of the horizon is held and released within it; a draw brings the sum of what waits; after a failed call the next waits 250 ms. TestDrawsForMany fails before. Shares kept for first ranks become part of the policy, as before.

--- a/internal/escrow/account.go
+++ b/internal/escrow/account.go
@@ -17,6 +17,7 @@
 	spent   int64 // settled requests, from the holder's start
 	open    int64 // reservations
 	urgent  int64 // unspent tokens that the largest waiting request needs
+	waiting int64 // those that all requests need which wait for a draw
 	meter   meter
 	all     meter            // use by all holders, as reported
 	reports map[string]int64 // spent, by holder, when last seen
--- a/internal/escrow/draw.go
+++ b/internal/escrow/draw.go
@@ -50,9 +50,12 @@
 func (h *Holder) owes(p *pageState) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.gathered(p)
+	return h.gathered(p) && !h.rests()
 }
 
+// rests says whether a call has failed just now: the next one is not worth its price yet. The caller holds mu.
+func (h *Holder) rests() bool { return h.now().Sub(h.failed) < h.times.Rest }
+
 // pause waits for the next beat or for a request that waits; false means that ctx has ended.
 func (h *Holder) pause(ctx context.Context, last time.Time) bool {
 	wait, least := h.waits()
@@ -120,7 +123,13 @@
 func (h *Holder) due(p *pageState, regular bool) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !p.joined || p.unsure >= 0 {
+	if !p.joined {
+		return len(h.accounts) > 0
+	}
+	if h.rests() {
+		return false
+	}
+	if p.unsure >= 0 {
 		return len(h.accounts) > 0
 	}
 	if p.unsettled && !h.start().Later {
@@ -152,6 +161,9 @@
 		case errors.Is(err, external.ErrConflict):
 			continue
 		}
+		h.mu.Lock()
+		h.failed = h.now()
+		h.mu.Unlock()
 		h.log.Debug().Str("event", "escrow_draw_failed").Str("page", p.key).Err(err).Msg("the store did not take a draw")
 		return
 	}
@@ -182,7 +194,7 @@
 }
 
 func (h *Holder) write(ctx context.Context, p *pageState, w write) error {
-	ctx, cancel := context.WithTimeout(ctx, h.times.Call)
+	ctx, cancel := context.WithTimeout(external.WithDuty(ctx, external.DutyDraw), h.times.Call)
 	defer cancel()
 	revision, err := h.store.Commit(ctx, external.Commit{
 		When: []external.Condition{{Key: p.key, Revision: w.base}},
@@ -199,7 +211,7 @@
 	if fresh {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, h.times.Call)
+	ctx, cancel := context.WithTimeout(external.WithDuty(ctx, external.DutyDraw), h.times.Call)
 	defer cancel()
 	entry, _, err := h.store.Read(ctx, p.key)
 	if err != nil {
@@ -357,10 +369,13 @@
 		horizon = min(horizon, stoppingHorizon)
 	}
 	n := Need{Spent: a.used(), Urgent: a.urgent}
+	if n.Urgent > 0 {
+		n.Urgent = max(n.Urgent, a.waiting)
+	}
 	policy := h.policy
 	f := h.flow(a, role)
 	if role == RolePooled {
-		policy.Spread, policy.Burst = 0, 0 // the pool makes up for unevenness
+		policy.Spread, policy.Burst, policy.Reserve = 0, 0, 1 // the pool makes up for unevenness
 	}
 	n.Want, n.Burst, n.Rate = policy.size(f, horizon, policy.plenty(a.unspent(), a.prepaid))
 	if role == RolePooled && float64(n.Want) < f.grain {
--- a/internal/escrow/holder.go
+++ b/internal/escrow/holder.go
@@ -25,6 +25,7 @@
 	Beat time.Duration // between reports
 	Gap  time.Duration // least time between reports that are asked for by a request that waits
 	Call time.Duration // limit of one call to the store
+	Rest time.Duration // after a call that failed
 	Wait time.Duration // how long a reservation waits for a draw
 	Lost time.Duration // without an answer for this long, no reservation waits
 	Dry  time.Duration // after a draw that brought too little, no reservation of the customer waits for this long
@@ -41,7 +42,7 @@
 // DefaultTimes suit a store that answers in milliseconds.
 func DefaultTimes() Times {
 	return Times{
-		Beat: time.Second, Gap: 30 * time.Millisecond, Call: 900 * time.Millisecond,
+		Beat: time.Second, Gap: 30 * time.Millisecond, Call: 900 * time.Millisecond, Rest: 250 * time.Millisecond,
 		Wait: 90 * time.Millisecond, Lost: 1500 * time.Millisecond, Dry: 300 * time.Millisecond,
 		Follow: 800 * time.Millisecond, Gather: 120 * time.Millisecond, Hasty: 40 * time.Millisecond, Group: 700 * time.Millisecond,
 		Borrow: 180 * time.Millisecond, Repay: 200 * time.Millisecond,
@@ -72,6 +73,7 @@
 	own      meter         // of all customers here
 	all      meter         // of all customers everywhere, as reported
 	answered time.Time     // the last answer of the store
+	failed   time.Time     // the last draw that failed
 	beat     time.Time     // the last regular draw
 	first    time.Time     // when a request was first asked for, as far as it was noticed
 	holders  int           // that the store knows
--- a/internal/escrow/pooled_test.go
+++ b/internal/escrow/pooled_test.go
@@ -1,6 +1,7 @@
 package escrow
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -53,3 +54,46 @@
 		})
 	})
 }
+
+func TestDrawsForMany(t *testing.T) {
+	const north = "north"
+	Convey("A draw brings what all requests need that wait for one, not what the largest needs", t, func() {
+		policy := DefaultPolicy()
+		policy.Start, policy.Pools = 0, 0
+		w := newWorld(policy)
+		n := w.nodes[0]
+		w.draw(n)
+		h := n.holder
+		const each, many = 200, 5
+		So(h.View(north).Left, ShouldBeLessThan, each)
+		for range many {
+			r, _, err := h.try(north, each, 0, false)
+			So(r, ShouldBeNil)
+			So(err, ShouldBeNil)
+			h.await(north, each)
+		}
+		w.draw(n)
+		for range many {
+			r, _, err := h.try(north, each, 0, false)
+			So(err, ShouldBeNil)
+			So(r, ShouldNotBeNil)
+			h.await(north, -each)
+		}
+		So(h.accounts[north].waiting, ShouldEqual, 0)
+	})
+
+	Convey("After a call that failed, requests that wait cause no further one for a while", t, func() {
+		w := newWorld(DefaultPolicy())
+		n := w.nodes[0]
+		w.draw(n)
+		h := n.holder
+		p := h.pageOf(north)
+		h.accounts[north].urgent = 1
+		So(h.due(p, false), ShouldBeTrue)
+		n.gate.cut = true
+		h.draw(context.Background(), p)
+		So(h.due(p, false), ShouldBeFalse)
+		w.elapsed += h.times.Rest
+		So(h.due(p, false), ShouldBeTrue)
+	})
+}
--- a/internal/escrow/reserve.go
+++ b/internal/escrow/reserve.go
@@ -102,6 +102,8 @@
 			t := time.NewTimer(h.times.Wait)
 			defer t.Stop()
 			end = t.C
+			h.await(customer, most)
+			defer h.await(customer, -most)
 		}
 		h.kick()
 		select {
@@ -114,6 +116,13 @@
 	}
 }
 
+// await counts a request that waits for a draw, or one that does not any more.
+func (h *Holder) await(customer string, tokens int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.accounts[customer].waiting += tokens
+}
+
 // Why a holder's own grant does not serve.
 var (
 	errDry  = errors.New("the holder's grant does not hold it, nor would a draw")
@@ -155,12 +164,8 @@
 	retryCut   = 3 * time.Second // out of touch with the store
 )
 
-// Shares that are kept for a customer's first ranks.
-const (
-	lastRank  = 2    // from this rank on requests give way
-	keptInCut = 0.5  // of what was granted when the store was last heard
-	keptAtEnd = 0.08 // of the prepaid figure
-)
+// lastRank is the rank from which on a customer's requests give way to its first ones.
+const lastRank = 2
 
 // short says whether a request gives way to those of first ranks: in a cut they keep a part of what is granted here, and at the
 // end of a budget the last of it. The caller holds mu.
@@ -168,14 +173,14 @@
 	if rank < lastRank {
 		return false
 	}
-	if float64(a.unspent()-most) < keptAtEnd*float64(a.prepaid) {
+	if float64(a.unspent()-most) < h.policy.KeptAtEnd*float64(a.prepaid) {
 		return true
 	}
 	if h.inTouch() {
 		return false
 	}
 	held := a.row.row.Granted - a.row.row.Spent
-	return float64(a.row.row.Granted-a.used()-most) < keptInCut*float64(held)
+	return float64(a.row.row.Granted-a.used()-most) < h.policy.KeptInCut*float64(held)
 }
 
 // count measures what is asked for. The caller holds mu.
--- a/internal/escrow/sizing.go
+++ b/internal/escrow/sizing.go
@@ -7,20 +7,24 @@
 
 // Policy sizes what a holder asks for.
 type Policy struct {
-	Horizon time.Duration // how long the holder, or the zone by its pools, shall serve without the store
-	Near    time.Duration // how long a holder shall serve without its zone's pools, if it expects several requests meanwhile
-	Surge   float64       // how much faster than the measured rate a customer may become
-	Spread  float64       // standard deviations of the use held beside its mean
-	Burst   float64       // standard deviations spendable at once
-	Start   float64       // part of the unspent rest that all holders together ask for while nothing is measured
-	Pools   float64       // the same, for all pools together
-	Scarce  float64       // part of the prepaid figure below which an unspent rest counts as scarce, more so as it falls
+	Horizon   time.Duration // how long the holder, or the zone by its pools, shall serve without the store
+	Reserve   float64       // how many times the use of the horizon is held: in a cut callers come back, and use grows
+	Near      time.Duration // how long a holder shall serve without its zone's pools, if it expects several requests meanwhile
+	Surge     float64       // how much faster than the measured rate a customer may become
+	Spread    float64       // standard deviations of the use held beside its mean
+	Burst     float64       // standard deviations spendable at once
+	Start     float64       // part of the unspent rest that all holders together ask for while nothing is measured
+	Pools     float64       // the same, for all pools together
+	Scarce    float64       // part of the prepaid figure below which an unspent rest counts as scarce, more so as it falls
+	KeptInCut float64       // part of what was granted when the store was last heard that is kept for a customer's first ranks in a cut
+	KeptAtEnd float64       // part of the prepaid figure of which the last is kept for them
 }
 
 // DefaultPolicy outlives a cut of ten seconds.
 func DefaultPolicy() Policy {
 	return Policy{
-		Horizon: 10 * time.Second, Near: 3 * time.Second, Surge: 1.1, Spread: 2, Burst: 1.2, Start: 0.15, Pools: 0.5, Scarce: 0.5,
+		Horizon: 10 * time.Second, Reserve: 1.4, Near: 3 * time.Second, Surge: 1.1, Spread: 2, Burst: 1.2, Start: 0.15, Pools: 0.5, Scarce: 0.5,
+		KeptInCut: 0.5, KeptAtEnd: 0.08,
 	}
 }
 
@@ -56,7 +60,7 @@
 	soon := tight + time.Duration(float64(ahead-tight)*plenty)
 	horizon = max(soon, time.Duration(float64(horizon)*plenty))
 	b := p.amount(f, soon, p.Burst*plenty)
-	w := max(b, p.amount(f, horizon, p.Spread*plenty))
+	w := max(b, p.amount(f, time.Duration(p.Reserve*float64(horizon)), p.Spread*plenty))
 	if span := (horizon - Grace).Seconds(); span > 0 {
 		rate = int64((w - b) / span)
 	} else {
