--- a/cmd/router.go
+++ b/cmd/router.go
@@ -22,7 +22,8 @@
 type routerCmd struct {
 	env *env
 
-	Settings string `long:"settings" description:"file with the router's settings (JSON); default: where the platform lays it"`
+	Settings string             `long:"settings" description:"file with the router's settings (JSON); default: where the platform lays it"`
+	Without  []router.Mechanism `long:"without" description:"mechanism to switch off, to measure what it is worth; may be given several times"`
 }
 
 const (
@@ -40,6 +41,10 @@
 	if err != nil {
 		return err
 	}
+	set.Without = append(set.Without, c.Without...)
+	if err := router.Check(set); err != nil {
+		return err
+	}
 	log, closeLog := routerLog(set, os.Stdout, os.Stderr)
 	defer closeLog()
 	logNotes(log, notes)
--- a/internal/escrow/remote/remote.go
+++ b/internal/escrow/remote/remote.go
@@ -24,12 +24,25 @@
 type Fleet struct {
 	dir   *peers.Directory
 	clock *fleettime.Clock
+	loans bool
 }
 
 var _ escrow.Fleet = (*Fleet)(nil)
 
+// Option changes a Fleet.
+type Option func(*Fleet)
+
+// WithoutLoans makes a way on which nothing is borrowed.
+func WithoutLoans() Option { return func(f *Fleet) { f.loans = false } }
+
 // New makes a way to the holders that a directory names.
-func New(dir *peers.Directory, clock *fleettime.Clock) *Fleet { return &Fleet{dir: dir, clock: clock} }
+func New(dir *peers.Directory, clock *fleettime.Clock, opts ...Option) *Fleet {
+	f := &Fleet{dir: dir, clock: clock, loans: true}
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
+}
 
 // Time implements escrow.Fleet.
 func (f *Fleet) Time() (fleettime.Bounds, bool) { return f.clock.Now() }
@@ -75,6 +88,9 @@
 // Borrow implements escrow.Fleet. It asks one holder after another until one lends, or the time is up.
 func (f *Fleet) Borrow(ctx context.Context, loan escrow.Loan) escrow.Borrowed {
 	var out escrow.Borrowed
+	if !f.loans {
+		return out
+	}
 	large := f.dir.Large()
 	for _, p := range f.dir.Lenders(loan.Customer) {
 		loan.AtHand = !large || !f.dir.Near(p)
--- a/internal/peers/directory.go
+++ b/internal/peers/directory.go
@@ -68,6 +68,7 @@
 	now    func() time.Time
 	log    zerolog.Logger
 	large  int
+	pools  bool
 	open   func() (mesh.Caller, error) // nil: over QUIC
 	caller atomic.Pointer[mesh.Caller]
 
@@ -97,6 +98,9 @@
 // WithLarge sets the number of instances from which a fleet is large.
 func WithLarge(n int) Option { return func(d *Directory) { d.large = n } }
 
+// WithoutPools makes a directory in which no zone pools its customers' tokens.
+func WithoutPools() Option { return func(d *Directory) { d.pools = false } }
+
 // WithCaller replaces QUIC.
 func WithCaller(c mesh.Caller) Option {
 	return func(d *Directory) { d.open = func() (mesh.Caller, error) { return c, nil } }
@@ -107,7 +111,7 @@
 func New(store external.KV, prefix string, self Record, router *mesh.Router, opts ...Option) *Directory {
 	d := &Directory{
 		store: store, prefix: prefix, self: self, router: router, times: DefaultTimes(), now: time.Now, log: zerolog.Nop(),
-		large: DefaultLarge, records: make(map[string]Record), suspects: make(map[string]*suspicion),
+		large: DefaultLarge, pools: true, records: make(map[string]Record), suspects: make(map[string]*suspicion),
 	}
 	for _, opt := range opts {
 		opt(d)
--- a/internal/peers/lenders.go
+++ b/internal/peers/lenders.go
@@ -16,7 +16,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	zone := d.zones[d.self.Peer.Zone]
-	if len(zone) < poolZone || len(d.records) < d.large {
+	if !d.pools || len(zone) < poolZone || len(d.records) < d.large {
 		return false, false
 	}
 	return true, d.keepers(customer, zone)[0].ID == d.self.Peer.ID
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -66,29 +66,32 @@
 func New(set *Settings, on Platform, log zerolog.Logger) (*Router, error) {
 	r := &Router{set: set, log: log, kernel: kernel.New(), metrics: newMeters(set)}
 	on.Store.OnCall(r.metrics.called)
-	r.pressure = pressure.New(pressure.OnChange(r.logPressure), pressure.WithLink(set.Instance.LinkMbps))
+	r.pressure = pressure.New(
+		pressure.WithPolicy(set.pressurePolicy()), pressure.OnChange(r.logPressure), pressure.WithLink(set.Instance.LinkMbps),
+	)
 	r.client = upstream.New(upstream.WithWrap(r.pressure.Conn))
-	r.pool = pool.New(set.Instance.Zone, pool.OnGone(r.client.Forget))
+	r.pool = pool.New(set.Instance.Zone, pool.WithPolicy(set.poolPolicy()), pool.OnGone(r.client.Forget))
 	id := set.Instance.ID + "/" + strings.ToLower(ulid.Make().String())
 	links := mesh.NewRouter()
 	self := peers.Record{
 		Peer:     mesh.Peer{ID: set.Instance.ID, Zone: set.Instance.Zone, Addr: set.Peers.Listen, Inc: id},
 		Capacity: set.Instance.LinkMbps,
 	}
-	r.peers = peers.New(on.Store, set.Store.Prefix, self, links, peers.WithLogger(log), peers.WithLarge(set.Peers.Large))
+	r.peers = peers.New(on.Store, set.Store.Prefix, self, links, append(set.peersOptions(), peers.WithLogger(log))...)
 	r.clock = fleettime.New(r.peers, set.Instance.ID, links)
 	r.escrow = escrow.New(on.Store, set.Store.Prefix+escrowPrefix, set.Store.pages(), set.Instance.ID, id,
-		escrow.WithLogger(log), escrow.WithFleet(remote.New(r.peers, r.clock)))
+		escrow.WithLogger(log), escrow.WithPolicy(set.escrowPolicy()), escrow.WithFleet(remote.New(r.peers, r.clock, set.fleetOptions()...)))
 	r.follow = follow.New(feed.NewSource(r.peers, on.Source), r.pool,
 		follow.WithLogger(log), follow.OnTable(r.fundsOf), follow.OnEntry(r.escrow.Observe), follow.OnPolled(r.escrow.Tick),
 		follow.WithOwn(func() bool { return !r.peers.Large() }))
 	r.load = load.New(r.peers, r.pool, links)
 	remote.Serve(links, r.escrow)
 	feed.Serve(links, r.follow)
-	retries := retry.NewShared(set.Retry.Ratio, set.Retry.Slack, set.Retry.Window, r.escrow.Holders, time.Now)
+	ratio, slack := set.retryBudget()
+	retries := retry.NewShared(ratio, slack, set.Retry.Window, r.escrow.Holders, time.Now)
 	r.core = relay.New(relay.Deps{
 		Tables: r.follow.Table, Pool: r.pool, Budgets: r.escrow, Retries: retries, Client: r.client, Dialect: on.Dialect,
-	}, relay.WithEnded(r.ended), relay.WithDialed(r.dialed), relay.WithCrowded(r.pressure.Crowded))
+	}, append(set.relayOptions(), relay.WithEnded(r.ended), relay.WithDialed(r.dialed), relay.WithCrowded(r.pressure.Crowded))...)
 	if err := r.listen(on); err != nil {
 		return nil, err
 	}
@@ -97,7 +100,14 @@
 
 // services are the parts that run, in the order in which they start.
 func (r *Router) services() []kernel.Service {
-	list := []kernel.Service{r.peers, r.clock, r.load, r.follow, r.escrow, r.escrow.Repayments(), &sweeper{client: r.client}, &callLog{counts: r.metrics.calls, log: r.log}, r.callers, r.probes}
+	list := []kernel.Service{r.peers}
+	if !r.set.without(FleetTime) {
+		list = append(list, r.clock)
+	}
+	if !r.set.without(Loads) {
+		list = append(list, r.load)
+	}
+	list = append(list, r.follow, r.escrow, r.escrow.Repayments(), &sweeper{client: r.client}, &callLog{counts: r.metrics.calls, log: r.log}, r.callers, r.probes)
 	if r.figures != nil {
 		list = append(list, r.figures)
 	}
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -20,6 +20,8 @@
 	Stop     Stop     `json:"stop"`
 	Peers    Peers    `json:"peers"`
 	Log      Log      `json:"log"`
+	// Without names mechanisms that are switched off, to measure what they are worth. Not for use.
+	Without []Mechanism `json:"without" validate:"dive,oneof=affinity loads fleet-time loans pools leaders crowded-link ranks patience retries health scarcity"`
 }
 
 // Instance says which instance this is.
