--- /dev/null
+++ b/internal/escrow/need.go
@@ -0,0 +1,89 @@
+package escrow
+
+import "time"
+
+// freshFlow is how long after the first request what is measured says too little.
+const freshFlow = 3 * time.Second
+
+// need sizes what the holder asks for of a customer's account. The caller holds mu.
+func (h *Holder) need(name string, a *account, holders int) Need {
+	role := h.role(name)
+	horizon := h.policy.Horizon
+	if role == RolePooled {
+		horizon = h.policy.Near
+	}
+	if h.stopping {
+		horizon = min(horizon, stoppingHorizon)
+	}
+	n := Need{Spent: a.used(), Urgent: a.urgent}
+	if n.Urgent > 0 {
+		n.Urgent = max(n.Urgent, a.waiting)
+	}
+	policy := h.policy
+	f := h.flow(a, role)
+	if role == RolePooled {
+		policy.Spread, policy.Burst, policy.Reserve = 0, 0, 1 // the pool makes up for unevenness
+	}
+	n.Want, n.Burst, n.Rate = policy.size(f, horizon, policy.plenty(a.unspent(), a.prepaid))
+	if role == RolePooled && float64(n.Want) < f.grain {
+		n.Want, n.Burst, n.Rate = 0, 0, 0 // too little for a single request
+	}
+	if h.fresh() && !h.stopping && role != RolePooled {
+		share := h.startShare(a, role, max(1, holders))
+		n.Want = max(n.Want, share)
+		n.Burst = max(n.Burst, share)
+	}
+	n.Burst = max(n.Burst, n.Urgent)
+	return n
+}
+
+// fresh says whether too little is measured yet, here or in the zone that this holder pools tokens for. The caller holds mu.
+func (h *Holder) fresh() bool {
+	if h.first.IsZero() && h.asks() {
+		h.first = h.now()
+	}
+	return h.first.IsZero() || h.now().Sub(h.first) < freshFlow
+}
+
+// asks says whether anything was asked for yet. The caller holds mu.
+func (h *Holder) asks() bool {
+	if h.own.sizes > 0 {
+		return true
+	}
+	for _, a := range h.accounts {
+		if a.zoneRate > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// startShare is what the holder asks for while nothing is measured. The caller holds mu.
+func (h *Holder) startShare(a *account, role Role, holders int) int64 {
+	rest := float64(max(0, a.rest))
+	switch {
+	case role == RolePool:
+		return int64(rest * h.policy.Pools * min(1, float64(h.fleet.ZoneSize())/float64(holders)))
+	case a.others > 0 && role == RoleAlone:
+		return a.others
+	}
+	return int64(rest * h.policy.Start / float64(holders))
+}
+
+// flow is a customer's use here: half as measured here, which is little, and half this holder's part of what all holders report.
+// At a pool it is what the zone is asked for. The caller holds mu.
+func (h *Holder) flow(a *account, role Role) flow {
+	if role == RolePool {
+		return flow{rate: max(a.zoneRate, a.meter.rate()), grain: h.own.grain()}
+	}
+	local := a.meter.rate()
+	all, mine := h.all.rate(), a.all.rate()
+	if a.told {
+		all, mine = h.toldRate, a.toldRate
+	}
+	if all <= 0 {
+		return flow{rate: local, grain: h.own.grain()}
+	}
+	part := min(1, h.own.rate()/all)
+	return flow{rate: (local + part*mine) / 2, grain: h.own.grain()}
+}
--- /dev/null
+++ b/internal/escrow/report.go
@@ -0,0 +1,44 @@
+package escrow
+
+import "time"
+
+// fleetTimeWait is how long a new process waits for the fleet's time before it settles without.
+const fleetTimeWait = 3 * time.Second
+
+// report is what this holder says of itself with a write.
+func (h *Holder) report(now time.Duration, count int64) Report {
+	low, _ := h.fleetTime()
+	return Report{Node: h.node, Boot: h.clock.Boot(), Clock: now.Milliseconds(), Wall: h.now().UnixMilli(), Count: count, Fleet: low}
+}
+
+// fleetTime bounds the fleet's time of day in ms; 0 while it is not known.
+func (h *Holder) fleetTime() (low, high int64) {
+	if h.fleet == nil {
+		return 0, 0
+	}
+	b, ok := h.fleet.Time()
+	if !ok {
+		return 0, 0
+	}
+	return b.Low.UnixMilli(), b.High.UnixMilli()
+}
+
+// start tells of the start of this holder's process. The fleet's time of then is told by that of now and the steady clock.
+func (h *Holder) start() Report {
+	r := h.begun
+	age := h.clock.Now() - time.Duration(r.Clock)*time.Millisecond
+	if _, high := h.fleetTime(); high != 0 {
+		r.Fleet = high - age.Milliseconds()
+		return r
+	}
+	r.Later = h.fleet != nil && age < fleetTimeWait
+	return r
+}
+
+func (h *Holder) logFolded(list []Folded, page string) {
+	for _, f := range list {
+		h.log.Info().Str("event", "escrow_settled").Str("holder", f.Holder).Str("page", page).Bool("age_known", f.Known).
+			Int64("age_ms", f.Age.Milliseconds()).Int64("spent", f.Spent).Int64("granted", f.Granted).Int64("settled", f.Settled).
+			Msg("an earlier process's escrow is settled")
+	}
+}
--- /dev/null
+++ b/internal/peers/leaders.go
@@ -0,0 +1,87 @@
+package peers
+
+import "github.com/ledgemount/ledgemount/internal/mesh"
+
+// Leads says whether this instance leads its zone, as far as it knows.
+func (d *Directory) Leads() bool { return len(d.Leaders()) == 0 }
+
+// Stranded says whether this instance does the work itself only because those that lead cannot be reached.
+func (d *Directory) Stranded() bool {
+	d.mu.Lock()
+	ahead := len(d.ahead)
+	d.mu.Unlock()
+	return ahead > 0 && d.Large() && d.Leads()
+}
+
+// Leaders are the instances to ask, best first; none means that this instance does the work itself.
+func (d *Directory) Leaders() []mesh.Peer {
+	if d.caller.Load() == nil {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.records) < d.large {
+		return nil
+	}
+	out := d.reachable(d.ahead)
+	d.note(out)
+	return out
+}
+
+// Keepers are the instances that keep what all agree on, best first; none means that this instance does. In a large fleet these are
+// the zone's leaders.
+func (d *Directory) Keepers() []mesh.Peer {
+	if d.caller.Load() == nil {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ahead := d.ahead
+	if len(d.records) < d.large {
+		ahead = d.all
+	}
+	return d.reachable(ahead)
+}
+
+// Heads are the instances that lead the other zones, as far as they can be reached.
+func (d *Directory) Heads() []mesh.Peer {
+	if d.caller.Load() == nil {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []mesh.Peer
+	for zone, list := range d.zones {
+		if zone == d.self.Peer.Zone {
+			continue
+		}
+		if heads := d.reachable(list); len(heads) > 0 {
+			out = append(out, heads[0])
+		}
+	}
+	return out
+}
+
+// reachable are the first of a list that are not left alone. The caller holds mu.
+func (d *Directory) reachable(list []Record) []mesh.Peer {
+	out := make([]mesh.Peer, 0, mostLeaders)
+	for _, r := range list[:min(len(list), mostLeaders)] {
+		if !d.suspected(r.Peer.ID) {
+			out = append(out, r.Peer)
+		}
+	}
+	return out
+}
+
+// note logs who leads when that has changed. The caller holds mu.
+func (d *Directory) note(leaders []mesh.Peer) {
+	leader := d.self.Peer.ID
+	if len(leaders) > 0 {
+		leader = leaders[0].ID
+	}
+	if leader == d.leader {
+		return
+	}
+	d.log.Info().Str("event", "leader_changed").Str("leader", leader).Str("before", d.leader).Msg("another instance leads the zone")
+	d.leader = leader
+}
