--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -29,7 +29,7 @@
 	b := &bed{net: meshtest.New(), now: time.Unix(1_000_000, 0)}
 	clock := func() time.Time { return b.now }
 	store := memkv.New()
-	var dirs []*peers.Directory
+	dirs := make([]*peers.Directory, 0, 2*zoneNodes)
 	for i := range 2 * zoneNodes {
 		r := mesh.NewRouter()
 		self := mesh.Peer{ID: fmt.Sprintf("i-%d", i), Zone: string(rune('a' + i/zoneNodes)), Addr: fmt.Sprintf("i-%d:1", i)}
