fix: what does not arrive whole in time is read anew at once, and silent leaders leave the store its time

At front-naroda-hall-29 the leader's answer and the store's changes did not arrive in 0.45 and 0.8 s; it waited 0.7 s, asked three leaders in turn, left the store no time, waited again, and read everything only then. Change: a store's answer that began to arrive but was not whole in time is told apart (ErrSlowAnswer); then everything is read in the same step, without asking other instances; leaders have 0.5 s together, beside the store's time. TestFeed fails before.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -9,11 +9,13 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/follow"
 	"github.com/ledgemount/ledgemount/internal/mesh"
 	"github.com/ledgemount/ledgemount/internal/peers"
@@ -26,6 +28,7 @@
 
 const (
 	askLimit   = 450 * time.Millisecond  // of one question
+	askAll     = 500 * time.Millisecond  // of all questions of a step: the store shall have its time too
 	mostAge    = 1100 * time.Millisecond // an instance that heard the store longer ago is passed over
 	mostConfig = 64 << 20                // bytes of a configuration, unpacked
 )
@@ -119,19 +122,23 @@
 type Source struct {
 	dir   *peers.Directory
 	store follow.Source
+	call  time.Duration // limit of a call for changes to the store
+	slow  atomic.Bool   // the store's last answer was not whole in time: nobody else has news, so the store is asked at once
 }
 
 var _ follow.Source = (*Source)(nil)
 
 // NewSource makes a source. store is asked where no leader answers.
 func NewSource(dir *peers.Directory, store follow.Source) *Source {
-	return &Source{dir: dir, store: store}
+	return &Source{dir: dir, store: store, call: follow.DefaultTimes().Call}
 }
 
 // Snapshot implements follow.Source.
 func (s *Source) Snapshot(ctx context.Context) (follow.Update, error) {
-	if u, err := s.ask(ctx, follow.Cursor{}); err == nil {
-		return u, nil
+	if !s.slow.Swap(false) {
+		if u, err := s.ask(ctx, follow.Cursor{}); err == nil {
+			return u, nil
+		}
 	}
 	return s.store.Snapshot(ctx)
 }
@@ -141,13 +148,19 @@
 	if u, err := s.ask(ctx, since); err == nil {
 		return u, nil
 	}
-	return s.store.Changes(ctx, since, own)
+	ctx, cancel := context.WithTimeout(ctx, s.call)
+	defer cancel()
+	u, err := s.store.Changes(ctx, since, own)
+	s.slow.Store(errors.Is(err, external.ErrSlowAnswer))
+	return u, err
 }
 
 var errNobody = errors.New("no instance that leads has news")
 
 // ask goes through the leaders until one has heard the store lately.
 func (s *Source) ask(ctx context.Context, since follow.Cursor) (follow.Update, error) {
+	ctx, cancel := context.WithTimeout(ctx, askAll)
+	defer cancel()
 	for _, p := range s.dir.Leaders() {
 		u, err := s.askOne(ctx, p, since)
 		if err == nil {
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/external/memkv"
 	"github.com/ledgemount/ledgemount/internal/follow"
 	"github.com/ledgemount/ledgemount/internal/mesh"
@@ -21,7 +22,9 @@
 type script struct {
 	update follow.Update
 	err    error
-	calls  int
+	// changesErr is what calls for changes end with, if it is set
+	changesErr error
+	calls      int
 }
 
 func (s *script) Snapshot(context.Context) (follow.Update, error) {
@@ -31,6 +34,9 @@
 
 func (s *script) Changes(context.Context, follow.Cursor, bool) (follow.Update, error) {
 	s.calls++
+	if s.changesErr != nil {
+		return follow.Update{}, s.changesErr
+	}
 	return s.update, s.err
 }
 
@@ -157,6 +163,16 @@
 			So(b.member.pool.Len(), ShouldEqual, 1)
 		})
 
+		Convey("reads everything from the store, in the same step, where what has changed there does not arrive whole in time", func() {
+			So(b.member.follower.Step(ctx), ShouldBeNil)
+			b.net.SetDown("lead:1", true)
+			b.member.store.changesErr = external.ErrSlowAnswer
+			b.member.store.update = follow.Update{Config: config(9), ConfigAt: 40, At: 40, Events: 1}
+			So(b.member.follower.Step(ctx), ShouldBeNil)
+			So(b.member.store.calls, ShouldEqual, 2)
+			So(b.member.follower.Table().Version(), ShouldEqual, 9)
+		})
+
 		Convey("is told everything when it has missed too much", func() {
 			So(b.member.follower.Step(ctx), ShouldBeNil)
 			for i := range 100 {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -56,6 +56,7 @@
 	Poll    time.Duration // between calls
 	Ask     time.Duration // between calls that another instance answers
 	Call    time.Duration // limit of one call
+	Near    time.Duration // beside it, for asking other instances first
 	Retry   time.Duration // after a call that failed
 	Silence time.Duration // without any change for this long, everything is read again
 }
@@ -63,7 +64,7 @@
 // DefaultTimes put a change in force well within two seconds of its acknowledgement.
 func DefaultTimes() Times {
 	return Times{
-		Poll: 500 * time.Millisecond, Ask: 300 * time.Millisecond, Call: 800 * time.Millisecond, Retry: 150 * time.Millisecond,
+		Poll: 500 * time.Millisecond, Ask: 300 * time.Millisecond, Call: 800 * time.Millisecond, Near: 500 * time.Millisecond, Retry: 150 * time.Millisecond,
 		Silence: 1200 * time.Millisecond,
 	}
 }
@@ -176,11 +177,12 @@
 // largeFleetRetries is by how much calls that failed are repeated more rarely in a large fleet.
 const largeFleetRetries = 4
 
-// Step makes one call and applies what it brings.
+// Step makes one call and applies what it brings. What has changed may be more than everything, as when a large configuration was written
+// many times: where it did not arrive whole in time, everything is read at once.
 func (f *Follower) Step(ctx context.Context) error {
 	if f.since.At > 0 && !f.deaf && f.failed < mostFailed {
 		err := f.follow(ctx)
-		if !errors.Is(err, external.ErrHistoryGone) {
+		if !errors.Is(err, external.ErrHistoryGone) && !errors.Is(err, external.ErrSlowAnswer) {
 			return err
 		}
 	}
@@ -194,7 +196,7 @@
 
 // follow reads what has changed. Answers that tell nothing for too long are suspect; calls that fail say nothing of that.
 func (f *Follower) follow(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(external.WithDuty(ctx, external.DutyConfig), f.times.Call)
+	ctx, cancel := context.WithTimeout(external.WithDuty(ctx, external.DutyConfig), f.times.Call+f.times.Near)
 	defer cancel()
 	own := f.own()
 	u, err := f.source.Changes(ctx, f.since, own)
@@ -216,7 +218,7 @@
 
 // snapshot reads everything. It may take longer than a call for changes, as it is larger.
 func (f *Follower) snapshot(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(external.WithDuty(ctx, external.DutyConfig), snapshotCalls*f.times.Call)
+	ctx, cancel := context.WithTimeout(external.WithDuty(ctx, external.DutyConfig), snapshotCalls*f.times.Call+f.times.Near)
 	defer cancel()
 	u, err := f.source.Snapshot(ctx)
 	if err != nil {
