feat: digests of loads are short: a line of small numbers an endpoint, at most 300, twice a second

Change: whole thousandths a second, arrays in place of maps, endpoints with nothing under way left out, twice a second: 1.1 Mbit/s. Names: harm, pauseChance.

--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -23,16 +23,11 @@
 const KindZone mesh.Kind = "load.zone"
 
 const (
-	tellEvery = 300 * time.Millisecond // between exchanges: a stream lasts some seconds, and each exchange costs a message
+	tellEvery = 500 * time.Millisecond // between exchanges: a stream lasts some seconds, and each exchange costs a message
 	askLimit  = 250 * time.Millisecond // of one exchange
-	life      = time.Second            // what was told counts for so long
+	life      = pool.OthersLife        // what was told counts for so long
 )
 
-// digest is what some instances have under way, by endpoint.
-type digest struct {
-	Loads map[uint32]pool.Load `cbor:"1,keyasint,omitempty"`
-}
-
 // told is what one instance or zone said last.
 type told struct {
 	loads pool.Loads
@@ -86,11 +81,11 @@
 		x.pool.SetOthers(x.sum(""))
 		return
 	}
-	mine := digest{Loads: x.pool.Loads()}
+	mine := pack(x.pool.Loads())
 	for _, p := range keepers {
 		others, err := peers.Call[digest, digest](ctx, x.dir, p, KindTell, mine)
 		if err == nil {
-			x.pool.SetOthers(others.Loads)
+			x.pool.SetOthers(others.unpack())
 			return
 		}
 	}
@@ -101,13 +96,13 @@
 	if !x.dir.Large() {
 		return
 	}
-	mine := digest{Loads: x.zoneSum()}
+	mine := pack(x.zoneSum())
 	var wg sync.WaitGroup
 	for _, p := range x.dir.Heads() {
 		wg.Go(func() {
 			theirs, err := peers.Call[digest, digest](ctx, x.dir, p, KindZone, mine)
 			if err == nil {
-				x.note(x.zones, p.Zone, theirs.Loads)
+				x.note(x.zones, p.Zone, theirs.unpack())
 			}
 		})
 	}
@@ -116,16 +111,16 @@
 
 // tell takes what another instance has under way and answers with what all but that one have.
 func (x *Exchange) tell(_ context.Context, from mesh.Peer, d digest) (digest, error) {
-	x.note(x.members, from.ID, d.Loads)
+	x.note(x.members, from.ID, d.unpack())
 	sum := x.sum(from.ID)
 	sum.Add(x.pool.Loads())
-	return digest{Loads: sum}, nil
+	return pack(sum), nil
 }
 
 // zone takes the sum of another zone and answers with that of the own.
 func (x *Exchange) zone(_ context.Context, from mesh.Peer, d digest) (digest, error) {
-	x.note(x.zones, from.Zone, d.Loads)
-	return digest{Loads: x.zoneSum()}, nil
+	x.note(x.zones, from.Zone, d.unpack())
+	return pack(x.zoneSum()), nil
 }
 
 func (x *Exchange) note(list map[string]told, key string, loads pool.Loads) {
--- a/internal/pool/load.go
+++ b/internal/pool/load.go
@@ -7,11 +7,11 @@
 
 // Load is what some instances have under way at an endpoint.
 type Load struct {
-	Open int `cbor:"1,keyasint,omitempty"` // requests
-	// Heavy is how many times a second a prompt that was sent there makes the streams beside it rest for too long; see harm.
-	Heavy  float64 `cbor:"2,keyasint,omitempty"`
-	Ended  float64 `cbor:"3,keyasint,omitempty"` // requests a second that ended well or badly
-	Failed float64 `cbor:"4,keyasint,omitempty"` // those that ended badly
+	Open int // requests
+	// Harm is how many times a second a prompt that was sent there makes the streams beside it rest for too long; see pauseChance.
+	Harm   float64
+	Ended  float64 // requests a second that ended well or badly
+	Failed float64 // those that ended badly
 }
 
 // Loads are loads by the lower half of the hash of the endpoint's ID, which all instances compute alike.
@@ -25,7 +25,7 @@
 }
 
 func (x Load) plus(y Load) Load {
-	return Load{Open: x.Open + y.Open, Heavy: x.Heavy + y.Heavy, Ended: x.Ended + y.Ended, Failed: x.Failed + y.Failed}
+	return Load{Open: x.Open + y.Open, Harm: x.Harm + y.Harm, Ended: x.Ended + y.Ended, Failed: x.Failed + y.Failed}
 }
 
 // failing is the part of requests that ended badly; 0 while too few have ended to tell.
@@ -37,12 +37,14 @@
 }
 
 // nothing says whether there is nothing to tell.
-func (x Load) nothing() bool { return x.Open == 0 && x.Heavy < leastFlow && x.Ended < leastFlow }
+func (x Load) nothing() bool { return x.Open == 0 && x.Harm < leastFlow && x.Ended < leastFlow }
+
+// OthersLife is how long what others have under way counts.
+const OthersLife = 1500 * time.Millisecond
 
 const (
 	flowDecay  = 10 * time.Second // the time constant with which all this is forgotten: sessions come back in some seconds
-	othersLife = time.Second      // what others have counts for so long
-	harmGaps   = 2                // reading for so many times what a stream may rest harms for certain
+	pauseGaps  = 2                // reading for so many times what a stream may rest harms for certain
 	leastFlow  = 0.001            // below this a flow is nothing
 	leastEnded = 4                // requests that must have ended lately before their failures say anything
 )
@@ -67,11 +69,11 @@
 	f.at = now
 }
 
-// harm is the chance that a prompt makes a stream beside it rest for too long. While a prompt is read each token of the streams waits
+// pauseChance is the chance that a prompt makes a stream beside it rest for too long. While a prompt is read each token of the streams waits
 // for a piece of it, and pieces take longer with the prompt's length. Measured at endpoints that read 27 tokens a millisecond, of streams
 // that may rest for 500 ms: 2 to 4 in 100 beside prompts of 9,000 tokens, 11 of 13,000, 24 to 43 of 18,000, 60 to 90 over 20,000.
-func harm(reading, gap time.Duration) float64 {
-	x := reading.Seconds() / (harmGaps * gap.Seconds())
+func pauseChance(reading, gap time.Duration) float64 {
+	x := reading.Seconds() / (pauseGaps * gap.Seconds())
 	return min(1, x*x*x)
 }
 
@@ -93,7 +95,7 @@
 
 // load is what this instance has under way at an endpoint.
 func (m *member) load(now time.Time) Load {
-	return Load{Open: m.open, Heavy: m.heavy.now(now), Ended: m.ended.now(now), Failed: m.failed.now(now)}
+	return Load{Open: m.open, Harm: m.harm.now(now), Ended: m.ended.now(now), Failed: m.failed.now(now)}
 }
 
 // SetOthers takes what all other instances have under way.
@@ -104,7 +106,7 @@
 }
 
 // told says whether it is known what others have under way. The caller holds mu.
-func (l *Pool) told(now time.Time) bool { return l.others != nil && now.Sub(l.othersAt) < othersLife }
+func (l *Pool) told(now time.Time) bool { return l.others != nil && now.Sub(l.othersAt) < OthersLife }
 
 // Others is what all other instances have under way, as far as it is known.
 func (l *Pool) Others() Loads {
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -65,7 +65,7 @@
 	m.patience = max(m.patience, patience)
 	m.open++
 	if q.Prompt > 0 {
-		m.heavy.add(now, harm(l.reading(q), q.gap()))
+		m.harm.add(now, pauseChance(l.reading(q), q.gap()))
 	}
 	return &Lease{pool: l, member: m, at: m.Endpoint, reason: reason, patience: patience}
 }
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -56,7 +56,7 @@
 	if slots <= 0 {
 		slots = defaultSlots
 	}
-	cost := x.failing() + streamLife.Seconds()*x.Heavy + openCost*float64(x.Open)/slots
+	cost := x.failing() + streamLife.Seconds()*x.Harm + openCost*float64(x.Open)/slots
 	if float64(x.Open) >= fullAt*slots {
 		cost++
 	}
--- a/internal/pool/place_test.go
+++ b/internal/pool/place_test.go
@@ -20,7 +20,7 @@
 		others := make(Loads)
 		for _, m := range p.byID {
 			if m != calm {
-				others[m.key()] = Load{Heavy: 0.4}
+				others[m.key()] = Load{Harm: 0.4}
 			}
 		}
 		p.SetOthers(others)
@@ -55,7 +55,7 @@
 		})
 
 		Convey("short prompts stay with others of theirs once that knowledge is old", func() {
-			clock.pass(othersLife + time.Millisecond)
+			clock.pass(OthersLife + time.Millisecond)
 			So(len(picks(func(int) Query { return short(0) })), ShouldEqual, 1)
 		})
 	})
@@ -78,14 +78,14 @@
 			So(p.Pick(long).Endpoint().ID, ShouldEqual, m.ID)
 		})
 		Convey("nor once that word is old", func() {
-			clock.pass(othersLife + time.Millisecond)
+			clock.pass(OthersLife + time.Millisecond)
 			So(p.Pick(long).Endpoint().ID, ShouldEqual, m.ID)
 		})
 	})
 
 	Convey("A prompt harms the streams beside it more than in proportion to its length", t, func() {
-		So(harm(300*time.Millisecond, defaultGap), ShouldBeLessThan, 0.05)
-		So(harm(600*time.Millisecond, defaultGap), ShouldBeBetween, 0.15, 0.3)
-		So(harm(2*time.Second, defaultGap), ShouldEqual, 1)
+		So(pauseChance(300*time.Millisecond, defaultGap), ShouldBeLessThan, 0.05)
+		So(pauseChance(600*time.Millisecond, defaultGap), ShouldBeBetween, 0.15, 0.3)
+		So(pauseChance(2*time.Second, defaultGap), ShouldEqual, 1)
 	})
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -46,7 +46,7 @@
 	open      int           // requests of this instance
 	patience  time.Duration // the most that one of them has
 	heard     time.Time     // the last byte
-	heavy     flow          // of this instance's prompts: see Load
+	harm      flow          // of this instance's prompts: see Load
 	ended     flow          // this instance's requests that ended well or badly
 	failed    flow          // those that ended badly
 	asked     time.Time     // since when it owes an answer without a break; zero: it owes none
