--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -9,11 +9,11 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/ledgemount/ledgemount/internal/external"
-	"github.com/ledgemount/ledgemount/internal/external/memkv"
 	"github.com/ledgemount/ledgemount/internal/follow"
 	"github.com/ledgemount/ledgemount/internal/mesh"
 	"github.com/ledgemount/ledgemount/internal/mesh/meshtest"
 	"github.com/ledgemount/ledgemount/internal/peers"
+	"github.com/ledgemount/ledgemount/internal/peers/peerstest"
 	"github.com/ledgemount/ledgemount/internal/pool"
 	"github.com/ledgemount/ledgemount/internal/route"
 )
@@ -60,30 +60,19 @@
 
 func newBed(ctx context.Context) *bed {
 	b := &bed{net: meshtest.New(), at: time.Unix(1000, 0)}
-	kv := memkv.New()
 	now := func() time.Time { return b.at }
-	for i, id := range []string{"lead", "member"} {
-		r := mesh.NewRouter()
-		self := mesh.Peer{ID: id, Zone: "a", Addr: id + ":1"}
-		e := &end{store: &script{}, pool: pool.New("a")}
-		e.dir = peers.New(kv, "p/", peers.Record{Peer: self, Capacity: float64(9 - i)}, r, peers.WithLarge(2),
-			peers.WithNow(now), peers.WithCaller(b.net.Join(self, r)))
+	list := []mesh.Peer{{ID: "lead", Zone: "a", Addr: "lead:1"}, {ID: "member", Zone: "a", Addr: "member:1"}}
+	fleet, err := peerstest.Fleet(ctx, b.net, now, len(list), list)
+	So(err, ShouldBeNil)
+	ends := make([]*end, 0, len(fleet))
+	for _, x := range fleet {
+		e := &end{dir: x.Dir, store: &script{}, pool: pool.New("a")}
 		e.source = NewSource(e.dir, e.store)
 		e.follower = follow.New(e.source, e.pool, follow.WithNow(now), follow.WithOwn(func() bool { return false }))
-		Serve(r, e.follower)
-		if i == 0 {
-			b.lead = e
-		} else {
-			b.member = e
-		}
-	}
-	for range 2 {
-		for _, e := range []*end{b.lead, b.member} {
-			run, cancel := context.WithCancel(ctx)
-			go func() { time.Sleep(20 * time.Millisecond); cancel() }()
-			So(e.dir.Run(run), ShouldBeNil)
-		}
+		Serve(x.Router, e.follower)
+		ends = append(ends, e)
 	}
+	b.lead, b.member = ends[0], ends[1]
 	return b
 }
 
--- a/internal/fleettime/fleettime_test.go
+++ b/internal/fleettime/fleettime_test.go
@@ -8,10 +8,10 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/ledgemount/ledgemount/internal/external/memkv"
 	"github.com/ledgemount/ledgemount/internal/mesh"
 	"github.com/ledgemount/ledgemount/internal/mesh/meshtest"
 	"github.com/ledgemount/ledgemount/internal/peers"
+	"github.com/ledgemount/ledgemount/internal/peers/peerstest"
 )
 
 // bed is some instances whose clocks agree but for what a test sets.
@@ -24,25 +24,17 @@
 
 func newBed(ctx context.Context, n int) *bed {
 	b := &bed{net: meshtest.New(), now: time.Unix(1_000_000, 0), off: make(map[string]time.Duration)}
-	store := memkv.New()
 	begun := b.now
-	dirs := make([]*peers.Directory, 0, n)
+	list := make([]mesh.Peer, 0, n)
 	for i := range n {
-		r := mesh.NewRouter()
-		self := mesh.Peer{ID: fmt.Sprintf("i-%d", i), Zone: "a", Addr: fmt.Sprintf("i-%d:1", i)}
-		d := peers.New(store, "p/", peers.Record{Peer: self, Capacity: float64(n - i)}, r,
-			peers.WithNow(func() time.Time { return b.now }), peers.WithCaller(b.net.Join(self, r)))
-		b.clocks = append(b.clocks, New(d, self.ID, r,
-			WithSteady(func() time.Duration { return b.now.Sub(begun) }),
-			WithWall(func() time.Time { return b.now.Add(b.off[self.ID]) })))
-		dirs = append(dirs, d)
+		list = append(list, mesh.Peer{ID: fmt.Sprintf("i-%d", i), Zone: "a", Addr: fmt.Sprintf("i-%d:1", i)})
 	}
-	for range 2 {
-		for _, d := range dirs {
-			run, cancel := context.WithCancel(ctx)
-			go func() { time.Sleep(10 * time.Millisecond); cancel() }()
-			So(d.Run(run), ShouldBeNil)
-		}
+	fleet, err := peerstest.Fleet(ctx, b.net, func() time.Time { return b.now }, peers.DefaultLarge, list)
+	So(err, ShouldBeNil)
+	for _, x := range fleet {
+		b.clocks = append(b.clocks, New(x.Dir, x.Self.ID, x.Router,
+			WithSteady(func() time.Duration { return b.now.Sub(begun) }),
+			WithWall(func() time.Time { return b.now.Add(b.off[x.Self.ID]) })))
 	}
 	return b
 }
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -8,10 +8,9 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/ledgemount/ledgemount/internal/external/memkv"
 	"github.com/ledgemount/ledgemount/internal/mesh"
 	"github.com/ledgemount/ledgemount/internal/mesh/meshtest"
-	"github.com/ledgemount/ledgemount/internal/peers"
+	"github.com/ledgemount/ledgemount/internal/peers/peerstest"
 	"github.com/ledgemount/ledgemount/internal/pool"
 )
 
@@ -28,27 +27,19 @@
 func newBed(ctx context.Context, large int) *bed {
 	b := &bed{net: meshtest.New(), now: time.Unix(1_000_000, 0)}
 	clock := func() time.Time { return b.now }
-	store := memkv.New()
-	dirs := make([]*peers.Directory, 0, 2*zoneNodes)
+	list := make([]mesh.Peer, 0, 2*zoneNodes)
 	for i := range 2 * zoneNodes {
-		r := mesh.NewRouter()
-		self := mesh.Peer{ID: fmt.Sprintf("i-%d", i), Zone: string(rune('a' + i/zoneNodes)), Addr: fmt.Sprintf("i-%d:1", i)}
-		d := peers.New(store, "p/", peers.Record{Peer: self, Capacity: float64(9 - i)}, r, peers.WithLarge(large),
-			peers.WithNow(clock), peers.WithCaller(b.net.Join(self, r)))
-		p := pool.New(self.Zone, pool.WithNow(clock))
+		list = append(list, mesh.Peer{ID: fmt.Sprintf("i-%d", i), Zone: string(rune('a' + i/zoneNodes)), Addr: fmt.Sprintf("i-%d:1", i)})
+	}
+	fleet, err := peerstest.Fleet(ctx, b.net, clock, large, list)
+	So(err, ShouldBeNil)
+	for _, x := range fleet {
+		p := pool.New(x.Self.Zone, pool.WithNow(clock))
 		for e := range 8 {
 			p.Put(pool.Endpoint{ID: fmt.Sprintf("e-%d", e), Service: "models", Addr: fmt.Sprintf("10.0.0.%d:80", e), Zone: "a", Slots: 8})
 		}
 		b.pools = append(b.pools, p)
-		b.nodes = append(b.nodes, New(d, p, r, WithNow(clock)))
-		dirs = append(dirs, d)
-	}
-	for range 2 {
-		for _, d := range dirs {
-			run, cancel := context.WithCancel(ctx)
-			go func() { time.Sleep(10 * time.Millisecond); cancel() }()
-			So(d.Run(run), ShouldBeNil)
-		}
+		b.nodes = append(b.nodes, New(x.Dir, p, x.Router, WithNow(clock)))
 	}
 	return b
 }
