--- a/internal/peers/peerstest/peerstest.go
+++ b/internal/peers/peerstest/peerstest.go
@@ -5,6 +5,8 @@
 	"context"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/ledgemount/ledgemount/internal/external/memkv"
 	"github.com/ledgemount/ledgemount/internal/mesh"
 	"github.com/ledgemount/ledgemount/internal/mesh/meshtest"
@@ -18,8 +20,10 @@
 	Dir    *peers.Directory
 }
 
-// runFor is long enough for a directory to write its record, to read those that are there, and to open its links in memory.
-const runFor = 10 * time.Millisecond
+const (
+	runFor     = 10 * time.Millisecond // of one instance at a time
+	mostRounds = 200                   // until all know all; on a busy machine a round may come too late to do anything
+)
 
 // Fleet makes the instances of a fleet whose links are a net's, ranked in the order of the list, and lets them find each other. now is
 // the clock of all; large is the number of instances from which the fleet is large.
@@ -32,15 +36,24 @@
 			peers.WithLarge(large), peers.WithNow(now), peers.WithCaller(net.Join(self, r)))
 		out = append(out, Instance{Self: self, Router: r, Dir: d})
 	}
-	for range 2 { // the second time all read what the others have written
+	for range mostRounds {
+		known := true
 		for _, x := range out {
-			run, cancel := context.WithTimeout(ctx, runFor)
-			err := x.Dir.Run(run)
-			cancel()
-			if err != nil {
+			if err := run(ctx, x.Dir); err != nil {
 				return nil, err
 			}
+			known = known && x.Dir.Size() == len(list)
+		}
+		if known {
+			return out, nil
 		}
 	}
-	return out, nil
+	return nil, eris.New("the instances did not find each other")
+}
+
+// run lets a directory write its record, read those that are there, and open its links.
+func run(ctx context.Context, d *peers.Directory) error {
+	ctx, cancel := context.WithTimeout(ctx, runFor)
+	defer cancel()
+	return d.Run(ctx)
 }
