refactor: check tells kinds of files apart by one look-up of fields; a comment on the stall put right

looksLikeRouter and looksLikeIntent decoded the same table twice over. The only behaviour that could differ: a file with more behind its JSON value is still told to be a router's, and its decoder names the fault.

--- a/cmd/check.go
+++ b/cmd/check.go
@@ -67,22 +67,20 @@
 }
 
 // looksLikeRouter tells a router's settings from an instance's by the store, which only a router has.
-func looksLikeRouter(data []byte) bool {
-	var fields map[string]json.RawMessage
-	if json.Unmarshal(data, &fields) != nil {
-		return false
-	}
-	_, ok := fields["store"]
-	return ok
-}
+func looksLikeRouter(data []byte) bool { return hasField(data, "store") }
 
 // looksLikeIntent tells an intent from settings by its fields.
 func looksLikeIntent(data []byte) bool {
+	return hasField(data, "apply", "replace", "remove", "drain", "activate", "move", "budgets")
+}
+
+// hasField says whether JSON is an object with one of some fields.
+func hasField(data []byte, names ...string) bool {
 	var fields map[string]json.RawMessage
 	if json.NewDecoder(bytes.NewReader(data)).Decode(&fields) != nil {
 		return false
 	}
-	for _, name := range []string{"apply", "replace", "remove", "drain", "activate", "move", "budgets"} {
+	for _, name := range names {
 		if _, ok := fields[name]; ok {
 			return true
 		}
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -64,7 +64,8 @@
 // WithCrowded sets what says whether this instance's link is so crowded that requests are better served elsewhere.
 func WithCrowded(f func() bool) Option { return func(c *Core) { c.crowded = f } }
 
-// WithStall sets how long an endpoint may be silent before a request that may be repeated looks elsewhere.
+// WithStall sets how long an endpoint may be silent at least before a request that may be repeated looks elsewhere; long prompts and
+// pauses that are in time make it longer.
 func WithStall(d time.Duration) Option { return func(c *Core) { c.stall = d } }
 
 // WithoutAffinity sends requests wherever there is least to do, whatever they share.
