fix: what a zone holds at the start is released step by step, so that a kill in the first seconds strands little of it

Cause: until use is measured a zone's holder asks for its part of half of the budget, and all of it was spendable at once. Change: in a large fleet the part becomes spendable over the horizon of ten seconds, a quarter of it at once. Small fleets are as before. Test: TestStartShare failed before (30000 of 30000 counted as spent at the end of the grace, a third or less wanted).

--- a/internal/escrow/need.go
+++ b/internal/escrow/need.go
@@ -30,8 +30,11 @@
 	}
 	if h.fresh() && !h.stopping && role != RolePooled {
 		share := h.startShare(a, role, max(1, holders))
-		n.Want = max(n.Want, share)
-		n.Burst = max(n.Burst, share)
+		burst, rate := share, int64(0)
+		if h.fleet != nil && h.fleet.Large() {
+			burst, rate = policy.release(share) // it is a part for a whole zone
+		}
+		n.Want, n.Burst, n.Rate = max(n.Want, share), max(n.Burst, burst), max(n.Rate, rate)
 	}
 	n.Burst = max(n.Burst, n.Urgent)
 	return n
--- a/internal/escrow/pooled_test.go
+++ b/internal/escrow/pooled_test.go
@@ -55,6 +55,18 @@
 	})
 }
 
+func TestStartShare(t *testing.T) {
+	Convey("A pool that dies before anything is measured is known not to have spent most of its zone's share", t, func() {
+		w := newWorld(DefaultPolicy())
+		n := w.nodes[0]
+		w.draw(n)
+		row := w.page("north").Accounts["north"].Rows[n.holder.id]
+		So(row.Granted, ShouldBeGreaterThan, 0)
+		So(row.Ceiling(Grace), ShouldBeLessThanOrEqualTo, row.Granted/3)
+		So(row.Ceiling(DefaultPolicy().Horizon), ShouldBeGreaterThan, row.Granted*9/10)
+	})
+}
+
 func TestDrawsForMany(t *testing.T) {
 	const north = "north"
 	Convey("A draw brings what all requests need that wait for one, not what the largest needs", t, func() {
--- a/internal/escrow/sizing.go
+++ b/internal/escrow/sizing.go
@@ -69,6 +69,16 @@
 	return int64(w), int64(b), rate
 }
 
+// release spreads a share over the horizon: what is spendable at once, and in each second later. A holder that dies early is known
+// not to have spent the rest.
+func (p Policy) release(share int64) (burst, rate int64) {
+	if p.Horizon <= ahead {
+		return share, 0
+	}
+	burst = int64(float64(share) * ahead.Seconds() / p.Horizon.Seconds())
+	return burst, int64(float64(share-burst) / (p.Horizon - Grace).Seconds())
+}
+
 // Need is what a holder asks for of one account.
 type Need struct {
 	Spent  int64 `cbor:"1,keyasint,omitempty"` // spent or reserved so far
