feat: one instance of a large fleet follows the store, and an instance that starts asks its leaders first

Change: a zone's leader asks the leader of the first zone, and reads the store itself where that one has not heard it for 0.8 s. An instance waits at its start until the fleet is known (1.5 s at the most), and for a leader that is starting too (0.7 s at the most), before it reads the store itself. Where leaders answer that they do not hear the store either, a call that failed rests for 1 to 2 s. Lists of instances come at doubling gaps after the start. The authority, which never changes, is read from a copy. Tests: TestFleetLeaders, TestMet, and in TestFeed the start with a leader, the rest and the leader of another zone; each failed before.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -28,8 +28,14 @@
 
 const (
 	askLimit   = 450 * time.Millisecond  // of one question
-	askAll     = 500 * time.Millisecond  // of all questions of a step: the store shall have its time too
-	mostAge    = 1100 * time.Millisecond // an instance that heard the store longer ago is passed over
+	askLimits  = 500 * time.Millisecond  // of all questions of a step: the store shall have its time too
+	mostAge    = 1300 * time.Millisecond // a zone's leader that heard the store longer ago is passed over
+	fleetAge   = 800 * time.Millisecond  // the same, of the one that the zones' leaders ask
+	meetWait   = 1500 * time.Millisecond // for the fleet to be known, after the start
+	startWait  = 700 * time.Millisecond  // for a leader that is starting too
+	startAgain = 50 * time.Millisecond   // between questions to such a leader
+	restFirst  = time.Second             // after a call to the store that failed, while leaders answer that they do not hear it either
+	restMost   = 2 * time.Second         // the most that this grows to
 	mostConfig = 64 << 20                // bytes of a configuration, unpacked
 )
 
@@ -118,67 +124,139 @@
 	return &c, eris.Wrap(cbor.Unmarshal(raw, &c), "decoding the configuration")
 }
 
-// Source is a follow.Source that asks the zone's leaders first.
+// Source is a follow.Source that asks the zone's leaders first; a zone's leader asks the one that reads the store for all zones.
 type Source struct {
 	dir   *peers.Directory
 	store follow.Source
+	now   func() time.Time
 	call  time.Duration // limit of a call for changes to the store
 	slow  atomic.Bool   // the store's last answer was not whole in time: nobody else has news, so the store is asked at once
+	rest  rest
 }
 
 var _ follow.Source = (*Source)(nil)
 
+// Option changes a Source.
+type Option func(*Source)
+
+// WithNow replaces the clock.
+func WithNow(now func() time.Time) Option { return func(s *Source) { s.now = now } }
+
 // NewSource makes a source. store is asked where no leader answers.
-func NewSource(dir *peers.Directory, store follow.Source) *Source {
-	return &Source{dir: dir, store: store, call: follow.DefaultTimes().Call}
+func NewSource(dir *peers.Directory, store follow.Source, opts ...Option) *Source {
+	s := &Source{dir: dir, store: store, now: time.Now, call: follow.DefaultTimes().Call}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
 }
 
 // Snapshot implements follow.Source.
 func (s *Source) Snapshot(ctx context.Context) (follow.Update, error) {
-	if !s.slow.Swap(false) {
-		if u, err := s.ask(ctx, follow.Cursor{}); err == nil {
-			return u, nil
+	if s.slow.Swap(false) {
+		return s.store.Snapshot(ctx)
+	}
+	s.meet(ctx)
+	u, err := s.askAll(ctx)
+	if err == nil {
+		return u, nil
+	}
+	if errors.Is(err, errDeaf) && s.rest.rests(s.now()) {
+		return follow.Update{}, err
+	}
+	u, err = s.store.Snapshot(ctx)
+	s.rest.note(s.now(), err)
+	return u, err
+}
+
+// meet waits for the fleet to be known: otherwise each instance of a large one would begin with calls of its own.
+func (s *Source) meet(ctx context.Context) {
+	t := time.NewTimer(meetWait)
+	defer t.Stop()
+	select {
+	case <-s.dir.Met():
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// askAll asks for everything. After a fault leaders may be starting at the same moment.
+func (s *Source) askAll(ctx context.Context) (follow.Update, error) {
+	t := time.NewTimer(startWait)
+	defer t.Stop()
+	for {
+		u, err := s.ask(ctx, follow.Cursor{})
+		if !errors.Is(err, errStarting) {
+			return u, err
+		}
+		select {
+		case <-time.After(startAgain):
+		case <-t.C:
+			return follow.Update{}, errNobody
+		case <-ctx.Done():
+			return follow.Update{}, errNobody
 		}
 	}
-	return s.store.Snapshot(ctx)
 }
 
 // Changes implements follow.Source.
 func (s *Source) Changes(ctx context.Context, since follow.Cursor, own bool) (follow.Update, error) {
-	if u, err := s.ask(ctx, since); err == nil {
+	u, err := s.ask(ctx, since)
+	if err == nil {
 		return u, nil
 	}
+	if errors.Is(err, errDeaf) && s.rest.rests(s.now()) {
+		return follow.Update{}, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, s.call)
 	defer cancel()
-	u, err := s.store.Changes(ctx, since, own)
+	u, err = s.store.Changes(ctx, since, own)
+	s.rest.note(s.now(), err)
 	s.slow.Store(errors.Is(err, external.ErrSlowAnswer))
 	return u, err
 }
 
-var errNobody = errors.New("no instance that leads has news")
+// Why nobody has told the news.
+var (
+	errNobody   = errors.New("no instance that leads has news")
+	errStarting = errors.New("the instances that lead are starting")
+	errDeaf     = errors.New("the instances that lead do not hear the store")
+)
 
 // ask goes through the leaders until one has heard the store lately.
 func (s *Source) ask(ctx context.Context, since follow.Cursor) (follow.Update, error) {
-	ctx, cancel := context.WithTimeout(ctx, askAll)
+	ctx, cancel := context.WithTimeout(ctx, askLimits)
 	defer cancel()
-	for _, p := range s.dir.Leaders() {
-		u, err := s.askOne(ctx, p, since)
+	leaders, most := s.dir.Leaders(), mostAge
+	if len(leaders) == 0 {
+		leaders, most = s.dir.FleetLeaders(), fleetAge
+	}
+	why := errNobody
+	for _, p := range leaders {
+		u, err := s.askOne(ctx, p, since, most)
 		if err == nil {
 			return u, nil
 		}
+		if errors.Is(err, errStarting) || errors.Is(err, errDeaf) {
+			why = err
+		}
 	}
-	return follow.Update{}, errNobody
+	return follow.Update{}, why
 }
 
-func (s *Source) askOne(ctx context.Context, p mesh.Peer, since follow.Cursor) (follow.Update, error) {
+func (s *Source) askOne(ctx context.Context, p mesh.Peer, since follow.Cursor, most time.Duration) (follow.Update, error) {
 	ctx, cancel := context.WithTimeout(ctx, askLimit)
 	defer cancel()
 	n, err := peers.Call[question, news](ctx, s.dir, p, KindNews, question{At: since.At, ConfigAt: since.ConfigAt})
-	if err != nil {
-		return follow.Update{}, err
-	}
 	age := time.Duration(n.AgeMs) * time.Millisecond
-	if !n.Known || age > mostAge || (since.At == 0 && !n.Whole) {
+	switch {
+	case err != nil:
+		return follow.Update{}, err
+	case !n.Known:
+		return follow.Update{}, errStarting
+	case age > most:
+		return follow.Update{}, errDeaf
+	case since.At == 0 && !n.Whole:
 		return follow.Update{}, errNobody
 	}
 	u := follow.Update{
@@ -189,3 +267,29 @@
 	}
 	return u, err
 }
+
+// rest keeps an instance from calls to a store that it does not reach, while others try in its place. Its zero value does not rest.
+type rest struct {
+	mu    sync.Mutex
+	until time.Time
+	pause time.Duration
+}
+
+// rests says whether the store is left alone now.
+func (r *rest) rests(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Before(r.until)
+}
+
+// note takes how a call to the store has ended.
+func (r *rest) note(now time.Time, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err == nil {
+		r.pause, r.until = 0, time.Time{}
+		return
+	}
+	r.pause = min(max(2*r.pause, restFirst), restMost)
+	r.until = now.Add(r.pause)
+}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -51,23 +51,26 @@
 	pool     *pool.Pool
 }
 
-// bed is two instances of one zone; the first one leads.
+// bed is two instances, of one zone if no others are named; the first one leads.
 type bed struct {
 	net          *meshtest.Net
 	at           time.Time
 	lead, member *end
 }
 
-func newBed(ctx context.Context) *bed {
+func newBed(ctx context.Context, zones ...string) *bed {
+	if len(zones) == 0 {
+		zones = []string{"a", "a"}
+	}
 	b := &bed{net: meshtest.New(), at: time.Unix(1000, 0)}
 	now := func() time.Time { return b.at }
-	list := []mesh.Peer{{ID: "lead", Zone: "a", Addr: "lead:1"}, {ID: "member", Zone: "a", Addr: "member:1"}}
+	list := []mesh.Peer{{ID: "lead", Zone: zones[0], Addr: "lead:1"}, {ID: "member", Zone: zones[1], Addr: "member:1"}}
 	fleet, err := peerstest.Fleet(ctx, b.net, now, len(list), list)
 	So(err, ShouldBeNil)
 	ends := make([]*end, 0, len(fleet))
 	for _, x := range fleet {
 		e := &end{dir: x.Dir, store: &script{}, pool: pool.New("a")}
-		e.source = NewSource(e.dir, e.store)
+		e.source = NewSource(e.dir, e.store, WithNow(now))
 		e.follower = follow.New(e.source, e.pool, follow.WithNow(now), follow.WithOwn(func() bool { return false }))
 		Serve(x.Router, e.follower)
 		ends = append(ends, e)
@@ -139,6 +142,31 @@
 			So(b.member.follower.Table().Version(), ShouldEqual, 4)
 		})
 
+		Convey("leaves the store alone for a while where the leader does not hear it either and it did not answer here", func() {
+			So(b.member.follower.Step(ctx), ShouldBeNil)
+			b.at = b.at.Add(mostAge + time.Millisecond)
+			b.member.store.err = errDown
+			So(b.member.follower.Step(ctx), ShouldNotBeNil)
+			So(b.member.store.calls, ShouldEqual, 1)
+			So(b.member.follower.Step(ctx), ShouldNotBeNil)
+			So(b.member.store.calls, ShouldEqual, 1)
+
+			Convey("but hears at once of a leader that hears it again", func() {
+				So(b.lead.follower.Step(ctx), ShouldBeNil)
+				So(b.member.follower.Step(ctx), ShouldBeNil)
+				So(b.member.store.calls, ShouldEqual, 1)
+			})
+
+			Convey("and tries again later, or when the leader cannot be reached", func() {
+				b.at = b.at.Add(restFirst)
+				So(b.member.follower.Step(ctx), ShouldNotBeNil)
+				So(b.member.store.calls, ShouldEqual, 2)
+				b.net.SetDown("lead:1", true)
+				So(b.member.follower.Step(ctx), ShouldNotBeNil)
+				So(b.member.store.calls, ShouldEqual, 3)
+			})
+		})
+
 		Convey("asks the store where the leader cannot be reached, and goes on from there at the leader", func() {
 			So(b.member.follower.Step(ctx), ShouldBeNil)
 			b.net.SetDown("lead:1", true)
@@ -175,6 +203,34 @@
 		})
 	})
 
+	Convey("An instance that starts together with its leader waits for it, and does not read the store itself", t, func() {
+		b := newBed(ctx)
+		b.lead.store.update = follow.Update{Config: config(3), ConfigAt: 7, At: 9, Events: 1, Endpoints: []pool.Endpoint{endpoint("e-1")}}
+		started := make(chan error, 1)
+		go func() {
+			time.Sleep(2 * startAgain)
+			started <- b.lead.follower.Step(ctx)
+		}()
+		So(b.member.follower.Step(ctx), ShouldBeNil)
+		So(<-started, ShouldBeNil)
+		So(b.member.store.calls, ShouldEqual, 0)
+		So(b.member.follower.Table().Version(), ShouldEqual, 3)
+	})
+
+	Convey("A zone's leader asks the leader of the first zone, and the store where that one has not heard it lately", t, func() {
+		b := newBed(ctx, "a", "b")
+		b.lead.store.update = follow.Update{Config: config(3), ConfigAt: 7, At: 9, Events: 1, Endpoints: []pool.Endpoint{endpoint("e-1")}}
+		So(b.lead.follower.Step(ctx), ShouldBeNil)
+		So(b.member.follower.Step(ctx), ShouldBeNil)
+		So(b.member.store.calls, ShouldEqual, 0)
+		So(b.member.follower.Table().Version(), ShouldEqual, 3)
+		b.at = b.at.Add(fleetAge + time.Millisecond)
+		b.member.store.update = follow.Update{Config: config(4), ConfigAt: 8, At: 10, Events: 1}
+		So(b.member.follower.Step(ctx), ShouldBeNil)
+		So(b.member.store.calls, ShouldEqual, 1)
+		So(b.member.follower.Table().Version(), ShouldEqual, 4)
+	})
+
 	Convey("A packed configuration that is torn is an error", t, func() {
 		_, err := unpack([]byte("torn"))
 		So(err, ShouldNotBeNil)
--- a/internal/peers/directory.go
+++ b/internal/peers/directory.go
@@ -29,8 +29,7 @@
 
 // Times are a directory's intervals.
 type Times struct {
-	Young  time.Duration // after the start the records are read more often
-	Soon   time.Duration // between reads while young
+	Soon   time.Duration // the least time between reads after the start; it doubles until it is Read
 	Read   time.Duration // between reads later on
 	Call   time.Duration // limit of one call to the store
 	Settle time.Duration // after the start others may not have told of themselves yet, or their links are not open
@@ -41,7 +40,7 @@
 // DefaultTimes suit a store that answers in milliseconds and zones a millisecond wide.
 func DefaultTimes() Times {
 	return Times{
-		Young: 8 * time.Second, Soon: 700 * time.Millisecond, Read: 5 * time.Second, Call: 900 * time.Millisecond,
+		Soon: 700 * time.Millisecond, Read: 5 * time.Second, Call: 900 * time.Millisecond,
 		Settle: 500 * time.Millisecond, First: 700 * time.Millisecond, Longer: 3 * time.Second,
 	}
 }
@@ -72,15 +71,18 @@
 	open   func() (mesh.Caller, error) // nil: over QUIC
 	caller atomic.Pointer[mesh.Caller]
 
-	mu       sync.Mutex
-	begun    time.Time
-	records  map[string]Record
-	zones    map[string][]Record // by zone, ranked
-	ahead    []Record            // of the own zone, ranked before this instance, best first
-	all      []Record            // of all zones, likewise
-	suspects map[string]*suspicion
-	leaving  bool
-	leader   string // as last logged
+	met chan struct{}
+
+	mu        sync.Mutex
+	begun     time.Time
+	restarted bool // the store had a record of an earlier process of this instance
+	records   map[string]Record
+	zones     map[string][]Record // by zone, ranked
+	ahead     []Record            // of the own zone, ranked before this instance, best first
+	all       []Record            // of all zones, likewise
+	suspects  map[string]*suspicion
+	leaving   bool
+	leader    string // as last logged
 }
 
 // Option changes a Directory.
@@ -112,6 +114,7 @@
 	d := &Directory{
 		store: store, prefix: prefix, self: self, router: router, times: DefaultTimes(), now: time.Now, log: zerolog.Nop(),
 		large: DefaultLarge, pools: true, records: make(map[string]Record), suspects: make(map[string]*suspicion),
+		met: make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(d)
@@ -125,6 +128,7 @@
 // Run implements kernel.Service: it keeps this instance's record, and reads those of all.
 func (d *Directory) Run(ctx context.Context) error {
 	if d.self.Peer.Addr == "" {
+		close(d.met)
 		<-ctx.Done()
 		return nil
 	}
@@ -133,25 +137,49 @@
 	d.mu.Unlock()
 	told := false
 	for ctx.Err() == nil {
-		if !told && !d.leaves() {
-			told = d.tell(ctx) == nil
-		}
 		if err := d.read(ctx); err != nil {
 			d.log.Debug().Str("event", "peers_unread").Err(err).Msg("the instances' records were not read")
 		}
+		if !told && !d.leaves() {
+			told = d.tell(ctx) == nil
+		}
 		d.connect(ctx)
+		d.meet()
 		d.sleep(ctx)
 	}
 	return d.disconnect()
 }
 
+// Met is closed once the fleet is known as well as it soon will be: a large one is linked, and a small one was there before, or has
+// had time to start.
+func (d *Directory) Met() <-chan struct{} { return d.met }
+
+func (d *Directory) meet() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	select {
+	case <-d.met:
+		return
+	default:
+	}
+	known, age := len(d.records), d.now().Sub(d.begun)
+	switch {
+	case known == 0, known >= d.large && d.caller.Load() == nil:
+		return
+	case known < d.large && !d.restarted && age < d.times.Settle:
+		return
+	}
+	close(d.met)
+}
+
+// sleep waits for the time of the next read. After the start reads are closer together: others may be starting too.
 func (d *Directory) sleep(ctx context.Context) {
 	wait := d.times.Read
 	switch age := d.now().Sub(d.begun); {
 	case age < d.times.Settle:
 		wait = d.times.Settle - age
-	case age < d.times.Young:
-		wait = d.times.Soon
+	case age < d.times.Read:
+		wait = max(d.times.Soon, age)
 	}
 	t := time.NewTimer(wait)
 	defer t.Stop()
@@ -213,6 +241,11 @@
 		}
 		records[r.Peer.ID] = r
 	}
+	if before, ok := records[d.self.Peer.ID]; ok && before.Peer.Inc != d.self.Peer.Inc {
+		d.mu.Lock()
+		d.restarted = true
+		d.mu.Unlock()
+	}
 	records[d.self.Peer.ID] = d.self
 	d.take(records)
 	return nil
--- a/internal/peers/keys.go
+++ b/internal/peers/keys.go
@@ -22,7 +22,8 @@
 func (d *Directory) identity(ctx context.Context) (*tls.Config, error) {
 	ctx, cancel := context.WithTimeout(external.WithDuty(ctx, external.DutyMembers), 2*d.times.Call)
 	defer cancel()
-	e, _, err := d.store.Read(ctx, d.prefix+authorityKey)
+	// It never changes once it is there, so a copy is good enough where the store has one.
+	e, _, err := d.store.Read(external.WithStale(ctx), d.prefix+authorityKey)
 	if err != nil {
 		return nil, eris.Wrap(err, "reading the fleet's authority")
 	}
--- a/internal/peers/leaders.go
+++ b/internal/peers/leaders.go
@@ -1,6 +1,11 @@
 package peers
 
-import "github.com/ledgemount/ledgemount/internal/mesh"
+import (
+	"maps"
+	"slices"
+
+	"github.com/ledgemount/ledgemount/internal/mesh"
+)
 
 // Leads says whether this instance leads its zone, as far as it knows.
 func (d *Directory) Leads() bool { return len(d.Leaders()) == 0 }
@@ -28,6 +33,32 @@
 	return out
 }
 
+// FleetLeaders are the instances that a zone's leader asks to do what one instance of a large fleet does for all, best first: those
+// that lead the zones before its own, in the order of their names. None means that this instance does it.
+func (d *Directory) FleetLeaders() []mesh.Peer {
+	if d.caller.Load() == nil {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.records) < d.large {
+		return nil
+	}
+	var out []mesh.Peer
+	for _, zone := range slices.Sorted(maps.Keys(d.zones)) {
+		if zone == d.self.Peer.Zone || len(out) == mostFleetLeaders {
+			break
+		}
+		if heads := d.reachable(d.zones[zone]); len(heads) > 0 {
+			out = append(out, heads[0])
+		}
+	}
+	return out
+}
+
+// mostFleetLeaders is the number of instances that a zone's leader tries before it does the work itself.
+const mostFleetLeaders = 2
+
 // Keepers are the instances that keep what all agree on, best first; none means that this instance does. In a large fleet these are
 // the zone's leaders.
 func (d *Directory) Keepers() []mesh.Peer {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -171,6 +171,93 @@
 	})
 }
 
+// zonedFleet is two instances in each of some zones over one store, the first of each zone with the larger machine.
+func zonedFleet(ctx context.Context, zones ...string) *fleet {
+	f := newFleet(2*len(zones), len(zones))
+	for i, d := range f.dirs {
+		d.self.Peer.Zone = zones[i/2]
+	}
+	f.meet(ctx)
+	return f
+}
+
+func TestFleetLeaders(t *testing.T) {
+	ctx := context.Background()
+	Convey("In a large fleet of several zones", t, func() {
+		f := zonedFleet(ctx, "a", "b", "c", "d")
+		heads := func(i int) []string { return ids(f.dirs[2*i].FleetLeaders()) }
+
+		Convey("the leader of the first zone asks nobody, and the others ask those of zones before theirs, two at most", func() {
+			So(heads(0), ShouldBeEmpty)
+			So(heads(1), ShouldResemble, []string{"i-0"})
+			So(heads(3), ShouldResemble, []string{"i-0", "i-2"})
+		})
+
+		Convey("the next instance of a zone stands in for one that cannot be reached, and the next zone for one that cannot", func() {
+			last := f.dirs[6]
+			reach := func() { _, _ = Call[string, string](ctx, last, last.FleetLeaders()[0], kindEcho, "") }
+			f.net.SetDown("10.0.0.0:1", true)
+			reach()
+			So(heads(3), ShouldResemble, []string{"i-1", "i-2"})
+			f.net.SetDown("10.0.0.1:1", true)
+			reach()
+			So(heads(3), ShouldResemble, []string{"i-2", "i-4"})
+		})
+	})
+
+	Convey("In a small fleet there are none", t, func() {
+		f := newFleet(3, 9)
+		f.meet(ctx)
+		So(f.dirs[2].FleetLeaders(), ShouldBeEmpty)
+	})
+}
+
+func TestMet(t *testing.T) {
+	ctx := context.Background()
+	met := func(d *Directory) bool {
+		d.meet()
+		select {
+		case <-d.Met():
+			return true
+		default:
+			return false
+		}
+	}
+	Convey("A fleet is known", t, func() {
+		f := newFleet(6, 4)
+		last := f.dirs[5]
+		for _, d := range f.dirs {
+			d.begun = f.at
+		}
+		So(met(last), ShouldBeFalse)
+
+		Convey("that is large, once the instance is linked to it", func() {
+			So(last.tell(ctx), ShouldBeNil)
+			for _, d := range f.dirs {
+				So(d.tell(ctx), ShouldBeNil)
+			}
+			So(last.read(ctx), ShouldBeNil)
+			So(met(last), ShouldBeFalse)
+			last.connect(ctx)
+			So(met(last), ShouldBeTrue)
+		})
+
+		Convey("that is small and new, once others had time to start", func() {
+			So(last.read(ctx), ShouldBeNil)
+			So(met(last), ShouldBeFalse)
+			f.at = f.at.Add(last.times.Settle)
+			So(met(last), ShouldBeTrue)
+		})
+
+		Convey("that is small and was there before, at once", func() {
+			So(last.tell(ctx), ShouldBeNil)
+			last.self.Peer.Inc = "next"
+			So(last.read(ctx), ShouldBeNil)
+			So(met(last), ShouldBeTrue)
+		})
+	})
+}
+
 func TestLenders(t *testing.T) {
 	ctx := context.Background()
 	Convey("In a small fleet", t, func() {
