feat: one instance of a large fleet writes its budgets: leaders relay their zones' rows to the leader of the first zone

Cause: five leaders wrote the same pages about once a second and for each request that waited. Change: a zone's leader passes its zone's rows and its own on to the leader of the first zone that it reaches. It writes them itself where it gets no answer within 0.9 s: a part is written once, on top of its holder's last write, whoever writes it. A page that a holder wrote itself is taken to be the newest for 3 s; a conflict brings the newest for the price of the read that is saved.

--- a/internal/escrow/draw.go
+++ b/internal/escrow/draw.go
@@ -35,9 +35,12 @@
 	if h.fleet != nil && !h.Ready() && !h.fleet.Settled() {
 		return
 	}
-	follows := h.follows()
-	if follows {
+	follows, relays := h.follows(), h.relays()
+	switch {
+	case follows:
 		h.submit(ctx, regular)
+	case relays && h.relay(ctx, regular) == nil:
+		return
 	}
 	for _, p := range h.pages {
 		if ctx.Err() == nil && ((!follows && h.due(p, regular)) || h.owes(p)) {
@@ -184,6 +187,7 @@
 // write is one conditional write of a page.
 type write struct {
 	raw    []byte
+	page   *Page             // what raw encodes
 	base   int64             // the revision that it stands on
 	count  int64             // of this holder's writes
 	rows   map[string]issued // this holder's rows in it
@@ -203,10 +207,12 @@
 	return h.outcome(p, w, revision, err)
 }
 
-// load reads a page that is not known, or of which a write may still be under way.
+// load reads a page that is not known, or of which a write may still be under way. One that this holder has written itself is taken
+// to be the newest: where it is not, the conflict brings the newest, for the same one call.
 func (h *Holder) load(ctx context.Context, p *pageState) error {
 	h.mu.Lock()
-	fresh := p.known && p.unsure < 0 && !p.submitted && h.now().Sub(p.seen) < freshFor
+	age := h.now().Sub(p.seen)
+	fresh := p.known && p.unsure < 0 && !p.submitted && (age < freshFor || (p.mine && age < mineFor))
 	h.mu.Unlock()
 	if fresh {
 		return nil
@@ -246,13 +252,13 @@
 	if err != nil {
 		return err
 	}
-	p.raw, p.revision, p.known, p.seen = e.Data, e.Revision, true, h.now()
-	h.holders = len(page.Holders)
+	p.raw, p.revision, p.known, p.seen, p.mine = e.Data, e.Revision, true, h.now(), false
 	report, present := page.Holders[h.id]
 	settled := p.settles(e.Revision, report, present)
 	if settled {
 		p.unsure, p.submitted, p.count = -1, false, report.Count
 	}
+	h.observeAll(p, page)
 	for name, a := range h.accounts {
 		if h.pageOf(name) != p {
 			continue
@@ -262,7 +268,6 @@
 			acc = &Account{}
 		}
 		a.rest, a.free = a.prepaid-acc.Spent(), a.prepaid-acc.Committed()
-		h.all.pending += float64(a.observe(acc, h.id))
 		if settled && present {
 			a.confirm(issued{row: acc.Rows[h.id], clock: time.Duration(report.Clock) * time.Millisecond})
 		} else if settled {
@@ -272,6 +277,16 @@
 	return nil
 }
 
+// observeAll measures what all holders report on a page. The caller holds mu.
+func (h *Holder) observeAll(p *pageState, page *Page) {
+	h.holders = len(page.Holders)
+	for name, a := range h.accounts {
+		if acc := page.Accounts[name]; acc != nil && h.pageOf(name) == p {
+			h.all.pending += float64(a.observe(acc, h.id))
+		}
+	}
+}
+
 // settles says whether a page at a revision shows what became of all writes of this holder whose outcome is not known. A direct
 // write cannot happen any more once the page has moved on; rows that a leader has can, until a later write of this holder stands.
 func (p *pageState) settles(revision int64, report Report, present bool) bool {
@@ -312,7 +327,7 @@
 	p.unsure = p.revision
 	raw, err := page.Encode()
 	return write{
-		raw: raw, base: p.revision, count: report.Count, rows: rows, others: others, folded: folded,
+		raw: raw, page: page, base: p.revision, count: report.Count, rows: rows, others: others, folded: folded,
 		unsettled: page.Unsettled(h.id, h.node),
 	}, err
 }
@@ -339,12 +354,16 @@
 // confirmed takes a page that this holder has written. The caller holds mu.
 func (h *Holder) confirmed(p *pageState, w write, revision int64) {
 	if revision > p.revision {
-		p.raw, p.revision = w.raw, revision
+		p.raw, p.revision, p.mine = w.raw, revision, true
+		h.observeAll(p, w.page)
 	}
 	p.known, p.unsure, p.joined, p.drawn, p.seen = true, -1, true, h.now(), h.now()
 	p.count, p.submitted, p.unsettled = w.count, false, w.unsettled
 	h.logFolded(w.folded, p.key)
-	h.written(p, w.others)
+	for _, x := range w.others {
+		h.logFolded(x.folded, p.key)
+	}
+	p.release(w.others)
 	for name, i := range w.rows {
 		a := h.accounts[name]
 		a.confirm(i)
@@ -423,7 +442,7 @@
 	page.Leave(h.id, spent)
 	raw, err := page.Encode()
 	p.unsure = p.revision
-	w := write{raw: raw, base: p.revision}
+	w := write{raw: raw, page: page, base: p.revision}
 	h.mu.Unlock()
 	if err != nil {
 		return err
--- a/internal/escrow/fleet.go
+++ b/internal/escrow/fleet.go
@@ -21,7 +21,9 @@
 	Leads() bool
 	// Stranded says whether it does so only because those that lead cannot be reached.
 	Stranded() bool
-	// Submit hands rows to the leader. ErrNotTaken promises that none of them will be written; after any other error they may be.
+	// Relays says whether this holder leads its zone, but the leader of another zone writes for that one too.
+	Relays() bool
+	// Submit hands rows to the leader; a holder that relays hands its zone's to the leader of another zone. ErrNotTaken promises that none of them will be written; after any other error they may be.
 	Submit(ctx context.Context, s Submission) (Receipt, error)
 	// Role is this holder's part in keeping a customer's tokens.
 	Role(customer string) Role
@@ -53,11 +55,17 @@
 // ErrNotTaken says that a leader has not seen a submission.
 var ErrNotTaken = errors.New("no leader has taken the rows")
 
+// errShortReceipt says that a leader did not tell of all rows.
+var errShortReceipt = errors.New("the receipt does not tell of all rows")
+
 // Submission is what a holder asks its zone's leader to write.
 type Submission struct {
 	Holder string             `cbor:"1,keyasint"`
 	Parts  []Part             `cbor:"2,keyasint"`
 	Asked  map[string]float64 `cbor:"3,keyasint,omitempty"` // tokens a second that are asked for here, by customer
+	// Zone are submissions of one part each that the leader of a zone passes on for that zone's other holders.
+	Zone    []Submission `cbor:"4,keyasint,omitempty"`
+	Relayed bool         `cbor:"5,keyasint,omitempty"` // it comes from the leader of another zone
 }
 
 // Part is a Submission's part for one page. It is written only if the holder's last write there is the one that Report.Count
@@ -72,6 +80,7 @@
 // Receipt answers a Submission.
 type Receipt struct {
 	Parts []PartReceipt `cbor:"1,keyasint"`
+	Zone  []Receipt     `cbor:"2,keyasint,omitempty"` // of the submissions in Submission.Zone, in their order
 }
 
 // PartReceipt says how a page stands after a Part was taken, or was not because the holder's row is another one.
--- a/internal/escrow/group.go
+++ b/internal/escrow/group.go
@@ -26,6 +26,7 @@
 	part    Part
 	came    time.Time
 	hasty   bool // the holder cannot serve before it is written
+	relayed bool // the leader of another zone has passed it on
 	receipt PartReceipt
 	folded  []Folded
 	done    chan struct{} // closed once the receipt stands
@@ -38,7 +39,26 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, submissionWait)
 	defer cancel()
-	list := h.enqueue(s)
+	own := h.enqueue(s)
+	zone := make([][]*pending, 0, len(s.Zone))
+	for _, x := range s.Zone {
+		x.Relayed = true
+		zone = append(zone, h.enqueue(x))
+	}
+	out, err := written(ctx, own)
+	for _, list := range zone {
+		if err != nil {
+			return Receipt{}, err
+		}
+		var r Receipt
+		r, err = written(ctx, list)
+		out.Zone = append(out.Zone, r)
+	}
+	return out, err
+}
+
+// written waits until parts are in the store.
+func written(ctx context.Context, list []*pending) (Receipt, error) {
 	out := Receipt{Parts: make([]PartReceipt, 0, len(list))}
 	for _, p := range list {
 		select {
@@ -55,13 +75,18 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.now()
-	h.asked[s.Holder] = asked{rates: s.Asked, at: now}
+	if !s.Relayed {
+		h.asked[s.Holder] = asked{rates: s.Asked, at: now}
+	}
 	out := make([]*pending, 0, len(s.Parts))
 	for _, part := range s.Parts {
 		if part.Page < 0 || part.Page >= len(h.pages) {
 			continue
 		}
-		p := &pending{holder: s.Holder, part: part, came: now, hasty: part.Report.Count == 1, done: make(chan struct{})}
+		p := &pending{
+			holder: s.Holder, part: part, came: now, relayed: s.Relayed, hasty: part.Report.Count == 1 || (s.Relayed && part.urgent()),
+			done: make(chan struct{}),
+		}
 		page := h.pages[part.Page]
 		page.pending = append(page.pending, p)
 		out = append(out, p)
@@ -76,12 +101,16 @@
 		return false
 	}
 	now := h.now()
+	group := h.times.Group
 	for _, x := range p.pending {
 		if x.hasty && now.Sub(x.came) >= h.times.Hasty {
 			return true
 		}
+		if x.relayed {
+			group = h.times.Relayed
+		}
 	}
-	return now.Sub(p.pending[0].came) >= h.times.Gather && now.Sub(p.drawn) >= h.times.Group
+	return now.Sub(p.pending[0].came) >= h.times.Gather && now.Sub(p.drawn) >= group
 }
 
 // expire drops parts whose holders have stopped waiting. The caller holds mu.
@@ -185,12 +214,11 @@
 	return r
 }
 
-// written tells holders whose parts are in the store. The caller holds mu.
-func (h *Holder) written(p *pageState, list []*pending) {
+// release tells holders whose parts are in the store. The caller holds mu.
+func (p *pageState) release(list []*pending) {
 	done := make(map[*pending]bool, len(list))
 	for _, x := range list {
 		done[x] = true
-		h.logFolded(x.folded, p.key)
 		close(x.done)
 	}
 	kept := p.pending[:0]
--- a/internal/escrow/group_test.go
+++ b/internal/escrow/group_test.go
@@ -117,6 +117,71 @@
 		})
 	})
 
+	Convey("A zone's leader that relays its zone's rows", t, func() {
+		w, leads, member := ledWorld()
+		head := w.nodes[2]
+		head.heads, head.link, member.zoned = true, linkPass, true
+		w.draw(head)
+		h := member.holder
+		row := func() Row { return w.page(north).Accounts[north].Rows[h.id] }
+
+		Convey("has them written by the leader of another zone, with its own", func() {
+			before := leads.gate.commits
+			w.use(member, north, 10)
+			w.use(head, north, 20)
+			w.draw(member)
+			So(row().Spent, ShouldEqual, 10)
+			So(w.page(north).Accounts[north].Rows[head.holder.id].Spent, ShouldEqual, 20)
+			So(h.pageOf(north).submitted, ShouldBeFalse)
+			So(leads.gate.commits, ShouldBeGreaterThan, before)
+			So(head.gate.commits, ShouldEqual, 0)
+		})
+
+		Convey("leaves the page to one writer, which need not read what it has written itself", func() {
+			w.use(leads, north, 5)
+			w.draw(leads)
+			before := leads.gate.reads
+			for range 5 {
+				w.use(member, north, 10)
+				w.draw(member)
+			}
+			So(leads.gate.reads, ShouldEqual, before)
+			So(row().Spent, ShouldEqual, 50)
+			So(leads.holder.accounts[north].all.rate(), ShouldBeGreaterThan, 5)
+		})
+
+		Convey("passes them on with each of its own, however often it has some", func() {
+			head.holder.times.Group = time.Hour
+			for range 3 {
+				w.use(head, north, 10)
+				w.use(member, north, 10)
+				w.draw(member)
+			}
+			So(row().Spent, ShouldEqual, 30)
+		})
+
+		Convey("tells them what their own zone is asked for, not the writer's", func() {
+			for range 3 {
+				w.use(member, north, 100)
+				w.draw(member)
+			}
+			So(h.accounts[north].zoneRate, ShouldBeGreaterThan, 0)
+			So(h.accounts[north].zoneRate, ShouldEqual, head.holder.accounts[north].zoneRate)
+		})
+
+		Convey("writes them itself where that one cannot be reached, and once only where its answer was lost", func() {
+			for i, link := range []int{linkBroke, linkLost, linkLate} {
+				head.link = link
+				w.use(member, north, 10)
+				w.draw(member)
+				So(row().Spent, ShouldEqual, 10*(i+1))
+				So(h.pageOf(north).submitted, ShouldBeFalse)
+				w.draw(leads)
+				So(row().Spent, ShouldEqual, 10*(i+1))
+			}
+		})
+	})
+
 	Convey("A loan", t, func() {
 		w, leads, member := ledWorld()
 		ctx := context.Background()
--- a/internal/escrow/holder.go
+++ b/internal/escrow/holder.go
@@ -35,8 +35,11 @@
 	Gather time.Duration // the rows of others wait for more of them so long
 	Hasty  time.Duration // the same, where one of them cannot serve before
 	Group  time.Duration // least time between writes of a page for others
-	Borrow time.Duration // limit of a loan; the lender may have to draw for it
-	Repay  time.Duration // between returns of loans
+	// Relayed is the same, where the leaders of other zones wait too: they hold back their zones' next rows meanwhile.
+	Relayed time.Duration
+	Relay   time.Duration // limit of a leader's call to the leader of another zone
+	Borrow  time.Duration // limit of a loan; the lender may have to draw for it
+	Repay   time.Duration // between returns of loans
 }
 
 // DefaultTimes suit a store that answers in milliseconds.
@@ -45,7 +48,7 @@
 		Beat: time.Second, Gap: 30 * time.Millisecond, Call: 900 * time.Millisecond, Rest: 250 * time.Millisecond,
 		Wait: 90 * time.Millisecond, Lost: 1500 * time.Millisecond, Dry: 300 * time.Millisecond,
 		Follow: 800 * time.Millisecond, Gather: 120 * time.Millisecond, Hasty: 40 * time.Millisecond, Group: 700 * time.Millisecond,
-		Borrow: 180 * time.Millisecond, Repay: 200 * time.Millisecond,
+		Relayed: 300 * time.Millisecond, Relay: 900 * time.Millisecond, Borrow: 180 * time.Millisecond, Repay: 200 * time.Millisecond,
 	}
 }
 
@@ -53,6 +56,7 @@
 	beatHolders = 12 // holders for each Beat between regular draws
 	mostBeats   = 6
 	freshFor    = 300 * time.Millisecond // a page that was the newest so long ago is read again before it is written
+	mineFor     = 3 * time.Second        // the same, of a page that this holder wrote last: where others write too, a write tells so
 )
 
 // Holder is this process's part of the escrow: a service, and the place where requests reserve.
@@ -108,6 +112,7 @@
 	unsettled bool
 	drawn     time.Time
 	seen      time.Time        // when the copy was known to be the newest
+	mine      bool             // this holder has written it
 	reported  map[string]int64 // spent, by customer, as last written
 }
 
@@ -189,10 +194,10 @@
 // Tick tells the holder that the store has just answered: the best moment for a regular draw. own says that all pages that have
 // changed were observed, so that a write can stand on them.
 func (h *Holder) Tick(own bool) {
-	follows := h.follows()
+	told := h.follows() || h.relays() // by a leader that has heard the store
 	h.mu.Lock()
 	now := h.now()
-	if follows {
+	if told {
 		h.heard()
 	}
 	due := now.Sub(h.beat) >= h.interval()*9/10
--- a/internal/escrow/property_test.go
+++ b/internal/escrow/property_test.go
@@ -36,13 +36,16 @@
 // gate is one node's path to the store.
 type gate struct {
 	external.KV
-	cut bool
+	cut     bool
+	reads   int
+	commits int
 }
 
 func (g *gate) Read(ctx context.Context, key string) (external.Entry, int64, error) {
 	if g.cut {
 		return external.Entry{}, 0, external.ErrUnavailable
 	}
+	g.reads++
 	return g.KV.Read(ctx, key)
 }
 
@@ -50,6 +53,7 @@
 	if g.cut {
 		return 0, external.ErrUnavailable
 	}
+	g.commits++
 	return g.KV.Commit(ctx, c)
 }
 
@@ -63,7 +67,8 @@
 	linkModes
 )
 
-// simFleet is a node's way to the first node, which leads and lends.
+// simFleet is a node's way to the first node, which leads and lends. A node of another zone hands its rows to that zone's leader,
+// which relays them to the first node.
 type simFleet struct {
 	world *world
 	node  *simNode
@@ -79,8 +84,11 @@
 func (f *simFleet) Settled() bool  { return true }
 func (f *simFleet) Large() bool    { return true }
 func (f *simFleet) Stranded() bool { return false }
-func (f *simFleet) Leads() bool    { return f.node == f.world.nodes[0] || f.node.link == linkNone }
-func (f *simFleet) ZoneSize() int  { return propertyNodes }
+func (f *simFleet) Leads() bool {
+	return f.node == f.world.nodes[0] || f.node.link == linkNone || f.node.heads
+}
+func (f *simFleet) Relays() bool  { return f.node.heads && f.node.link != linkNone }
+func (f *simFleet) ZoneSize() int { return propertyNodes }
 func (f *simFleet) Role(string) Role {
 	if f.node == f.world.nodes[0] {
 		return RolePool
@@ -94,25 +102,38 @@
 	if f.node.link == linkBroke {
 		return Receipt{}, ErrNotTaken
 	}
-	leads := f.world.nodes[0]
-	list := leads.holder.enqueue(s)
+	leads := f.world.leaderOf(f.node)
+	lists := [][]*pending{leads.holder.enqueue(s)}
+	for _, x := range s.Zone {
+		lists = append(lists, leads.holder.enqueue(x))
+	}
 	if f.node.link == linkLate {
 		return Receipt{}, errSimLost
 	}
 	f.world.draw(leads)
-	var out Receipt
+	out, err := simWritten(lists[0])
+	for _, list := range lists[1:] {
+		r, errZone := simWritten(list)
+		out.Zone, err = append(out.Zone, r), errors.Join(err, errZone)
+	}
+	if err != nil || f.node.link == linkLost {
+		return Receipt{}, errSimLost
+	}
+	return out, nil
+}
+
+// simWritten is the receipt of parts that have been written by now.
+func simWritten(list []*pending) (Receipt, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
 	for _, p := range list {
 		select {
 		case <-p.done:
-			out.Parts = append(out.Parts, p.receipt)
 		default:
-			return Receipt{}, errSimLost
+			return written(ctx, []*pending{p})
 		}
 	}
-	if f.node.link == linkLost {
-		return Receipt{}, errSimLost
-	}
-	return out, nil
+	return written(context.Background(), list)
 }
 
 func (f *simFleet) Borrow(ctx context.Context, loan Loan) Borrowed {
@@ -150,6 +171,8 @@
 	link   int
 	role   Role
 	timed  bool // the fleet's time is known
+	heads  bool // it leads a zone of its own
+	zoned  bool // it belongs to that zone
 	holder *Holder
 	open   []*simReservation
 	starts int
@@ -172,6 +195,18 @@
 	prepaid map[string]int64
 }
 
+// leaderOf is the node that a node hands its rows to.
+func (w *world) leaderOf(n *simNode) *simNode {
+	if n.zoned && !n.heads {
+		for _, x := range w.nodes {
+			if x.heads {
+				return x
+			}
+		}
+	}
+	return w.nodes[0]
+}
+
 func newWorld(policy Policy) *world {
 	w := &world{policy: policy, store: memkv.New(), spent: make(map[string]int64), prepaid: make(map[string]int64)}
 	for _, c := range propertyCustomers {
@@ -190,8 +225,10 @@
 	n.starts++
 	n.open = nil
 	now := func() time.Time { return time.Unix(1_000_000, 0).Add(w.elapsed + n.step) }
+	times := DefaultTimes()
+	times.Gather, times.Group, times.Relayed = 0, 0, 0 // time stands still while rows are handed on
 	n.holder = New(n.gate, propertyPrefix, 2, n.name, fmt.Sprintf("%s/%d", n.name, n.starts), WithClock(n.clock), WithNow(now),
-		WithFleet(&simFleet{world: w, node: n}), WithPolicy(w.policy))
+		WithFleet(&simFleet{world: w, node: n}), WithPolicy(w.policy), WithTimes(times))
 	w.tell(n)
 }
 
@@ -206,9 +243,12 @@
 // draw makes one round of draws, as the holder's loop does.
 func (w *world) draw(n *simNode) {
 	n.holder.startBeat()
-	if n.holder.follows() {
+	switch {
+	case n.holder.follows():
 		n.holder.submit(context.Background(), true)
 		return
+	case n.holder.relays() && n.holder.relay(context.Background(), true) == nil:
+		return
 	}
 	for _, p := range n.holder.pages {
 		n.holder.draw(context.Background(), p)
@@ -274,7 +314,7 @@
 		w := newWorld(policy)
 		for range propertySteps {
 			n := w.nodes[rapid.IntRange(0, propertyNodes-1).Draw(t, "node")]
-			w.act(t, n, rapid.IntRange(0, 20).Draw(t, "action"))
+			w.act(t, n, rapid.IntRange(0, 21).Draw(t, "action"))
 			w.check(t)
 		}
 	})
@@ -323,6 +363,9 @@
 		n.holder.mu.Lock()
 		n.holder.stopping = rapid.Bool().Draw(t, "stopping")
 		n.holder.mu.Unlock()
+	case 21:
+		w.nodes[2].heads = rapid.Bool().Draw(t, "heads")
+		w.nodes[1].zoned = rapid.Bool().Draw(t, "zoned")
 	}
 }
 
--- /dev/null
+++ b/internal/escrow/relay.go
@@ -0,0 +1,99 @@
+package escrow
+
+import "context"
+
+// A zone's leader does not write its zone's rows itself where the leader of another zone can be reached: it passes them on with its
+// own, so that one holder of the fleet writes the pages and no two of them meet in conditional writes. It is a matter of cost only:
+// a part is written once, on top of the holder's last write, whoever writes it, so a leader that gets no answer writes the rows
+// itself.
+
+// relay passes on this holder's rows and those that its zone's holders have handed in. An error means that they are still to be
+// written.
+func (h *Holder) relay(ctx context.Context, regular bool) error {
+	s := h.submission(regular)
+	s.Relayed = true
+	list := h.collect(&s)
+	if len(s.Parts) == 0 && len(list) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, h.times.Relay)
+	defer cancel()
+	receipt, err := h.fleet.Submit(ctx, s)
+	if err == nil && len(receipt.Zone) != len(list) {
+		err = errShortReceipt
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err == nil {
+		h.ownRates(receipt.Parts)
+	}
+	h.submitted(s, receipt, err)
+	if err != nil {
+		h.log.Debug().Str("event", "escrow_relay_failed").Err(err).Msg("the leader of another zone did not write this zone's rows")
+		return err
+	}
+	h.relayed(list, receipt.Zone)
+	return nil
+}
+
+// collect adds the parts that wait here to a submission: those of pages that are to be written now, for them or for this holder.
+func (h *Holder) collect(s *Submission) []*pending {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	own := make(map[int]bool, len(s.Parts))
+	for _, part := range s.Parts {
+		own[part.Page] = true
+	}
+	var list []*pending
+	for i, p := range h.pages {
+		h.sumZone(p)
+		if !own[i] && !h.gathered(p) {
+			continue
+		}
+		h.expire(p)
+		list = append(list, p.pending...)
+	}
+	for _, x := range list {
+		s.Zone = append(s.Zone, Submission{Holder: x.holder, Parts: []Part{x.part}, Relayed: true})
+	}
+	return list
+}
+
+// relayed hands the receipts on. The caller holds mu.
+func (h *Holder) relayed(list []*pending, receipts []Receipt) {
+	done := make(map[int][]*pending, len(h.pages))
+	for i, x := range list {
+		if len(receipts[i].Parts) != 1 {
+			continue
+		}
+		h.ownRates(receipts[i].Parts)
+		x.receipt = receipts[i].Parts[0]
+		done[x.part.Page] = append(done[x.part.Page], x)
+	}
+	for i, waiting := range done {
+		h.pages[i].drawn = h.now()
+		h.pages[i].release(waiting)
+	}
+}
+
+// ownRates puts in what this holder's own zone is asked for: the writer leads another one. The caller holds mu.
+func (h *Holder) ownRates(list []PartReceipt) {
+	for _, r := range list {
+		for name, held := range r.Rows {
+			if a := h.accounts[name]; a != nil {
+				held.Zone = a.zoneRate
+				r.Rows[name] = held
+			}
+		}
+	}
+}
+
+// urgent says whether a request waits for a part to be written.
+func (p Part) urgent() bool {
+	for _, n := range p.Rows {
+		if n.Urgent > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/escrow/remote/remote.go
+++ b/internal/escrow/remote/remote.go
@@ -59,6 +59,9 @@
 // Stranded implements escrow.Fleet.
 func (f *Fleet) Stranded() bool { return f.dir.Stranded() }
 
+// Relays implements escrow.Fleet.
+func (f *Fleet) Relays() bool { return f.dir.Leads() && len(f.dir.FleetLeaders()) > 0 }
+
 // Role implements escrow.Fleet.
 func (f *Fleet) Role(customer string) escrow.Role {
 	pooled, here := f.dir.Pool(customer)
@@ -76,7 +79,11 @@
 
 // Submit implements escrow.Fleet: the next leader is asked only where the one before has certainly not seen the rows.
 func (f *Fleet) Submit(ctx context.Context, s escrow.Submission) (escrow.Receipt, error) {
-	for _, p := range f.dir.Leaders() {
+	leaders := f.dir.Leaders()
+	if s.Relayed {
+		leaders = f.dir.FleetLeaders()
+	}
+	for _, p := range leaders {
 		r, err := peers.Call[escrow.Submission, escrow.Receipt](ctx, f.dir, p, KindSubmit, s)
 		if err == nil || (verdict.Of(err) != verdict.NotRun && !errors.Is(err, mesh.ErrUnreachable)) {
 			return r, err
--- a/internal/escrow/submit.go
+++ b/internal/escrow/submit.go
@@ -17,6 +17,14 @@
 	receipt, err := h.fleet.Submit(ctx, s)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.submitted(s, receipt, err)
+	if err != nil {
+		h.log.Debug().Str("event", "escrow_submission_failed").Err(err).Msg("the zone's leader did not write the rows")
+	}
+}
+
+// submitted takes what became of this holder's own rows. The caller holds mu.
+func (h *Holder) submitted(s Submission, receipt Receipt, err error) {
 	switch {
 	case err == nil:
 		h.heard()
@@ -30,9 +38,6 @@
 			h.withdrawn(part)
 		}
 	}
-	if err != nil {
-		h.log.Debug().Str("event", "escrow_submission_failed").Err(err).Msg("the zone's leader did not write the rows")
-	}
 }
 
 // submission collects what is to be written, and notes it as possibly in force.
