--- a/cmd/losses.go
+++ b/cmd/losses.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"os"
 
 	"github.com/rotisserie/eris"
@@ -12,26 +13,27 @@
 type lossesCmd struct {
 	env *env
 
-	JSON  bool   `long:"json" description:"print the tables as JSON"`
-	Most  int    `long:"most" default:"8" description:"rows of a table"`
-	Plots string `long:"plots" description:"directory into which a plot by second is drawn"`
-	Args  struct {
+	JSON   bool   `long:"json" description:"print the tables as JSON"`
+	Most   int    `long:"most" default:"8" description:"rows of a table"`
+	Duties bool   `long:"duties" description:"tell of calls to the store, by what they were for, instead"`
+	Plots  string `long:"plots" description:"directory into which a plot by second is drawn"`
+	Args   struct {
 		Files []string `positional-arg-name:"LOG" description:"routers' logs; default: standard input"`
 	} `positional-args:"true"`
 }
 
 // Execute implements flags.Commander: it tells where requests were lost or late, from the logs of several instances.
 func (c *lossesCmd) Execute([]string) error {
-	r := losses.NewReader()
-	if len(c.Args.Files) == 0 {
-		if err := r.Read(os.Stdin); err != nil {
+	if c.Duties {
+		d := losses.NewDuties()
+		if err := c.readAll(d); err != nil {
 			return err
 		}
+		return d.Write(c.env.out)
 	}
-	for _, name := range c.Args.Files {
-		if err := readLog(r, name); err != nil {
-			return err
-		}
+	r := losses.NewReader()
+	if err := c.readAll(r); err != nil {
+		return err
 	}
 	report := r.Report()
 	if report.All.Total() == 0 {
@@ -48,7 +50,25 @@
 	return report.Write(c.env.out, c.Most)
 }
 
-func readLog(r *losses.Reader, name string) error {
+// logReader counts what logs tell.
+type logReader interface {
+	Read(log io.Reader) error
+}
+
+// readAll reads the logs that were named, or standard input.
+func (c *lossesCmd) readAll(r logReader) error {
+	if len(c.Args.Files) == 0 {
+		return r.Read(os.Stdin)
+	}
+	for _, name := range c.Args.Files {
+		if err := readLog(r, name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readLog(r logReader, name string) error {
 	f, err := os.Open(name) //nolint:gosec // the operator names the file
 	if err != nil {
 		return eris.Wrap(err, "opening a log")
--- a/cmd/losses_test.go
+++ b/cmd/losses_test.go
@@ -36,6 +36,13 @@
 			So(err, ShouldBeNil)
 			So(string(svg), ShouldContainSubstring, "long pause")
 		})
+
+		Convey("as calls to the store, by what they were for and by role", func() {
+			code, out, errOut := run("--duties", "testdata/duties.log")
+			So(errOut.String(), ShouldBeEmpty)
+			So(code, ShouldEqual, exitOK)
+			g.Assert(t, "duties", out.Bytes())
+		})
 	})
 	Convey("losses says that a log holds nothing, or is not there", t, func() {
 		code, _, errOut := run(os.DevNull)
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -45,9 +45,34 @@
 // callLog is the service that logs how often the store was called, and what for.
 type callLog struct {
 	counts *callCounts
+	role   func() Role
 	log    zerolog.Logger
 }
 
+// Role is what an instance does for others.
+type Role string
+
+// The roles.
+const (
+	RoleMember Role = "member" // nothing, or its fleet is small
+	RoleLeader Role = "leader" // it leads its zone
+	RoleWriter Role = "writer" // it also follows the store and writes budgets for the leaders of other zones
+)
+
+// role tells this instance's role as far as it knows it.
+func (r *Router) role() Role {
+	switch {
+	case !r.peers.Large() || !r.peers.Leads():
+		return RoleMember
+	case len(r.peers.FleetLeaders()) > 0:
+		return RoleLeader
+	}
+	return RoleWriter
+}
+
+// storeCalls is the event of the line that tells of calls to the store.
+const storeCalls = "store_calls"
+
 // callLogEvery bounds the lines that tell of calls.
 const callLogEvery = 5 * time.Second
 
@@ -69,5 +94,5 @@
 	for name, n := range counts {
 		calls = calls.Int(name, n)
 	}
-	l.log.Info().Str("event", "store_calls").Dict("calls", calls).Msg("calls to the store, by what they are for")
+	l.log.Info().Str("event", storeCalls).Str("role", string(l.role())).Dict("calls", calls).Msg("calls to the store, by what they are for")
 }
--- a/internal/router/calls_test.go
+++ b/internal/router/calls_test.go
@@ -16,7 +16,7 @@
 func TestCallLog(t *testing.T) {
 	Convey("Calls to the store are logged by what they are for, and only once", t, func() {
 		var out bytes.Buffer
-		l := &callLog{counts: newCallCounts(), log: zerolog.New(&out)}
+		l := &callLog{counts: newCallCounts(), role: func() Role { return RoleLeader }, log: zerolog.New(&out)}
 		kv := memkv.New()
 		store := external.Observe(kv)
 		store.OnCall(l.counts.add)
@@ -30,7 +30,7 @@
 		_, _, err = store.Changes(context.Background(), "a", 0, time.Millisecond)
 		So(err, ShouldBeNil)
 		l.write()
-		for _, want := range []string{`"draw_read":1`, `"draw_list_stale":1`, `"draw_commit_conflict":1`, `"other_changes":1`} {
+		for _, want := range []string{`"role":"leader"`, `"draw_read":1`, `"draw_list_stale":1`, `"draw_commit_conflict":1`, `"other_changes":1`} {
 			So(out.String(), ShouldContainSubstring, want)
 		}
 		out.Reset()
--- a/internal/router/explain.go
+++ b/internal/router/explain.go
@@ -62,6 +62,32 @@
 // EachEnded hands the lines about requests that have ended to f, those that hold a text. What stands before a line's JSON, as a time
 // or a name, is passed over, and so are lines that are none of ours.
 func EachEnded(r io.Reader, text string, f func(Line)) error {
+	return eachLine(r, text, func(l Line) {
+		if l.Event == requestEnded {
+			f(l)
+		}
+	})
+}
+
+// CallsLine is a line of an instance's log that tells how often it called the store since the line before.
+type CallsLine struct {
+	Event    string         `json:"event"`
+	Instance string         `json:"instance"`
+	Role     Role           `json:"role"`
+	Calls    map[string]int `json:"calls"` // by what they were for and how they ended; see callCounts.add
+}
+
+// EachCalls hands the lines about calls to the store to f.
+func EachCalls(r io.Reader, f func(CallsLine)) error {
+	return eachLine(r, storeCalls, func(l CallsLine) {
+		if l.Event == storeCalls {
+			f(l)
+		}
+	})
+}
+
+// eachLine decodes the lines that hold a text.
+func eachLine[L any](r io.Reader, text string, f func(L)) error {
 	scan := bufio.NewScanner(r)
 	scan.Buffer(make([]byte, 0, longestLine/16), longestLine)
 	for scan.Scan() {
@@ -70,8 +96,8 @@
 		if at < 0 || !bytes.Contains(raw, []byte(text)) {
 			continue
 		}
-		var line Line
-		if json.Unmarshal(raw[at:], &line) == nil && line.Event == requestEnded {
+		var line L
+		if json.Unmarshal(raw[at:], &line) == nil {
 			f(line)
 		}
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -107,7 +107,7 @@
 	if !r.set.without(Loads) {
 		list = append(list, r.load)
 	}
-	list = append(list, r.follow, r.escrow, r.escrow.Repayments(), &sweeper{client: r.client}, &callLog{counts: r.metrics.calls, log: r.log}, r.callers, r.probes)
+	list = append(list, r.follow, r.escrow, r.escrow.Repayments(), &sweeper{client: r.client}, &callLog{counts: r.metrics.calls, role: r.role, log: r.log}, r.callers, r.probes)
 	if r.figures != nil {
 		list = append(list, r.figures)
 	}
