perf: an instance whose leaders do not hear the store rests for up to 4 s between calls of its own

Change: the rest after calls that failed grows from 1 to 4 s, not 2; a leader that hears the store ends it at once.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -35,7 +35,7 @@
 	startWait  = 700 * time.Millisecond  // for a leader that is starting too
 	startAgain = 50 * time.Millisecond   // between questions to such a leader
 	restFirst  = time.Second             // after a call to the store that failed, while leaders answer that they do not hear it either
-	restMost   = 2 * time.Second         // the most that this grows to
+	restMost   = 4 * time.Second         // the most that this grows to
 	mostConfig = 64 << 20                // bytes of a configuration, unpacked
 )
 
