feat: an instance measures its start and logs the time of each step as one line

Cause: after a kill of all nobody could tell which step of a start was the slow one. Change: start_measured tells the ms from the start of the process to listening, the store's first answer, the fleet, the configuration, endpoints, escrow, ready and the first request served; the same as a gauge by step.

--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -34,6 +34,11 @@
 	}
 }
 
+// started keeps how long a step of the start took.
+func (m *meters) started(step Step, took time.Duration) {
+	m.metrics.Scope().Tagged(map[string]string{"step": string(step)}).Gauge("start_step_seconds").Update(took.Seconds())
+}
+
 // called counts a call to the store.
 func (m *meters) called(c external.Call) {
 	scope := m.metrics.Scope().Tagged(map[string]string{"call": c.Name, "duty": string(c.Duty), "outcome": c.Outcome})
@@ -63,6 +68,9 @@
 // ended logs and counts a request that has ended: one line that says what was decided and on what.
 func (r *Router) ended(o relay.Outcome) {
 	r.metrics.record(&o)
+	if o.Code == "" {
+		r.start.reached(StepServed)
+	}
 	e := r.log.Info()
 	if o.Code != "" {
 		e = r.log.Warn()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -58,6 +58,7 @@
 	probes  *probes
 	figures *probes // metrics on an address of their own; nil: none
 	metrics *meters
+	start   *startLine
 
 	pressure *pressure.Gauge
 }
@@ -65,7 +66,8 @@
 // New builds a router; it listens already, but runs only with Run.
 func New(set *Settings, on Platform, log zerolog.Logger) (*Router, error) {
 	r := &Router{set: set, log: log, kernel: kernel.New(), metrics: newMeters(set)}
-	on.Store.OnCall(r.metrics.called)
+	r.start = newStartLine(log, r.metrics.started)
+	on.Store.OnCall(r.called)
 	r.pressure = pressure.New(
 		pressure.WithPolicy(set.pressurePolicy()), pressure.OnChange(r.logPressure), pressure.WithLink(set.Instance.LinkMbps),
 	)
@@ -95,9 +97,36 @@
 	if err := r.listen(on); err != nil {
 		return nil, err
 	}
+	r.start.reached(StepListening)
 	return r, r.kernel.Register(r.services()...)
 }
 
+// called takes how a call to the store has ended.
+func (r *Router) called(c external.Call) {
+	r.metrics.called(c)
+	if c.Outcome == "ok" {
+		r.start.reached(StepStore)
+	}
+}
+
+// startWatch is the service that measures the start.
+func (r *Router) startWatch() *startWatch {
+	return &startWatch{line: r.start, steps: map[Step]func() bool{
+		StepFleet: func() bool {
+			select {
+			case <-r.peers.Met():
+				return true
+			default:
+				return false
+			}
+		},
+		StepConfiguration: func() bool { return r.follow.Table() != nil },
+		StepEndpoints:     func() bool { return r.pool.Len() > 0 },
+		StepEscrow:        r.escrow.Ready,
+		StepReady:         r.ready,
+	}}
+}
+
 // services are the parts that run, in the order in which they start.
 func (r *Router) services() []kernel.Service {
 	list := []kernel.Service{r.peers}
@@ -107,7 +136,7 @@
 	if !r.set.without(Loads) {
 		list = append(list, r.load)
 	}
-	list = append(list, r.follow, r.escrow, r.escrow.Repayments(), &sweeper{client: r.client}, &callLog{counts: r.metrics.calls, role: r.role, log: r.log}, r.callers, r.probes)
+	list = append(list, r.follow, r.escrow, r.escrow.Repayments(), &sweeper{client: r.client}, &callLog{counts: r.metrics.calls, role: r.role, log: r.log}, r.startWatch(), r.callers, r.probes)
 	if r.figures != nil {
 		list = append(list, r.figures)
 	}
