--- a/internal/router/start.go
+++ b/internal/router/start.go
@@ -23,6 +23,10 @@
 	StepServed        Step = "served"        // the first request was answered
 )
 
+var startSteps = []Step{
+	StepListening, StepStore, StepFleet, StepConfiguration, StepEndpoints, StepEscrow, StepReady, StepServed,
+}
+
 const (
 	startLook  = 20 * time.Millisecond // between looks at what has been reached, until the instance is ready
 	startQuiet = 30 * time.Second      // after that, without a request, the line is logged all the same
@@ -75,8 +79,10 @@
 	}
 	s.logged = true
 	steps := zerolog.Dict()
-	for step, took := range s.at {
-		steps = steps.Int64(string(step), took.Milliseconds())
+	for _, step := range startSteps {
+		if took, ok := s.at[step]; ok {
+			steps = steps.Int64(string(step), took.Milliseconds())
+		}
 	}
 	s.log.Info().Str("event", "start_measured").Dict("steps_ms", steps).Msg("times from the start of the process to each step")
 }
