--- /dev/null
+++ b/internal/escrow/copy.go
@@ -0,0 +1,109 @@
+package escrow
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/ledgemount/ledgemount/internal/external"
+)
+
+// load reads a page that is not known, or of which a write may still be under way. One that this holder has written itself is taken
+// to be the newest: where it is not, the conflict brings the newest, for the same one call.
+func (h *Holder) load(ctx context.Context, p *pageState) error {
+	h.mu.Lock()
+	age := h.now().Sub(p.seen)
+	fresh := p.known && p.unsure < 0 && !p.submitted && (age < freshFor || (p.mine && age < mineFor))
+	h.mu.Unlock()
+	if fresh {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(external.WithDuty(ctx, external.DutyDraw), h.times.Call)
+	defer cancel()
+	entry, _, err := h.store.Read(ctx, p.key)
+	if err != nil {
+		return eris.Wrapf(err, "reading %s", p.key)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.heard()
+	return h.adopt(p, entry)
+}
+
+// heard notes an answer of the store. The caller holds mu.
+func (h *Holder) heard() { h.answered = h.now() }
+
+// Observe takes a page that was read or watched elsewhere.
+func (h *Holder) Observe(e external.Entry) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, p := range h.pages {
+		if p.key == e.Key && p.joined && e.Revision > p.revision {
+			_ = h.adopt(p, e)
+		}
+	}
+}
+
+// adopt takes a newer copy of a page. The caller holds mu.
+func (h *Holder) adopt(p *pageState, e external.Entry) error {
+	if p.known && e.Revision < p.revision {
+		return nil
+	}
+	page, err := DecodePage(e.Data)
+	if err != nil {
+		return err
+	}
+	p.raw, p.revision, p.known, p.seen, p.mine = e.Data, e.Revision, true, h.now(), false
+	report, present := page.Holders[h.id]
+	settled := p.settles(e.Revision, report, present)
+	if settled {
+		p.unsure, p.submitted, p.count = -1, false, report.Count
+	}
+	h.observeAll(p, page)
+	for name, a := range h.accounts {
+		if h.pageOf(name) != p {
+			continue
+		}
+		acc := page.Accounts[name]
+		if acc == nil {
+			acc = &Account{}
+		}
+		a.rest, a.free = a.prepaid-acc.Spent(), a.prepaid-acc.Committed()
+		if settled && present {
+			a.confirm(issued{row: acc.Rows[h.id], clock: time.Duration(report.Clock) * time.Millisecond})
+		} else if settled {
+			a.confirm(issued{})
+		}
+	}
+	return nil
+}
+
+// observeAll measures what all holders report on a page. The caller holds mu.
+func (h *Holder) observeAll(p *pageState, page *Page) {
+	h.holders = len(page.Holders)
+	for name, a := range h.accounts {
+		if acc := page.Accounts[name]; acc != nil && h.pageOf(name) == p {
+			h.all.pending += float64(a.observe(acc, h.id))
+		}
+	}
+}
+
+// settles says whether a page at a revision shows what became of all writes of this holder whose outcome is not known. A direct
+// write cannot happen any more once the page has moved on; rows that a leader has can, until a later write of this holder stands.
+func (p *pageState) settles(revision int64, report Report, present bool) bool {
+	if p.submitted {
+		return report.Count > p.count || (p.joined && !present)
+	}
+	return p.unsure >= 0 && revision > p.unsure
+}
+
+func (h *Holder) adoptCurrent(p *pageState, current []external.Entry) error {
+	for _, e := range current {
+		if e.Key == p.key {
+			return h.adopt(p, e)
+		}
+	}
+	p.known = false
+	return nil
+}
--- /dev/null
+++ b/internal/escrow/leave.go
@@ -0,0 +1,60 @@
+package escrow
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/ledgemount/ledgemount/internal/external"
+)
+
+// Leave gives back all that is unspent and takes the holder out of every page. It tries until ctx ends.
+func (h *Holder) Leave(ctx context.Context) error {
+	for _, p := range h.pages {
+		for {
+			err := h.leaveOnce(ctx, p)
+			if err == nil {
+				break
+			}
+			if ctx.Err() != nil {
+				return eris.Wrapf(err, "giving back the escrow on %s", p.key)
+			}
+			if !errors.Is(err, external.ErrConflict) {
+				time.Sleep(h.times.Gap)
+			}
+		}
+	}
+	return nil
+}
+
+func (h *Holder) leaveOnce(ctx context.Context, p *pageState) error {
+	if err := h.load(ctx, p); err != nil {
+		return err
+	}
+	h.mu.Lock()
+	page, err := DecodePage(p.raw)
+	if err != nil {
+		h.mu.Unlock()
+		return err
+	}
+	if _, held := page.Holders[h.id]; !held {
+		h.mu.Unlock()
+		return nil
+	}
+	spent := make(map[string]int64, len(h.accounts))
+	for name, a := range h.accounts {
+		spent[name] = a.used()
+		a.unsure = append(a.unsure, issued{})
+	}
+	page.Leave(h.id, spent)
+	raw, err := page.Encode()
+	p.unsure = p.revision
+	w := write{to: p, raw: raw, page: page, base: p.revision}
+	h.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	return h.write(ctx, []write{w})
+}
--- /dev/null
+++ b/internal/escrow/write.go
@@ -0,0 +1,147 @@
+package escrow
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/ledgemount/ledgemount/internal/external"
+)
+
+// abandon takes back what was prepared and will not be written.
+func (h *Holder) abandon(list []write) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, w := range list {
+		h.undone(w.to, w.rows)
+	}
+}
+
+// write is a page as it is to be written, on the condition that it is still as it was known.
+type write struct {
+	to     *pageState
+	raw    []byte
+	page   *Page             // what raw encodes
+	base   int64             // the revision that it stands on
+	count  int64             // of this holder's writes
+	rows   map[string]issued // this holder's rows in it
+	others []*pending        // rows of others in it
+	folded []Folded
+	// unsettled: it leaves rows of this node's earlier holders
+	unsettled bool
+}
+
+// write writes all pages of a list, or none.
+func (h *Holder) write(ctx context.Context, list []write) error {
+	ctx, cancel := context.WithTimeout(external.WithDuty(ctx, external.DutyDraw), h.times.Call)
+	defer cancel()
+	var c external.Commit
+	for _, w := range list {
+		c.When = append(c.When, external.Condition{Key: w.to.key, Revision: w.base})
+		c.Put = append(c.Put, external.Entry{Key: w.to.key, Data: w.raw})
+	}
+	revision, err := h.store.Commit(ctx, c)
+	return h.outcome(list, revision, err)
+}
+
+// prepare computes the page to be written, and notes its rows as possibly in force.
+func (h *Holder) prepare(p *pageState) (write, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	page, err := DecodePage(p.raw)
+	if err != nil {
+		return write{}, err
+	}
+	report := h.report(h.clock.Now(), page.Holders[h.id].Count+1)
+	var folded []Folded
+	if !p.joined || p.unsettled {
+		folded = page.Fold(h.id, h.start())
+	}
+	page.Holders[h.id] = report
+	rows := make(map[string]issued)
+	for name, a := range h.accounts {
+		if h.pageOf(name) != p || a.prepaid < 0 {
+			continue
+		}
+		acc := page.account(name)
+		row := acc.Grant(h.id, h.need(name, a, len(page.Holders)), a.prepaid)
+		rows[name] = issued{
+			row: row, clock: time.Duration(report.Clock) * time.Millisecond,
+			rest: a.prepaid - acc.Spent(), free: a.prepaid - acc.Committed(),
+		}
+		a.unsure = append(a.unsure, rows[name])
+	}
+	others := h.applyAll(p, page)
+	p.unsure = p.revision
+	raw, err := page.Encode()
+	return write{
+		to: p, raw: raw, page: page, base: p.revision, count: report.Count, rows: rows, others: others, folded: folded,
+		unsettled: page.Unsettled(h.id, h.node),
+	}, err
+}
+
+// outcome takes the store's answer to a write of pages.
+func (h *Holder) outcome(list []write, revision int64, err error) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var conflict *external.ConflictError
+	told := errors.As(err, &conflict)
+	if err == nil || told {
+		h.heard()
+	}
+	for _, w := range list {
+		switch {
+		case err == nil:
+			h.confirmed(w, revision)
+		case told:
+			h.undone(w.to, w.rows)
+			err = errors.Join(err, h.adoptCurrent(w.to, conflict.Current))
+		case errors.Is(err, external.ErrUnavailable):
+			h.undone(w.to, w.rows)
+		}
+	}
+	if err == nil {
+		close(h.changed)
+		h.changed = make(chan struct{})
+	}
+	return err
+}
+
+// confirmed takes a page that this holder has written. The caller holds mu.
+func (h *Holder) confirmed(w write, revision int64) {
+	p := w.to
+	if revision > p.revision {
+		p.raw, p.revision, p.mine = w.raw, revision, true
+		h.observeAll(p, w.page)
+	}
+	p.known, p.unsure, p.joined, p.drawn, p.seen = true, -1, true, h.now(), h.now()
+	p.count, p.submitted, p.unsettled = w.count, false, w.unsettled
+	h.logFolded(w.folded, p.key)
+	for _, x := range w.others {
+		h.logFolded(x.folded, p.key)
+	}
+	p.release(w.others)
+	for name, i := range w.rows {
+		a := h.accounts[name]
+		a.confirm(i)
+		a.rest, a.free = i.rest, i.free
+		if i.row.Granted-i.row.Spent < a.urgent {
+			a.dry = h.now()
+		}
+		a.urgent = 0
+		p.reported[name] = i.row.Spent
+	}
+}
+
+// undone takes back rows that were not written. Earlier writes of unknown outcome stay. The caller holds mu.
+func (h *Holder) undone(p *pageState, rows map[string]issued) {
+	left := false
+	for name := range rows {
+		a := h.accounts[name]
+		a.unsure = a.unsure[:max(0, len(a.unsure)-1)]
+		left = left || len(a.unsure) > 0
+	}
+	if !left {
+		p.unsure = -1
+	}
+}
