fix: settlements that begin while an instance's budget client ends no longer race with its wait for those under way

Cause: TestDemo under the race detector, beside a loaded machine, found it once: Hold.Settle added to a WaitGroup whose counter was zero while Run waited for it. A settlement could also be missed by that wait. Change: whether Run waits already is decided under the client's lock; later settlements are delivered all the same. Test: TestSettleAtTheEnd; the race detector fails it before.

--- a/internal/budget/client.go
+++ b/internal/budget/client.go
@@ -81,6 +81,7 @@
 	sem  chan struct{}
 
 	mu      sync.Mutex
+	ended   bool // Run waits for jobs, or has: later settlements are delivered too, but nobody waits for them
 	holds   map[*Hold]struct{}
 	fenced  map[string]bool
 	confirm map[holderAt][]string
@@ -129,6 +130,9 @@
 // Run implements kernel.Service: it delivers settlements again and learns which have reached the store.
 func (c *Client) Run(ctx context.Context) error {
 	kernel.Every(ctx, clientTick, c.Tick)
+	c.mu.Lock()
+	c.ended = true
+	c.mu.Unlock()
 	c.jobs.Wait()
 	return nil
 }
@@ -340,15 +344,20 @@
 	h.sending = true
 	req := SettleReq{Request: h.request, Budget: h.budget, Run: h.place.Run, Holder: h.holder, Tokens: h.used}
 	addr := h.addr
-	c.mu.Unlock()
-	c.jobs.Go(func() {
+	defer c.mu.Unlock()
+	send := func() {
 		c.sem <- struct{}{}
 		defer func() { <-c.sem }()
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 		defer cancel()
 		_, err := mesh.Call[SettleReq, mesh.Empty](ctx, c.caller, addr, KindSettle, req)
 		c.delivered(h, req, err)
-	})
+	}
+	if c.ended {
+		go send()
+		return
+	}
+	c.jobs.Go(send)
 }
 
 func (c *Client) delivered(h *Hold, req SettleReq, err error) {
--- /dev/null
+++ b/internal/budget/client_test.go
@@ -0,0 +1,30 @@
+package budget
+
+import (
+	"context"
+	"sync"
+	"testing"
+
+	"github.com/ledgemount/ledgemount/internal/mesh"
+	"github.com/ledgemount/ledgemount/internal/mesh/meshtest"
+	"github.com/ledgemount/ledgemount/internal/standin/memstore"
+)
+
+// TestSettleAtTheEnd settles reservations while the client's service ends. The race detector finds a settlement that begins while the
+// service already waits for those under way.
+func TestSettleAtTheEnd(t *testing.T) {
+	const rounds = 50
+	self := mesh.Peer{ID: "a", Zone: "z", Addr: "a:1"}
+	for range rounds {
+		router := mesh.NewRouter()
+		net := meshtest.New()
+		c := NewClient(memstore.New(), pair{self, self}, net.Join(self, router), router)
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = c.Run(ctx) })
+		h := &Hold{c: c, tokens: 1, addr: "gone:1"}
+		wg.Go(cancel)
+		wg.Go(func() { h.Settle(1) })
+		wg.Wait()
+	}
+}
