feat: bytes sent to other instances are logged and counted by what they are for

Change: the line mesh_sent beside store_calls, the counter mesh_sent_bytes_total by kind. Test: TestCallLog.

--- a/internal/mesh/transport.go
+++ b/internal/mesh/transport.go
@@ -64,7 +64,8 @@
 	ctx  context.Context //nolint:containedctx // ends every handler on Close
 	wg   sync.WaitGroup
 
-	sent atomic.Int64
+	sent    atomic.Int64
+	traffic func(kind Kind, bytes int)
 
 	mu     sync.Mutex
 	conns  map[string]*link
@@ -88,6 +89,10 @@
 // WithLogger sets the logger.
 func WithLogger(log zerolog.Logger) Option { return func(t *Transport) { t.log = log } }
 
+// WithTraffic sets what is told of each frame sent, calls and replies alike: its kind and its size in bytes, without the transport's own
+// overhead.
+func WithTraffic(f func(kind Kind, bytes int)) Option { return func(t *Transport) { t.traffic = f } }
+
 // Listen starts listening on the UDP address in self. The TLS configuration must carry a certificate and the fleet's CA.
 func Listen(self Peer, cfg *tls.Config, router *Router, opts ...Option) (*Transport, error) {
 	udpAddr, err := net.ResolveUDPAddr("udp", self.Addr)
@@ -111,6 +116,8 @@
 		ctx:    ctx,
 		quit:   cancel,
 		conns:  make(map[string]*link),
+
+		traffic: func(Kind, int) {},
 	}
 	for _, opt := range opts {
 		opt(t)
@@ -151,9 +158,10 @@
 func (t *Transport) BytesSent() int64 { return t.sent.Load() }
 
 // write sends a frame and counts it.
-func (t *Transport) write(w io.Writer, v any) error {
+func (t *Transport) write(w io.Writer, kind Kind, v any) error {
 	n, err := writeFrame(w, v)
 	t.sent.Add(int64(n))
+	t.traffic(kind, n)
 	return err
 }
 
@@ -227,7 +235,7 @@
 		return
 	}
 	if req.Version != Version {
-		_ = t.write(st, reply{Err: toRemote(eris.Wrapf(ErrVersion, "version %d", req.Version)), End: true})
+		_ = t.write(st, req.Kind, reply{Err: toRemote(eris.Wrapf(ErrVersion, "version %d", req.Version)), End: true})
 		return
 	}
 	if !t.admit(req.From) {
@@ -236,9 +244,9 @@
 	}
 	if t.router.hasStream(req.Kind) {
 		err := t.router.DispatchStream(ctx, req.From, req.Kind, req.Body, func(b []byte) error {
-			return t.write(st, reply{Body: b})
+			return t.write(st, req.Kind, reply{Body: b})
 		})
-		_ = t.write(st, reply{Err: toRemote(err), End: true})
+		_ = t.write(st, req.Kind, reply{Err: toRemote(err), End: true})
 		return
 	}
 	body, err := t.router.Dispatch(ctx, req.From, req.Kind, req.Body)
@@ -246,7 +254,7 @@
 		st.CancelWrite(0)
 		return
 	}
-	_ = t.write(st, reply{Err: toRemote(err), Body: body, End: true})
+	_ = t.write(st, req.Kind, reply{Err: toRemote(err), Body: body, End: true})
 }
 
 // Call implements Caller. A call to this instance's own address stays in the process.
@@ -312,7 +320,7 @@
 		t.drop(addr, conn)
 		return nil, eris.Wrapf(ErrUnreachable, "%s to %s: %v", kind, addr, err)
 	}
-	if err := t.write(st, request{Version: Version, Kind: kind, From: t.self, Body: body}); err != nil {
+	if err := t.write(st, kind, request{Version: Version, Kind: kind, From: t.self, Body: body}); err != nil {
 		t.drop(addr, conn)
 		return nil, eris.Wrapf(ErrNoReply, "%s to %s: %v", kind, addr, err)
 	}
--- a/internal/peers/directory.go
+++ b/internal/peers/directory.go
@@ -59,17 +59,18 @@
 
 // Directory is the service that keeps the records.
 type Directory struct {
-	store  external.KV
-	prefix string
-	self   Record
-	router *mesh.Router
-	times  Times
-	now    func() time.Time
-	log    zerolog.Logger
-	large  int
-	pools  bool
-	open   func() (mesh.Caller, error) // nil: over QUIC
-	caller atomic.Pointer[mesh.Caller]
+	store   external.KV
+	prefix  string
+	self    Record
+	router  *mesh.Router
+	times   Times
+	now     func() time.Time
+	log     zerolog.Logger
+	large   int
+	pools   bool
+	open    func() (mesh.Caller, error) // nil: over QUIC
+	traffic func(mesh.Kind, int)
+	caller  atomic.Pointer[mesh.Caller]
 
 	met chan struct{}
 
@@ -103,6 +104,11 @@
 // WithoutPools makes a directory in which no zone pools its customers' tokens.
 func WithoutPools() Option { return func(d *Directory) { d.pools = false } }
 
+// WithTraffic sets what is told of each message sent to other instances: its kind and its size in bytes.
+func WithTraffic(f func(kind mesh.Kind, bytes int)) Option {
+	return func(d *Directory) { d.traffic = f }
+}
+
 // WithCaller replaces QUIC.
 func WithCaller(c mesh.Caller) Option {
 	return func(d *Directory) { d.open = func() (mesh.Caller, error) { return c, nil } }
@@ -114,7 +120,7 @@
 	d := &Directory{
 		store: store, prefix: prefix, self: self, router: router, times: DefaultTimes(), now: time.Now, log: zerolog.Nop(),
 		large: DefaultLarge, pools: true, records: make(map[string]Record), suspects: make(map[string]*suspicion),
-		met: make(chan struct{}),
+		met: make(chan struct{}), traffic: func(mesh.Kind, int) {},
 	}
 	for _, opt := range opts {
 		opt(d)
@@ -273,7 +279,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return mesh.Listen(d.self.Peer, cfg, d.router, mesh.WithLogger(d.log))
+	return mesh.Listen(d.self.Peer, cfg, d.router, mesh.WithLogger(d.log), mesh.WithTraffic(d.traffic))
 }
 
 func (d *Directory) disconnect() error {
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -9,6 +9,7 @@
 
 	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/kernel"
+	"github.com/ledgemount/ledgemount/internal/mesh"
 )
 
 // callCounts counts calls to the store by what they are for.
@@ -19,6 +20,13 @@
 
 func newCallCounts() *callCounts { return &callCounts{counts: make(map[string]int)} }
 
+// sent counts the bytes of a message to another instance, by its kind.
+func (c *callCounts) sent(kind mesh.Kind, bytes int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts[string(kind)] += bytes
+}
+
 // add counts a call as DUTY_CALL, with _stale for those that a copy was good enough for and _failed for those without an answer.
 func (c *callCounts) add(call external.Call) {
 	name := string(call.Duty) + "_" + call.Name
@@ -42,9 +50,10 @@
 	return out
 }
 
-// callLog is the service that logs how often the store was called, and what for.
+// callLog is the service that logs how often the store was called, and what was sent to other instances, and what for.
 type callLog struct {
 	counts *callCounts
+	sent   *callCounts
 	role   func() Role
 	log    zerolog.Logger
 }
@@ -73,6 +82,9 @@
 // storeCalls is the event of the line that tells of calls to the store.
 const storeCalls = "store_calls"
 
+// meshSent is the event of the line that tells of bytes sent to other instances.
+const meshSent = "mesh_sent"
+
 // callLogEvery bounds the lines that tell of calls.
 const callLogEvery = 5 * time.Second
 
@@ -86,13 +98,17 @@
 }
 
 func (l *callLog) write() {
-	counts := l.counts.take()
+	l.line(storeCalls, "calls", l.counts.take(), "calls to the store, by what they are for")
+	l.line(meshSent, "bytes", l.sent.take(), "bytes sent to other instances, by what they are for")
+}
+
+func (l *callLog) line(event, field string, counts map[string]int, msg string) {
 	if len(counts) == 0 {
 		return
 	}
-	calls := zerolog.Dict()
+	dict := zerolog.Dict()
 	for name, n := range counts {
-		calls = calls.Int(name, n)
+		dict = dict.Int(name, n)
 	}
-	l.log.Info().Str("event", storeCalls).Str("role", string(l.role())).Dict("calls", calls).Msg("calls to the store, by what they are for")
+	l.log.Info().Str("event", event).Str("role", string(l.role())).Dict(field, dict).Msg(msg)
 }
--- a/internal/router/calls_test.go
+++ b/internal/router/calls_test.go
@@ -16,7 +16,7 @@
 func TestCallLog(t *testing.T) {
 	Convey("Calls to the store are logged by what they are for, and only once", t, func() {
 		var out bytes.Buffer
-		l := &callLog{counts: newCallCounts(), role: func() Role { return RoleLeader }, log: zerolog.New(&out)}
+		l := &callLog{counts: newCallCounts(), sent: newCallCounts(), role: func() Role { return RoleLeader }, log: zerolog.New(&out)}
 		kv := memkv.New()
 		store := external.Observe(kv)
 		store.OnCall(l.counts.add)
@@ -29,8 +29,10 @@
 		So(err, ShouldNotBeNil)
 		_, _, err = store.Changes(context.Background(), "a", 0, time.Millisecond)
 		So(err, ShouldBeNil)
+		l.sent.sent("feed.news", 40)
+		l.sent.sent("feed.news", 2)
 		l.write()
-		for _, want := range []string{`"role":"leader"`, `"draw_read":1`, `"draw_list_stale":1`, `"draw_commit_conflict":1`, `"other_changes":1`} {
+		for _, want := range []string{`"role":"leader"`, `"draw_read":1`, `"draw_list_stale":1`, `"draw_commit_conflict":1`, `"other_changes":1`, `"bytes":{"feed.news":42}`} {
 			So(out.String(), ShouldContainSubstring, want)
 		}
 		out.Reset()
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/ledgemount/ledgemount/internal/external"
+	"github.com/ledgemount/ledgemount/internal/mesh"
 	"github.com/ledgemount/ledgemount/internal/observe"
 	"github.com/ledgemount/ledgemount/internal/relay"
 )
@@ -19,6 +20,7 @@
 	total   tally.Histogram
 	store   tally.Histogram
 	calls   *callCounts
+	sent    *callCounts // bytes
 }
 
 func newMeters(set *Settings) *meters {
@@ -28,6 +30,7 @@
 	return &meters{
 		metrics: m,
 		calls:   newCallCounts(),
+		sent:    newCallCounts(),
 		first:   m.Scope().Histogram("relay_first_byte_seconds", buckets),
 		total:   m.Scope().Histogram("relay_request_seconds", buckets),
 		store:   m.Scope().Histogram("store_call_seconds", buckets),
@@ -47,6 +50,12 @@
 	m.calls.add(c)
 }
 
+// sentTo counts a message to another instance.
+func (m *meters) sentTo(kind mesh.Kind, bytes int) {
+	m.metrics.Scope().Tagged(map[string]string{"kind": string(kind)}).Counter("mesh_sent_bytes_total").Inc(int64(bytes))
+	m.sent.sent(kind, bytes)
+}
+
 func (m *meters) handler() http.Handler { return m.metrics.Handler() }
 
 // Close ends the reporting.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -79,7 +79,7 @@
 		Peer:     mesh.Peer{ID: set.Instance.ID, Zone: set.Instance.Zone, Addr: set.Peers.Listen, Inc: id},
 		Capacity: set.Instance.LinkMbps,
 	}
-	r.peers = peers.New(on.Store, set.Store.Prefix, self, links, append(set.peersOptions(), peers.WithLogger(log))...)
+	r.peers = peers.New(on.Store, set.Store.Prefix, self, links, append(set.peersOptions(), peers.WithLogger(log), peers.WithTraffic(r.metrics.sentTo))...)
 	r.clock = fleettime.New(r.peers, set.Instance.ID, links)
 	r.escrow = escrow.New(on.Store, set.Store.Prefix+escrowPrefix, set.Store.pages(), set.Instance.ID, id,
 		escrow.WithLogger(log), escrow.WithPolicy(set.escrowPolicy()), escrow.WithFleet(remote.New(r.peers, r.clock, set.fleetOptions()...)))
@@ -136,7 +136,7 @@
 	if !r.set.without(Loads) {
 		list = append(list, r.load)
 	}
-	list = append(list, r.follow, r.escrow, r.escrow.Repayments(), &sweeper{client: r.client}, &callLog{counts: r.metrics.calls, role: r.role, log: r.log}, r.startWatch(), r.callers, r.probes)
+	list = append(list, r.follow, r.escrow, r.escrow.Repayments(), &sweeper{client: r.client}, &callLog{counts: r.metrics.calls, sent: r.metrics.sent, role: r.role, log: r.log}, r.startWatch(), r.callers, r.probes)
 	if r.figures != nil {
 		list = append(list, r.figures)
 	}
