perf: pages of many holders are compressed, lists of all endpoints are packed once, and zones hold less before their use is measured

Pages repeat each holder's name in each row; after a fault a leader encodes and sends all of 3,000 endpoints to each of 100 instances. Tests: TestPageOfManyHolders, TestFeed (a list of all endpoints); both failed before.

--- a/internal/escrow/page.go
+++ b/internal/escrow/page.go
@@ -6,6 +6,7 @@
 package escrow
 
 import (
+	"bytes"
 	"sort"
 	"time"
 
@@ -74,9 +75,15 @@
 	Holders  map[string]Report   `cbor:"2,keyasint,omitempty"`
 }
 
-// DecodePage reads a page; no bytes are an empty page.
+// DecodePage reads a page, compressed or not; no bytes are an empty page.
 func DecodePage(b []byte) (*Page, error) {
 	p := &Page{}
+	if bytes.HasPrefix(b, gzipMagic) {
+		var err error
+		if b, err = decompress(b); err != nil {
+			return nil, err
+		}
+	}
 	if len(b) > 0 {
 		if err := cbor.Unmarshal(b, p); err != nil {
 			return nil, eris.Wrap(err, "decoding an escrow page")
@@ -91,10 +98,13 @@
 	return p, nil
 }
 
-// Encode writes the page.
+// Encode writes the page. A large one is compressed: names of holders, which are most of it, stand in it many times.
 func (p *Page) Encode() ([]byte, error) {
 	b, err := cbor.Marshal(p)
-	return b, eris.Wrap(err, "encoding an escrow page")
+	if err != nil {
+		return nil, eris.Wrap(err, "encoding an escrow page")
+	}
+	return compress(b)
 }
 
 // account finds or makes a customer's account.
--- a/internal/escrow/page_test.go
+++ b/internal/escrow/page_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -112,3 +113,25 @@
 		So(w.page(north).Accounts[north].Settled, ShouldEqual, 100)
 	})
 }
+
+func TestPageOfManyHolders(t *testing.T) {
+	Convey("A page of many holders is small, and reads as it was written", t, func() {
+		const holders = 300
+		p, _ := DecodePage(nil)
+		for i := range holders {
+			id := fmt.Sprintf("front-zone-%d/01m10wfm0akwscr9rgfzvn%04d", i, i)
+			p.Holders[id] = Report{
+				Node: fmt.Sprintf("front-zone-%d", i), Boot: "0b9c7d4e-5a0e-4a53-9a0e-5f3f8a3c7e11", Clock: int64(1000 * i), Count: int64(i), Wall: 1_700_000_000_000,
+			}
+			p.account("north").Rows[id] = Row{Granted: int64(i), Spent: 1}
+		}
+		raw, err := p.Encode()
+		So(err, ShouldBeNil)
+		So(len(raw), ShouldBeLessThan, 100*holders)
+		read, err := DecodePage(raw)
+		So(err, ShouldBeNil)
+		So(read, ShouldResemble, p)
+		_, err = DecodePage(raw[:len(raw)/2])
+		So(err, ShouldNotBeNil)
+	})
+}
--- a/internal/escrow/sizing.go
+++ b/internal/escrow/sizing.go
@@ -23,7 +23,7 @@
 // DefaultPolicy outlives a cut of ten seconds.
 func DefaultPolicy() Policy {
 	return Policy{
-		Horizon: 10 * time.Second, Reserve: 1.4, Near: 3 * time.Second, Surge: 1.1, Spread: 2, Burst: 1.2, Start: 0.15, Pools: 0.5, Scarce: 0.5,
+		Horizon: 10 * time.Second, Reserve: 1.4, Near: 3 * time.Second, Surge: 1.1, Spread: 2, Burst: 1.2, Start: 0.15, Pools: 0.3, Scarce: 0.5,
 		KeptInCut: 0.5, KeptAtEnd: 0.08,
 	}
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -36,9 +36,12 @@
 	startAgain = 50 * time.Millisecond   // between questions to such a leader
 	restFirst  = time.Second             // after a call to the store that failed, while leaders answer that they do not hear it either
 	restMost   = 4 * time.Second         // the most that this grows to
-	mostConfig = 64 << 20                // bytes of a configuration, unpacked
+	allFor     = 500 * time.Millisecond  // a list of all endpoints is handed out for so long: after a fault many ask at once
 )
 
+// mostUnpacked is the size in bytes up to which a configuration or a list is unpacked.
+const mostUnpacked = 64 << 20
+
 // question is how far the asking instance has followed the store.
 type question struct {
 	At       int64 `cbor:"1,keyasint"`
@@ -55,6 +58,7 @@
 	Endpoints []pool.Endpoint `cbor:"6,keyasint,omitempty"`
 	Gone      []string        `cbor:"7,keyasint,omitempty"`
 	AgeMs     int64           `cbor:"8,keyasint,omitempty"`
+	All       []byte          `cbor:"9,keyasint,omitempty"` // packed []pool.Endpoint: all of them, in place of Endpoints
 }
 
 // Follower is what tells news: follow.Follower.
@@ -74,6 +78,10 @@
 	mu      sync.Mutex
 	version int64
 	packed  []byte // the configuration of that version
+
+	all     []byte // all endpoints, packed, as they were at allAt
+	allAt   int64
+	allMade time.Time
 }
 
 func (s *server) tell(_ context.Context, _ mesh.Peer, q question) (news, error) {
@@ -84,44 +92,73 @@
 	n := news{
 		Known: true, At: u.At, ConfigAt: u.ConfigAt, Whole: u.Whole, Endpoints: u.Endpoints, Gone: u.Gone, AgeMs: u.Age.Milliseconds(),
 	}
-	if u.Config == nil {
-		return n, nil
-	}
 	var err error
-	n.Config, err = s.pack(u.Config)
+	if u.Whole {
+		n.Endpoints = nil
+		if n.All, n.At, err = s.packAll(u, q.At); err != nil {
+			return news{}, err
+		}
+	}
+	if u.Config != nil {
+		n.Config, err = s.packConfig(u.Config)
+	}
 	return n, err
 }
 
-// pack encodes a configuration once for all who ask.
-func (s *server) pack(c *route.Config) ([]byte, error) {
+// packAll encodes all endpoints once for all who ask within allFor, and tells of when they are: what has changed since then is asked for
+// next. A list that is older than what the asking instance knows is of no use to it.
+func (s *server) packAll(u follow.Update, known int64) (all []byte, at int64, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now := time.Now(); s.all == nil || now.Sub(s.allMade) > allFor || s.allAt < known {
+		if s.all, err = pack(u.Endpoints); err != nil {
+			return nil, 0, err
+		}
+		s.allAt, s.allMade = u.At, now
+	}
+	return s.all, s.allAt, nil
+}
+
+// packConfig encodes a configuration once for all who ask.
+func (s *server) packConfig(c *route.Config) ([]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.version == c.Version {
 		return s.packed, nil
 	}
+	packed, err := pack(c)
+	if err != nil {
+		return nil, err
+	}
+	s.version, s.packed = c.Version, packed
+	return packed, nil
+}
+
+// pack encodes and compresses what goes to many instances.
+func pack(v any) ([]byte, error) {
 	var b bytes.Buffer
 	z := gzip.NewWriter(&b)
-	if err := cbor.NewEncoder(z).Encode(c); err != nil {
-		return nil, eris.Wrap(err, "encoding the configuration")
+	if err := cbor.NewEncoder(z).Encode(v); err != nil {
+		return nil, eris.Wrap(err, "encoding news")
 	}
 	if err := z.Close(); err != nil {
-		return nil, eris.Wrap(err, "packing the configuration")
+		return nil, eris.Wrap(err, "packing news")
 	}
-	s.version, s.packed = c.Version, b.Bytes()
-	return s.packed, nil
+	return b.Bytes(), nil
 }
 
-func unpack(b []byte) (*route.Config, error) {
+// unpack undoes pack.
+func unpack[T any](b []byte) (T, error) {
+	var v T
 	z, err := gzip.NewReader(bytes.NewReader(b))
 	if err != nil {
-		return nil, eris.Wrap(err, "unpacking the configuration")
+		return v, eris.Wrap(err, "unpacking news")
 	}
-	raw, err := io.ReadAll(io.LimitReader(z, mostConfig))
+	raw, err := io.ReadAll(io.LimitReader(z, mostUnpacked))
 	if err != nil {
-		return nil, eris.Wrap(err, "unpacking the configuration")
+		return v, eris.Wrap(err, "unpacking news")
 	}
-	var c route.Config
-	return &c, eris.Wrap(cbor.Unmarshal(raw, &c), "decoding the configuration")
+	return v, eris.Wrap(cbor.Unmarshal(raw, &v), "decoding news")
 }
 
 // Source is a follow.Source that asks the zone's leaders first; a zone's leader asks the one that reads the store for all zones.
@@ -262,8 +299,13 @@
 	u := follow.Update{
 		At: n.At, ConfigAt: n.ConfigAt, Whole: n.Whole, Endpoints: n.Endpoints, Gone: n.Gone, Events: 1, Peer: true, Age: age,
 	}
+	if len(n.All) > 0 {
+		if u.Endpoints, err = unpack[[]pool.Endpoint](n.All); err != nil {
+			return follow.Update{}, err
+		}
+	}
 	if len(n.Config) > 0 {
-		u.Config, err = unpack(n.Config)
+		u.Config, err = unpack[*route.Config](n.Config)
 	}
 	return u, err
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -231,8 +231,35 @@
 		So(b.member.follower.Table().Version(), ShouldEqual, 4)
 	})
 
+	Convey("A list of all endpoints is packed once for many who ask, and what has changed since is told next", t, func() {
+		b := newBed(ctx)
+		b.lead.store.update = follow.Update{Config: config(3), ConfigAt: 7, At: 9, Events: 1, Endpoints: []pool.Endpoint{endpoint("e-1")}}
+		So(b.lead.follower.Step(ctx), ShouldBeNil)
+		s := &server{follower: b.lead.follower}
+		first, err := s.tell(ctx, mesh.Peer{}, question{})
+		So(err, ShouldBeNil)
+		b.lead.store.update = follow.Update{At: 12, ConfigAt: 7, Events: 1, Endpoints: []pool.Endpoint{endpoint("e-2")}}
+		So(b.lead.follower.Step(ctx), ShouldBeNil)
+		second, err := s.tell(ctx, mesh.Peer{}, question{})
+		So(err, ShouldBeNil)
+		So(&second.All[0], ShouldEqual, &first.All[0])
+		So(second.At, ShouldEqual, 9)
+		next, err := s.tell(ctx, mesh.Peer{}, question{At: second.At, ConfigAt: second.ConfigAt})
+		So(err, ShouldBeNil)
+		So(next.Whole, ShouldBeFalse)
+		So(next.Endpoints, ShouldResemble, []pool.Endpoint{endpoint("e-2")})
+
+		Convey("but not for one that knows more than the list says", func() {
+			b.lead.store.update = follow.Update{At: 20, ConfigAt: 7, Events: 1, Endpoints: []pool.Endpoint{endpoint("e-3")}}
+			So(b.lead.follower.Step(ctx), ShouldBeNil)
+			_, at, err := s.packAll(follow.Update{At: 20, Endpoints: []pool.Endpoint{endpoint("e-3")}}, 12)
+			So(err, ShouldBeNil)
+			So(at, ShouldEqual, 20)
+		})
+	})
+
 	Convey("A packed configuration that is torn is an error", t, func() {
-		_, err := unpack([]byte("torn"))
+		_, err := unpack[*route.Config]([]byte("torn"))
 		So(err, ShouldNotBeNil)
 	})
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -12,12 +12,12 @@
 
 // Endpoint is what an endpoint says of itself.
 type Endpoint struct {
-	ID       string
-	Service  string
-	Addr     string
-	Zone     string
-	Slots    int
-	Draining bool // takes no new work
+	ID       string `cbor:"1,keyasint"`
+	Service  string `cbor:"2,keyasint"`
+	Addr     string `cbor:"3,keyasint"`
+	Zone     string `cbor:"4,keyasint"`
+	Slots    int    `cbor:"5,keyasint"`
+	Draining bool   `cbor:"6,keyasint,omitempty"` // takes no new work
 }
 
 // Policy holds the figures by which endpoints are judged.
