perf: a leader whose word is too old to be taken sends nothing else

Cause: in a cut each instance asks three leaders in turn; each sent lists and configurations that were dropped for their age. Change: such an answer holds the age only. Test: TestFeed.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -89,6 +89,9 @@
 	if !ok {
 		return news{}, nil
 	}
+	if u.Age > mostAge {
+		return news{Known: true, AgeMs: u.Age.Milliseconds()}, nil // too old for whoever asks
+	}
 	n := news{
 		Known: true, At: u.At, ConfigAt: u.ConfigAt, Whole: u.Whole, Endpoints: u.Endpoints, Gone: u.Gone, AgeMs: u.Age.Milliseconds(),
 	}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -249,6 +249,13 @@
 		So(next.Whole, ShouldBeFalse)
 		So(next.Endpoints, ShouldResemble, []pool.Endpoint{endpoint("e-2")})
 
+		Convey("but nothing is sent once it is too old to be taken", func() {
+			b.at = b.at.Add(mostAge + time.Millisecond)
+			old, err := s.tell(ctx, mesh.Peer{}, question{})
+			So(err, ShouldBeNil)
+			So(old, ShouldResemble, news{Known: true, AgeMs: (mostAge + time.Millisecond).Milliseconds()})
+		})
+
 		Convey("but not for one that knows more than the list says", func() {
 			b.lead.store.update = follow.Update{At: 20, ConfigAt: 7, Events: 1, Endpoints: []pool.Endpoint{endpoint("e-3")}}
 			So(b.lead.follower.Step(ctx), ShouldBeNil)
