--- a/internal/peers/directory.go
+++ b/internal/peers/directory.go
@@ -160,6 +160,7 @@
 // had time to start.
 func (d *Directory) Met() <-chan struct{} { return d.met }
 
+// meet closes Met if the fleet is known by now.
 func (d *Directory) meet() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
