feat: availability zones that are evacuated, endpoints that are cold, and regions bound where requests go

Change: internal/evacuation keeps the last order of each zone by its revision; it is read at the start, by changes, by reads of everything, and told by leaders. An evacuated zone's endpoints get no new work, not even as a last resort. internal/slowstart divides what a cold endpoint may get among owners that all instances find alone; a zone that is given back counts as cold. Two ways: owners send their share at once, or cold endpoints get work only where no other is sound.

--- /dev/null
+++ b/internal/evacuation/evacuation_test.go
@@ -0,0 +1,48 @@
+package evacuation
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestState(t *testing.T) {
+	Convey("Orders to evacuate availability zones", t, func() {
+		var s State
+		So(s.Apply(Order{Zone: "b", On: true, Revision: 10}), ShouldBeTrue)
+		So(s.Zones(), ShouldResemble, []string{"b"})
+
+		Convey("hold until they are taken back", func() {
+			So(s.Apply(Order{Zone: "b", Revision: 12}), ShouldBeTrue)
+			So(s.Zones(), ShouldBeEmpty)
+		})
+
+		Convey("are not undone by what is told late or twice", func() {
+			So(s.Apply(Order{Zone: "b", Revision: 9}), ShouldBeFalse)
+			So(s.Apply(Order{Zone: "b", On: true, Revision: 10}), ShouldBeFalse)
+			So(s.Replace(Set{At: 9}), ShouldBeEmpty)
+			So(s.Zones(), ShouldResemble, []string{"b"})
+		})
+
+		Convey("are replaced by a newer set of all", func() {
+			So(s.Replace(Set{At: 20, Zones: []string{"c", "a"}}), ShouldResemble, []Order{
+				{Zone: "a", On: true, Revision: 20},
+				{Zone: "c", On: true, Revision: 20},
+				{Zone: "b", Revision: 20},
+			})
+			So(s.Zones(), ShouldResemble, []string{"a", "c"})
+
+			Convey("after which older orders of any zone count for nothing", func() {
+				So(s.Apply(Order{Zone: "d", On: true, Revision: 19}), ShouldBeFalse)
+				So(s.Replace(Set{At: 19, Zones: []string{"b"}}), ShouldBeEmpty)
+				So(s.Zones(), ShouldResemble, []string{"a", "c"})
+			})
+		})
+
+		Convey("that are newer than a set hold", func() {
+			So(s.Apply(Order{Zone: "c", On: true, Revision: 30}), ShouldBeTrue)
+			So(s.Replace(Set{At: 20, Zones: []string{"b"}}), ShouldBeEmpty)
+			So(s.Zones(), ShouldResemble, []string{"b", "c"})
+		})
+	})
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -15,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/ledgemount/ledgemount/internal/evacuation"
 	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/follow"
 	"github.com/ledgemount/ledgemount/internal/mesh"
@@ -59,6 +60,9 @@
 	Gone      []string        `cbor:"7,keyasint,omitempty"`
 	AgeMs     int64           `cbor:"8,keyasint,omitempty"`
 	All       []byte          `cbor:"9,keyasint,omitempty"` // packed []pool.Endpoint: all of them, in place of Endpoints
+	// Evacuated are all availability zones that are evacuated as of OperatorAt
+	OperatorAt int64    `cbor:"10,keyasint,omitempty"`
+	Evacuated  []string `cbor:"11,keyasint,omitempty"`
 }
 
 // Follower is what tells news: follow.Follower.
@@ -94,6 +98,7 @@
 	}
 	n := news{
 		Known: true, At: u.At, ConfigAt: u.ConfigAt, Whole: u.Whole, Endpoints: u.Endpoints, Gone: u.Gone, AgeMs: u.Age.Milliseconds(),
+		OperatorAt: u.OperatorAt, Evacuated: u.Evacuated.Zones,
 	}
 	var err error
 	if u.Whole {
@@ -301,6 +306,7 @@
 	}
 	u := follow.Update{
 		At: n.At, ConfigAt: n.ConfigAt, Whole: n.Whole, Endpoints: n.Endpoints, Gone: n.Gone, Events: 1, Peer: true, Age: age,
+		OperatorAt: n.OperatorAt, Evacuated: &evacuation.Set{At: n.OperatorAt, Zones: n.Evacuated},
 	}
 	if len(n.All) > 0 {
 		if u.Endpoints, err = unpack[[]pool.Endpoint](n.All); err != nil {
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/ledgemount/ledgemount/internal/evacuation"
 	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/follow"
 	"github.com/ledgemount/ledgemount/internal/mesh"
@@ -132,6 +133,27 @@
 			})
 		})
 
+		Convey("keeps work off an availability zone of which only the leader has heard that it is evacuated", func() {
+			b.lead.store.update = follow.Update{At: 12, OperatorAt: 12, Events: 1, Evacuations: []evacuation.Order{{Zone: "a", On: true, Revision: 12}}}
+			So(b.lead.follower.Step(ctx), ShouldBeNil)
+			So(b.member.follower.Step(ctx), ShouldBeNil)
+			So(b.member.store.calls, ShouldEqual, 0)
+			So(b.member.pool.Pick(pool.Query{Service: "models"}), ShouldBeNil)
+
+			Convey("also where the store is away then, and until the leader tells that it was taken back", func() {
+				b.member.store.err = errDown
+				b.net.SetDown("lead:1", true)
+				So(b.member.follower.Step(ctx), ShouldNotBeNil)
+				So(b.member.pool.Pick(pool.Query{Service: "models"}), ShouldBeNil)
+				b.net.SetDown("lead:1", false)
+				b.at = b.at.Add(800 * time.Millisecond)
+				b.lead.store.update = follow.Update{At: 15, OperatorAt: 15, Events: 1, Evacuations: []evacuation.Order{{Zone: "a", Revision: 15}}}
+				So(b.lead.follower.Step(ctx), ShouldBeNil)
+				So(b.member.follower.Step(ctx), ShouldBeNil)
+				So(b.member.pool.Pick(pool.Query{Service: "models"}), ShouldNotBeNil)
+			})
+		})
+
 		Convey("asks the store where the leader has not heard it lately", func() {
 			b.lead.store.err = errDown
 			b.at = b.at.Add(mostAge + time.Millisecond)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"github.com/ledgemount/ledgemount/internal/evacuation"
 	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/pool"
 	"github.com/ledgemount/ledgemount/internal/route"
@@ -30,10 +31,14 @@
 	Bad       []error          // records that could not be read; the others hold
 	At        int64            // the revision to go on from
 	ConfigAt  int64            // the revision of the configuration that was read last; 0: none was
-	Events    int              // changes that the store told, of whatever kind
-	Whole     bool             // Endpoints is all of them, though changes were asked for
-	Peer      bool             // it comes from another instance, which follows the store
-	Age       time.Duration    // since that instance heard the store
+	// OperatorAt is the revision up to which all is known that the operator writes; 0: that was not read
+	OperatorAt  int64
+	Evacuations []evacuation.Order // those that have changed
+	Evacuated   *evacuation.Set    // all that hold; nil: not told
+	Events      int                // changes that the store told, of whatever kind
+	Whole       bool               // Endpoints is all of them, though changes were asked for
+	Peer        bool               // it comes from another instance, which follows the store
+	Age         time.Duration      // since that instance heard the store
 }
 
 // Source reads the store in the product's terms.
@@ -47,8 +52,9 @@
 
 // Cursor is how far the store has been read, in its revisions.
 type Cursor struct {
-	At       int64 // of the last change that was told
-	ConfigAt int64 // of the last configuration
+	At         int64 // of the last change that was told
+	ConfigAt   int64 // of the last configuration
+	OperatorAt int64 // of the last change of what the operator writes
 }
 
 // Times are a follower's intervals.
@@ -239,10 +245,12 @@
 	}
 	f.since.At = max(f.since.At, u.At)
 	f.since.ConfigAt = max(f.since.ConfigAt, u.ConfigAt)
+	f.since.OperatorAt = max(f.since.OperatorAt, u.OperatorAt)
 	if u.Config != nil {
 		f.take(*u.Config)
 	}
 	f.history.add(u, whole, f.since, f.now().Add(-u.Age))
+	f.evacuate(u)
 	if whole {
 		came, went := f.pool.Replace(u.Endpoints)
 		f.logEndpoints("endpoints_read", came, went, u.At)
@@ -254,6 +262,22 @@
 	}
 }
 
+// evacuate puts the operator's orders to evacuate availability zones in force.
+func (f *Follower) evacuate(u Update) {
+	changed, zones := f.history.evacuate(u)
+	if len(changed) == 0 {
+		return
+	}
+	f.pool.SetEvacuated(zones)
+	for _, o := range changed {
+		event, msg := "zone_returned", "an availability zone's endpoints get work again"
+		if o.On {
+			event, msg = "zone_evacuated", "an availability zone's endpoints get no new work"
+		}
+		f.log.Info().Str("event", event).Str("zone", o.Zone).Int64("revision", o.Revision).Bool("told", u.Peer).Msg(msg)
+	}
+}
+
 func (f *Follower) applyEndpoints(u Update) {
 	for _, e := range u.Endpoints {
 		if f.pool.Put(e) {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/ledgemount/ledgemount/internal/evacuation"
 	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/pool"
 	"github.com/ledgemount/ledgemount/internal/route"
@@ -57,6 +58,76 @@
 			So(f.Table().Version(), ShouldEqual, 5)
 		})
 
+		Convey("keeps work off an availability zone that the operator evacuates, and tells others so", func() {
+			takes := func() bool {
+				lease := p.Pick(pool.Query{Service: "s"})
+				if lease != nil {
+					lease.Done(pool.EndNeutral)
+				}
+				return lease != nil
+			}
+			src.whole.Endpoints[0].Zone = "far"
+			src.change = Update{At: 12, Events: 1, Endpoints: src.whole.Endpoints}
+			So(step(), ShouldBeNil)
+			So(takes(), ShouldBeTrue)
+			evacuated := Update{At: 14, OperatorAt: 14, Events: 1, Evacuations: []evacuation.Order{{Zone: "far", On: true, Revision: 14}}}
+			src.change = evacuated
+			So(step(), ShouldBeNil)
+			So(takes(), ShouldBeFalse)
+			u, ok := f.News(Cursor{})
+			So(ok, ShouldBeTrue)
+			So(*u.Evacuated, ShouldResemble, evacuation.Set{At: 14, Zones: []string{"far"}})
+
+			Convey("while the store is away", func() {
+				src.err = errors.New("no answer")
+				now = now.Add(time.Minute)
+				So(step(), ShouldNotBeNil)
+				So(takes(), ShouldBeFalse)
+			})
+
+			Convey("until that is taken back, which what is told late does not undo", func() {
+				src.change = Update{At: 20, OperatorAt: 20, Events: 1, Evacuations: []evacuation.Order{{Zone: "far", Revision: 20}}}
+				So(step(), ShouldBeNil)
+				So(takes(), ShouldBeTrue)
+				src.change = evacuated
+				So(step(), ShouldBeNil)
+				So(takes(), ShouldBeTrue)
+				So(f.since.OperatorAt, ShouldEqual, 20)
+			})
+
+			Convey("and learns that it was taken back from a read of everything, when history is gone", func() {
+				src.err = external.ErrHistoryGone
+				So(step(), ShouldNotBeNil)
+				src.err = nil
+				src.whole.At, src.whole.OperatorAt, src.whole.Evacuated = 30, 30, &evacuation.Set{At: 30}
+				f.deaf = true
+				So(step(), ShouldBeNil)
+				So(takes(), ShouldBeTrue)
+			})
+		})
+
+		Convey("does not tell others of an endpoint that is only a little less cold than before", func() {
+			cold := func(d time.Duration) {
+				src.change.Endpoints = []pool.Endpoint{{ID: "a", Service: "s", Addr: "1:1", Cold: d}}
+			}
+			told := func(since int64) int {
+				u, _ := f.News(Cursor{At: since})
+				return len(u.Endpoints)
+			}
+			src.change = Update{At: 12, Events: 1}
+			cold(3 * time.Second)
+			So(step(), ShouldBeNil)
+			So(told(10), ShouldEqual, 1)
+			src.change.At = 14
+			cold(2 * time.Second)
+			So(step(), ShouldBeNil)
+			So(told(12), ShouldEqual, 0)
+			src.change.At = 16
+			cold(0)
+			So(step(), ShouldBeNil)
+			So(told(14), ShouldEqual, 1)
+		})
+
 		Convey("reads everything when history is gone", func() {
 			src.err = external.ErrHistoryGone
 			So(step(), ShouldNotBeNil)
--- a/internal/follow/history.go
+++ b/internal/follow/history.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/ledgemount/ledgemount/internal/evacuation"
 	"github.com/ledgemount/ledgemount/internal/pool"
 	"github.com/ledgemount/ledgemount/internal/route"
 )
@@ -28,6 +29,7 @@
 	batches   []batch
 	endpoints map[string]pool.Endpoint
 	config    *route.Config
+	evacuated evacuation.State
 	heard     time.Time // when all this was the newest
 }
 
@@ -49,10 +51,10 @@
 	}
 	b := batch{at: at.At, gone: u.Gone}
 	for _, e := range u.Endpoints {
-		if h.endpoints[e.ID] != e {
+		if before, there := h.endpoints[e.ID]; !there || before.Tells(e) {
 			b.endpoints = append(b.endpoints, e)
-			h.endpoints[e.ID] = e
 		}
+		h.endpoints[e.ID] = e
 	}
 	for _, id := range u.Gone {
 		delete(h.endpoints, id)
@@ -63,6 +65,21 @@
 	}
 }
 
+// evacuate takes the operator's orders of an update. It returns those that change what holds, and all zones that are evacuated then.
+func (h *history) evacuate(u Update) (changed []evacuation.Order, zones []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if u.Evacuated != nil {
+		changed = h.evacuated.Replace(*u.Evacuated)
+	}
+	for _, o := range u.Evacuations {
+		if h.evacuated.Apply(o) {
+			changed = append(changed, o)
+		}
+	}
+	return changed, h.evacuated.Zones()
+}
+
 // replace takes a list of all endpoints. The caller holds mu.
 func (h *history) replace(list []pool.Endpoint, at Cursor) {
 	clear(h.endpoints)
@@ -89,7 +106,10 @@
 	if h.config == nil {
 		return Update{}, false
 	}
-	u = Update{At: max(since.At, h.at.At), ConfigAt: max(since.ConfigAt, h.at.ConfigAt), Peer: true, Age: f.now().Sub(h.heard)}
+	u = Update{
+		At: max(since.At, h.at.At), ConfigAt: max(since.ConfigAt, h.at.ConfigAt), OperatorAt: h.at.OperatorAt, Peer: true,
+		Evacuated: &evacuation.Set{At: h.at.OperatorAt, Zones: h.evacuated.Zones()}, Age: f.now().Sub(h.heard),
+	}
 	if since.ConfigAt < h.at.ConfigAt {
 		u.Config = h.config
 	}
--- a/internal/peers/rank.go
+++ b/internal/peers/rank.go
@@ -58,6 +58,29 @@
 	}
 }
 
+// Known says whether the other instances are known as well as they soon will be.
+func (d *Directory) Known() bool {
+	select {
+	case <-d.met:
+		return true
+	default:
+		return false
+	}
+}
+
+// Owns says whether this instance is one of the first in the order of all instances for a key, by rendezvous hashing. Instances with
+// other records may come to another order: callers must leave room for that.
+func (d *Directory) Owns(key string, first int) bool {
+	d.mu.Lock()
+	list := make([]mesh.Peer, 0, len(d.records))
+	for _, r := range d.records {
+		list = append(list, r.Peer)
+	}
+	d.mu.Unlock()
+	ranked := member.Rank(key, list)
+	return slices.ContainsFunc(ranked[:min(first, len(ranked))], func(p mesh.Peer) bool { return p.ID == d.self.Peer.ID })
+}
+
 // wholeFleet is the key by which the instances of all zones are ranked.
 const wholeFleet = "fleet"
 
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,6 +16,7 @@
 	Target   time.Duration   // within which the first event is wanted; 0: not known
 	Gap      time.Duration   // the longest that the answer's stream may rest; 0: not known
 	Tried    map[string]bool // endpoints that have had the request
+	Regions  []string        // in which it may run; nil: in all
 }
 
 // Reason says why an endpoint was picked, for logs.
@@ -34,6 +36,7 @@
 	member *member
 	at     Endpoint // as it was when it was picked; its record may change meanwhile
 	reason Reason
+	kept   Kept
 	ended  bool
 	// patience is how long the first word of the answer may take before something is wrong
 	patience time.Duration
@@ -45,6 +48,9 @@
 // Reason says why it was picked.
 func (s *Lease) Reason() Reason { return s.reason }
 
+// Kept says why the endpoint that the request's affinity names first was passed over, if it gets no work now.
+func (s *Lease) Kept() Kept { return s.kept }
+
 // Pick chooses an endpoint and counts the request as open there. It returns nil if none takes work or all have been tried.
 func (l *Pool) Pick(q Query) *Lease {
 	now := l.now()
@@ -58,6 +64,7 @@
 		m.asked = now
 	}
 	l.probe(m, now)
+	l.sendsCold(m, now)
 	patience := l.patience(q)
 	if m.open == 0 {
 		m.patience = 0
@@ -67,21 +74,13 @@
 	if q.Prompt > 0 {
 		m.harm.add(now, pauseChance(l.reading(q), q.gap()))
 	}
-	return &Lease{pool: l, member: m, at: m.Endpoint, reason: reason, patience: patience}
+	return &Lease{pool: l, member: m, at: m.Endpoint, reason: reason, kept: l.keptFirst(q), patience: patience}
 }
 
 // choose picks among the sound endpoints. If none is sound the fault may be on this side, so it picks among all.
 func (l *Pool) choose(q Query, now time.Time) (*member, Reason) {
 	members := l.services[q.Service]
-	sound, open := 0, 0
-	for _, m := range members {
-		m.candidate = l.takes(m, q)
-		m.good = m.candidate && l.sound(m, now)
-		if m.good {
-			sound++
-			open += m.open
-		}
-	}
+	sound, open := l.judge(members, q, now)
 	if sound == 0 {
 		return l.leastLoaded(members, q, func(m *member) bool { return m.candidate }), ReasonLast
 	}
@@ -95,8 +94,56 @@
 	return l.affine(members, q, bound)
 }
 
+// judge finds out which endpoints may be sent the request and which of these are sound; it returns how many are, and what is open there.
+// Cold ones get work only where no other is sound.
+func (l *Pool) judge(members []*member, q Query, now time.Time) (sound, open int) {
+	warm := 0
+	l.keeping = false
+	for _, m := range members {
+		m.kept = l.keeps(m, now)
+		l.keeping = l.keeping || m.kept != KeptNot
+		m.candidate = m.kept == KeptNot && l.takes(m, q)
+		m.good = m.candidate && l.sound(m, now)
+		if m.good && !l.cold(m, now) {
+			warm++
+		}
+	}
+	for _, m := range members {
+		if m.good && warm > 0 && l.policy.ColdLast && l.cold(m, now) {
+			m.good, m.kept, l.keeping = false, KeptCold, true
+		}
+		if m.good {
+			sound++
+			open += m.open
+		}
+	}
+	return sound, open
+}
+
+// keptFirst says why the first endpoint in the order of a request's affinity gets no work. It tells of the last judgement.
+func (l *Pool) keptFirst(q Query) Kept {
+	if !l.keeping {
+		return KeptNot
+	}
+	key := xxhash.Sum64String(q.Affinity)
+	var first *member
+	var firstOrder uint64
+	for _, m := range l.services[q.Service] {
+		if order := m.order(key); !m.Draining && (first == nil || order > firstOrder) {
+			first, firstOrder = m, order
+		}
+	}
+	if first == nil {
+		return KeptNot
+	}
+	return first.kept
+}
+
 // takes says whether an endpoint may be sent the request at all.
 func (l *Pool) takes(m *member, q Query) bool {
+	if q.Regions != nil && !slices.Contains(q.Regions, l.regions[m.Zone]) {
+		return false
+	}
 	return !m.Draining && !q.Tried[m.ID] && (m.Slots <= 0 || m.open < m.Slots)
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/ledgemount/ledgemount/internal/slowstart"
 )
 
 // Endpoint is what an endpoint says of itself.
@@ -18,6 +20,18 @@
 	Zone     string `cbor:"4,keyasint"`
 	Slots    int    `cbor:"5,keyasint"`
 	Draining bool   `cbor:"6,keyasint,omitempty"` // takes no new work
+	// Cold is how much longer it was slow from its start, or from losing what it kept, when it said so
+	Cold time.Duration `cbor:"7,keyasint,omitempty"`
+}
+
+// Tells says whether what an endpoint says of itself now is news to an instance that knows the earlier word. That it is a little less cold
+// than before is not.
+func (e Endpoint) Tells(now Endpoint) bool {
+	if (e.Cold > 0) != (now.Cold > 0) || now.Cold > e.Cold {
+		return true
+	}
+	now.Cold = e.Cold
+	return e != now
 }
 
 // Policy holds the figures by which endpoints are judged.
@@ -30,13 +44,14 @@
 	SlackRoom   int           // requests that it may have beyond that
 	OwnZoneHelp float64       // load, in requests, that another zone's endpoint must be better by
 	ErrorShare  float64       // failures among the last answers at which an endpoint is avoided
+	ColdLast    bool          // cold endpoints get work only where no other is sound
 }
 
 // DefaultPolicy suits endpoints that answer within a second.
 func DefaultPolicy() Policy {
 	return Policy{
 		Silence: 700 * time.Millisecond, Patience: 4, FirstPause: 400 * time.Millisecond, LongPause: 4 * time.Second,
-		Slack: 1.5, SlackRoom: 3, OwnZoneHelp: 0.5, ErrorShare: 0.35,
+		Slack: 1.5, SlackRoom: 3, OwnZoneHelp: 0.5, ErrorShare: 0.35, ColdLast: true,
 	}
 }
 
@@ -56,8 +71,10 @@
 	errorsAt  time.Time
 	busyTil   time.Time
 	hash      uint64 // of the ID
-	candidate bool   // within one pick: it may be sent the request
-	good      bool   // within one pick: and nothing speaks against it
+	warming   warming
+	kept      Kept // within one pick: why it gets no work, whatever the request
+	candidate bool // within one pick: it may be sent the request
+	good      bool // within one pick: and nothing speaks against it
 }
 
 // Pool is the directory of endpoints. All its methods may be called at once.
@@ -74,6 +91,13 @@
 	others   Loads // what other instances have under way; nil: never told
 	othersAt time.Time
 	speeds   map[string]*speed // by service
+
+	evacuated  map[string]bool // availability zones
+	keeping    bool            // within one pick: work is kept off some endpoint
+	warmups    map[string]slowstart.Warmup
+	owners     Owners
+	coldBounds slowstart.Bounds
+	regions    map[string]string // by availability zone
 }
 
 // Option changes a Pool.
@@ -85,6 +109,9 @@
 // WithNow replaces the clock.
 func WithNow(now func() time.Time) Option { return func(l *Pool) { l.now = now } }
 
+// WithRegions tells the region of each availability zone.
+func WithRegions(byZone map[string]string) Option { return func(l *Pool) { l.regions = byZone } }
+
 // OnGone sets what is called with the address of an endpoint that is not there any more.
 func OnGone(f func(addr string)) Option { return func(l *Pool) { l.gone = f } }
 
@@ -94,7 +121,7 @@
 		zone: zone, policy: DefaultPolicy(), now: time.Now,
 		services: make(map[string][]*member), byID: make(map[string]*member),
 		zones: make(map[string]*zoneHealth), gone: func(string) {},
-		speeds: make(map[string]*speed),
+		speeds: make(map[string]*speed), owners: alone{},
 	}
 	for _, opt := range opts {
 		opt(l)
@@ -134,12 +161,14 @@
 	if m != nil && m.Service == e.Service && m.Addr == e.Addr {
 		changed := m.Draining != e.Draining
 		m.Endpoint = e
+		l.cool(m, l.now(), e.Cold)
 		return changed
 	}
 	if m != nil {
 		l.remove(e.ID)
 	}
 	m = &member{Endpoint: e, heard: l.now(), hash: xxhash.Sum64String(e.ID)}
+	l.cool(m, l.now(), e.Cold)
 	l.byID[e.ID] = m
 	l.services[e.Service] = append(l.services[e.Service], m)
 	return true
--- /dev/null
+++ b/internal/pool/warm_test.go
@@ -0,0 +1,211 @@
+package pool
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	membership "github.com/ledgemount/ledgemount/internal/member"
+	"github.com/ledgemount/ledgemount/internal/mesh"
+	"github.com/ledgemount/ledgemount/internal/slowstart"
+)
+
+func TestEvacuated(t *testing.T) {
+	Convey("Endpoints of an availability zone that is evacuated", t, func() {
+		clock := &testClock{at: time.Unix(1000, 0)}
+		p := newPool(clock, 2) // of zone a
+		p.Put(Endpoint{ID: "far", Service: "models", Addr: "10.1.0.1:80", Zone: "b", Slots: 8})
+		p.SetEvacuated([]string{"a"})
+
+		Convey("get no new work, whatever the affinity", func() {
+			for i := range 8 {
+				lease := p.Pick(Query{Service: "models", Affinity: fmt.Sprint("topic-", i)})
+				So(lease.Endpoint().ID, ShouldEqual, "far")
+				lease.Done(EndGood)
+			}
+		})
+
+		Convey("get none as a last resort either: not where all others are unsound, nor where all have had the request", func() {
+			for range 6 {
+				p.Pick(Query{Service: "models"}).Done(EndBroken)
+			}
+			So(p.Pick(Query{Service: "models"}).Endpoint().ID, ShouldEqual, "far")
+			So(p.Pick(Query{Service: "models", Tried: map[string]bool{"far": true}}), ShouldBeNil)
+		})
+
+		Convey("are the reason that a pick tells where affinity names one of them first", func() {
+			kept := make(map[Kept]int)
+			for i := range 32 {
+				lease := p.Pick(Query{Service: "models", Affinity: fmt.Sprint("topic-", i)})
+				kept[lease.Kept()]++
+				lease.Done(EndGood)
+			}
+			So(kept[KeptEvacuated], ShouldBeGreaterThan, 8)
+			So(kept[KeptNot], ShouldBeGreaterThan, 2)
+		})
+
+		Convey("get work again once that is taken back", func() {
+			p.SetEvacuated(nil)
+			seen := make(map[string]int)
+			for i := range 32 {
+				lease := p.Pick(Query{Service: "models", Affinity: fmt.Sprint("topic-", i)})
+				seen[lease.Endpoint().ID]++
+				lease.Done(EndGood)
+			}
+			So(len(seen), ShouldEqual, 3)
+		})
+	})
+}
+
+func TestRegions(t *testing.T) {
+	Convey("A request that may run in some regions only is sent to no endpoint of another", t, func() {
+		clock := &testClock{at: time.Unix(1000, 0)}
+		p := New("a", WithNow(clock.now), WithRegions(map[string]string{"a": "north", "b": "south"}))
+		for _, zone := range []string{"a", "b", "c"} {
+			p.Put(Endpoint{ID: "in-" + zone, Service: "models", Addr: "10.0.0.1:80", Zone: zone, Slots: 8})
+		}
+		south := Query{Service: "models", Regions: []string{"south"}}
+		for range 8 {
+			So(p.Pick(south).Endpoint().ID, ShouldEqual, "in-b")
+		}
+		So(p.Pick(south), ShouldBeNil)
+		So(p.Pick(Query{Service: "models", Regions: []string{}}), ShouldBeNil)
+		So(p.Pick(Query{Service: "models"}), ShouldNotBeNil)
+	})
+}
+
+// ranked tells owners by the same order at each instance, as peers.Directory does.
+type ranked struct {
+	self string
+	list []mesh.Peer
+}
+
+func (r ranked) Known() bool { return true }
+func (r ranked) Size() int   { return len(r.list) }
+
+func (r ranked) Owns(key string, first int) bool {
+	for _, p := range membership.Rank(key, r.list)[:min(first, len(r.list))] {
+		if p.ID == r.self {
+			return true
+		}
+	}
+	return false
+}
+
+// coldZone plays a zone of a large fleet that is given back cold, at 420 requests a second of 360 topics, and returns the most that a
+// cold endpoint gets in one second, and the part of all requests that found no endpoint.
+func coldZone(policy Policy, bounds slowstart.Bounds, perSecond float64) (worst int, refused float64) {
+	const (
+		instances, endpoints = 87, 90
+		requests             = 420 // a second
+		topics               = 360
+		warm, second, life   = 3 * time.Second, time.Second, 2 * time.Second
+	)
+	clock := &testClock{at: time.Unix(1000, 0)}
+	begun := clock.at
+	zones := []string{"a", "b", "c"}
+	list := make([]mesh.Peer, instances)
+	for i := range list {
+		list[i] = mesh.Peer{ID: fmt.Sprint("instance-", i), Zone: zones[i%len(zones)]}
+	}
+	pools := make([]*Pool, instances)
+	for i, x := range list {
+		pools[i] = New(x.Zone, WithNow(clock.now), WithPolicy(policy), WithOwners(ranked{x.ID, list}), WithColdBounds(bounds))
+		pools[i].SetWarmups(map[string]slowstart.Warmup{"models": {Time: warm, PerSecond: perSecond}})
+		for e := range endpoints {
+			pools[i].Put(Endpoint{ID: fmt.Sprint("e-", e), Service: "models", Addr: "10.0.0.1:80", Zone: zones[e%len(zones)], Slots: 48})
+		}
+		pools[i].SetEvacuated([]string{"c"})
+		pools[i].SetEvacuated(nil)
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	sent := make(map[string][]time.Time)
+	type open struct {
+		lease *Lease
+		until time.Time
+	}
+	var running []open
+	asked, none := 0, 0
+	for clock.at.Before(begun.Add(warm)) {
+		clock.pass(second / requests)
+		for len(running) > 0 && clock.at.After(running[0].until) {
+			running[0].lease.Done(EndGood)
+			running = running[1:]
+		}
+		asked++
+		lease := pools[random.IntN(instances)].Pick(Query{Service: "models", Affinity: fmt.Sprint("topic-", random.IntN(topics)), Prompt: 12_000, Shared: 6000})
+		if lease == nil {
+			none++
+			continue
+		}
+		running = append(running, open{lease, clock.at.Add(life)})
+		e := lease.Endpoint()
+		if e.Zone != "c" {
+			continue
+		}
+		times := append(sent[e.ID], clock.at)
+		for clock.at.Sub(times[0]) >= second {
+			times = times[1:]
+		}
+		sent[e.ID] = times
+		worst = max(worst, len(times))
+	}
+	return worst, float64(none) / float64(asked)
+}
+
+func TestColdZone(t *testing.T) {
+	Convey("When a zone is given back cold, no cold endpoint gets more in a second than all instances together may send", t, func() {
+		const perSecond = 5 // low enough that affinity alone exceeds the bound in every play
+		bounds := slowstart.Bounds{Overage: 1.5, Slack: 1}
+		const most = 8 // PerSecond * Overage + Slack, rounded down
+		unbounded, _ := coldZone(DefaultPolicy(), bounds, 0)
+		So(unbounded, ShouldBeGreaterThan, most)
+
+		owned := DefaultPolicy()
+		owned.ColdLast = false
+		worst, refused := coldZone(owned, bounds, perSecond)
+		So(worst, ShouldBeBetweenOrEqual, 1, most)
+		So(refused, ShouldEqual, 0)
+
+		last := DefaultPolicy()
+		last.ColdLast = true
+		worst, refused = coldZone(last, bounds, perSecond)
+		So(worst, ShouldEqual, 0)
+		So(refused, ShouldEqual, 0)
+	})
+
+	Convey("Where all endpoints that are left are cold", t, func() {
+		clock := &testClock{at: time.Unix(1000, 0)}
+		p := New("a", WithNow(clock.now), WithColdBounds(slowstart.Bounds{Overage: 1.5, Slack: 5}))
+		p.SetWarmups(map[string]slowstart.Warmup{"models": {Time: 3 * time.Second, PerSecond: 9.9}})
+		put := func(cold time.Duration) {
+			p.Put(Endpoint{ID: "e", Service: "models", Addr: "10.0.0.1:80", Zone: "a", Slots: 48, Cold: cold})
+		}
+		put(3 * time.Second)
+		So(p.Pick(Query{Service: "models"}), ShouldNotBeNil)
+
+		Convey("they get no more than their share", func() {
+			So(p.Pick(Query{Service: "models"}), ShouldBeNil)
+			clock.pass(500 * time.Millisecond)
+			So(p.Pick(Query{Service: "models"}), ShouldNotBeNil)
+		})
+
+		Convey("they get all once they are warm, which a later record does not put off", func() {
+			put(time.Second)
+			clock.pass(3 * time.Second)
+			for range 10 {
+				So(p.Pick(Query{Service: "models"}), ShouldNotBeNil)
+			}
+		})
+
+		Convey("they are cold again when they say so", func() {
+			clock.pass(3 * time.Second)
+			put(3 * time.Second)
+			So(p.Pick(Query{Service: "models"}), ShouldNotBeNil)
+			So(p.Pick(Query{Service: "models"}), ShouldBeNil)
+		})
+	})
+}
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/ledgemount/ledgemount/internal/pool"
+	"github.com/ledgemount/ledgemount/internal/route"
 	"github.com/ledgemount/ledgemount/internal/upstream"
 	"github.com/ledgemount/ledgemount/internal/verdict"
 )
@@ -62,6 +63,7 @@
 	q := pool.Query{
 		Service: j.service.Name, Affinity: j.req.Subject(), Prompt: j.req.TokensIn, Shared: j.req.Shared(),
 		Target: j.route.Objective, Gap: j.route.Gap, Tried: j.tried,
+		Regions: route.RegionsOf(j.route, j.customer),
 	}
 	if j.core.apart {
 		q.Affinity = ""
@@ -156,7 +158,7 @@
 	}
 	lease.Done(endOf(res))
 	j.outcome.Endpoints = append(j.outcome.Endpoints, Step{
-		Endpoint: lease.Endpoint().ID, Reason: string(lease.Reason()), End: resultNames[res], At: at,
+		Endpoint: lease.Endpoint().ID, Reason: string(lease.Reason()), Kept: string(lease.Kept()), End: resultNames[res], At: at,
 	})
 	return res, answer
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -128,6 +128,7 @@
 type Step struct {
 	Endpoint string
 	Reason   string
+	Kept     string // why the endpoint before it in the order of affinity got no work; empty: it is the first, or has work
 	End      string
 	At       time.Duration // since the request arrived
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -2,11 +2,14 @@
 package route
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/ledgemount/ledgemount/internal/slowstart"
 )
 
 // Kind says what may be repeated of a request.
@@ -41,9 +44,10 @@
 	Gap         time.Duration // the longest pause between events that is in time; 0: none stated
 	Priority    int           // 0 is highest
 	Split       []Share
-	MaxAttempts int  // endpoints to which one request may be sent
-	Public      bool // needs no key
-	Resumable   bool // a stream may go on at another endpoint
+	MaxAttempts int      // endpoints to which one request may be sent
+	Public      bool     // needs no key
+	Resumable   bool     // a stream may go on at another endpoint
+	Regions     []string // in which its requests may run; nil: in all
 }
 
 // Repeatable says whether a request of the route may run more than once.
@@ -53,10 +57,11 @@
 type Service struct {
 	Name       string
 	HealthPath string
-	MaxConns   int   // connections that an endpoint takes from all callers
-	Stride     int64 // tokens in an event of a stream; 0: the service generates none
-	Memory     int64 // tokens that an endpoint's memory holds; 0: not known
-	Slots      int   // requests that an endpoint works on at once; 0: not known
+	MaxConns   int              // connections that an endpoint takes from all callers
+	Stride     int64            // tokens in an event of a stream; 0: the service generates none
+	Memory     int64            // tokens that an endpoint's memory holds; 0: not known
+	Slots      int              // requests that an endpoint works on at once; 0: not known
+	Warmup     slowstart.Warmup // of endpoints that have just started
 }
 
 // Limits bound what a caller may send.
@@ -77,8 +82,27 @@
 type Customer struct {
 	Name     string
 	Keys     []string
-	Priority int   // NoPriority, or what goes before the route's
-	Prepaid  int64 // tokens; Unlimited: none stated
+	Priority int      // NoPriority, or what goes before the route's
+	Prepaid  int64    // tokens; Unlimited: none stated
+	Regions  []string // in which its requests may run; nil: in all
+}
+
+// RegionsOf are the regions in which a customer's requests of a route may run: those that both allow. nil: all; empty: none. The customer may
+// be nil.
+func RegionsOf(r *Route, c *Customer) []string {
+	switch {
+	case c == nil || c.Regions == nil:
+		return r.Regions
+	case r.Regions == nil:
+		return c.Regions
+	}
+	both := make([]string, 0, len(r.Regions))
+	for _, region := range r.Regions {
+		if slices.Contains(c.Regions, region) {
+			both = append(both, region)
+		}
+	}
+	return both
 }
 
 // Config is one version of the routing configuration.
@@ -177,6 +201,15 @@
 // Keyed says whether requests need a key.
 func (t *Table) Keyed() bool { return t.cfg.Keyed }
 
+// Warmups are what services say of endpoints that have just started, by service.
+func (t *Table) Warmups() map[string]slowstart.Warmup {
+	out := make(map[string]slowstart.Warmup, len(t.services))
+	for name, s := range t.services {
+		out[name] = s.Warmup
+	}
+	return out
+}
+
 // Customers lists the customers.
 func (t *Table) Customers() []Customer { return t.cfg.Customers }
 
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -68,6 +68,11 @@
 		reason = "served"
 	}
 	m.metrics.Scope().Tagged(map[string]string{"reason": reason, "kind": o.Kind}).Counter("relay_requests_total").Inc(1)
+	for _, step := range o.Endpoints {
+		if step.Kept != "" {
+			m.metrics.Scope().Tagged(map[string]string{"cause": step.Kept}).Counter("relay_kept_off_total").Inc(1)
+		}
+	}
 	if o.First > 0 {
 		m.first.RecordDuration(o.First)
 	}
@@ -110,7 +115,10 @@
 // MarshalZerologArray implements zerolog.LogArrayMarshaler.
 func (s steps) MarshalZerologArray(a *zerolog.Array) {
 	for _, x := range s {
-		a.Dict(zerolog.Dict().Str("endpoint", x.Endpoint).Str("reason", x.Reason).Str("end", x.End).
-			Int64("at_ms", x.At.Milliseconds()))
+		d := zerolog.Dict().Str("endpoint", x.Endpoint).Str("reason", x.Reason).Str("end", x.End).Int64("at_ms", x.At.Milliseconds())
+		if x.Kept != "" {
+			d = d.Str("kept_off", x.Kept)
+		}
+		a.Dict(d)
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -27,6 +27,7 @@
 	"github.com/ledgemount/ledgemount/internal/relay"
 	"github.com/ledgemount/ledgemount/internal/retry"
 	"github.com/ledgemount/ledgemount/internal/route"
+	"github.com/ledgemount/ledgemount/internal/slowstart"
 	"github.com/ledgemount/ledgemount/internal/upstream"
 )
 
@@ -72,7 +73,6 @@
 		pressure.WithPolicy(set.pressurePolicy()), pressure.OnChange(r.logPressure), pressure.WithLink(set.Instance.LinkMbps),
 	)
 	r.client = upstream.New(upstream.WithWrap(r.pressure.Conn))
-	r.pool = pool.New(set.Instance.Zone, pool.WithPolicy(set.poolPolicy()), pool.OnGone(r.client.Forget))
 	id := set.Instance.ID + "/" + strings.ToLower(ulid.Make().String())
 	links := mesh.NewRouter()
 	self := peers.Record{
@@ -80,11 +80,14 @@
 		Capacity: set.Instance.LinkMbps,
 	}
 	r.peers = peers.New(on.Store, set.Store.Prefix, self, links, append(set.peersOptions(), peers.WithLogger(log), peers.WithTraffic(r.metrics.sentTo))...)
+	r.pool = pool.New(set.Instance.Zone, pool.WithPolicy(set.poolPolicy()), pool.OnGone(r.client.Forget), pool.WithOwners(r.peers),
+		pool.WithRegions(set.Instance.Regions), pool.WithColdBounds(slowstart.Bounds{Overage: set.Cold.Overage, Slack: set.Cold.Slack}))
 	r.clock = fleettime.New(r.peers, set.Instance.ID, links)
 	r.escrow = escrow.New(on.Store, set.Store.Prefix+escrowPrefix, set.Store.pages(), set.Instance.ID, id,
 		escrow.WithLogger(log), escrow.WithPolicy(set.escrowPolicy()), escrow.WithFleet(remote.New(r.peers, r.clock, set.fleetOptions()...)))
 	r.follow = follow.New(feed.NewSource(r.peers, on.Source), r.pool,
-		follow.WithLogger(log), follow.OnTable(r.fundsOf), follow.OnEntry(r.escrow.Observe), follow.OnPolled(r.escrow.Tick),
+		follow.WithLogger(log), follow.OnTable(r.fundsOf), follow.OnTable(func(t *route.Table) { r.pool.SetWarmups(t.Warmups()) }),
+		follow.OnEntry(r.escrow.Observe), follow.OnPolled(r.escrow.Tick),
 		follow.WithOwn(func() bool { return !r.peers.Large() }))
 	r.load = load.New(r.peers, r.pool, links)
 	remote.Serve(links, r.escrow)
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -18,6 +18,7 @@
 	Store    Store    `json:"store"`
 	Retry    Retry    `json:"retry"`
 	Stop     Stop     `json:"stop"`
+	Cold     Cold     `json:"cold"`
 	Peers    Peers    `json:"peers"`
 	Log      Log      `json:"log"`
 	// Without names mechanisms that are switched off, to measure what they are worth. Not for use.
@@ -31,6 +32,15 @@
 	// LinkMbps is what the machine's link carries each way, in megabits a second; 0: not known. Callers are sent to other instances
 	// before it is full, and in a large fleet the machines with the larger links lead their zones.
 	LinkMbps float64 `json:"link_mbps" validate:"min=0"`
+	// Regions tells the region of each availability zone, for routes and customers that may run in some only.
+	Regions map[string]string `json:"regions"`
+}
+
+// Cold bounds what all instances together may send to an endpoint that has just started: in no second more than the service's figure for
+// one times Overage, and Slack requests more.
+type Cold struct {
+	Overage float64 `json:"overage" validate:"min=1"`
+	Slack   float64 `json:"slack" validate:"min=0"`
 }
 
 // Peers is the side towards the fleet's other instances.
@@ -103,6 +113,7 @@
 		Store:  Store{Prefix: "ledgemount/"},
 		Retry:  Retry{Ratio: 0.2, Slack: 20, Window: 10 * time.Second},
 		Stop:   Stop{Within: 8 * time.Second},
+		Cold:   Cold{Overage: 1},
 		Peers:  Peers{Large: peers.DefaultLarge},
 		Log:    Log{Level: "info"},
 	}
