feat: instances tell each other of endpoints that have fallen silent; silent connections to endpoints are given up

Connections that fall silent for good were noticed by nothing but a request's time. Change: what instances tell of their loads has the requests that wait at an endpoint which says nothing; where most of those that are open wait so, and more than one, no instance sends it new ones. Connections to endpoints have keep-alives and TCP_USER_TIMEOUT of 3 s, and kept ones are forgotten where a request stalled.

--- a/internal/load/digest.go
+++ b/internal/load/digest.go
@@ -23,6 +23,7 @@
 	Harm     int // this and the next two as in pool.Load, in thousandths a second
 	Ended    int
 	Failed   int
+	Silent   int // requests, as in pool.Load
 }
 
 // digest is what some instances have under way.
@@ -34,7 +35,7 @@
 func pack(loads pool.Loads) digest {
 	d := digest{Lines: make([]line, 0, len(loads))}
 	for key, x := range loads {
-		l := line{Endpoint: key, Open: x.Open, Harm: steps(x.Harm), Ended: steps(x.Ended), Failed: steps(x.Failed)}
+		l := line{Endpoint: key, Open: x.Open, Harm: steps(x.Harm), Ended: steps(x.Ended), Failed: steps(x.Failed), Silent: x.Silent}
 		if l.Open+l.Harm+l.Ended+l.Failed > 0 {
 			d.Lines = append(d.Lines, l)
 		}
@@ -49,7 +50,7 @@
 }
 
 // weight is how much a line matters for picks, about.
-func (l line) weight() int { return l.Open*flowSteps + l.Harm + l.Failed }
+func (l line) weight() int { return (l.Open+l.Silent)*flowSteps + l.Harm + l.Failed }
 
 func steps(perSecond float64) int { return int(math.Round(perSecond * flowSteps)) }
 
@@ -58,7 +59,7 @@
 	out := make(pool.Loads, len(d.Lines))
 	for _, l := range d.Lines {
 		out[l.Endpoint] = pool.Load{
-			Open: l.Open, Harm: float64(l.Harm) / flowSteps, Ended: float64(l.Ended) / flowSteps, Failed: float64(l.Failed) / flowSteps,
+			Open: l.Open, Harm: float64(l.Harm) / flowSteps, Ended: float64(l.Ended) / flowSteps, Failed: float64(l.Failed) / flowSteps, Silent: l.Silent,
 		}
 	}
 	return out
--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -26,8 +26,10 @@
 
 // sound says whether nothing speaks against an endpoint.
 func (l *Pool) sound(m *member, now time.Time) bool {
-	if l.told(now) && l.total(m, now).failing() > l.policy.ErrorShare {
-		return false
+	if l.told(now) {
+		if x := l.total(m, now); x.failing() > l.policy.ErrorShare || x.silent() {
+			return false
+		}
 	}
 	if l.cutOff(m, now) || now.Before(m.pausedTil) || now.Before(m.busyTil) || m.failing(now) > l.policy.ErrorShare {
 		return false
--- a/internal/pool/load.go
+++ b/internal/pool/load.go
@@ -12,6 +12,8 @@
 	Harm   float64
 	Ended  float64 // requests a second that ended well or badly
 	Failed float64 // those that ended badly
+	// Silent are the open ones of instances to which the endpoint has said nothing for longer than an answer takes.
+	Silent int
 }
 
 // Loads are loads by the lower half of the hash of the endpoint's ID, which all instances compute alike.
@@ -25,9 +27,13 @@
 }
 
 func (x Load) plus(y Load) Load {
-	return Load{Open: x.Open + y.Open, Harm: x.Harm + y.Harm, Ended: x.Ended + y.Ended, Failed: x.Failed + y.Failed}
+	return Load{Open: x.Open + y.Open, Harm: x.Harm + y.Harm, Ended: x.Ended + y.Ended, Failed: x.Failed + y.Failed, Silent: x.Silent + y.Silent}
 }
 
+// silent says whether an endpoint has fallen silent for all: to most of those who wait there, and to more than one instance's request,
+// whose own path may be at fault.
+func (x Load) silent() bool { return x.Silent >= leastSilent && silentShare*x.Silent >= x.Open }
+
 // failing is the part of requests that ended badly; 0 while too few have ended to tell.
 func (x Load) failing() float64 {
 	if x.Ended*flowDecay.Seconds() < leastEnded {
@@ -47,6 +53,9 @@
 	pauseGaps  = 2                // reading for so many times what a stream may rest harms for certain
 	leastFlow  = 0.001            // below this a flow is nothing
 	leastEnded = 4                // requests that must have ended lately before their failures say anything
+
+	leastSilent = 2 // requests that must wait in vain before that says anything of the endpoint
+	silentShare = 2 // one in so many of those that are open there
 )
 
 // flow is a decaying sum, in units a second, as of a moment.
@@ -86,16 +95,20 @@
 	defer l.mu.RUnlock()
 	out := make(Loads)
 	for _, m := range l.byID {
-		if x := m.load(now); !x.nothing() {
+		if x := l.load(m, now); !x.nothing() {
 			out[m.key()] = x
 		}
 	}
 	return out
 }
 
-// load is what this instance has under way at an endpoint.
-func (m *member) load(now time.Time) Load {
-	return Load{Open: m.open, Harm: m.harm.now(now), Ended: m.ended.now(now), Failed: m.failed.now(now)}
+// load is what this instance has under way at an endpoint. The caller holds mu.
+func (l *Pool) load(m *member, now time.Time) Load {
+	x := Load{Open: m.open, Harm: m.harm.now(now), Ended: m.ended.now(now), Failed: m.failed.now(now)}
+	if l.silent(m, now) {
+		x.Silent = m.open
+	}
+	return x
 }
 
 // SetOthers takes what all other instances have under way.
@@ -121,7 +134,7 @@
 
 // total is what all instances have under way at an endpoint, as far as it is known. The caller holds mu.
 func (l *Pool) total(m *member, now time.Time) Load {
-	x := m.load(now)
+	x := l.load(m, now)
 	if l.told(now) {
 		x = x.plus(l.others[m.key()])
 	}
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -156,6 +156,9 @@
 	if res == resultBroken && ctx.Err() != nil && !watch.stalled() {
 		res = resultLeft
 	}
+	if watch.stalled() {
+		j.core.Client.Forget(lease.Endpoint().Addr) // other kept connections there may have fallen silent too
+	}
 	lease.Done(endOf(res))
 	j.outcome.Endpoints = append(j.outcome.Endpoints, Step{
 		Endpoint: lease.Endpoint().ID, Reason: string(lease.Reason()), Kept: string(lease.Kept()), End: resultNames[res], At: at,
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -47,6 +47,12 @@
 	keepMargin         = 700 * time.Millisecond
 	readBuffer         = 2 << 10
 	inlineBody         = 8 << 10 // a body up to this size is written before the answer is read
+
+	// silentFor is how long what was sent may stay without an acknowledgement, or probes without an answer, before a connection is given up: one
+	// that has fallen silent for good tells nothing by itself. It is longer than the silence after which a request that may be repeated goes elsewhere
+	// (0.7 s and more), and shorter than callers wait for the next event of a stream (4 s where pauses of 500 ms are in time).
+	silentFor  = 3 * time.Second
+	probeAfter = time.Second // of rest, and between probes
 )
 
 // Client keeps connections to endpoints.
@@ -80,7 +86,10 @@
 // New makes a client without connections.
 func New(opts ...Option) *Client {
 	c := &Client{
-		dialer:  net.Dialer{Timeout: DefaultDialTimeout, KeepAlive: -1},
+		dialer: net.Dialer{
+			Timeout: DefaultDialTimeout, Control: boundSilence,
+			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeAfter, Count: int(silentFor / probeAfter)},
+		},
 		maxIdle: DefaultMaxIdle,
 		idleFor: DefaultIdle,
 		now:     time.Now,
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sys/unix"
 )
 
 // peer is an endpoint whose connections a test plays by hand.
@@ -200,3 +201,26 @@
 		})
 	})
 }
+
+func TestSilence(t *testing.T) {
+	Convey("A connection to an endpoint is given up by the kernel when it falls silent", t, func() {
+		p := newPeer(t, func(_ int, conn net.Conn, r *bufio.Reader) { take(conn, r, whole) })
+		defer func() { _ = p.l.Close() }()
+		var kept net.Conn
+		c := New(WithWrap(func(nc net.Conn) net.Conn { kept = nc; return nc }))
+		defer func() { _ = c.Close() }()
+		_, err := fetch(c, p.addr(), request())
+		So(err, ShouldBeNil)
+		raw, err := kept.(*net.TCPConn).SyscallConn()
+		So(err, ShouldBeNil)
+		option := func(level, name int) int {
+			n := 0
+			So(raw.Control(func(fd uintptr) { n, err = unix.GetsockoptInt(int(fd), level, name) }), ShouldBeNil)
+			So(err, ShouldBeNil)
+			return n
+		}
+		So(option(unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT), ShouldEqual, silentFor.Milliseconds())
+		So(option(unix.SOL_SOCKET, unix.SO_KEEPALIVE), ShouldEqual, 1)
+		So(option(unix.IPPROTO_TCP, unix.TCP_KEEPIDLE), ShouldEqual, probeAfter.Seconds())
+	})
+}
