--- a/internal/budget/client.go
+++ b/internal/budget/client.go
@@ -26,13 +26,15 @@
 	// instance's own clock. Holders wait longer than this before they resolve an orphan.
 	DefaultMaxHold = 5 * time.Second
 
-	homesPerZone   = 4 // instances of a zone that hold escrow
-	homeTries      = 3
-	reserveTimeout = time.Second
-	settleTimeout  = time.Second
-	clientTick     = 250 * time.Millisecond
-	homeLost       = 3 * time.Second
-	deliverLimit   = 64
+	// DefaultReserveLimit is how long a serving instance waits for a holder's answer to one reservation.
+	DefaultReserveLimit = time.Second
+
+	homesPerZone  = 4 // instances of a zone that hold escrow
+	homeTries     = 3
+	settleTimeout = time.Second
+	clientTick    = 250 * time.Millisecond
+	homeLost      = 3 * time.Second
+	deliverLimit  = 64
 )
 
 type holdState int
@@ -76,6 +78,7 @@
 	now     func() time.Time
 	log     zerolog.Logger
 	maxHold time.Duration
+	limit   time.Duration // of one reservation
 
 	jobs sync.WaitGroup
 	sem  chan struct{}
@@ -95,6 +98,9 @@
 // WithClientClock replaces the clock.
 func WithClientClock(now func() time.Time) ClientOption { return func(c *Client) { c.now = now } }
 
+// WithReserveLimit sets how long a holder's answer to one reservation is waited for.
+func WithReserveLimit(d time.Duration) ClientOption { return func(c *Client) { c.limit = d } }
+
 // WithClientLogger sets the logger.
 func WithClientLogger(log zerolog.Logger) ClientOption { return func(c *Client) { c.log = log } }
 
@@ -109,7 +115,7 @@
 		store:   store,
 		now:     time.Now,
 		log:     zerolog.Nop(),
-		maxHold: DefaultMaxHold,
+		maxHold: DefaultMaxHold, limit: DefaultReserveLimit,
 		sem:     make(chan struct{}, deliverLimit),
 		holds:   make(map[*Hold]struct{}),
 		fenced:  make(map[string]bool),
@@ -224,7 +230,7 @@
 	req := ReserveReq{
 		Request: a.Request, Budget: a.Budget, Customer: a.Customer, Tokens: a.Tokens, Place: a.Place, Keyed: a.Keyed, Takeover: takeover,
 	}
-	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.limit)
 	defer cancel()
 	resp, err := mesh.Call[ReserveReq, ReserveResp](ctx, c.caller, addr, KindReserve, req)
 	if err != nil {
--- a/internal/matrix/matrix_test.go
+++ b/internal/matrix/matrix_test.go
@@ -149,6 +149,19 @@
 		}
 	}
 	golden(t, table(rows))
+	if t.Failed() {
+		logRefusals(t, rows)
+	}
+}
+
+// logRefusals tells what the refusals of all rows said: the golden file has their codes only.
+func logRefusals(t *testing.T, rows []row) {
+	t.Helper()
+	for _, r := range rows {
+		if said := strings.Join(r.Detail, ""); said != "" {
+			t.Logf("%s at %s, %s: %q", r.Fault, r.Step, r.Kind, r.Detail)
+		}
+	}
 }
 
 func table(rows []row) string {
