refactor: one guard for links in the directory, one cache for what is packed once, rows are marked as relayed in one place

Change: Directory.linked and isLarge; feed's packed and packOnce; the relaying leader alone marks rows. Result: nothing that is decided changes; tests of peers, feed and escrow pass.

--- a/internal/escrow/group.go
+++ b/internal/escrow/group.go
@@ -42,7 +42,6 @@
 	own := h.enqueue(s)
 	zone := make([][]*pending, 0, len(s.Zone))
 	for _, x := range s.Zone {
-		x.Relayed = true
 		zone = append(zone, h.enqueue(x))
 	}
 	out, err := written(ctx, own)
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -79,13 +79,16 @@
 type server struct {
 	follower Follower
 
-	mu      sync.Mutex
-	version int64
-	packed  []byte // the configuration of that version
+	mu     sync.Mutex
+	config packed // by its version
+	all    packed // all endpoints, by the store's revision
+}
 
-	all     []byte // all endpoints, packed, as they were at allAt
-	allAt   int64
-	allMade time.Time
+// packed is something that many instances ask for, encoded once.
+type packed struct {
+	data []byte // nil: none
+	of   int64  // the version or revision that it holds
+	made time.Time
 }
 
 func (s *server) tell(_ context.Context, _ mesh.Peer, q question) (news, error) {
@@ -118,28 +121,32 @@
 func (s *server) packAll(u follow.Update, known int64) (all []byte, at int64, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now := time.Now(); s.all == nil || now.Sub(s.allMade) > allFor || s.allAt < known {
-		if s.all, err = pack(u.Endpoints); err != nil {
+	if s.all.data == nil || time.Since(s.all.made) > allFor || s.all.of < known {
+		if s.all, err = packOnce(u.Endpoints, u.At); err != nil {
 			return nil, 0, err
 		}
-		s.allAt, s.allMade = u.At, now
 	}
-	return s.all, s.allAt, nil
+	return s.all.data, s.all.of, nil
 }
 
 // packConfig encodes a configuration once for all who ask.
 func (s *server) packConfig(c *route.Config) ([]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.version == c.Version {
-		return s.packed, nil
+	var err error
+	if s.config.data == nil || s.config.of != c.Version {
+		s.config, err = packOnce(c, c.Version)
 	}
-	packed, err := pack(c)
+	return s.config.data, err
+}
+
+// packOnce encodes what is handed out to many instances, of a version or revision.
+func packOnce(v any, of int64) (packed, error) {
+	data, err := pack(v)
 	if err != nil {
-		return nil, err
+		return packed{}, err
 	}
-	s.version, s.packed = c.Version, packed
-	return packed, nil
+	return packed{data: data, of: of, made: time.Now()}, nil
 }
 
 // pack encodes and compresses what goes to many instances.
--- a/internal/peers/directory.go
+++ b/internal/peers/directory.go
@@ -171,7 +171,7 @@
 	}
 	known, age := len(d.records), d.now().Sub(d.begun)
 	switch {
-	case known == 0, known >= d.large && d.caller.Load() == nil:
+	case known == 0, d.isLarge() && !d.linked():
 		return
 	case known < d.large && !d.restarted && age < d.times.Settle:
 		return
@@ -260,7 +260,7 @@
 
 // connect opens the links once there are other instances.
 func (d *Directory) connect(ctx context.Context) {
-	if d.Size() < 2 || d.caller.Load() != nil {
+	if d.Size() < 2 || d.linked() {
 		return
 	}
 	c, err := d.dialer(ctx)
@@ -311,7 +311,7 @@
 	case known < d.large:
 		return known > soleRecords || age > d.times.Settle
 	}
-	return d.caller.Load() != nil && !d.Stranded()
+	return d.linked() && !d.Stranded()
 }
 
 const (
@@ -323,7 +323,7 @@
 func (d *Directory) Large() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return len(d.records) >= d.large
+	return d.isLarge()
 }
 
 // Size is the number of instances whose records are known, at least 1.
--- a/internal/peers/leaders.go
+++ b/internal/peers/leaders.go
@@ -20,12 +20,9 @@
 
 // Leaders are the instances to ask, best first; none means that this instance does the work itself.
 func (d *Directory) Leaders() []mesh.Peer {
-	if d.caller.Load() == nil {
-		return nil
-	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.records) < d.large {
+	if !d.linked() || !d.isLarge() {
 		return nil
 	}
 	out := d.reachable(d.ahead)
@@ -36,12 +33,9 @@
 // FleetLeaders are the instances that a zone's leader asks to do what one instance of a large fleet does for all, best first: those
 // that lead the zones before its own, in the order of their names. None means that this instance does it.
 func (d *Directory) FleetLeaders() []mesh.Peer {
-	if d.caller.Load() == nil {
-		return nil
-	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.records) < d.large {
+	if !d.linked() || !d.isLarge() {
 		return nil
 	}
 	var out []mesh.Peer
@@ -62,25 +56,24 @@
 // Keepers are the instances that keep what all agree on, best first; none means that this instance does. In a large fleet these are
 // the zone's leaders.
 func (d *Directory) Keepers() []mesh.Peer {
-	if d.caller.Load() == nil {
-		return nil
-	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	ahead := d.ahead
-	if len(d.records) < d.large {
-		ahead = d.all
+	switch {
+	case !d.linked():
+		return nil
+	case d.isLarge():
+		return d.reachable(d.ahead)
 	}
-	return d.reachable(ahead)
+	return d.reachable(d.all)
 }
 
 // Heads are the instances that lead the other zones, as far as they can be reached.
 func (d *Directory) Heads() []mesh.Peer {
-	if d.caller.Load() == nil {
-		return nil
-	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !d.linked() {
+		return nil
+	}
 	var out []mesh.Peer
 	for zone, list := range d.zones {
 		if zone == d.self.Peer.Zone {
@@ -93,6 +86,12 @@
 	return out
 }
 
+// linked says whether links to other instances are open.
+func (d *Directory) linked() bool { return d.caller.Load() != nil }
+
+// isLarge says whether the fleet is so large that its zones are led. The caller holds mu.
+func (d *Directory) isLarge() bool { return len(d.records) >= d.large }
+
 // reachable are the first of a list that are not left alone. The caller holds mu.
 func (d *Directory) reachable(list []Record) []mesh.Peer {
 	out := make([]mesh.Peer, 0, mostLeaders)
--- a/internal/peers/lenders.go
+++ b/internal/peers/lenders.go
@@ -16,7 +16,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	zone := d.zones[d.self.Peer.Zone]
-	if !d.pools || len(zone) < poolZone || len(d.records) < d.large {
+	if !d.pools || len(zone) < poolZone || !d.isLarge() {
 		return false, false
 	}
 	return true, d.keepers(customer, zone)[0].ID == d.self.Peer.ID
@@ -37,11 +37,11 @@
 
 // Lenders are the instances to borrow a customer's tokens from, best first: those of the own zone, then one of each other zone.
 func (d *Directory) Lenders(customer string) []mesh.Peer {
-	if d.caller.Load() == nil {
-		return nil
-	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !d.linked() {
+		return nil
+	}
 	out := make([]mesh.Peer, 0, mostLenders)
 	out = d.lenders(out, d.keepers(customer, d.zones[d.self.Peer.Zone]), poolHolders)
 	far := make([]mesh.Peer, 0, len(d.zones))
