perf: at a budget's end nothing is kept for a customer's first ranks

TestRanks asserts that the last of a budget goes to whoever asks while the store answers, and nothing beyond it.

--- a/internal/escrow/rank_test.go
+++ b/internal/escrow/rank_test.go
@@ -40,13 +40,16 @@
 			So(err, ShouldBeNil)
 		})
 
-		Convey("keeps the last of a budget for first ranks", func() {
+		Convey("gives the last of a budget to whoever asks first while the store answers, whatever the rank, and nothing beyond it", func() {
 			begin(10_000)
-			_, err := h.Reserve(ctx, "north", 9_500, lastRank)
+			granted := h.View("north").Granted
+			r, err := h.Reserve(ctx, "north", granted, lastRank)
+			So(err, ShouldBeNil)
+			_, err = h.Reserve(ctx, "north", 10_001-granted, 0)
 			So(verdict.Of(err), ShouldEqual, verdict.NotRun)
 			So(verdict.From(err).RetryAfter(), ShouldBeGreaterThan, 0)
-			So(h.short(h.accounts["north"], 9_500, 0), ShouldBeFalse)
-			So(h.short(h.accounts["north"], 9_000, lastRank), ShouldBeFalse)
+			r.Settle(0)
+			So(h.short(h.accounts["north"], 10_000, lastRank), ShouldBeFalse)
 		})
 	})
 }
--- a/internal/escrow/reserve.go
+++ b/internal/escrow/reserve.go
@@ -167,16 +167,9 @@
 // lastRank is the rank from which on a customer's requests give way to its first ones.
 const lastRank = 2
 
-// short says whether a request gives way to those of first ranks: in a cut they keep a part of what is granted here, and at the
-// end of a budget the last of it. The caller holds mu.
+// short says whether a request gives way to those of first ranks: in a cut they keep a part of what is granted here. The caller holds mu.
 func (h *Holder) short(a *account, most int64, rank int) bool {
-	if rank < lastRank {
-		return false
-	}
-	if float64(a.unspent()-most) < h.policy.KeptAtEnd*float64(a.prepaid) {
-		return true
-	}
-	if h.inTouch() {
+	if rank < lastRank || h.inTouch() {
 		return false
 	}
 	held := a.row.row.Granted - a.row.row.Spent
@@ -201,7 +194,7 @@
 			verdict.WithRetryAfter(retryLater))
 	}
 	if errors.Is(why, errKept) {
-		return refuseBudget("what is left of the budget is kept for the customer's first ranks", retryLater)
+		return refuseBudget("what is left here is kept for the customer's first ranks in a cut", retryLater)
 	}
 	after := h.comeBack(a, most)
 	if later > 0 {
--- a/internal/escrow/sizing.go
+++ b/internal/escrow/sizing.go
@@ -17,14 +17,13 @@
 	Pools     float64       // the same, for all pools together
 	Scarce    float64       // part of the prepaid figure below which an unspent rest counts as scarce, more so as it falls
 	KeptInCut float64       // part of what was granted when the store was last heard that is kept for a customer's first ranks in a cut
-	KeptAtEnd float64       // part of the prepaid figure of which the last is kept for them
 }
 
 // DefaultPolicy outlives a cut of ten seconds.
 func DefaultPolicy() Policy {
 	return Policy{
 		Horizon: 10 * time.Second, Reserve: 1.4, Near: 3 * time.Second, Surge: 1.1, Spread: 2, Burst: 1.2, Start: 0.15, Pools: 0.3, Scarce: 0.5,
-		KeptInCut: 0.5, KeptAtEnd: 0.08,
+		KeptInCut: 0.5,
 	}
 }
 
--- a/internal/router/experiment.go
+++ b/internal/router/experiment.go
@@ -49,7 +49,7 @@
 func (s *Settings) escrowPolicy() escrow.Policy {
 	p := escrow.DefaultPolicy()
 	if s.without(Ranks) {
-		p.KeptInCut, p.KeptAtEnd = 0, 0
+		p.KeptInCut = 0
 	}
 	if s.without(Scarcity) {
 		p.Scarce = 0
