fix: an instance without links owns cold endpoints; requests without affinity tell of none that was passed over

Cause: read in the diff: an instance that stays by itself keeps no records, so that it owned nothing, and where all endpoints of a service were cold it would have refused all; a plain request named the first endpoint of an order that it does not have. Change: Directory.Owns is true without links; Lease.Kept is empty without affinity. Result: TestOwns fails before.

--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -348,3 +348,33 @@
 		})
 	})
 }
+
+func TestOwns(t *testing.T) {
+	Convey("All instances that know each other agree on who owns something", t, func() {
+		ctx := context.Background()
+		f := newFleet(6, 100)
+		f.meet(ctx)
+		for i := range 20 {
+			owners := 0
+			for _, d := range f.dirs {
+				if d.Owns(fmt.Sprint("endpoint-", i), 2) {
+					owners++
+				}
+			}
+			So(owners, ShouldEqual, 2)
+		}
+		So(f.dirs[0].Size(), ShouldEqual, 6)
+	})
+
+	Convey("One that stays by itself owns all, and knows so at once", t, func() {
+		d := New(memkv.New(), "p/", Record{Peer: mesh.Peer{ID: "only"}}, mesh.NewRouter())
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- d.Run(ctx) }()
+		<-d.Met()
+		So(d.Known(), ShouldBeTrue)
+		So(d.Owns("endpoint", 1), ShouldBeTrue)
+		cancel()
+		So(<-ended, ShouldBeNil)
+	})
+}
--- a/internal/peers/rank.go
+++ b/internal/peers/rank.go
@@ -69,8 +69,11 @@
 }
 
 // Owns says whether this instance is one of the first in the order of all instances for a key, by rendezvous hashing. Instances with
-// other records may come to another order: callers must leave room for that.
+// other records may come to another order: callers must leave room for that. An instance that stays by itself owns all.
 func (d *Directory) Owns(key string, first int) bool {
+	if d.self.Peer.Addr == "" {
+		return true
+	}
 	d.mu.Lock()
 	list := make([]mesh.Peer, 0, len(d.records))
 	for _, r := range d.records {
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -137,7 +137,7 @@
 
 // keptFirst says why the first endpoint in the order of a request's affinity gets no work. It tells of the last judgement.
 func (l *Pool) keptFirst(q Query) Kept {
-	if !l.keeping {
+	if !l.keeping || q.Affinity == "" {
 		return KeptNot
 	}
 	key := xxhash.Sum64String(q.Affinity)
