--- a/internal/pool/warm.go
+++ b/internal/pool/warm.go
@@ -63,14 +63,14 @@
 func (l *Pool) SetEvacuated(zones []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	before := l.evacuated
+	old := l.evacuated
 	l.evacuated = make(map[string]bool, len(zones))
 	for _, zone := range zones {
 		l.evacuated[zone] = true
 	}
 	now := l.now()
 	for _, m := range l.byID {
-		if before[m.Zone] && !l.evacuated[m.Zone] {
+		if old[m.Zone] && !l.evacuated[m.Zone] {
 			l.cool(m, now, l.warmups[m.Service].Time)
 		}
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -115,14 +115,7 @@
 // startWatch is the service that measures the start.
 func (r *Router) startWatch() *startWatch {
 	return &startWatch{line: r.start, steps: map[Step]func() bool{
-		StepFleet: func() bool {
-			select {
-			case <-r.peers.Met():
-				return true
-			default:
-				return false
-			}
-		},
+		StepFleet:         r.peers.Known,
 		StepConfiguration: func() bool { return r.follow.Table() != nil },
 		StepEndpoints:     func() bool { return r.pool.Len() > 0 },
 		StepEscrow:        r.escrow.Ready,
