feat: settlements tell how much of them nobody had reported, requests how much of a budget is with holders

Cause: after a loss of power 402 said that nothing was left of budgets of which requests had used two thirds. Logs told what was settled, not how much of it was proof and how much a bound; that had to be summed from the lines of all requests. Change: a page keeps for each customer what was taken as spent without a report (unproven). escrow_settled, request_ended, a counter (escrow_settled_tokens_total by proven), explain and the text of 402 tell it; request_ended also tells what holders have (budget_out). Result: TestFold, TestRanks; no decision changes.

--- a/internal/escrow/account.go
+++ b/internal/escrow/account.go
@@ -1,6 +1,9 @@
 package escrow
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // issued is a row of this holder that is, or may be, in the store.
 type issued struct {
@@ -8,6 +11,8 @@
 	clock time.Duration // the report's reading of the clock
 	rest  int64         // of the whole account: unspent by anyone, with this row
 	free  int64         // of the whole account: granted to nobody, with this row
+	// unproven is Account.Unproven, with this row
+	unproven int64
 }
 
 func (i issued) ceiling(now time.Duration) int64 { return i.row.Ceiling(now - i.clock) }
@@ -29,6 +34,8 @@
 	prepaid int64            // as last seen; Unlimited: no limit
 	rest    int64            // of the whole account when last seen: unspent by anyone
 	free    int64            // of the whole account when last seen: granted to nobody
+	// unproven is Account.Unproven when last seen
+	unproven int64
 
 	told     bool    // by the zone's leader:
 	target   int64   // what this holder's unspent part should be
@@ -42,6 +49,15 @@
 // unspent is what nobody has spent of the whole account, as far as it is known here.
 func (a *account) unspent() int64 { return a.rest - max(0, a.used()-a.row.row.Spent) }
 
+// exhausted explains a refusal at a budget's end. Where instances were lost it says how much of the budget nobody is known to have used.
+func (a *account) exhausted() string {
+	const text = "what remains of the budget cannot hold the request"
+	if a.unproven == 0 {
+		return text
+	}
+	return fmt.Sprintf("%s; %d tokens of it count as spent by instances that were lost", text, a.unproven)
+}
+
 // headroom is what may still be reserved at a moment: every row that may be in force is kept to.
 func (a *account) headroom(now time.Duration) int64 {
 	limit := a.row.ceiling(now)
--- a/internal/escrow/copy.go
+++ b/internal/escrow/copy.go
@@ -69,7 +69,7 @@
 		if acc == nil {
 			acc = &Account{}
 		}
-		a.rest, a.free = a.prepaid-acc.Spent(), a.prepaid-acc.Committed()
+		a.rest, a.free, a.unproven = a.prepaid-acc.Spent(), a.prepaid-acc.Committed(), acc.Unproven
 		if settled && present {
 			a.confirm(issued{row: acc.Rows[h.id], clock: time.Duration(report.Clock) * time.Millisecond})
 		} else if settled {
--- a/internal/escrow/fleet.go
+++ b/internal/escrow/fleet.go
@@ -104,6 +104,8 @@
 	Others int64   `cbor:"5,keyasint,omitempty"` // mean of what other holders want
 	Rate   float64 `cbor:"6,keyasint,omitempty"` // tokens a second that all holders use
 	Zone   float64 `cbor:"7,keyasint,omitempty"` // tokens a second that the zone is asked for
+	// Unproven is the account's.
+	Unproven int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Loan is a part of a holder's grant that a request at another holder reserves.
--- a/internal/escrow/group.go
+++ b/internal/escrow/group.go
@@ -207,7 +207,7 @@
 		}
 		r.Rows[name] = Held{
 			Row: acc.Rows[x.holder], Target: targets[name], Rest: a.prepaid - acc.Spent(), Free: a.prepaid - acc.Committed(),
-			Others: a.others, Rate: a.all.rate(), Zone: a.zoneRate,
+			Others: a.others, Rate: a.all.rate(), Zone: a.zoneRate, Unproven: acc.Unproven,
 		}
 	}
 	return r
--- a/internal/escrow/holder.go
+++ b/internal/escrow/holder.go
@@ -71,6 +71,8 @@
 	times  Times
 	log    zerolog.Logger
 
+	onFolded func(Folded)
+
 	mu       sync.Mutex
 	accounts map[string]*account
 	pages    []*pageState
@@ -134,6 +136,9 @@
 // WithFleet sets the way to the other holders.
 func WithFleet(f Fleet) Option { return func(h *Holder) { h.fleet = f } }
 
+// OnFolded is told of each earlier holder whose grants are settled; it must not call the Holder.
+func OnFolded(f func(Folded)) Option { return func(h *Holder) { h.onFolded = f } }
+
 // WithLogger sets the logger.
 func WithLogger(log zerolog.Logger) Option { return func(h *Holder) { h.log = log } }
 
@@ -141,7 +146,7 @@
 func New(store external.KV, prefix string, pages int, node, id string, opts ...Option) *Holder {
 	h := &Holder{
 		id: id, node: node, store: store, clock: MachineClock(), now: time.Now,
-		policy: DefaultPolicy(), times: DefaultTimes(), log: zerolog.Nop(),
+		policy: DefaultPolicy(), times: DefaultTimes(), log: zerolog.Nop(), onFolded: func(Folded) {},
 		accounts: make(map[string]*account), changed: make(chan struct{}), kicks: make(chan struct{}, 1),
 		asked: make(map[string]asked), loans: make(map[loanKey]lent), returned: make(map[loanKey]time.Time),
 		owed: make(map[string]map[int64]int64), unpaid: make(map[string]time.Time),
--- a/internal/escrow/page.go
+++ b/internal/escrow/page.go
@@ -35,6 +35,8 @@
 type Account struct {
 	Settled int64          `cbor:"1,keyasint,omitempty"` // spent by holders that are gone
 	Rows    map[string]Row `cbor:"2,keyasint,omitempty"` // by holder
+	// Unproven is the part of Settled that no holder had reported: what lost holders may have spent after their last reports.
+	Unproven int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Spent is what is settled and what holders have reported.
@@ -130,6 +132,9 @@
 	Settled int64 // taken as spent; the rest is free again
 }
 
+// Unproven is what was taken as spent beyond the last report, in tokens.
+func (f Folded) Unproven() int64 { return f.Settled - f.Spent }
+
 // Fold settles the rows of a node's earlier holders. They had ended when the successor's process began, which begun tells: where
 // that comes from the same clock, no more than Ceiling can have been spent; else all that was granted counts as spent. Rows that wait
 // for begun.Fleet stay.
@@ -181,6 +186,7 @@
 		f.Granted += row.Granted
 		f.Settled += spent
 		a.Settled += spent
+		a.Unproven += spent - row.Spent
 		delete(a.Rows, id)
 	}
 	delete(p.Holders, id)
--- a/internal/escrow/page_test.go
+++ b/internal/escrow/page_test.go
@@ -26,6 +26,8 @@
 			p := page()
 			f := p.Fold("node/2", report(10*time.Second+Grace+time.Second))
 			So(f[0].Settled, ShouldEqual, 100+50+200)
+			So(f[0].Unproven(), ShouldEqual, 50+200)
+			So(p.Accounts[north].Unproven, ShouldEqual, 50+200)
 			So(p.Accounts[north].Settled, ShouldEqual, f[0].Settled)
 			So(p.Holders, ShouldBeEmpty)
 		})
--- a/internal/escrow/rank_test.go
+++ b/internal/escrow/rank_test.go
@@ -51,6 +51,16 @@
 			r.Settle(0)
 			So(h.short(h.accounts["north"], 10_000, lastRank), ShouldBeFalse)
 		})
+
+		Convey("says at a budget's end how much of it counts as spent by instances that were lost", func() {
+			begin(10_000)
+			So(h.View("north").Out, ShouldEqual, h.View("north").Granted)
+			_, err := h.Reserve(ctx, "north", 10_001, 0)
+			So(verdict.From(err).Detail(), ShouldEqual, "what remains of the budget cannot hold the request")
+			h.accounts["north"].unproven = 700
+			_, err = h.Reserve(ctx, "north", 10_001, 0)
+			So(verdict.From(err).Detail(), ShouldEndWith, "; 700 tokens of it count as spent by instances that were lost")
+		})
 	})
 }
 
--- a/internal/escrow/report.go
+++ b/internal/escrow/report.go
@@ -35,10 +35,13 @@
 	return r
 }
 
-func (h *Holder) logFolded(list []Folded, page string) {
+// tellFolded logs and counts what became of earlier holders' grants.
+func (h *Holder) tellFolded(list []Folded, page string) {
 	for _, f := range list {
+		h.onFolded(f)
 		h.log.Info().Str("event", "escrow_settled").Str("holder", f.Holder).Str("page", page).Bool("age_known", f.Known).
 			Int64("age_ms", f.Age.Milliseconds()).Int64("spent", f.Spent).Int64("granted", f.Granted).Int64("settled", f.Settled).
+			Int64("unproven", f.Unproven()).
 			Msg("an earlier process's escrow is settled")
 	}
 }
--- a/internal/escrow/reserve.go
+++ b/internal/escrow/reserve.go
@@ -21,11 +21,14 @@
 
 // View is what the holder knows of a customer's budget, in tokens.
 type View struct {
-	Left    int64         // may be reserved here now
-	Granted int64         // held here
-	Spent   int64         // spent or reserved here
-	Rest    int64         // unspent by all holders, as last reported
-	Age     time.Duration // since the store last answered
+	Left    int64 // may be reserved here now
+	Granted int64 // held here
+	Spent   int64 // spent or reserved here
+	Rest    int64 // unspent by all holders, as last reported
+	Out     int64 // of Rest: granted to holders, who may have spent it unseen
+	// Unproven is what was taken as spent though no holder had reported it: holders were lost.
+	Unproven int64
+	Age      time.Duration // since the store last answered
 }
 
 // View shows what decides about a customer's next reservation.
@@ -38,6 +41,7 @@
 	}
 	return View{
 		Left: a.headroom(h.clock.Now()), Granted: a.row.row.Granted, Spent: a.used(), Rest: a.unspent(), Age: h.now().Sub(h.answered),
+		Out: a.rest - a.free, Unproven: a.unproven,
 	}
 }
 
@@ -190,8 +194,7 @@
 	a := h.accounts[customer]
 	h.count(a, most)
 	if a.unspent() < most && h.inTouch() {
-		return verdict.New(verdict.NotRun, verdict.CodeBudgetExhausted, "what remains of the budget cannot hold the request",
-			verdict.WithRetryAfter(retryLater))
+		return verdict.New(verdict.NotRun, verdict.CodeBudgetExhausted, a.exhausted(), verdict.WithRetryAfter(retryLater))
 	}
 	if errors.Is(why, errKept) {
 		return refuseBudget("what is left here is kept for the customer's first ranks in a cut", retryLater)
--- a/internal/escrow/submit.go
+++ b/internal/escrow/submit.go
@@ -126,7 +126,7 @@
 		}
 		a.confirm(issued{row: held.Row, clock: time.Duration(r.Report.Clock) * time.Millisecond})
 		a.rest, a.free, a.others, a.target = held.Rest, held.Free, held.Others, held.Target
-		a.toldRate, a.zoneRate, a.told = held.Rate, held.Zone, true
+		a.toldRate, a.zoneRate, a.told, a.unproven = held.Rate, held.Zone, true, held.Unproven
 		p.reported[name] = held.Row.Spent
 	}
 }
--- a/internal/escrow/write.go
+++ b/internal/escrow/write.go
@@ -67,7 +67,7 @@
 		row := acc.Grant(h.id, h.need(name, a, len(page.Holders)), a.prepaid)
 		rows[name] = issued{
 			row: row, clock: time.Duration(report.Clock) * time.Millisecond,
-			rest: a.prepaid - acc.Spent(), free: a.prepaid - acc.Committed(),
+			rest: a.prepaid - acc.Spent(), free: a.prepaid - acc.Committed(), unproven: acc.Unproven,
 		}
 		a.unsure = append(a.unsure, rows[name])
 	}
@@ -116,15 +116,15 @@
 	}
 	p.known, p.unsure, p.joined, p.drawn, p.seen = true, -1, true, h.now(), h.now()
 	p.count, p.submitted, p.unsettled = w.count, false, w.unsettled
-	h.logFolded(w.folded, p.key)
+	h.tellFolded(w.folded, p.key)
 	for _, x := range w.others {
-		h.logFolded(x.folded, p.key)
+		h.tellFolded(x.folded, p.key)
 	}
 	p.release(w.others)
 	for name, i := range w.rows {
 		a := h.accounts[name]
 		a.confirm(i)
-		a.rest, a.free = i.rest, i.free
+		a.rest, a.free, a.unproven = i.rest, i.free, i.unproven
 		if i.row.Granted-i.row.Spent < a.urgent {
 			a.dry = h.now()
 		}
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/ledgemount/ledgemount/internal/escrow"
 	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/mesh"
 	"github.com/ledgemount/ledgemount/internal/observe"
@@ -42,6 +43,12 @@
 	m.metrics.Scope().Tagged(map[string]string{"step": string(step)}).Gauge("start_step_seconds").Update(took.Seconds())
 }
 
+// folded counts tokens of holders that were lost: those that they had reported as spent, and those that only may have been.
+func (m *meters) folded(f escrow.Folded) {
+	m.metrics.Scope().Tagged(map[string]string{"proven": "yes"}).Counter("escrow_settled_tokens_total").Inc(f.Spent)
+	m.metrics.Scope().Tagged(map[string]string{"proven": "no"}).Counter("escrow_settled_tokens_total").Inc(f.Unproven())
+}
+
 // called counts a call to the store.
 func (m *meters) called(c external.Call) {
 	scope := m.metrics.Scope().Tagged(map[string]string{"call": c.Name, "duty": string(c.Duty), "outcome": c.Outcome})
@@ -94,7 +101,7 @@
 		Str("verdict", o.Verdict.String()).Int("attempts", o.Attempts).Int64("events", o.Events).
 		Int64("reserved", o.Reserved).Int64("used", o.Used).Int64("escrow_left", o.Budget.Left).
 		Int64("escrow_granted", o.Budget.Granted).Int64("escrow_spent", o.Budget.Spent).Int64("budget_rest", o.Budget.Rest).
-		Int64("escrow_age_ms", o.Budget.Age.Milliseconds()).
+		Int64("budget_out", o.Budget.Out).Int64("budget_unproven", o.Budget.Unproven).Int64("escrow_age_ms", o.Budget.Age.Milliseconds()).
 		Int64("first_ms", o.First.Milliseconds()).Int64("total_ms", o.Total.Milliseconds()).
 		Int64("pause_ms", o.Pause.Milliseconds()).Int64("prompt_tokens", o.Request.TokensIn)
 	if o.Late != relay.LateNot {
--- a/internal/router/explain.go
+++ b/internal/router/explain.go
@@ -36,6 +36,8 @@
 	Granted   int64         `json:"escrow_granted"`
 	Spent     int64         `json:"escrow_spent"`
 	Rest      int64         `json:"budget_rest"`
+	Out       int64         `json:"budget_out"`
+	Unproven  int64         `json:"budget_unproven"`
 	AgeMs     int64         `json:"escrow_age_ms"`
 	FirstMs   int64         `json:"first_ms"`
 	TotalMs   int64         `json:"total_ms"`
@@ -134,6 +136,9 @@
 		_, _ = fmt.Fprintf(&b, "  budget: %d tokens at its most; here %d granted, %d spent or reserved, %d left to reserve; %d unspent anywhere, known %d ms ago\n",
 			l.Reserved, l.Granted, l.Spent, l.Left, l.Rest, l.AgeMs)
 	}
+	if l.Out > 0 || l.Unproven > 0 {
+		_, _ = fmt.Fprintf(&b, "  of what is unspent %d are granted to instances; %d count as spent by instances that were lost\n", l.Out, l.Unproven)
+	}
 	for i, e := range l.Endpoints {
 		_, _ = fmt.Fprintf(&b, "  attempt %d: endpoint %s by %s, %d ms in: %s\n", i+1, e.Endpoint, e.Reason, e.AtMs, e.End)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -84,7 +84,7 @@
 		pool.WithRegions(set.Instance.Regions), pool.WithColdBounds(slowstart.Bounds{Overage: set.Cold.Overage, Slack: set.Cold.Slack}))
 	r.clock = fleettime.New(r.peers, set.Instance.ID, links)
 	r.escrow = escrow.New(on.Store, set.Store.Prefix+escrowPrefix, set.Store.pages(), set.Instance.ID, id,
-		escrow.WithLogger(log), escrow.WithPolicy(set.escrowPolicy()), escrow.WithFleet(remote.New(r.peers, r.clock, set.fleetOptions()...)))
+		escrow.WithLogger(log), escrow.OnFolded(r.metrics.folded), escrow.WithPolicy(set.escrowPolicy()), escrow.WithFleet(remote.New(r.peers, r.clock, set.fleetOptions()...)))
 	r.follow = follow.New(feed.NewSource(r.peers, on.Source), r.pool,
 		follow.WithLogger(log), follow.OnTable(r.fundsOf), follow.OnTable(func(t *route.Table) { r.pool.SetWarmups(t.Warmups()) }),
 		follow.OnEntry(r.escrow.Observe), follow.OnPolled(r.escrow.Tick),
