--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -108,6 +108,7 @@
 	serial  int
 	charges map[string][]ledger.Charge
 	zoneCut bool
+	crashed bool // an instance has
 }
 
 func newFleet(log zerolog.Logger) (*fleet, error) {
@@ -236,8 +237,18 @@
 	return mesh.Peer{}, false
 }
 
+// hasCrashed says whether an instance has crashed.
+func (f *fleet) hasCrashed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.crashed
+}
+
 // kill crashes an instance; the platform takes it off its list.
 func (f *fleet) kill(n *node) {
+	f.mu.Lock()
+	f.crashed = true
+	f.mu.Unlock()
 	n.mark(false, true)
 	n.brake.kill()
 	n.in.Kill()
