--- a/internal/escrow/loss_test.go
+++ b/internal/escrow/loss_test.go
@@ -178,22 +178,12 @@
 func TestStoppingHoldsItsMean(t *testing.T) {
 	Convey("A holder that is about to stop asks for its mean use and nothing beside: its callers come to others", t, func() {
 		const each, perSecond = 5_000, 4
-		want := func(stopping bool) int64 {
-			w := newWorld(DefaultPolicy())
-			h := w.nodes[1].holder
-			a := h.accounts["north"]
-			for range 60 {
-				w.elapsed += time.Second
-				for range perSecond {
-					h.count(a, each)
-				}
-				h.startBeat()
-			}
-			h.stopping = stopping
-			return h.need("north", a, 3).Want
-		}
+		h, a := askedHolder(RoleAlone, each, perSecond)
+		running := h.need("north", a, 3).Want
+		h.Shrink()
+		stopping := float64(h.need("north", a, 3).Want)
 		mean := each * perSecond * DefaultPolicy().Surge * stoppingHorizon.Seconds()
-		So(float64(want(true)), ShouldBeBetween, mean/2, mean*1.01)
-		So(want(false), ShouldBeGreaterThan, 4*want(true))
+		So(stopping, ShouldBeBetween, mean/2, mean*1.01)
+		So(float64(running), ShouldBeGreaterThan, 4*stopping)
 	})
 }
--- a/internal/escrow/pooled_test.go
+++ b/internal/escrow/pooled_test.go
@@ -8,8 +8,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// asking is a holder with a role that was asked for requests of one size at a rate for long.
-func asking(role Role, each, perSecond int64) Need {
+// askedHolder is a holder with a role that was asked for requests of one size at a rate for long.
+func askedHolder(role Role, each, perSecond int64) (*Holder, *account) {
 	w := newWorld(DefaultPolicy())
 	n := w.nodes[0] // its role is that of a pool
 	if role != RolePool {
@@ -27,6 +27,12 @@
 		h.startBeat()
 	}
 	a.rest = a.prepaid
+	return h, a
+}
+
+// asking is what such a holder asks for.
+func asking(role Role, each, perSecond int64) Need {
+	h, a := askedHolder(role, each, perSecond)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.need("north", a, 3)
