--- a/internal/escrow/loss_test.go
+++ b/internal/escrow/loss_test.go
@@ -52,6 +52,7 @@
 	return f
 }
 
+// lossClock is a machine's steady clock: it begins anew with each loss of power.
 type lossClock struct {
 	fleet *lossFleet
 	boot  string
@@ -61,7 +62,7 @@
 func (c lossClock) Now() time.Duration { return c.fleet.elapsed - c.since }
 func (c lossClock) Boot() string       { return c.boot }
 
-// start begins all processes anew on machines that have no power since a moment ago, and know nothing.
+// start begins all processes anew, on machines that have just got their power back and know nothing.
 func (f *lossFleet) start() {
 	now := func() time.Time { return time.Unix(1_000_000, 0).Add(f.elapsed) }
 	for i := range f.holders {
@@ -121,9 +122,9 @@
 	r.Settle(tokens)
 }
 
-// lossPrepaid is each customer's figure: the mean use of all holders in this time.
 const (
-	lossBudget  = 72 * time.Second
+	lossBudget = 72 * time.Second // of mean use by all holders are paid
+	// lossPrepaid is each customer's figure, in tokens.
 	lossPrepaid = int64(lossHolders * lossPerStep * lossMean * float64(lossBudget/lossStep))
 )
 
