test: one way to name faults that strike together, one name of a holder's process

Cause: the matrix joined the names of a cell's faults in two places, the model of losses formed one name twice. Change: faultNames serves both; the name is formed once. Result: golden file and assertions unchanged, green.

--- a/internal/escrow/loss_test.go
+++ b/internal/escrow/loss_test.go
@@ -69,8 +69,8 @@
 		f.boots[i]++
 		f.gates[i] = &gate{KV: f.store}
 		node := fmt.Sprintf("node-%d", i)
-		f.holders[i] = New(f.gates[i], "loss/", 1, node, fmt.Sprintf("%s/%d", node, f.boots[i]), WithNow(now),
-			WithClock(lossClock{fleet: f, boot: fmt.Sprintf("%s/%d", node, f.boots[i]), since: f.elapsed}))
+		id := fmt.Sprintf("%s/%d", node, f.boots[i])
+		f.holders[i] = New(f.gates[i], "loss/", 1, node, id, WithNow(now), WithClock(lossClock{fleet: f, boot: id, since: f.elapsed}))
 		list := make([]Prepaid, lossCustomers)
 		for c := range list {
 			list[c] = Prepaid{Customer: lossCustomer(c), Tokens: lossPrepaid}
--- a/internal/matrix/cell_test.go
+++ b/internal/matrix/cell_test.go
@@ -24,6 +24,15 @@
 	hangUp, elsewhere bool
 }
 
+// faultNames names faults that strike together.
+func faultNames(faults []fault) string {
+	names := make([]string, len(faults))
+	for i, f := range faults {
+		names[i] = f.name
+	}
+	return strings.Join(names, " + ")
+}
+
 // cell is one step with its faults, run in a world of its own.
 type cell struct {
 	w      *world
@@ -236,16 +245,10 @@
 
 // audit checks every promise against the endpoints' logs, the store and the caller's answers.
 func (c *cell) audit(ctx context.Context) row {
-	r := row{Kind: string(c.kind), Step: string(c.step), Saw: c.saw()}
+	r := row{Kind: string(c.kind), Step: string(c.step), Fault: faultNames(c.faults), Saw: c.saw()}
 	for _, a := range c.answers {
 		r.Detail = append(r.Detail, a.detail)
 	}
-	for i, f := range c.faults {
-		if i > 0 {
-			r.Fault += " + "
-		}
-		r.Fault += f.name
-	}
 	v, err := budget.Inspect(ctx, c.w.store(), testBudget)
 	if err != nil {
 		r.Why = append(r.Why, err.Error())
--- a/internal/matrix/matrix_test.go
+++ b/internal/matrix/matrix_test.go
@@ -124,11 +124,7 @@
 
 // name is the cell's name as a subtest.
 func (p plan) name() string {
-	names := make([]string, len(p.faults))
-	for i, f := range p.faults {
-		names[i] = f.name
-	}
-	return fmt.Sprintf("%s/%s/%s", p.step, strings.Join(names, " + "), p.kind)
+	return fmt.Sprintf("%s/%s/%s", p.step, faultNames(p.faults), p.kind)
 }
 
 func (p plan) run(t *testing.T) row {
