fix: in a small fleet a loan is asked of all others, not of one in each other zone

Cause: each holder of a small fleet holds a part of what all hold of a customer, and callers hang on few instances; two of five others (three of seven on ledge) were never asked. In cuts from the store one refusal in nine to one in three found enough at another instance. Change: Lenders lists all in a small fleet, own zone first; large fleets as before.

--- a/internal/peers/lenders.go
+++ b/internal/peers/lenders.go
@@ -8,7 +8,7 @@
 const (
 	poolZone    = 4 // from this size on a zone's tokens are pooled at a few of its instances
 	poolHolders = 2 // these many, over which customers are spread
-	mostLenders = 4 // instances that are asked for one loan
+	mostLenders = 4 // instances of a large fleet that are asked for one loan
 )
 
 // Pool says whether the own zone pools a customer's tokens, and whether it does so here.
@@ -22,10 +22,10 @@
 	return true, d.keepers(customer, zone)[0].ID == d.self.Peer.ID
 }
 
-// keepers are the instances of a zone that keep a customer's tokens, the first one first. The caller holds mu.
+// keepers are the instances of a zone that keep a customer's tokens, the first one first: all of them in a small fleet. The caller holds mu.
 func (d *Directory) keepers(customer string, zone []Record) []mesh.Peer {
 	n := len(zone)
-	if n >= poolZone {
+	if n >= poolZone && d.isLarge() {
 		n = poolHolders
 	}
 	list := make([]mesh.Peer, 0, n)
@@ -35,36 +35,38 @@
 	return member.Rank(customer, list)
 }
 
-// Lenders are the instances to borrow a customer's tokens from, best first: those of the own zone, then one of each other zone.
+// Lenders are the instances to borrow a customer's tokens from, best first: those of the own zone, then one of each other zone, or in a
+// small fleet all others: each holds a part of what all hold of the customer. With one of each other zone two of five others were never
+// asked, and of the refusals in a cut one in nine to one in three found enough at another instance (lines of requests, two calm days).
 func (d *Directory) Lenders(customer string) []mesh.Peer {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.linked() {
 		return nil
 	}
-	out := make([]mesh.Peer, 0, mostLenders)
-	out = d.lenders(out, d.keepers(customer, d.zones[d.self.Peer.Zone]), poolHolders)
-	far := make([]mesh.Peer, 0, len(d.zones))
+	most, nearMost, farEach := mostLenders, poolHolders, 1
+	if !d.isLarge() {
+		most, nearMost, farEach = len(d.records), len(d.records), len(d.records)
+	}
+	near := d.lenders(d.keepers(customer, d.zones[d.self.Peer.Zone]), nearMost)
+	var far []mesh.Peer
 	for zone, list := range d.zones {
 		if zone != d.self.Peer.Zone {
-			far = d.lenders(far, d.keepers(customer, list), 1)
+			far = append(far, d.lenders(d.keepers(customer, list), farEach)...)
 		}
 	}
-	return d.lenders(out, member.Rank(customer+d.self.Peer.ID, far), mostLenders)
+	return append(near, d.lenders(member.Rank(customer+d.self.Peer.ID, far), most-len(near))...)
 }
 
-// lenders adds up to most of a list that are not left alone. The caller holds mu.
-func (d *Directory) lenders(to, list []mesh.Peer, most int) []mesh.Peer {
+// lenders are up to most of a list that are not left alone. The caller holds mu.
+func (d *Directory) lenders(list []mesh.Peer, most int) []mesh.Peer {
+	out := make([]mesh.Peer, 0, len(list))
 	for _, p := range list {
-		if most == 0 || len(to) == mostLenders {
-			break
-		}
-		if p.ID != d.self.Peer.ID && !d.suspected(p.ID) {
-			to = append(to, p)
-			most--
+		if len(out) < most && p.ID != d.self.Peer.ID && !d.suspected(p.ID) {
+			out = append(out, p)
 		}
 	}
-	return to
+	return out
 }
 
 // Near says whether an instance is of the own zone.
