--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -17,7 +17,7 @@
 
 const kindEcho mesh.Kind = "test.echo"
 
-// fleet is some directories over one store and one net, in one zone, the first with the largest machine.
+// fleet is some directories over one store and one net, the first with the largest machine.
 type fleet struct {
 	store *memkv.Store
 	net   *meshtest.Net
@@ -25,11 +25,15 @@
 	dirs  []*Directory
 }
 
-func newFleet(n, large int) *fleet {
+// newFleet makes n instances, in turn of the zones; without any they are all of one.
+func newFleet(n, large int, zones ...string) *fleet {
+	if len(zones) == 0 {
+		zones = []string{"a"}
+	}
 	f := &fleet{store: memkv.New(), net: meshtest.New(), at: time.Unix(1000, 0)}
 	for i := range n {
 		r := mesh.NewRouter()
-		peer := mesh.Peer{ID: fmt.Sprintf("i-%d", i), Zone: "a", Addr: fmt.Sprintf("10.0.0.%d:1", i)}
+		peer := mesh.Peer{ID: fmt.Sprintf("i-%d", i), Zone: zones[i%len(zones)], Addr: fmt.Sprintf("10.0.0.%d:1", i)}
 		mesh.Handle(r, kindEcho, func(context.Context, mesh.Peer, string) (string, error) { return peer.ID, nil })
 		d := New(f.store, "p/", Record{Peer: peer, Capacity: float64(n - i)}, r, WithLarge(large),
 			WithNow(func() time.Time { return f.at }), WithCaller(f.net.Join(peer, r)))
@@ -272,6 +276,15 @@
 			So(ids(f.dirs[0].Lenders("north")), ShouldNotContain, "i-0")
 		})
 
+		Convey("also those of other zones that have several", func() {
+			f := newFleet(8, 9, "a", "b")
+			f.meet(ctx)
+			for _, d := range f.dirs {
+				So(d.Lenders("north"), ShouldHaveLength, 7)
+				So(d.Lenders("north")[0].Zone, ShouldEqual, d.self.Peer.Zone)
+			}
+		})
+
 		Convey("one that could not be reached is not asked for a while", func() {
 			f.net.SetDown("10.0.0.1:1", true)
 			for _, p := range f.dirs[0].Lenders("north") {
