fix: holders hold together the deviations of what all use, not each its own

Cause: what bounds a loss of power of all is the sum over holders. Six that each held two deviations of their own few requests held 24 s of mean use together; loans bring a holder what it lacks, as instances reach each other in nearly all cuts from the store. Change: a holder holds its part of the deviation of what all use (flow.whole).

--- a/internal/escrow/need.go
+++ b/internal/escrow/need.go
@@ -78,17 +78,18 @@
 // flow is a customer's use here: half as measured here, which is little, and half this holder's part of what all holders report.
 // At a pool it is what the zone is asked for. The caller holds mu.
 func (h *Holder) flow(a *account, role Role) flow {
-	if role == RolePool {
-		return flow{rate: max(a.zoneRate, a.meter.rate()), grain: h.own.grain()}
-	}
 	local := a.meter.rate()
 	all, mine := h.all.rate(), a.all.rate()
 	if a.told {
 		all, mine = h.toldRate, a.toldRate
 	}
-	if all <= 0 {
-		return flow{rate: local, grain: h.own.grain()}
+	f := flow{rate: local, whole: mine, grain: h.own.grain()}
+	switch {
+	case role == RolePool:
+		f.rate = max(a.zoneRate, local)
+	case all > 0:
+		part := min(1, h.own.rate()/all)
+		f.rate = (local + part*mine) / 2
 	}
-	part := min(1, h.own.rate()/all)
-	return flow{rate: (local + part*mine) / 2, grain: h.own.grain()}
+	return f
 }
--- a/internal/escrow/sizing.go
+++ b/internal/escrow/sizing.go
@@ -33,13 +33,20 @@
 // flow is the measured use of one customer here.
 type flow struct {
 	rate  float64 // tokens a second
+	whole float64 // tokens a second at all holders that hold for it, this one included
 	grain float64 // tokens; see meter.grain
 }
 
-// amount is the use in a time, with its spread: sizes of requests vary, so the use of a few of them is uneven.
+// amount is the use in a time, with this holder's part of the spread of what all use: sizes of requests vary, so the use of a few of
+// them is uneven. Holders lend each other what one of them lacks, and a loss of power of all takes the sum: six that held their own
+// spread held 2.4 times the spread of what all use.
 func (p Policy) amount(f flow, d time.Duration, deviations float64) float64 {
 	mean := f.rate * p.Surge * d.Seconds()
-	return mean + deviations*math.Sqrt(mean*f.grain)
+	if mean <= 0 {
+		return 0
+	}
+	whole := max(f.whole, f.rate) * p.Surge * d.Seconds()
+	return mean + deviations*math.Sqrt(whole*f.grain)*mean/whole
 }
 
 // tight is the use that is held of a budget that is nearly used up: what holders keep to themselves then is what a loss of power
