fix: a holder that was never asked asks for nothing as it stops

Cause: flow, since shares follow callers, divided 0 by 0 where neither a customer nor this holder was asked for anything; a stopping holder's row then got a rate far below zero, and a kill more than 2 s after that report would have settled it below nothing: a budget overspent. Found by reading. Change: without a known size of requests the measured rate stands. TestIdleHolderStops fails before.

--- a/internal/escrow/need.go
+++ b/internal/escrow/need.go
@@ -87,7 +87,7 @@
 	switch {
 	case role == RolePool:
 		f.rate = max(a.zoneRate, local)
-	case all > 0:
+	case all > 0 && f.grain > 0: // a holder that was never asked knows no size of requests
 		part := min(1, h.own.rate()/all)
 		seen := mine * meterWindow.Seconds()
 		sure := seen / (seen + priorRequests*f.grain)
--- a/internal/escrow/share_test.go
+++ b/internal/escrow/share_test.go
@@ -70,3 +70,23 @@
 	a.told, a.toldRate, h.toldRate = true, use, all
 	return h.flow(a, RoleAlone)
 }
+
+// A holder that nobody had asked divided nothing by nothing, and a stop wrote what came of it, a rate far below zero, into its row: had the
+// process then been killed, its settlement would have given the budget more than was paid.
+func TestIdleHolderStops(t *testing.T) {
+	Convey("A holder that was never asked wants nothing as it stops, and its ceiling is never below what it has spent", t, func() {
+		w := newWorld(DefaultPolicy())
+		n := w.nodes[1]
+		n.role = RoleAlone
+		w.draw(n)
+		h := n.holder
+		a := h.accounts["north"]
+		a.told, a.toldRate, h.toldRate = true, 0, 1000
+		h.Shrink()
+		need := h.need("north", a, 3)
+		So(need.Want, ShouldEqual, 0)
+		So(need.Rate, ShouldEqual, 0)
+		row := Row{Granted: need.Spent, Spent: need.Spent, Burst: need.Burst, Rate: need.Rate}
+		So(row.Ceiling(time.Minute), ShouldEqual, need.Spent)
+	})
+}
