feat: the log says which requests are the same and whether an endpoint ended under one

Cause: the lines of requests name their IDs only, so that one request under many IDs was found by customer and token counts, and a broken connection looked like the end of an endpoint. Change: a request that broke off is told with a digest of what it asks; the address of the endpoint is looked at once for all that broke off there, and an end is told with the attempt, or in a line of its own. Records may tell the start of their process.

--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -65,6 +65,13 @@
 	return s.pool.silent(s.member, s.pool.now())
 }
 
+// Leaving says whether the endpoint's planned end is known: it has said that it drains, or its record is gone.
+func (s *Lease) Leaving() bool {
+	s.pool.mu.RLock()
+	defer s.pool.mu.RUnlock()
+	return s.member.Draining || s.pool.byID[s.member.ID] != s.member
+}
+
 // End is how a request's use of an endpoint ended.
 type End int
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -23,6 +23,8 @@
 	Draining bool   `cbor:"6,keyasint,omitempty"` // takes no new work
 	// Cold is how much longer it was slow from its start, or from losing what it kept, when it said so
 	Cold time.Duration `cbor:"7,keyasint,omitempty"`
+	// Born is when its process started, in Unix milliseconds of its own clock; 0: it does not say
+	Born int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Tells says whether what an endpoint says of itself now is news to an instance that knows the earlier word. That it is a little less cold
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -9,6 +9,7 @@
 
 	"github.com/ledgemount/ledgemount/internal/escrow"
 	"github.com/ledgemount/ledgemount/internal/pool"
+	"github.com/ledgemount/ledgemount/internal/quarantine"
 	"github.com/ledgemount/ledgemount/internal/retry"
 	"github.com/ledgemount/ledgemount/internal/route"
 	"github.com/ledgemount/ledgemount/internal/upstream"
@@ -42,6 +43,8 @@
 	stall   time.Duration
 	maxBody int64
 	apart   bool // requests of one subject are not kept together
+	late    func(LateEnd)
+	endings endings
 }
 
 // Option changes a Core.
@@ -56,6 +59,9 @@
 // WithEnded sets what is told of each request that has ended.
 func WithEnded(f func(Outcome)) Option { return func(c *Core) { c.ended = f } }
 
+// WithLateEnd sets what is told of an endpoint's end that was seen late.
+func WithLateEnd(f func(LateEnd)) Option { return func(c *Core) { c.late = f } }
+
 // WithDialed sets what is told how long new connections to endpoints took to come up, by the endpoint's availability zone.
 func WithDialed(f func(zone string, took time.Duration)) Option {
 	return func(c *Core) { c.dialed = f }
@@ -87,6 +93,7 @@
 func New(deps Deps, opts ...Option) *Core {
 	c := &Core{
 		Deps: deps, now: time.Now, random: rand.Float64, ended: func(Outcome) {}, dialed: func(string, time.Duration) {},
+		late: func(LateEnd) {},
 		crowded: func() bool { return false }, stall: defaultStall, maxBody: defaultMaxBody,
 	}
 	for _, opt := range opts {
@@ -147,6 +154,7 @@
 	// wholeMetered: the caller has an answer without events, of which the tokens cannot be counted
 	wholeMetered bool
 	last         string // ID of the last event that was passed on
+	known        *quarantine.Print
 }
 
 func (j *job) run(ctx context.Context) error {
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -162,6 +162,7 @@
 	lease.Done(endOf(res))
 	j.outcome.Endpoints = append(j.outcome.Endpoints, Step{
 		Endpoint: lease.Endpoint().ID, Reason: string(lease.Reason()), Kept: string(lease.Kept()), End: resultNames[res], At: at,
+		Ended: res == resultBroken && !watch.stalled() && j.sawEnd(lease),
 	})
 	return res, answer
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -112,6 +112,8 @@
 	Pause     time.Duration // the longest between two events of a stream
 	Late      Lateness      // against the route's objective and its longest pause
 	Total     time.Duration
+	// Digest names the request by what it asks, whatever its ID; empty where no attempt broke off.
+	Digest string
 }
 
 // Lateness says what of an answer came later than its route wants it.
@@ -131,6 +133,7 @@
 	Kept     string // why the endpoint before it in the order of affinity got no work; empty: it is the first, or has work
 	End      string
 	At       time.Duration // since the request arrived
+	Ended    bool          // the attempt broke off, and the endpoint's process had ended
 }
 
 // Valid checks what every request needs. The error is a verdict.
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -107,6 +107,9 @@
 	if o.Late != relay.LateNot {
 		e = e.Str("late", string(o.Late))
 	}
+	if o.Digest != "" {
+		e = e.Str("digest", o.Digest)
+	}
 	if o.Code != "" {
 		e = e.Str("code", string(o.Code)).Str("detail", o.Detail)
 	}
@@ -123,9 +126,18 @@
 func (s steps) MarshalZerologArray(a *zerolog.Array) {
 	for _, x := range s {
 		d := zerolog.Dict().Str("endpoint", x.Endpoint).Str("reason", x.Reason).Str("end", x.End).Int64("at_ms", x.At.Milliseconds())
+		if x.Ended {
+			d = d.Bool("ended", true)
+		}
 		if x.Kept != "" {
 			d = d.Str("kept_off", x.Kept)
 		}
 		a.Dict(d)
 	}
 }
+
+// lateEnd logs that an endpoint ended under a request, seen after the request's own line.
+func (r *Router) lateEnd(l relay.LateEnd) {
+	r.log.Warn().Str("event", "endpoint_ended").Str("endpoint", l.Endpoint).Str("digest", l.Digest).
+		Msg("an endpoint's process has ended while it ran a request")
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -96,7 +96,7 @@
 	retries := retry.NewShared(ratio, slack, set.Retry.Window, r.escrow.Holders, time.Now)
 	r.core = relay.New(relay.Deps{
 		Tables: r.follow.Table, Pool: r.pool, Budgets: r.escrow, Retries: retries, Client: r.client, Dialect: on.Dialect,
-	}, append(set.relayOptions(), relay.WithEnded(r.ended), relay.WithDialed(r.dialed), relay.WithCrowded(r.pressure.Crowded))...)
+	}, append(set.relayOptions(), relay.WithEnded(r.ended), relay.WithLateEnd(r.lateEnd), relay.WithDialed(r.dialed), relay.WithCrowded(r.pressure.Crowded))...)
 	if err := r.listen(on); err != nil {
 		return nil, err
 	}
