fix: instances know a request again under which endpoints end, and together keep it from the others

Cause: an end of an endpoint was booked on the endpoint and on the service's retry budget, and nothing on the request, which comes back under another ID at another instance. Change: package quarantine remembers ends by a digest of customer, method, host, path and query, and body. An end is a run that broke off at an endpoint whose port then refuses. Instances tell each other at once and with the exchange of loads; what is decided, and what could not be told, is written to the store. Refused at once as not run, before any budget is reserved.

--- a/internal/external/meter.go
+++ b/internal/external/meter.go
@@ -21,7 +21,9 @@
 	DutyDeposit Duty = "deposit"
 	DutyAudit   Duty = "audit"
 	DutyMembers Duty = "members" // the instances' records
-	DutyOther   Duty = "other"
+	// DutyQuarantine is which requests are kept from endpoints
+	DutyQuarantine Duty = "quarantine"
+	DutyOther      Duty = "other"
 )
 
 type dutyKey struct{}
--- a/internal/load/digest.go
+++ b/internal/load/digest.go
@@ -29,6 +29,7 @@
 // digest is what some instances have under way.
 type digest struct {
 	Lines []line `cbor:"1,keyasint,omitempty"`
+	Rider []byte `cbor:"2,keyasint,omitempty"` // what a Rider tells
 }
 
 // pack writes loads down, as far as they are worth it.
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -34,11 +34,26 @@
 	at    time.Time
 }
 
+// Rider has something to tell to the same instances, rarely and in few bytes. It travels with the loads: messages of its own would double what
+// the leader of a zone handles.
+type Rider interface {
+	// Tell is what is to be told to an instance now; nil: nothing.
+	Tell(to string) []byte
+	// Hear takes what an instance tells.
+	Hear(from string, b []byte)
+}
+
+type noRider struct{}
+
+func (noRider) Tell(string) []byte  { return nil }
+func (noRider) Hear(string, []byte) {}
+
 // Exchange is the service that tells and asks.
 type Exchange struct {
 	dir  *peers.Directory
 	pool *pool.Pool
 	now  func() time.Time
+	with Rider
 
 	mu      sync.Mutex
 	members map[string]told // by instance, where this one gathers
@@ -51,9 +66,12 @@
 // WithNow replaces the clock.
 func WithNow(now func() time.Time) Option { return func(x *Exchange) { x.now = now } }
 
+// WithRider lets something else travel with the loads.
+func WithRider(r Rider) Option { return func(x *Exchange) { x.with = r } }
+
 // New makes an exchange and registers its messages.
 func New(dir *peers.Directory, p *pool.Pool, router *mesh.Router, opts ...Option) *Exchange {
-	x := &Exchange{dir: dir, pool: p, now: time.Now, members: make(map[string]told), zones: make(map[string]told)}
+	x := &Exchange{dir: dir, pool: p, now: time.Now, with: noRider{}, members: make(map[string]told), zones: make(map[string]told)}
 	for _, opt := range opts {
 		opt(x)
 	}
@@ -83,8 +101,10 @@
 	}
 	mine := pack(x.pool.Loads())
 	for _, p := range keepers {
+		mine.Rider = x.with.Tell(p.ID)
 		others, err := peers.Call[digest, digest](ctx, x.dir, p, KindTell, mine)
 		if err == nil {
+			x.with.Hear(p.ID, others.Rider)
 			x.pool.SetOthers(others.unpack())
 			return
 		}
@@ -100,8 +120,10 @@
 	var wg sync.WaitGroup
 	for _, p := range x.dir.Heads() {
 		wg.Go(func() {
+			mine := digest{Lines: mine.Lines, Rider: x.with.Tell(p.ID)}
 			theirs, err := peers.Call[digest, digest](ctx, x.dir, p, KindZone, mine)
 			if err == nil {
+				x.with.Hear(p.ID, theirs.Rider)
 				x.note(x.zones, p.Zone, theirs.unpack())
 			}
 		})
@@ -114,13 +136,21 @@
 	x.note(x.members, from.ID, d.unpack())
 	sum := x.sum(from.ID)
 	sum.Add(x.pool.Loads())
-	return pack(sum), nil
+	return x.reply(from, d, sum), nil
 }
 
 // zone takes the sum of another zone and answers with that of the own.
 func (x *Exchange) zone(_ context.Context, from mesh.Peer, d digest) (digest, error) {
 	x.note(x.zones, from.Zone, d.unpack())
-	return pack(x.zoneSum()), nil
+	return x.reply(from, d, x.zoneSum()), nil
+}
+
+// reply answers a digest with loads, and lets the rider hear and tell.
+func (x *Exchange) reply(from mesh.Peer, d digest, loads pool.Loads) digest {
+	x.with.Hear(from.ID, d.Rider)
+	out := pack(loads)
+	out.Rider = x.with.Tell(from.ID)
+	return out
 }
 
 func (x *Exchange) note(list map[string]told, key string, loads pool.Loads) {
--- a/internal/peers/leaders.go
+++ b/internal/peers/leaders.go
@@ -74,6 +74,11 @@
 	if !d.linked() {
 		return nil
 	}
+	return d.heads()
+}
+
+// heads is Heads. The caller holds mu.
+func (d *Directory) heads() []mesh.Peer {
 	var out []mesh.Peer
 	for zone, list := range d.zones {
 		if zone == d.self.Peer.Zone {
@@ -86,6 +91,50 @@
 	return out
 }
 
+// Spread are the instances to tell at once what all are to know: all others of a small fleet; in a large one the first leader of the zone that
+// can be reached, and for a leader those of the other zones.
+func (d *Directory) Spread() []mesh.Peer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case !d.linked():
+		return nil
+	case !d.isLarge():
+		out := make([]mesh.Peer, 0, len(d.records))
+		for _, r := range d.records {
+			if r.Peer.ID != d.self.Peer.ID {
+				out = append(out, r.Peer)
+			}
+		}
+		return out
+	}
+	if ahead := d.reachable(d.ahead); len(ahead) > 0 {
+		return ahead[:1]
+	}
+	return d.heads()
+}
+
+// Cut says whether the last call to an instance that this one tells has failed: in a large fleet one that leads another zone, in a small one
+// any other.
+func (d *Directory) Cut() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.isLarge() {
+		return len(d.suspects) > 0
+	}
+	for zone, list := range d.zones {
+		if zone == d.self.Peer.Zone {
+			continue
+		}
+		for _, r := range list[:min(len(list), mostLeaders)] {
+			if d.suspects[r.Peer.ID] != nil {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // linked says whether links to other instances are open.
 func (d *Directory) linked() bool { return d.caller.Load() != nil }
 
--- a/internal/quarantine/print.go
+++ b/internal/quarantine/digest.go
@@ -11,12 +11,12 @@
 	"encoding/hex"
 )
 
-// Print names a request by what it asks and who asks it, whatever ID it carries. It is a part of a SHA-256 sum: a caller cannot make two
+// Digest names a request by what it asks and who asks it, whatever ID it carries. It is a part of a SHA-256 sum: a caller cannot make two
 // requests alike, and no body can be read from it.
-type Print [16]byte
+type Digest [16]byte
 
-// Of makes the print of a request. customer is the one whose key was used; target is the path and query as the caller wrote them.
-func Of(customer, method, host, target string, body []byte) Print {
+// Of makes the digest of a request. customer is the one whose key was used; target is the path and query as the caller wrote them.
+func Of(customer, method, host, target string, body []byte) Digest {
 	h := sha256.New()
 	var size [8]byte
 	for _, part := range []string{customer, method, host, target} {
@@ -25,10 +25,10 @@
 		_, _ = h.Write([]byte(part))
 	}
 	_, _ = h.Write(body)
-	var p Print
+	var p Digest
 	copy(p[:], h.Sum(nil))
 	return p
 }
 
-// String is the print in hexadecimal digits.
-func (p Print) String() string { return hex.EncodeToString(p[:]) }
+// String is the digest in hexadecimal digits.
+func (p Digest) String() string { return hex.EncodeToString(p[:]) }
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -32,19 +32,20 @@
 	Dialect Dialect
 }
 
-// Core serves requests. It keeps nothing of them.
+// Core serves requests. It keeps nothing of them but which ones their endpoints did not outlive.
 type Core struct {
 	Deps
-	now     func() time.Time
-	random  func() float64
-	ended   func(Outcome)
-	dialed  func(zone string, took time.Duration)
-	crowded func() bool
-	stall   time.Duration
-	maxBody int64
-	apart   bool // requests of one subject are not kept together
-	late    func(LateEnd)
-	endings endings
+	now      func() time.Time
+	random   func() float64
+	ended    func(Outcome)
+	dialed   func(zone string, took time.Duration)
+	crowded  func() bool
+	stall    time.Duration
+	maxBody  int64
+	apart    bool // requests of one subject are not kept together
+	late     func(LateEnd)
+	endings  endings
+	suspects *quarantine.Memory
 }
 
 // Option changes a Core.
@@ -62,6 +63,9 @@
 // WithLateEnd sets what is told of an endpoint's end that was seen late.
 func WithLateEnd(f func(LateEnd)) Option { return func(c *Core) { c.late = f } }
 
+// WithQuarantine replaces the memory of requests that end endpoints, which is the instance's own where nothing else is set.
+func WithQuarantine(m *quarantine.Memory) Option { return func(c *Core) { c.suspects = m } }
+
 // WithDialed sets what is told how long new connections to endpoints took to come up, by the endpoint's availability zone.
 func WithDialed(f func(zone string, took time.Duration)) Option {
 	return func(c *Core) { c.dialed = f }
@@ -93,7 +97,7 @@
 func New(deps Deps, opts ...Option) *Core {
 	c := &Core{
 		Deps: deps, now: time.Now, random: rand.Float64, ended: func(Outcome) {}, dialed: func(string, time.Duration) {},
-		late: func(LateEnd) {},
+		late: func(LateEnd) {}, suspects: quarantine.New(),
 		crowded: func() bool { return false }, stall: defaultStall, maxBody: defaultMaxBody,
 	}
 	for _, opt := range opts {
@@ -154,13 +158,18 @@
 	// wholeMetered: the caller has an answer without events, of which the tokens cannot be counted
 	wholeMetered bool
 	last         string // ID of the last event that was passed on
-	known        *quarantine.Print
+	known        *quarantine.Digest
+	entered      bool // its digest is under suspicion, and it was let in
 }
 
 func (j *job) run(ctx context.Context) error {
 	if err := j.admit(); err != nil {
 		return err
 	}
+	if err := j.enter(); err != nil {
+		return err
+	}
+	defer j.leave()
 	if j.core.crowded() {
 		return refuse(verdict.CodeOverloaded, "this instance's link is crowded", retryNow)
 	}
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -36,6 +36,9 @@
 func (j *job) dispatch(ctx context.Context) error {
 	var failure *kept
 	for {
+		if j.heldMeanwhile() {
+			return j.giveUpHeld(ctx, failure)
+		}
 		lease := j.pick()
 		if lease == nil {
 			return j.giveUp(ctx, failure, resultUnsent)
@@ -43,6 +46,7 @@
 		res, answer := j.try(ctx, lease)
 		switch res {
 		case resultDone:
+			j.endedWell()
 			return nil
 		case resultFailed:
 			failure = answer
@@ -83,7 +87,7 @@
 	switch res {
 	case resultNotRun:
 	case resultFailed, resultBroken:
-		if !j.route.Repeatable() {
+		if !j.route.Repeatable() || (res == resultBroken && j.lone()) {
 			return false
 		}
 	case resultDone, resultUnsent, resultLeft:
@@ -147,7 +151,8 @@
 
 // try sends the request to one endpoint and passes on what comes.
 func (j *job) try(ctx context.Context, lease *pool.Lease) (result, *kept) {
-	at := j.core.now().Sub(j.req.Arrived)
+	began := j.core.now()
+	events := j.events
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watch := j.watch(lease, cancel)
@@ -161,8 +166,8 @@
 	}
 	lease.Done(endOf(res))
 	j.outcome.Endpoints = append(j.outcome.Endpoints, Step{
-		Endpoint: lease.Endpoint().ID, Reason: string(lease.Reason()), Kept: string(lease.Kept()), End: resultNames[res], At: at,
-		Ended: res == resultBroken && !watch.stalled() && j.sawEnd(lease),
+		Endpoint: lease.Endpoint().ID, Reason: string(lease.Reason()), Kept: string(lease.Kept()), End: resultNames[res], At: began.Sub(j.req.Arrived),
+		Ended: res == resultBroken && !watch.stalled() && j.sawEnd(lease, began, j.events > events),
 	})
 	return res, answer
 }
--- a/internal/relay/endings.go
+++ b/internal/relay/endings.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"strconv"
+	"time"
 
 	"golang.org/x/sync/singleflight"
 
 	"github.com/ledgemount/ledgemount/internal/pool"
 	"github.com/ledgemount/ledgemount/internal/quarantine"
+	"github.com/ledgemount/ledgemount/internal/verdict"
 )
 
 // endings finds out whether an endpoint's process has ended, once for all requests that broke off there at the same moment.
@@ -37,12 +39,73 @@
 	return false
 }
 
-// sawEnd notes whether the endpoint of an attempt that broke off has ended with it.
-func (j *job) sawEnd(lease *pool.Lease) bool {
-	print := j.print()
-	j.outcome.Digest = print.String()
-	endpoint := lease.Endpoint().ID
-	return j.ended(lease, func() { j.core.late(LateEnd{Digest: print.String(), Endpoint: endpoint}) })
+// sawEnd notes whether the endpoint of an attempt that broke off has ended with it. events says whether the attempt had passed events on.
+func (j *job) sawEnd(lease *pool.Lease, began time.Time, events bool) bool {
+	digest, customer, endpoint := j.digest(), j.outcome.Customer, lease.Endpoint()
+	j.outcome.Digest = digest.String()
+	end := quarantine.End{Run: run(endpoint), Began: began, Ended: j.core.now(), Events: events}
+	ended := j.ended(lease, func() {
+		j.core.suspects.Ended(digest, customer, end)
+		j.core.late(LateEnd{Digest: digest.String(), Endpoint: endpoint.ID})
+	})
+	if ended {
+		j.core.suspects.Ended(digest, customer, end)
+	}
+	return ended
+}
+
+// enter refuses a request at once that several endpoints did not outlive, before anything is reserved for it. Each further run would break off
+// all else that its endpoint runs: one request ended sixteen endpoints in eleven seconds, and 89 others were broken off with it.
+func (j *job) enter() error {
+	if !j.core.suspects.Suspects(j.outcome.Customer) {
+		return nil
+	}
+	decision, after := j.core.suspects.Enter(j.digest())
+	switch decision {
+	case quarantine.Refuse:
+		j.outcome.Digest = j.digest().String()
+		return refuse(verdict.CodeQuarantined, heldDetail, after)
+	case quarantine.Wait:
+		j.outcome.Digest = j.digest().String()
+		return refuse(verdict.CodeQuarantined, "the endpoints that ran this request before have ended, and another run of it is under way", retrySoon)
+	case quarantine.Run:
+	}
+	j.entered = true
+	return nil
+}
+
+const heldDetail = "several endpoints ended while they ran this request before; it is kept from the others for a while and has not run this time"
+
+func (j *job) leave() {
+	if j.entered {
+		j.core.suspects.Leave(j.digest())
+	}
+}
+
+// heldMeanwhile says whether a request that was let in is kept back by now: it waited for its budget, or for its second attempt.
+func (j *job) heldMeanwhile() bool {
+	return j.core.suspects.Suspects(j.outcome.Customer) && j.core.suspects.Held(j.digest())
+}
+
+// giveUpHeld tells the caller that the request does not go to another endpoint.
+func (j *job) giveUpHeld(ctx context.Context, failure *kept) error {
+	j.outcome.Digest = j.digest().String()
+	if !j.ran && !j.begun && failure == nil {
+		return refuse(verdict.CodeQuarantined, heldDetail, retrySoon)
+	}
+	return j.giveUp(ctx, failure, resultBroken)
+}
+
+// lone says whether only its caller may send a request again: two endpoints in a row did not outlive it.
+func (j *job) lone() bool {
+	return j.core.suspects.Suspects(j.outcome.Customer) && j.core.suspects.Lone(j.digest())
+}
+
+// endedWell clears a request of suspicion.
+func (j *job) endedWell() {
+	if j.core.suspects.Suspects(j.outcome.Customer) {
+		j.core.suspects.Well(j.digest())
+	}
 }
 
 // LateEnd tells that an endpoint was seen to have ended only after the request that broke off there had been told of.
@@ -51,8 +114,8 @@
 	Endpoint string
 }
 
-// print names the request by what it asks, whatever its ID.
-func (j *job) print() quarantine.Print {
+// digest names the request by what it asks, whatever its ID.
+func (j *job) digest() quarantine.Digest {
 	if j.known == nil {
 		customer := ""
 		if j.customer != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -24,6 +24,7 @@
 	"github.com/ledgemount/ledgemount/internal/peers"
 	"github.com/ledgemount/ledgemount/internal/pool"
 	"github.com/ledgemount/ledgemount/internal/pressure"
+	"github.com/ledgemount/ledgemount/internal/quarantine"
 	"github.com/ledgemount/ledgemount/internal/relay"
 	"github.com/ledgemount/ledgemount/internal/retry"
 	"github.com/ledgemount/ledgemount/internal/route"
@@ -44,22 +45,24 @@
 
 // Router is one instance.
 type Router struct {
-	set     *Settings
-	log     zerolog.Logger
-	kernel  *kernel.Kernel
-	client  *upstream.Client
-	pool    *pool.Pool
-	peers   *peers.Directory
-	clock   *fleettime.Clock
-	load    *load.Exchange
-	follow  *follow.Follower
-	escrow  *escrow.Holder
-	core    *relay.Core
-	callers *edge.Server
-	probes  *probes
-	figures *probes // metrics on an address of their own; nil: none
-	metrics *meters
-	start   *startLine
+	set      *Settings
+	log      zerolog.Logger
+	kernel   *kernel.Kernel
+	client   *upstream.Client
+	pool     *pool.Pool
+	peers    *peers.Directory
+	clock    *fleettime.Clock
+	load     *load.Exchange
+	share    *quarantine.Share
+	follow   *follow.Follower
+	escrow   *escrow.Holder
+	core     *relay.Core
+	suspects *quarantine.Memory
+	callers  *edge.Server
+	probes   *probes
+	figures  *probes // metrics on an address of their own; nil: none
+	metrics  *meters
+	start    *startLine
 
 	pressure *pressure.Gauge
 }
@@ -87,16 +90,18 @@
 		escrow.WithLogger(log), escrow.OnFolded(r.metrics.folded), escrow.WithPolicy(set.escrowPolicy()), escrow.WithFleet(remote.New(r.peers, r.clock, set.fleetOptions()...)))
 	r.follow = follow.New(feed.NewSource(r.peers, on.Source), r.pool,
 		follow.WithLogger(log), follow.OnTable(r.fundsOf), follow.OnTable(func(t *route.Table) { r.pool.SetWarmups(t.Warmups()) }),
-		follow.OnEntry(r.escrow.Observe), follow.OnPolled(r.escrow.Tick),
+		follow.OnEntry(r.observe), follow.OnPolled(r.escrow.Tick),
 		follow.WithOwn(func() bool { return !r.peers.Large() }))
-	r.load = load.New(r.peers, r.pool, links)
+	r.suspects = quarantine.New(quarantine.WithProber(r.tries), quarantine.OnChange(r.quarantined), quarantine.OnNews(func() { r.share.Changed() }))
+	r.share = quarantine.NewShare(r.suspects, r.peers, on.Store, set.Store.Prefix, links, quarantine.WithLogger(log))
+	r.load = load.New(r.peers, r.pool, links, load.WithRider(r.share))
 	remote.Serve(links, r.escrow)
 	feed.Serve(links, r.follow)
 	ratio, slack := set.retryBudget()
 	retries := retry.NewShared(ratio, slack, set.Retry.Window, r.escrow.Holders, time.Now)
 	r.core = relay.New(relay.Deps{
 		Tables: r.follow.Table, Pool: r.pool, Budgets: r.escrow, Retries: retries, Client: r.client, Dialect: on.Dialect,
-	}, append(set.relayOptions(), relay.WithEnded(r.ended), relay.WithLateEnd(r.lateEnd), relay.WithDialed(r.dialed), relay.WithCrowded(r.pressure.Crowded))...)
+	}, append(set.relayOptions(), relay.WithEnded(r.ended), relay.WithLateEnd(r.lateEnd), relay.WithQuarantine(r.suspects), relay.WithDialed(r.dialed), relay.WithCrowded(r.pressure.Crowded))...)
 	if err := r.listen(on); err != nil {
 		return nil, err
 	}
@@ -132,7 +137,7 @@
 	if !r.set.without(Loads) {
 		list = append(list, r.load)
 	}
-	list = append(list, r.follow, r.escrow, r.escrow.Repayments(), &sweeper{client: r.client}, &callLog{counts: r.metrics.calls, sent: r.metrics.sent, role: r.role, log: r.log}, r.startWatch(), r.callers, r.probes)
+	list = append(list, r.share, r.follow, r.escrow, r.escrow.Repayments(), &sweeper{client: r.client}, &callLog{counts: r.metrics.calls, sent: r.metrics.sent, role: r.role, log: r.log}, r.startWatch(), r.callers, r.probes)
 	if r.figures != nil {
 		list = append(list, r.figures)
 	}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -60,6 +60,7 @@
 	CodeCancelled        Code = "cancelled"
 	CodeConflict         Code = "conflict"
 	CodeUnavailable      Code = "unavailable"
+	CodeQuarantined      Code = "request-quarantined"
 	CodeInternal         Code = "internal"
 )
 
@@ -87,6 +88,7 @@
 	CodeCancelled:        statusClientClosed,
 	CodeConflict:         http.StatusConflict,
 	CodeUnavailable:      http.StatusServiceUnavailable,
+	CodeQuarantined:      http.StatusServiceUnavailable, // and not a refusal for good: the judgement is an inference, and ends
 	CodeInternal:         http.StatusInternalServerError,
 }
 
