--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -55,6 +55,9 @@
 // WithAway sets what says whether callers are to be sent to other instances: their connections end with their answers.
 func WithAway(f func() bool) Option { return func(s *Server) { s.away = f } }
 
+// WithNow replaces the clock, which is read once for each request.
+func WithNow(now func() time.Time) Option { return func(s *Server) { s.now = now } }
+
 // WithWrap sets what is put around the listener.
 func WithWrap(f func(net.Listener) net.Listener) Option { return func(s *Server) { s.wrap = f } }
 
--- a/internal/escrow/clock.go
+++ b/internal/escrow/clock.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/ledgemount/ledgemount/internal/boottime"
 )
 
 const bootIDPath = "/proc/sys/kernel/random/boot_id"
@@ -20,7 +20,8 @@
 
 type machineClock struct{ boot string }
 
-// MachineClock is the machine's steady clock, named by the kernel's boot ID.
+// MachineClock is the time since the machine's boot, suspensions included, named by the kernel's boot ID. A holder releases its grant by it and
+// its successor settles by it: were one of them to leave a suspension out, more could be spent than settled.
 func MachineClock() Clock {
 	b, err := os.ReadFile(bootIDPath)
 	if err != nil {
@@ -31,11 +32,11 @@
 
 // Now implements Clock.
 func (machineClock) Now() time.Duration {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &ts); err != nil {
+	now, err := boottime.Read()
+	if err != nil {
 		return 0
 	}
-	return time.Duration(ts.Nano())
+	return now
 }
 
 // Boot implements Clock.
--- a/internal/escrow/holder.go
+++ b/internal/escrow/holder.go
@@ -68,6 +68,7 @@
 	store  external.KV
 	clock  Clock
 	now    func() time.Time
+	wall   func() time.Time
 	random func() float64 // from 0 to 1
 	policy Policy
 	times  Times
@@ -132,9 +133,12 @@
 // WithClock replaces the steady clock.
 func WithClock(c Clock) Option { return func(h *Holder) { h.clock = c } }
 
-// WithNow replaces the process's clock.
+// WithNow replaces the clock by which ages are judged.
 func WithNow(now func() time.Time) Option { return func(h *Holder) { h.now = now } }
 
+// WithWall replaces the time of day.
+func WithWall(wall func() time.Time) Option { return func(h *Holder) { h.wall = wall } }
+
 // WithRandom replaces the source of lots, which are numbers from 0 to 1.
 func WithRandom(f func() float64) Option { return func(h *Holder) { h.random = f } }
 
@@ -150,7 +154,7 @@
 // New makes a holder. node outlasts the process; id is this process's own. Pages lie under prefix in the store.
 func New(store external.KV, prefix string, pages int, node, id string, opts ...Option) *Holder {
 	h := &Holder{
-		id: id, node: node, store: store, clock: MachineClock(), now: time.Now, random: rand.Float64,
+		id: id, node: node, store: store, clock: MachineClock(), now: time.Now, wall: time.Now, random: rand.Float64,
 		policy: DefaultPolicy(), times: DefaultTimes(), log: zerolog.Nop(), onFolded: func(Folded) {},
 		accounts: make(map[string]*account), changed: make(chan struct{}), kicks: make(chan struct{}, 1),
 		asked: make(map[string]asked), loans: make(map[loanKey]lent), returned: make(map[loanKey]time.Time),
--- a/internal/escrow/loss_test.go
+++ b/internal/escrow/loss_test.go
@@ -88,7 +88,7 @@
 		f.gates[i] = &gate{KV: f.store}
 		node := fmt.Sprintf("node-%d", i)
 		id := fmt.Sprintf("%s/%d", node, f.boots[i])
-		f.holders[i] = New(f.gates[i], "loss/", 1, node, id, WithNow(now), WithRandom(f.lots.Float64), WithClock(lossClock{fleet: f, boot: id, since: f.elapsed}))
+		f.holders[i] = New(f.gates[i], "loss/", 1, node, id, WithNow(now), WithWall(now), WithRandom(f.lots.Float64), WithClock(lossClock{fleet: f, boot: id, since: f.elapsed}))
 		list := make([]Prepaid, lossCustomers)
 		for c := range list {
 			list[c] = Prepaid{Customer: lossCustomer(c), Tokens: f.prepaid}
--- a/internal/escrow/property_test.go
+++ b/internal/escrow/property_test.go
@@ -227,7 +227,7 @@
 	now := func() time.Time { return time.Unix(1_000_000, 0).Add(w.elapsed + n.step) }
 	times := DefaultTimes()
 	times.Gather, times.Group, times.Relayed = 0, 0, 0 // time stands still while rows are handed on
-	n.holder = New(n.gate, propertyPrefix, 2, n.name, fmt.Sprintf("%s/%d", n.name, n.starts), WithClock(n.clock), WithNow(now),
+	n.holder = New(n.gate, propertyPrefix, 2, n.name, fmt.Sprintf("%s/%d", n.name, n.starts), WithClock(n.clock), WithNow(now), WithWall(now),
 		WithFleet(&simFleet{world: w, node: n}), WithPolicy(w.policy), WithTimes(times))
 	w.tell(n)
 }
--- a/internal/escrow/rank_test.go
+++ b/internal/escrow/rank_test.go
@@ -14,7 +14,7 @@
 func TestRanks(t *testing.T) {
 	Convey("A holder with a grant", t, func() {
 		now := time.Unix(1000, 0)
-		h := New(memkv.New(), "p/", 1, "node", "node/1", WithNow(func() time.Time { return now }))
+		h := New(memkv.New(), "p/", 1, "node", "node/1", WithNow(func() time.Time { return now }), WithWall(func() time.Time { return now }))
 		ctx := context.Background()
 		begin := func(prepaid int64) {
 			h.SetPrepaid([]Prepaid{{Customer: "north", Tokens: prepaid}})
--- a/internal/escrow/spread_test.go
+++ b/internal/escrow/spread_test.go
@@ -48,7 +48,7 @@
 		const prepaid = 10_000
 		now := time.Unix(1000, 0)
 		lot := 0.9
-		h := New(memkv.New(), "p/", 1, "node", "node/1", WithNow(func() time.Time { return now }), WithRandom(func() float64 { return lot }))
+		h := New(memkv.New(), "p/", 1, "node", "node/1", WithNow(func() time.Time { return now }), WithWall(func() time.Time { return now }), WithRandom(func() float64 { return lot }))
 		h.SetPrepaid([]Prepaid{{Customer: "north", Tokens: prepaid}})
 		h.startBeat()
 		h.draw(context.Background(), h.pages[0])
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -175,7 +175,7 @@
 	}
 	if !j.end.IsZero() {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, j.end)
+		ctx, cancel = context.WithTimeout(ctx, j.end.Sub(j.core.now()))
 		defer cancel()
 	}
 	if err := j.reserve(ctx); err != nil {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -115,7 +115,8 @@
 	now   func() time.Time
 	first time.Duration // how long the endpoint may be silent before the first event
 	later time.Duration // and after it
-	last  atomic.Int64  // nanoseconds of the core's clock
+	since time.Time     // the watch began
+	last  atomic.Int64  // when something was heard, in nanoseconds since then
 	begun atomic.Bool
 	fired atomic.Bool
 
@@ -127,8 +128,8 @@
 func (j *job) watch(lease *pool.Lease, cancel func()) *watchdog {
 	w := &watchdog{
 		lease: lease, now: j.core.now, first: max(j.core.stall, lease.Patience()), later: max(j.core.stall, stallGaps*j.route.Gap),
+		since: j.core.now(),
 	}
-	w.last.Store(j.core.now().UnixNano())
 	if !j.route.Repeatable() || j.attempts+1 >= j.route.MaxAttempts {
 		return w
 	}
@@ -160,7 +161,7 @@
 	if w.timer == nil {
 		return
 	}
-	quiet := w.now().Sub(time.Unix(0, w.last.Load()))
+	quiet := w.now().Sub(w.since) - time.Duration(w.last.Load())
 	if quiet >= stall && w.lease.Silent() {
 		w.fired.Store(true)
 		cancel()
@@ -173,7 +174,7 @@
 const watchSteps = 4
 
 func (w *watchdog) heard() {
-	w.last.Store(w.now().UnixNano())
+	w.last.Store(int64(w.now().Sub(w.since)))
 	w.lease.Heard()
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"github.com/ledgemount/ledgemount/internal/boottime"
 	"github.com/ledgemount/ledgemount/internal/edge"
 	"github.com/ledgemount/ledgemount/internal/escrow"
 	"github.com/ledgemount/ledgemount/internal/escrow/remote"
@@ -41,6 +42,8 @@
 	Source  follow.Source
 	Dialect relay.Dialect
 	Parser  edge.Parser
+	// Clock is the one by which ages of things outside the process are judged; nil: the machine's.
+	Clock *boottime.Clock
 }
 
 // Router is one instance.
@@ -52,6 +55,7 @@
 	pool     *pool.Pool
 	peers    *peers.Directory
 	clock    *fleettime.Clock
+	boot     *boottime.Clock
 	load     *load.Exchange
 	share    *quarantine.Share
 	follow   *follow.Follower
@@ -70,38 +74,43 @@
 // New builds a router; it listens already, but runs only with Run.
 func New(set *Settings, on Platform, log zerolog.Logger) (*Router, error) {
 	r := &Router{set: set, log: log, kernel: kernel.New(), metrics: newMeters(set)}
+	r.boot = on.Clock
+	if r.boot == nil {
+		r.boot = boottime.New()
+	}
+	now := r.boot.Now
 	r.start = newStartLine(log, r.metrics.started)
 	on.Store.OnCall(r.called)
 	r.pressure = pressure.New(
-		pressure.WithPolicy(set.pressurePolicy()), pressure.OnChange(r.logPressure), pressure.WithLink(set.Instance.LinkMbps),
+		pressure.WithPolicy(set.pressurePolicy()), pressure.OnChange(r.logPressure), pressure.WithLink(set.Instance.LinkMbps), pressure.WithNow(now),
 	)
-	r.client = upstream.New(upstream.WithWrap(r.pressure.Conn))
+	r.client = upstream.New(upstream.WithWrap(r.pressure.Conn), upstream.WithNow(now))
 	id := set.Instance.ID + "/" + strings.ToLower(ulid.Make().String())
 	links := mesh.NewRouter()
 	self := peers.Record{
 		Peer:     mesh.Peer{ID: set.Instance.ID, Zone: set.Instance.Zone, Addr: set.Peers.Listen, Inc: id},
 		Capacity: set.Instance.LinkMbps,
 	}
-	r.peers = peers.New(on.Store, set.Store.Prefix, self, links, append(set.peersOptions(), peers.WithLogger(log), peers.WithTraffic(r.metrics.sentTo))...)
-	r.pool = pool.New(set.Instance.Zone, pool.WithPolicy(set.poolPolicy()), pool.OnGone(r.client.Forget), pool.WithOwners(r.peers),
+	r.peers = peers.New(on.Store, set.Store.Prefix, self, links, append(set.peersOptions(), peers.WithNow(now), peers.WithLogger(log), peers.WithTraffic(r.metrics.sentTo))...)
+	r.pool = pool.New(set.Instance.Zone, pool.WithPolicy(set.poolPolicy()), pool.OnGone(r.client.Forget), pool.WithOwners(r.peers), pool.WithNow(now),
 		pool.WithRegions(set.Instance.Regions), pool.WithColdBounds(slowstart.Bounds{Overage: set.Cold.Overage, Slack: set.Cold.Slack}))
-	r.clock = fleettime.New(r.peers, set.Instance.ID, links)
+	r.clock = fleettime.New(r.peers, set.Instance.ID, links, fleettime.WithSteady(r.boot.Elapsed))
 	r.escrow = escrow.New(on.Store, set.Store.Prefix+escrowPrefix, set.Store.pages(), set.Instance.ID, id,
-		escrow.WithLogger(log), escrow.OnFolded(r.metrics.folded), escrow.WithPolicy(set.escrowPolicy()), escrow.WithFleet(remote.New(r.peers, r.clock, set.fleetOptions()...)))
-	r.follow = follow.New(feed.NewSource(r.peers, on.Source), r.pool,
-		follow.WithLogger(log), follow.OnTable(r.fundsOf), follow.OnTable(func(t *route.Table) { r.pool.SetWarmups(t.Warmups()) }),
+		escrow.WithLogger(log), escrow.WithNow(now), escrow.OnFolded(r.metrics.folded), escrow.WithPolicy(set.escrowPolicy()), escrow.WithFleet(remote.New(r.peers, r.clock, set.fleetOptions()...)))
+	r.follow = follow.New(feed.NewSource(r.peers, on.Source, feed.WithNow(now)), r.pool,
+		follow.WithLogger(log), follow.WithNow(now), follow.OnTable(r.fundsOf), follow.OnTable(func(t *route.Table) { r.pool.SetWarmups(t.Warmups()) }),
 		follow.OnEntry(r.observe), follow.OnPolled(r.escrow.Tick),
 		follow.WithOwn(func() bool { return !r.peers.Large() }))
-	r.suspects = quarantine.New(quarantine.WithProber(r.tries), quarantine.OnChange(r.quarantined), quarantine.OnNews(func() { r.share.Changed() }))
+	r.suspects = quarantine.New(quarantine.WithNow(now), quarantine.WithProber(r.tries), quarantine.OnChange(r.quarantined), quarantine.OnNews(func() { r.share.Changed() }))
 	r.share = quarantine.NewShare(r.suspects, r.peers, on.Store, set.Store.Prefix, links, quarantine.WithLogger(log))
-	r.load = load.New(r.peers, r.pool, links, load.WithRider(r.share))
+	r.load = load.New(r.peers, r.pool, links, load.WithRider(r.share), load.WithNow(now))
 	remote.Serve(links, r.escrow)
 	feed.Serve(links, r.follow)
 	ratio, slack := set.retryBudget()
-	retries := retry.NewShared(ratio, slack, set.Retry.Window, r.escrow.Holders, time.Now)
+	retries := retry.NewShared(ratio, slack, set.Retry.Window, r.escrow.Holders, now)
 	r.core = relay.New(relay.Deps{
 		Tables: r.follow.Table, Pool: r.pool, Budgets: r.escrow, Retries: retries, Client: r.client, Dialect: on.Dialect,
-	}, append(set.relayOptions(), relay.WithEnded(r.ended), relay.WithLateEnd(r.lateEnd), relay.WithQuarantine(r.suspects), relay.WithDialed(r.dialed), relay.WithCrowded(r.pressure.Crowded))...)
+	}, append(set.relayOptions(), relay.WithNow(now), relay.WithEnded(r.ended), relay.WithLateEnd(r.lateEnd), relay.WithQuarantine(r.suspects), relay.WithDialed(r.dialed), relay.WithCrowded(r.pressure.Crowded))...)
 	if err := r.listen(on); err != nil {
 		return nil, err
 	}
@@ -130,7 +139,7 @@
 
 // services are the parts that run, in the order in which they start.
 func (r *Router) services() []kernel.Service {
-	list := []kernel.Service{r.peers}
+	list := []kernel.Service{r.boot, r.peers}
 	if !r.set.without(FleetTime) {
 		list = append(list, r.clock)
 	}
@@ -146,7 +155,7 @@
 
 func (r *Router) listen(on Platform) error {
 	var err error
-	r.callers, err = edge.Listen(r.set.Callers.Listen, r.core, on.Parser, edge.DefaultTimes(), edge.WithAway(r.pressure.Away), edge.WithWrap(r.pressure.Listener))
+	r.callers, err = edge.Listen(r.set.Callers.Listen, r.core, on.Parser, edge.DefaultTimes(), edge.WithNow(r.arrived), edge.WithAway(r.pressure.Away), edge.WithWrap(r.pressure.Listener))
 	if err != nil {
 		return err
 	}
--- a/internal/upstream/refused.go
+++ b/internal/upstream/refused.go
@@ -33,7 +33,7 @@
 		return refused
 	}
 	defer func() { _ = cn.Close() }()
-	if err := cn.SetReadDeadline(c.now().Add(endingFor)); err != nil {
+	if err := cn.SetReadDeadline(time.Now().Add(endingFor)); err != nil {
 		return false
 	}
 	var one [1]byte
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -83,6 +83,9 @@
 // WithWrap sets what is put around each connection.
 func WithWrap(f func(net.Conn) net.Conn) Option { return func(c *Client) { c.wrap = f } }
 
+// WithNow replaces the clock by which the ages of connections are judged.
+func WithNow(now func() time.Time) Option { return func(c *Client) { c.now = now } }
+
 // New makes a client without connections.
 func New(opts ...Option) *Client {
 	c := &Client{
