fix: a machine that was suspended serves nothing by what it heard before

Cause: what was heard before a suspension counted as fresh, timers of requests stood still, kept connections were taken for open. Kept connections are given up, requests whose time is up end as timed out, and the configuration is asked for at once.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -88,10 +88,12 @@
 	polled  func(own bool)
 	own     func() bool
 	history *history
+	kicks   chan struct{}
 
 	mu       sync.Mutex
 	since    Cursor
 	answered time.Time
+	heard    time.Time // see Heard
 	told     time.Time // the last answer that told of any change
 	deaf     bool      // answers have told nothing for too long
 	failed   int       // calls for changes that failed in a row
@@ -131,7 +133,7 @@
 func New(source Source, p *pool.Pool, opts ...Option) *Follower {
 	f := &Follower{
 		source: source, pool: p, times: DefaultTimes(), now: time.Now, log: zerolog.Nop(), entries: func(external.Entry) {},
-		polled: func(bool) {}, own: func() bool { return true }, history: newHistory(),
+		polled: func(bool) {}, own: func() bool { return true }, history: newHistory(), kicks: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -152,6 +154,31 @@
 	return f.now().Sub(f.answered)
 }
 
+// Heard is a moment since which nothing that is known can have been older than the store's: when the last call was made that was answered, less the
+// age of what another instance told. An answer may have waited in a socket while this machine was suspended. The zero time: none was answered.
+func (f *Follower) Heard() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.heard
+}
+
+// hears notes an answer to a call that was made at a moment.
+func (f *Follower) hears(asked time.Time, u Update) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at := asked.Add(-u.Age); at.After(f.heard) {
+		f.heard = at
+	}
+}
+
+// Kick lets the next call be made at once.
+func (f *Follower) Kick() {
+	select {
+	case f.kicks <- struct{}{}:
+	default:
+	}
+}
+
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -160,6 +187,7 @@
 		t := time.NewTimer(f.wait(err))
 		select {
 		case <-ctx.Done():
+		case <-f.kicks:
 		case <-t.C:
 		}
 		t.Stop()
@@ -204,7 +232,7 @@
 func (f *Follower) follow(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(external.WithDuty(ctx, external.DutyConfig), f.times.Call+f.times.Near)
 	defer cancel()
-	own := f.own()
+	own, asked := f.own(), f.now()
 	u, err := f.source.Changes(ctx, f.since, own)
 	if err != nil {
 		f.failed++
@@ -218,6 +246,7 @@
 	}
 	f.deaf = now.Sub(f.told) >= f.times.Silence
 	f.apply(u, u.Whole)
+	f.hears(asked, u)
 	f.polled(own && !u.Peer)
 	return nil
 }
@@ -226,12 +255,14 @@
 func (f *Follower) snapshot(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(external.WithDuty(ctx, external.DutyConfig), snapshotCalls*f.times.Call+f.times.Near)
 	defer cancel()
+	asked := f.now()
 	u, err := f.source.Snapshot(ctx)
 	if err != nil {
 		return eris.Wrap(err, "reading the configuration and the endpoints")
 	}
 	f.told, f.deaf, f.near = f.now(), false, u.Peer
 	f.apply(u, true)
+	f.hears(asked, u)
 	return nil
 }
 
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -19,6 +19,7 @@
 	snapshots, changes int
 	whole, change      Update
 	err                error
+	during             func() // a call for changes
 }
 
 func (s *script) Snapshot(context.Context) (Update, error) {
@@ -28,6 +29,9 @@
 
 func (s *script) Changes(context.Context, Cursor, bool) (Update, error) {
 	s.changes++
+	if s.during != nil {
+		s.during()
+	}
 	return s.change, s.err
 }
 
@@ -52,6 +56,27 @@
 			So(f.since.At, ShouldEqual, 12)
 		})
 
+		Convey("has heard nothing since a suspension in which the answer to an earlier call came", func() {
+			woke := time.Time{}
+			src.during = func() {
+				now = now.Add(8 * time.Second)
+				woke = now
+			}
+			So(step(), ShouldBeNil)
+			So(f.Heard(), ShouldHappenBefore, woke)
+			src.during = nil
+			now = now.Add(time.Millisecond)
+			So(step(), ShouldBeNil)
+			So(f.Heard(), ShouldHappenAfter, woke)
+		})
+
+		Convey("has not heard lately what another instance heard long ago", func() {
+			now = now.Add(10 * time.Second)
+			src.change = Update{At: 12, Events: 1, Peer: true, Age: 5 * time.Second}
+			So(step(), ShouldBeNil)
+			So(now.Sub(f.Heard()), ShouldEqual, 5*time.Second)
+		})
+
 		Convey("keeps what it has when a configuration cannot be compiled", func() {
 			src.change = Update{At: 12, Events: 1, Config: &route.Config{Version: 6, Routes: []route.Route{{Prefix: "x"}}}}
 			So(step(), ShouldBeNil)
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -40,10 +40,12 @@
 	ended    func(Outcome)
 	dialed   func(zone string, took time.Duration)
 	crowded  func() bool
+	woken    func() bool
 	stall    time.Duration
 	maxBody  int64
 	apart    bool // requests of one subject are not kept together
 	late     func(LateEnd)
+	overdue  overdue
 	endings  endings
 	suspects *quarantine.Memory
 }
@@ -74,6 +76,9 @@
 // WithCrowded sets what says whether this instance's link is so crowded that requests are better served elsewhere.
 func WithCrowded(f func() bool) Option { return func(c *Core) { c.crowded = f } }
 
+// WithWoken sets what says whether what is known may be used: a machine that was suspended hears it again first.
+func WithWoken(f func() bool) Option { return func(c *Core) { c.woken = f } }
+
 // WithStall sets how long an endpoint may be silent at least before a request that may be repeated looks elsewhere; long prompts and
 // pauses that are in time make it longer.
 func WithStall(d time.Duration) Option { return func(c *Core) { c.stall = d } }
@@ -98,7 +103,7 @@
 	c := &Core{
 		Deps: deps, now: time.Now, random: rand.Float64, ended: func(Outcome) {}, dialed: func(string, time.Duration) {},
 		late: func(LateEnd) {}, suspects: quarantine.New(),
-		crowded: func() bool { return false }, stall: defaultStall, maxBody: defaultMaxBody,
+		crowded: func() bool { return false }, woken: func() bool { return true }, stall: defaultStall, maxBody: defaultMaxBody,
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -177,6 +182,7 @@
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, j.end.Sub(j.core.now()))
 		defer cancel()
+		defer j.core.overdue.add(j, cancel)()
 	}
 	if err := j.reserve(ctx); err != nil {
 		return err
@@ -188,6 +194,9 @@
 
 // admit finds the route and who pays.
 func (j *job) admit() error {
+	if !j.core.woken() {
+		return refuse(verdict.CodeUnavailable, "this machine was suspended, and has not heard the configuration since", retrySoon)
+	}
 	table := j.core.Tables()
 	if table == nil {
 		return refuse(verdict.CodeUnavailable, "no configuration is known yet", retrySoon)
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -111,7 +111,7 @@
 		j.begin(failure.status, failure.header, int64(len(failure.body)))
 		_ = j.out.Write(failure.body)
 		return nil
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(ctx.Err(), context.DeadlineExceeded), j.over(ctx):
 		return j.timedOut()
 	case ctx.Err() != nil:
 		return verdict.New(j.verdict(), verdict.CodeCancelled, "the caller left")
@@ -127,7 +127,7 @@
 func (j *job) broken(ctx context.Context, res result) error {
 	code, detail := verdict.CodeTruncated, "the endpoint broke its answer off, and nothing else could complete it"
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(ctx.Err(), context.DeadlineExceeded), j.over(ctx):
 		code, detail = verdict.CodeTimeout, "the time was up in the middle of the answer"
 	case ctx.Err() != nil, res == resultLeft:
 		code, detail = verdict.CodeCancelled, "the caller left in the middle of the answer"
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -56,6 +56,7 @@
 	peers    *peers.Directory
 	clock    *fleettime.Clock
 	boot     *boottime.Clock
+	waking   waking
 	load     *load.Exchange
 	share    *quarantine.Share
 	follow   *follow.Follower
@@ -110,7 +111,9 @@
 	retries := retry.NewShared(ratio, slack, set.Retry.Window, r.escrow.Holders, now)
 	r.core = relay.New(relay.Deps{
 		Tables: r.follow.Table, Pool: r.pool, Budgets: r.escrow, Retries: retries, Client: r.client, Dialect: on.Dialect,
-	}, append(set.relayOptions(), relay.WithNow(now), relay.WithEnded(r.ended), relay.WithLateEnd(r.lateEnd), relay.WithQuarantine(r.suspects), relay.WithDialed(r.dialed), relay.WithCrowded(r.pressure.Crowded))...)
+	}, append(set.relayOptions(), relay.WithNow(now), relay.WithEnded(r.ended), relay.WithLateEnd(r.lateEnd), relay.WithQuarantine(r.suspects), relay.WithWoken(r.waking.over), relay.WithDialed(r.dialed), relay.WithCrowded(r.pressure.Crowded))...)
+	r.waking = waking{clock: r.boot, heard: r.follow.Heard}
+	r.boot.OnWake(r.wake)
 	if err := r.listen(on); err != nil {
 		return nil, err
 	}
@@ -198,9 +201,10 @@
 	r.log.Info().Str("event", "link_calm").Msg("callers may come again")
 }
 
-// ready says whether callers may be sent here: the configuration, the endpoints and the escrow are known, and the link is calm.
+// ready says whether callers may be sent here: the configuration, the endpoints and the escrow are known, and the link is calm; after a
+// suspension all that was heard again.
 func (r *Router) ready() bool {
-	return !r.pressure.Away() && r.follow.Table() != nil && r.escrow.Ready() && r.pool.Len() > 0
+	return !r.pressure.Away() && r.waking.over() && r.follow.Table() != nil && r.escrow.Ready() && r.pool.Len() > 0
 }
 
 // Run runs the router until ctx ends, without a planned stop: use Stop for that.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -210,6 +210,24 @@
 	}
 }
 
+// ForgetAll closes all kept connections.
+func (c *Client) ForgetAll() {
+	c.mu.Lock()
+	all := c.idle
+	c.idle = make(map[string][]*conn)
+	c.mu.Unlock()
+	closeAll(all)
+}
+
+// closeAll closes connections.
+func closeAll(all map[string][]*conn) {
+	for _, list := range all {
+		for _, cn := range list {
+			_ = cn.Close()
+		}
+	}
+}
+
 // Sweep closes connections that have been idle for too long.
 func (c *Client) Sweep() {
 	now := c.now()
@@ -239,13 +257,7 @@
 func (c *Client) Close() error {
 	c.mu.Lock()
 	c.closed = true
-	all := c.idle
-	c.idle = make(map[string][]*conn)
 	c.mu.Unlock()
-	for _, list := range all {
-		for _, cn := range list {
-			_ = cn.Close()
-		}
-	}
+	c.ForgetAll()
 	return nil
 }
