fix: an endpoint is its ID and its start; a record by another writer names no endpoint

Cause: nothing read when an endpoint's process started, so that one that came back under its ID kept the pause, failures, open requests and told loads of the process before. Records were read loosely: an unknown or missing state counted as ready, and a record that could not be read left the endpoint before it in use after a change, but not after a whole read. Change: a later start ends the run before it (its kept connections, counts, pauses, loads), an earlier one told late changes nothing, also in what is told to other instances. A later start proves an end under a request. One line a record and revision, 20 lines an answer, a counter.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -28,7 +28,7 @@
 	Endpoints []pool.Endpoint  // all of them in a snapshot, else those that have written
 	Gone      []string         // endpoints whose records were removed
 	Entries   []external.Entry // other values
-	Bad       []error          // records that could not be read; the others hold
+	Bad       []BadRecord      // records that could not be read; the others hold
 	At        int64            // the revision to go on from
 	ConfigAt  int64            // the revision of the configuration that was read last; 0: none was
 	// OperatorAt is the revision up to which all is known that the operator writes; 0: that was not read
@@ -90,6 +90,9 @@
 	history *history
 	kicks   chan struct{}
 
+	rejected   map[string]int64 // revisions of records that could not be read, by key
+	onRejected func()
+
 	mu       sync.Mutex
 	since    Cursor
 	answered time.Time
@@ -125,6 +128,9 @@
 // that included what the fleet writes itself.
 func OnPolled(g func(own bool)) Option { return func(f *Follower) { f.polled = g } }
 
+// OnRejected sets what is called for each record that cannot be read, once for each revision of it.
+func OnRejected(g func()) Option { return func(f *Follower) { f.onRejected = g } }
+
 // WithOwn sets whether to ask for what the fleet writes itself. A small fleet gets it in the same call; in a large one each
 // instance would read what all others write.
 func WithOwn(g func() bool) Option { return func(f *Follower) { f.own = g } }
@@ -133,7 +139,7 @@
 func New(source Source, p *pool.Pool, opts ...Option) *Follower {
 	f := &Follower{
 		source: source, pool: p, times: DefaultTimes(), now: time.Now, log: zerolog.Nop(), entries: func(external.Entry) {},
-		polled: func(bool) {}, own: func() bool { return true }, history: newHistory(), kicks: make(chan struct{}, 1),
+		polled: func(bool) {}, own: func() bool { return true }, history: newHistory(), kicks: make(chan struct{}, 1), rejected: make(map[string]int64), onRejected: func() {},
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -271,9 +277,7 @@
 
 // apply brings the view up to date.
 func (f *Follower) apply(u Update, whole bool) {
-	for _, err := range u.Bad {
-		f.log.Warn().Str("event", "record_rejected").Err(err).Int64("revision", u.At).Msg("a record is not taken; what was known holds")
-	}
+	f.reject(u.Bad)
 	f.since.At = max(f.since.At, u.At)
 	f.since.ConfigAt = max(f.since.ConfigAt, u.ConfigAt)
 	f.since.OperatorAt = max(f.since.OperatorAt, u.OperatorAt)
@@ -293,6 +297,40 @@
 	}
 }
 
+// BadRecord is a record that cannot be read, as another writer may leave it. It names no endpoint.
+type BadRecord struct {
+	Key      string
+	Revision int64
+	Err      error // names the field at fault
+}
+
+const (
+	mostRejected = 256 // records whose last fault is remembered, so that each is told once
+	mostTold     = 20  // lines about them for one answer of the store
+)
+
+// reject logs records that cannot be read: one line for each and its revision, and one for those that are too many.
+func (f *Follower) reject(list []BadRecord) {
+	told := 0
+	for _, b := range list {
+		if f.rejected[b.Key] == b.Revision {
+			continue
+		}
+		if len(f.rejected) >= mostRejected {
+			clear(f.rejected)
+		}
+		f.rejected[b.Key] = b.Revision
+		f.onRejected()
+		if told++; told <= mostTold {
+			f.log.Warn().Str("event", "record_rejected").Str("key", b.Key).Err(b.Err).Int64("revision", b.Revision).
+				Msg("a record cannot be read; it names no endpoint")
+		}
+	}
+	if told > mostTold {
+		f.log.Warn().Str("event", "records_rejected").Int("more", told-mostTold).Msg("more records cannot be read")
+	}
+}
+
 // evacuate puts the operator's orders to evacuate availability zones in force.
 func (f *Follower) evacuate(u Update) {
 	changed, zones := f.history.evacuate(u)
--- a/internal/follow/history.go
+++ b/internal/follow/history.go
@@ -51,6 +51,9 @@
 	}
 	b := batch{at: at.At, gone: u.Gone}
 	for _, e := range u.Endpoints {
+		if e.Outdated(h.endpoints[e.ID]) {
+			continue
+		}
 		if before, there := h.endpoints[e.ID]; !there || before.Tells(e) {
 			b.endpoints = append(b.endpoints, e)
 		}
--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -65,11 +65,28 @@
 	return s.pool.silent(s.member, s.pool.now())
 }
 
-// Leaving says whether the endpoint's planned end is known: it has said that it drains, or its record is gone.
-func (s *Lease) Leaving() bool {
+// Fate is what is known of the process that was picked.
+type Fate int
+
+// The fates.
+const (
+	FateUnknown Fate = iota // nothing speaks for its end
+	FateLeaving             // its planned end is known: it has said that it drains, or its record is gone
+	FateEnded               // another process has started under its ID
+)
+
+// Fate tells what is known of the process that was picked.
+func (s *Lease) Fate() Fate {
 	s.pool.mu.RLock()
 	defer s.pool.mu.RUnlock()
-	return s.member.Draining || s.pool.byID[s.member.ID] != s.member
+	now := s.pool.byID[s.member.ID]
+	switch {
+	case now == s.member && !s.member.Draining:
+		return FateUnknown
+	case now != nil && s.member.Outdated(now.Endpoint):
+		return FateEnded
+	}
+	return FateLeaving
 }
 
 // End is how a request's use of an endpoint ended.
--- a/internal/pool/load.go
+++ b/internal/pool/load.go
@@ -2,7 +2,10 @@
 
 import (
 	"math"
+	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Load is what some instances have under way at an endpoint.
@@ -16,7 +19,7 @@
 	Silent int
 }
 
-// Loads are loads by the lower half of the hash of the endpoint's ID, which all instances compute alike.
+// Loads are loads by the lower half of the hash of the endpoint's ID and of its start, if it tells it: all instances compute it alike.
 type Loads map[uint32]Load
 
 // Add adds other loads to these.
@@ -86,7 +89,15 @@
 	return min(1, x*x*x)
 }
 
-func (m *member) key() uint32 { return uint32(m.hash) }
+func (m *member) key() uint32 { return m.run }
+
+// runKey names one run of an endpoint's process in Loads: what was under way at the run before is not under way at this one.
+func runKey(e Endpoint) uint32 {
+	if e.Born == 0 {
+		return uint32(xxhash.Sum64String(e.ID)) //nolint:gosec // the lower half is meant
+	}
+	return uint32(xxhash.Sum64String(e.ID + "@" + strconv.FormatInt(e.Born, 10))) //nolint:gosec // likewise
+}
 
 // Loads is what this instance has under way.
 func (l *Pool) Loads() Loads {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -27,6 +27,9 @@
 	Born int64 `cbor:"8,keyasint,omitempty"`
 }
 
+// Outdated says whether a word of an endpoint comes from a process that ended before the one that started at by.
+func (e Endpoint) Outdated(by Endpoint) bool { return e.Born > 0 && by.Born > e.Born }
+
 // Tells says whether what an endpoint says of itself now is news to an instance that knows the earlier word. That it is a little less cold
 // than before is not.
 func (e Endpoint) Tells(now Endpoint) bool {
@@ -75,6 +78,7 @@
 	errorsAt  time.Time
 	busyTil   time.Time
 	hash      uint64 // of the ID
+	run       uint32 // see Loads
 	warming   warming
 	kept      Kept // within one pick: why it gets no work, whatever the request
 	candidate bool // within one pick: it may be sent the request
@@ -166,8 +170,14 @@
 
 func (l *Pool) put(e Endpoint) bool {
 	m := l.byID[e.ID]
-	if m != nil && m.Service == e.Service && m.Addr == e.Addr {
+	if m != nil && e.Outdated(m.Endpoint) {
+		return false // a word of the process before, told late
+	}
+	// A process that started again under its ID knows nothing of before, so nothing of before counts for it.
+	if m != nil && m.Service == e.Service && m.Addr == e.Addr && !m.Outdated(e) {
 		changed := m.Draining != e.Draining
+		e.Born = max(e.Born, m.Born)
+		m.run = runKey(e)
 		m.Endpoint = e
 		l.cool(m, l.now(), e.Cold)
 		return changed
@@ -175,7 +185,7 @@
 	if m != nil {
 		l.remove(e.ID)
 	}
-	m = &member{Endpoint: e, heard: l.now(), hash: xxhash.Sum64String(e.ID)}
+	m = &member{Endpoint: e, heard: l.now(), hash: xxhash.Sum64String(e.ID), run: runKey(e)}
 	l.cool(m, l.now(), e.Cold)
 	m.others = l.others[m.key()]
 	l.byID[e.ID] = m
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -193,7 +193,7 @@
 	defer s.mu.Unlock()
 	p := s.partner(to)
 	n.Hello, n.Ack = !p.met, p.heard
-	n.Records, n.Seq = s.memory.since(p.has, mostTold)
+	n.Records, n.Seq = s.memory.since(p.has)
 	anything = n.Hello || p.unacked || len(n.Records) > 0
 	p.unacked = false
 	return n, anything
--- a/internal/quarantine/told.go
+++ b/internal/quarantine/told.go
@@ -121,7 +121,7 @@
 }
 
 // since packs the records that have changed after a number, the first to change first, and the number that they lead to.
-func (m *Memory) since(seq uint64, most int) ([]told, uint64) {
+func (m *Memory) since(seq uint64) ([]told, uint64) {
 	now := m.now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -135,8 +135,8 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b *record) int { return cmp.Compare(a.seq, b.seq) })
-	out := make([]told, 0, min(len(list), most))
-	for _, r := range list[:min(len(list), most)] {
+	out := make([]told, 0, min(len(list), mostTold))
+	for _, r := range list[:min(len(list), mostTold)] {
 		out = append(out, r.pack(now))
 		seq = r.seq
 	}
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -141,3 +141,6 @@
 	r.log.Warn().Str("event", "endpoint_ended").Str("endpoint", l.Endpoint).Str("digest", l.Digest).
 		Msg("an endpoint's process has ended while it ran a request")
 }
+
+// rejected counts a record that cannot be read.
+func (m *meters) rejected() { m.metrics.Scope().Counter("records_rejected_total").Inc(1) }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -99,7 +99,7 @@
 	r.escrow = escrow.New(on.Store, set.Store.Prefix+escrowPrefix, set.Store.pages(), set.Instance.ID, id,
 		escrow.WithLogger(log), escrow.WithNow(now), escrow.OnFolded(r.metrics.folded), escrow.WithPolicy(set.escrowPolicy()), escrow.WithFleet(remote.New(r.peers, r.clock, set.fleetOptions()...)))
 	r.follow = follow.New(feed.NewSource(r.peers, on.Source, feed.WithNow(now)), r.pool,
-		follow.WithLogger(log), follow.WithNow(now), follow.OnTable(r.fundsOf), follow.OnTable(func(t *route.Table) { r.pool.SetWarmups(t.Warmups()) }),
+		follow.WithLogger(log), follow.WithNow(now), follow.OnRejected(r.metrics.rejected), follow.OnTable(r.fundsOf), follow.OnTable(func(t *route.Table) { r.pool.SetWarmups(t.Warmups()) }),
 		follow.OnEntry(r.observe), follow.OnPolled(r.escrow.Tick),
 		follow.WithOwn(func() bool { return !r.peers.Large() }))
 	r.suspects = quarantine.New(quarantine.WithNow(now), quarantine.WithProber(r.tries), quarantine.OnChange(r.quarantined), quarantine.OnNews(func() { r.share.Changed() }))
