fix: instances without links tell each other through the store which endpoints ended, at most twice a second each

Cause: an instance that is linked to nobody wrote to the store only what it had decided alone, and one that could not reach another wrote after each end.

--- a/internal/peers/leaders.go
+++ b/internal/peers/leaders.go
@@ -135,6 +135,9 @@
 	return false
 }
 
+// Linked says whether links to other instances are open.
+func (d *Directory) Linked() bool { return d.linked() }
+
 // linked says whether links to other instances are open.
 func (d *Directory) linked() bool { return d.caller.Load() != nil }
 
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -110,19 +110,23 @@
 	s.begin(ctx)
 	look := time.NewTicker(lookEvery)
 	defer look.Stop()
+	saved := false // since the last look: an instance writes at most twice a second, however many endpoints end
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-s.kick:
 			s.push(ctx)
-			s.save(ctx)
+			if !saved {
+				saved = s.save(ctx)
+			}
 			rest(ctx)
 		case <-look.C:
 			if s.unheard() {
 				s.load(ctx)
 			}
 			s.save(ctx)
+			saved = false
 		}
 	}
 }
@@ -238,7 +242,7 @@
 		})
 	}
 	g.Wait()
-	if missed || s.dir.Cut() {
+	if missed || s.dir.Cut() || !s.dir.Linked() {
 		s.mu.Lock()
 		s.unsaved = true
 		s.mu.Unlock()
@@ -294,19 +298,20 @@
 	return e, eris.Wrap(err, "reading requests that are kept back")
 }
 
-// save writes to the store what is not saved yet. Where others write too, what they wrote is taken and written with the rest.
-func (s *Share) save(ctx context.Context) {
+// save writes to the store what is not saved yet; false: there is nothing. Where others write too, what they wrote is taken and written with
+// the rest.
+func (s *Share) save(ctx context.Context) bool {
 	s.mu.Lock()
 	todo := s.unsaved
 	s.unsaved = false
 	s.mu.Unlock()
 	if !todo {
-		return
+		return false
 	}
 	for range mostTries {
 		err := s.write(ctx)
 		if err == nil {
-			return
+			return true
 		}
 		if !errors.Is(err, external.ErrConflict) {
 			s.log.Debug().Str("event", "quarantine_unsaved").Err(err).Msg("the store did not take which requests are kept back; it is tried again")
@@ -316,6 +321,7 @@
 	s.mu.Lock()
 	s.unsaved = true
 	s.mu.Unlock()
+	return true
 }
 
 func (s *Share) write(ctx context.Context) error {
