perf: a look at an endpoint costs no connection that comes up; a look without an answer is repeated

Cause: a look after a broken answer opened a connection and closed it; one whose packets were lost said nothing, and the end was not seen. Change: connections that come up are kept for the next request; a look without an answer is repeated twice.

--- a/internal/upstream/refused.go
+++ b/internal/upstream/refused.go
@@ -14,41 +14,77 @@
 	lookLimit = 30 * time.Millisecond
 	// endingFor is how long a process that is ending may still accept connections: its sockets close one after the other.
 	endingFor = 50 * time.Millisecond
+	// lookAgain is the pause before a look that got no answer at all is repeated, and mostLooks how often: packets are lost.
+	lookAgain = 200 * time.Millisecond
+	mostLooks = 3
 )
 
-// Refused says whether a new connection to an address is refused: the machine answers, and no process listens there. A machine that is
-// cut off or without power says nothing, and does not count.
+// looked is what a look at an address has shown.
+type looked int
+
+const (
+	lookedOpen    looked = iota // a connection came up
+	lookedRefused               // the machine answers, and no process listens there
+	lookedNothing               // no answer: the machine is cut off or without power, or packets were lost
+)
+
+// Refused says whether a new connection to an address is refused. A machine that is cut off or without power says nothing, and does not count.
+// A connection that comes up is kept for the next request.
 func (c *Client) Refused(ctx context.Context, addr string) bool {
-	cn, refused := c.look(ctx, addr)
+	cn, saw := c.look(ctx, addr)
 	if cn != nil {
-		_ = cn.Close()
+		c.put(cn, nil)
 	}
-	return refused
+	return saw == lookedRefused
 }
 
-// RefusedSoon is Refused for an address that has accepted a connection just now: if it closes one within a moment, it is looked at again.
+// RefusedSoon is Refused for an address that has not refused just now: if it closes a connection within a moment, or says nothing, it is looked
+// at again.
 func (c *Client) RefusedSoon(ctx context.Context, addr string) bool {
-	cn, refused := c.look(ctx, addr)
-	if cn == nil {
-		return refused
+	for range mostLooks {
+		cn, saw := c.look(ctx, addr)
+		switch {
+		case saw == lookedRefused:
+			return true
+		case saw == lookedNothing:
+			pause(ctx, lookAgain)
+		case staysOpen(cn):
+			c.put(cn, nil)
+			return false
+		default:
+			_ = cn.Close()
+		}
 	}
-	defer func() { _ = cn.Close() }()
+	return false
+}
+
+// staysOpen says whether a new connection is still open after a moment.
+func staysOpen(cn *conn) bool {
 	if err := cn.SetReadDeadline(time.Now().Add(endingFor)); err != nil {
 		return false
 	}
-	var one [1]byte
-	_, err := cn.Read(one[:])
+	_, err := cn.br.Peek(1)
 	var late net.Error
-	if err == nil || (errors.As(err, &late) && late.Timeout()) {
-		return false
-	}
-	return c.Refused(ctx, addr)
+	return errors.As(err, &late) && late.Timeout()
 }
 
-// look makes one new connection.
-func (c *Client) look(ctx context.Context, addr string) (cn net.Conn, refused bool) {
+// look makes one new connection; nil: none came up.
+func (c *Client) look(ctx context.Context, addr string) (*conn, looked) {
 	ctx, cancel := context.WithTimeout(ctx, lookLimit)
 	defer cancel()
-	cn, err := c.dialer.DialContext(ctx, "tcp", addr)
-	return cn, errors.Is(err, syscall.ECONNREFUSED)
+	nc, err := c.dialer.DialContext(ctx, "tcp", addr)
+	switch {
+	case err == nil:
+		return c.connOf(nc, addr), lookedOpen
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return nil, lookedRefused
+	}
+	return nil, lookedNothing
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
 }
--- a/internal/upstream/refused_test.go
+++ b/internal/upstream/refused_test.go
@@ -18,6 +18,12 @@
 		So(c.Refused(ctx, addr), ShouldBeFalse)
 		So(c.RefusedSoon(ctx, addr), ShouldBeFalse)
 
+		Convey("and a connection that came up is kept for the next request", func() {
+			So(len(c.idle[addr]), ShouldEqual, 2)
+			cn := c.pop(addr)
+			So(cn.quiet(), ShouldBeTrue)
+		})
+
 		Convey("also if it still accepts a connection while it ends", func() {
 			go func() {
 				cn, err := l.Accept()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -153,8 +153,13 @@
 	if err != nil {
 		return nil, eris.Wrapf(errors.Join(ErrNotSent, err), "connecting to %s", addr)
 	}
+	return c.connOf(nc, addr), nil
+}
+
+// connOf makes a connection for exchanges of one that has come up.
+func (c *Client) connOf(nc net.Conn, addr string) *conn {
 	nc = c.wrap(nc)
-	return &conn{Conn: nc, addr: addr, br: bufio.NewReaderSize(nc, readBuffer)}, nil
+	return &conn{Conn: nc, addr: addr, br: bufio.NewReaderSize(nc, readBuffer)}
 }
 
 func (c *Client) pop(addr string) *conn {
