--- a/internal/pool/load.go
+++ b/internal/pool/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -93,10 +92,7 @@
 
 // runKey names one run of an endpoint's process in Loads: what was under way at the run before is not under way at this one.
 func runKey(e Endpoint) uint32 {
-	if e.Born == 0 {
-		return uint32(xxhash.Sum64String(e.ID)) //nolint:gosec // the lower half is meant
-	}
-	return uint32(xxhash.Sum64String(e.ID + "@" + strconv.FormatInt(e.Born, 10))) //nolint:gosec // likewise
+	return uint32(xxhash.Sum64String(e.Run())) //nolint:gosec // the lower half is meant
 }
 
 // Loads is what this instance has under way.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -5,6 +5,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -27,6 +28,14 @@
 	Born int64 `cbor:"8,keyasint,omitempty"`
 }
 
+// Run names one run of the endpoint's process: its ID, and its start if it tells it.
+func (e Endpoint) Run() string {
+	if e.Born == 0 {
+		return e.ID
+	}
+	return e.ID + "@" + strconv.FormatInt(e.Born, 10)
+}
+
 // Outdated says whether a word of an endpoint comes from a process that ended before the one that started at by.
 func (e Endpoint) Outdated(by Endpoint) bool { return e.Born > 0 && by.Born > e.Born }
 
--- a/internal/relay/endings.go
+++ b/internal/relay/endings.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	"golang.org/x/sync/singleflight"
@@ -47,7 +46,7 @@
 func (j *job) sawEnd(lease *pool.Lease, began time.Time, events bool) bool {
 	digest, customer, endpoint := j.digest(), j.outcome.Customer, lease.Endpoint()
 	j.outcome.Digest = digest.String()
-	end := quarantine.End{Run: run(endpoint), Began: began, Ended: j.core.now(), Events: events}
+	end := quarantine.End{Run: endpoint.Run(), Began: began, Ended: j.core.now(), Events: events}
 	ended := j.ended(lease, func() {
 		j.core.suspects.Ended(digest, customer, end)
 		j.core.late(LateEnd{Digest: digest.String(), Endpoint: endpoint.ID})
@@ -130,11 +129,3 @@
 	}
 	return *j.known
 }
-
-// run names one run of an endpoint's process.
-func run(e pool.Endpoint) string {
-	if e.Born == 0 {
-		return e.ID
-	}
-	return e.ID + "@" + strconv.FormatInt(e.Born, 10)
-}
