--- a/internal/escrow/property_test.go
+++ b/internal/escrow/property_test.go
@@ -28,9 +28,11 @@
 	world *world
 	base  time.Duration
 	boot  string
+	// lost is the time in which the machine was suspended, as far as the clock leaves it out
+	lost time.Duration
 }
 
-func (c *simClock) Now() time.Duration { return c.world.elapsed + c.base }
+func (c *simClock) Now() time.Duration { return c.world.elapsed + c.base - c.lost }
 func (c *simClock) Boot() string       { return c.boot }
 
 // gate is one node's path to the store.
@@ -188,6 +190,7 @@
 // world is a small fleet under one store, in virtual time.
 type world struct {
 	policy  Policy
+	counts  bool // the machines' clocks count suspensions, as those of holders do
 	store   *memkv.Store
 	elapsed time.Duration
 	nodes   []*simNode
@@ -208,7 +211,7 @@
 }
 
 func newWorld(policy Policy) *world {
-	w := &world{policy: policy, store: memkv.New(), spent: make(map[string]int64), prepaid: make(map[string]int64)}
+	w := &world{policy: policy, counts: true, store: memkv.New(), spent: make(map[string]int64), prepaid: make(map[string]int64)}
 	for _, c := range propertyCustomers {
 		w.prepaid[c] = propertyPrepaid
 	}
@@ -304,6 +307,20 @@
 	}
 }
 
+// TestNothingIsOverspentAsleep adds suspensions of machines, alone and in series, of the one that leads too, during cuts and before losses of
+// power: by clocks that count them, as the holders' do, and by clocks that leave them out, which must not overspend either.
+func TestNothingIsOverspentAsleep(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(DefaultPolicy())
+		w.counts = rapid.Bool().Draw(t, "counts")
+		for range propertySteps {
+			n := w.nodes[rapid.IntRange(0, propertyNodes-1).Draw(t, "node")]
+			w.act(t, n, rapid.IntRange(0, 23).Draw(t, "action"))
+			w.check(t)
+		}
+	})
+}
+
 // TestNothingIsOverspent plays any mixture of use, cuts, lost and late answers, kills, losses of power and planned stops.
 func TestNothingIsOverspent(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -364,6 +381,16 @@
 	case 21:
 		w.nodes[2].heads = rapid.Bool().Draw(t, "heads")
 		w.nodes[1].zoned = rapid.Bool().Draw(t, "zoned")
+	case 22, 23:
+		w.suspend(n, time.Duration(rapid.IntRange(100, 12_000).Draw(t, "suspended"))*time.Millisecond)
+	}
+}
+
+// suspend lets time pass while a machine does nothing.
+func (w *world) suspend(n *simNode, d time.Duration) {
+	w.elapsed += d
+	if !w.counts {
+		n.clock.lost += d
 	}
 }
 
