--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -50,10 +50,10 @@
 
 // Exchange is the service that tells and asks.
 type Exchange struct {
-	dir  *peers.Directory
-	pool *pool.Pool
-	now  func() time.Time
-	with Rider
+	dir   *peers.Directory
+	pool  *pool.Pool
+	now   func() time.Time
+	rider Rider
 
 	mu      sync.Mutex
 	members map[string]told // by instance, where this one gathers
@@ -67,11 +67,11 @@
 func WithNow(now func() time.Time) Option { return func(x *Exchange) { x.now = now } }
 
 // WithRider lets something else travel with the loads.
-func WithRider(r Rider) Option { return func(x *Exchange) { x.with = r } }
+func WithRider(r Rider) Option { return func(x *Exchange) { x.rider = r } }
 
 // New makes an exchange and registers its messages.
 func New(dir *peers.Directory, p *pool.Pool, router *mesh.Router, opts ...Option) *Exchange {
-	x := &Exchange{dir: dir, pool: p, now: time.Now, with: noRider{}, members: make(map[string]told), zones: make(map[string]told)}
+	x := &Exchange{dir: dir, pool: p, now: time.Now, rider: noRider{}, members: make(map[string]told), zones: make(map[string]told)}
 	for _, opt := range opts {
 		opt(x)
 	}
@@ -101,10 +101,10 @@
 	}
 	mine := pack(x.pool.Loads())
 	for _, p := range keepers {
-		mine.Rider = x.with.Tell(p.ID)
+		mine.Rider = x.rider.Tell(p.ID)
 		others, err := peers.Call[digest, digest](ctx, x.dir, p, KindTell, mine)
 		if err == nil {
-			x.with.Hear(p.ID, others.Rider)
+			x.rider.Hear(p.ID, others.Rider)
 			x.pool.SetOthers(others.unpack())
 			return
 		}
@@ -120,10 +120,10 @@
 	var wg sync.WaitGroup
 	for _, p := range x.dir.Heads() {
 		wg.Go(func() {
-			mine := digest{Lines: mine.Lines, Rider: x.with.Tell(p.ID)}
+			mine := digest{Lines: mine.Lines, Rider: x.rider.Tell(p.ID)}
 			theirs, err := peers.Call[digest, digest](ctx, x.dir, p, KindZone, mine)
 			if err == nil {
-				x.with.Hear(p.ID, theirs.Rider)
+				x.rider.Hear(p.ID, theirs.Rider)
 				x.note(x.zones, p.Zone, theirs.unpack())
 			}
 		})
@@ -147,9 +147,9 @@
 
 // reply answers a digest with loads, and lets the rider hear and tell.
 func (x *Exchange) reply(from mesh.Peer, d digest, loads pool.Loads) digest {
-	x.with.Hear(from.ID, d.Rider)
+	x.rider.Hear(from.ID, d.Rider)
 	out := pack(loads)
-	out.Rider = x.with.Tell(from.ID)
+	out.Rider = x.rider.Tell(from.ID)
 	return out
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -75,50 +75,80 @@
 // New builds a router; it listens already, but runs only with Run.
 func New(set *Settings, on Platform, log zerolog.Logger) (*Router, error) {
 	r := &Router{set: set, log: log, kernel: kernel.New(), metrics: newMeters(set)}
-	r.boot = on.Clock
-	if r.boot == nil {
+	if r.boot = on.Clock; r.boot == nil {
 		r.boot = boottime.New()
 	}
-	now := r.boot.Now
 	r.start = newStartLine(log, r.metrics.started)
 	on.Store.OnCall(r.called)
+	id := set.Instance.ID + "/" + strings.ToLower(ulid.Make().String())
+	links := mesh.NewRouter()
+	r.newFleet(on, links, id)
+	r.newEscrow(on, links, id)
+	r.newFollower(on, links)
+	r.newSharing(on, links)
+	r.newCore(on)
+	r.waking = waking{clock: r.boot, heard: r.follow.Heard}
+	r.boot.OnWake(r.wake)
+	if err := r.listen(on); err != nil {
+		return nil, err
+	}
+	r.start.reached(StepListening)
+	return r, r.kernel.Register(r.services()...)
+}
+
+// newFleet makes what reaches others: callers' link, endpoints, and the fleet's other instances.
+func (r *Router) newFleet(on Platform, links *mesh.Router, id string) {
+	set, now := r.set, r.boot.Now
 	r.pressure = pressure.New(
 		pressure.WithPolicy(set.pressurePolicy()), pressure.OnChange(r.logPressure), pressure.WithLink(set.Instance.LinkMbps), pressure.WithNow(now),
 	)
 	r.client = upstream.New(upstream.WithWrap(r.pressure.Conn), upstream.WithNow(now))
-	id := set.Instance.ID + "/" + strings.ToLower(ulid.Make().String())
-	links := mesh.NewRouter()
 	self := peers.Record{
 		Peer:     mesh.Peer{ID: set.Instance.ID, Zone: set.Instance.Zone, Addr: set.Peers.Listen, Inc: id},
 		Capacity: set.Instance.LinkMbps,
 	}
-	r.peers = peers.New(on.Store, set.Store.Prefix, self, links, append(set.peersOptions(), peers.WithNow(now), peers.WithLogger(log), peers.WithTraffic(r.metrics.sentTo))...)
+	r.peers = peers.New(on.Store, set.Store.Prefix, self, links,
+		append(set.peersOptions(), peers.WithNow(now), peers.WithLogger(r.log), peers.WithTraffic(r.metrics.sentTo))...)
 	r.pool = pool.New(set.Instance.Zone, pool.WithPolicy(set.poolPolicy()), pool.OnGone(r.client.Forget), pool.WithOwners(r.peers), pool.WithNow(now),
 		pool.WithRegions(set.Instance.Regions), pool.WithColdBounds(slowstart.Bounds{Overage: set.Cold.Overage, Slack: set.Cold.Slack}))
 	r.clock = fleettime.New(r.peers, set.Instance.ID, links, fleettime.WithSteady(r.boot.Elapsed))
+}
+
+// newEscrow makes the holder of budgets.
+func (r *Router) newEscrow(on Platform, links *mesh.Router, id string) {
+	set := r.set
 	r.escrow = escrow.New(on.Store, set.Store.Prefix+escrowPrefix, set.Store.pages(), set.Instance.ID, id,
-		escrow.WithLogger(log), escrow.WithNow(now), escrow.OnFolded(r.metrics.folded), escrow.WithPolicy(set.escrowPolicy()), escrow.WithFleet(remote.New(r.peers, r.clock, set.fleetOptions()...)))
-	r.follow = follow.New(feed.NewSource(r.peers, on.Source, feed.WithNow(now)), r.pool,
-		follow.WithLogger(log), follow.WithNow(now), follow.OnRejected(r.metrics.rejected), follow.OnTable(r.fundsOf), follow.OnTable(func(t *route.Table) { r.pool.SetWarmups(t.Warmups()) }),
-		follow.OnEntry(r.observe), follow.OnPolled(r.escrow.Tick),
-		follow.WithOwn(func() bool { return !r.peers.Large() }))
-	r.suspects = quarantine.New(quarantine.WithNow(now), quarantine.WithProber(r.tries), quarantine.OnChange(r.quarantined), quarantine.OnNews(func() { r.share.Changed() }))
-	r.share = quarantine.NewShare(r.suspects, r.peers, on.Store, set.Store.Prefix, links, quarantine.WithLogger(log))
-	r.load = load.New(r.peers, r.pool, links, load.WithRider(r.share), load.WithNow(now))
+		escrow.WithLogger(r.log), escrow.WithNow(r.boot.Now), escrow.OnFolded(r.metrics.folded), escrow.WithPolicy(set.escrowPolicy()),
+		escrow.WithFleet(remote.New(r.peers, r.clock, set.fleetOptions()...)))
 	remote.Serve(links, r.escrow)
+}
+
+// newFollower makes what follows the configuration and the endpoints.
+func (r *Router) newFollower(on Platform, links *mesh.Router) {
+	r.follow = follow.New(feed.NewSource(r.peers, on.Source, feed.WithNow(r.boot.Now)), r.pool,
+		follow.WithLogger(r.log), follow.WithNow(r.boot.Now), follow.OnRejected(r.metrics.rejected),
+		follow.OnTable(r.fundsOf), follow.OnTable(func(t *route.Table) { r.pool.SetWarmups(t.Warmups()) }),
+		follow.OnEntry(r.observe), follow.OnPolled(r.escrow.Tick), follow.WithOwn(func() bool { return !r.peers.Large() }))
 	feed.Serve(links, r.follow)
-	ratio, slack := set.retryBudget()
-	retries := retry.NewShared(ratio, slack, set.Retry.Window, r.escrow.Holders, now)
+}
+
+// newSharing makes what instances tell each other of endpoints, and of requests that endpoints do not outlive.
+func (r *Router) newSharing(on Platform, links *mesh.Router) {
+	now := r.boot.Now
+	r.suspects = quarantine.New(quarantine.WithNow(now), quarantine.WithProber(r.tries), quarantine.OnChange(r.quarantined),
+		quarantine.OnNews(func() { r.share.Changed() }))
+	r.share = quarantine.NewShare(r.suspects, r.peers, on.Store, r.set.Store.Prefix, links, quarantine.WithLogger(r.log))
+	r.load = load.New(r.peers, r.pool, links, load.WithRider(r.share), load.WithNow(now))
+}
+
+// newCore makes what serves requests.
+func (r *Router) newCore(on Platform) {
+	ratio, slack := r.set.retryBudget()
+	retries := retry.NewShared(ratio, slack, r.set.Retry.Window, r.escrow.Holders, r.boot.Now)
 	r.core = relay.New(relay.Deps{
 		Tables: r.follow.Table, Pool: r.pool, Budgets: r.escrow, Retries: retries, Client: r.client, Dialect: on.Dialect,
-	}, append(set.relayOptions(), relay.WithNow(now), relay.WithEnded(r.ended), relay.WithLateEnd(r.lateEnd), relay.WithQuarantine(r.suspects), relay.WithWoken(r.waking.over), relay.WithDialed(r.dialed), relay.WithCrowded(r.pressure.Crowded))...)
-	r.waking = waking{clock: r.boot, heard: r.follow.Heard}
-	r.boot.OnWake(r.wake)
-	if err := r.listen(on); err != nil {
-		return nil, err
-	}
-	r.start.reached(StepListening)
-	return r, r.kernel.Register(r.services()...)
+	}, append(r.set.relayOptions(), relay.WithNow(r.boot.Now), relay.WithEnded(r.ended), relay.WithLateEnd(r.lateEnd),
+		relay.WithQuarantine(r.suspects), relay.WithWoken(r.waking.over), relay.WithDialed(r.dialed), relay.WithCrowded(r.pressure.Crowded))...)
 }
 
 // called takes how a call to the store has ended.
