feat: what endpoints say of themselves in answers is read, logged and counted

Cause: logs could not tell that an answer said that its endpoint leaves or wants rest, until when, and what its record said at that time. Nothing is decided by it yet.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -86,8 +86,10 @@
 	errors    float64 // share of failures among the last answers, at errorsAt
 	errorsAt  time.Time
 	busyTil   time.Time
-	hash      uint64 // of the ID
-	run       uint32 // see Loads
+	told      time.Time // when its record last came
+	said      *said     // what it says of itself in answers; nil: nothing
+	hash      uint64    // of the ID
+	run       uint32    // see Loads
 	warming   warming
 	kept      Kept // within one pick: why it gets no work, whatever the request
 	candidate bool // within one pick: it may be sent the request
@@ -105,6 +107,7 @@
 	byID     map[string]*member
 	zones    map[string]*zoneHealth
 	gone     func(addr string)
+	heard    func(Heard)
 	others   Loads // what other instances have under way; nil: never told
 	othersAt time.Time
 	speeds   map[string]*speed // by service
@@ -136,12 +139,15 @@
 // OnGone sets what is called with the address of an endpoint that is not there any more.
 func OnGone(f func(addr string)) Option { return func(l *Pool) { l.gone = f } }
 
+// OnHeard sets what is told of endpoints' words that were taken. It is called while the pool is locked, so it must not call the pool.
+func OnHeard(f func(Heard)) Option { return func(l *Pool) { l.heard = f } }
+
 // New makes an empty pool for an instance in a zone.
 func New(zone string, opts ...Option) *Pool {
 	l := &Pool{
 		zone: zone, policy: DefaultPolicy(), now: time.Now,
 		services: make(map[string][]*member), byID: make(map[string]*member),
-		zones: make(map[string]*zoneHealth), gone: func(string) {},
+		zones: make(map[string]*zoneHealth), gone: func(string) {}, heard: func(Heard) {},
 		speeds: make(map[string]*speed), owners: alone{}, random: rand.IntN,
 	}
 	for _, opt := range opts {
@@ -185,7 +191,7 @@
 	// A process that started again under its ID knows nothing of before, so nothing of before counts for it.
 	if m != nil && m.Service == e.Service && m.Addr == e.Addr && !m.Outdated(e) {
 		changed := m.Draining != e.Draining
-		e.Born = max(e.Born, m.Born)
+		e.Born, m.told = max(e.Born, m.Born), l.now()
 		m.run = runKey(e)
 		m.Endpoint = e
 		l.cool(m, l.now(), e.Cold)
@@ -194,7 +200,7 @@
 	if m != nil {
 		l.remove(e.ID)
 	}
-	m = &member{Endpoint: e, heard: l.now(), hash: xxhash.Sum64String(e.ID), run: runKey(e)}
+	m = &member{Endpoint: e, heard: l.now(), told: l.now(), hash: xxhash.Sum64String(e.ID), run: runKey(e)}
 	l.cool(m, l.now(), e.Cold)
 	m.others = l.others[m.key()]
 	l.byID[e.ID] = m
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -222,6 +222,7 @@
 	defer func() { _ = res.Body.Close() }()
 	watch.heard()
 	reading := j.core.Dialect.Read(j.req, res)
+	lease.Said(reading.Word, pool.Answer{Request: j.req.ID, Status: res.Status})
 	switch {
 	case reading.Moved:
 		lease.Done(pool.EndMoved)
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ledgemount/ledgemount/internal/escrow"
+	"github.com/ledgemount/ledgemount/internal/pool"
 	"github.com/ledgemount/ledgemount/internal/upstream"
 	"github.com/ledgemount/ledgemount/internal/verdict"
 )
@@ -70,6 +71,7 @@
 	Genuine bool // it answers this request, and an endpoint has signed it
 	NotRun  bool // the endpoint says that it did not run the request
 	Moved   bool // it comes from another endpoint than the one meant
+	Word    pool.Word
 }
 
 // Dialect writes requests for endpoints and reads their answers.
--- /dev/null
+++ b/internal/retryafter/retryafter_test.go
@@ -0,0 +1,66 @@
+package retryafter
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestOf(t *testing.T) {
+	now := time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+	in := func(d time.Duration) string { return now.Add(d).Format(http.TimeFormat) }
+	for _, c := range []struct {
+		name   string
+		values []string
+		date   string
+		want   time.Duration // 0: nothing is asked for
+	}{
+		{"whole seconds", []string{"3"}, "", 3 * time.Second},
+		{"a fraction", []string{"1.25"}, "", 1250 * time.Millisecond},
+		{"blanks around it", []string{"  2 "}, "", 2 * time.Second},
+		{"a date", []string{in(7 * time.Second)}, "", 7 * time.Second},
+		{"a date, by the server's own time of day", []string{in(7 * time.Second)}, in(5 * time.Second), 2 * time.Second},
+		{"a date that is over", []string{in(-time.Second)}, "", 0},
+		{"a date in another zone than UTC's name", []string{"Sunday, 01-Mar-26 12:00:04 GMT"}, "", 4 * time.Second},
+		{"a number that some client libraries round", []string{"0.0004"}, "", 400 * time.Microsecond},
+		{"over a day", []string{"1e9"}, "", Most},
+		{"more than a duration holds", []string{"1e300"}, "", Most},
+		{"a date over a day ahead", []string{in(48 * time.Hour)}, "", Most},
+		{"twice: the longest", []string{"1", "4", "2"}, "", 4 * time.Second},
+		{"twice, one of which cannot be read", []string{"soon", "4"}, "", 4 * time.Second},
+		{"none", nil, "", 0},
+		{"nothing", []string{""}, "", 0},
+		{"zero", []string{"0"}, "", 0},
+		{"below zero", []string{"-3"}, "", 0},
+		{"not a number", []string{"NaN"}, "", 0},
+		{"infinite", []string{"Inf"}, "", 0},
+		{"below zero without end", []string{"-Inf"}, "", 0},
+		{"a unit", []string{"3s"}, "", 0},
+		{"a word", []string{"soon"}, "", 0},
+	} {
+		Convey(c.name, t, func() {
+			h := http.Header{"Retry-After": c.values}
+			if c.date != "" {
+				h.Set("Date", c.date)
+			}
+			d, ok := Of(h, now)
+			So(d, ShouldEqual, c.want)
+			So(ok, ShouldEqual, c.want > 0)
+		})
+	}
+}
+
+// No text makes a time that is not over 0, or over a day.
+func FuzzOf(f *testing.F) {
+	for _, v := range []string{"3", "1.5", "-1", "NaN", "1e999", "0x1p-2", "Sun, 01 Mar 2026 12:00:04 GMT", "3, 4", "\x00"} {
+		f.Add(v, "")
+	}
+	f.Fuzz(func(t *testing.T, v, date string) {
+		d, ok := Of(http.Header{"Retry-After": {v}, "Date": {date}}, time.Unix(1e9, 0))
+		if ok != (d > 0) || d < 0 || d > Most {
+			t.Fatalf("%q at %q: %v, %v", v, date, d, ok)
+		}
+	})
+}
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -11,6 +11,7 @@
 	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/mesh"
 	"github.com/ledgemount/ledgemount/internal/observe"
+	"github.com/ledgemount/ledgemount/internal/pool"
 	"github.com/ledgemount/ledgemount/internal/relay"
 )
 
@@ -144,3 +145,16 @@
 
 // rejected counts a record that cannot be read.
 func (m *meters) rejected() { m.metrics.Scope().Counter("records_rejected_total").Inc(1) }
+
+// heard logs and counts what an endpoint says of itself in an answer, with what its record says and how old that is.
+func (r *Router) heard(h pool.Heard) {
+	word := "resting"
+	if h.Word.Leaving {
+		word = "leaving"
+	}
+	r.metrics.metrics.Scope().Tagged(map[string]string{"word": word}).Counter("endpoint_words_total").Inc(1)
+	r.log.Info().Str("event", "endpoint_word").Str("word", word).Str("endpoint", h.Endpoint.Run()).Str("service", h.Endpoint.Service).
+		Str("request", h.Answer.Request).Int("status", h.Answer.Status).Int64("rest_ms", h.Word.Rest.Milliseconds()).
+		Bool("record_draining", h.Endpoint.Draining).Int64("record_age_ms", h.Age.Milliseconds()).
+		Msg("an endpoint says in an answer that it leaves, or wants no requests for a while")
+}
--- a/internal/router/explain.go
+++ b/internal/router/explain.go
@@ -53,6 +53,7 @@
 	Reason   string `json:"reason"`
 	End      string `json:"end"`
 	AtMs     int64  `json:"at_ms"`
+	KeptOff  string `json:"kept_off"` // why the first endpoint in the order of affinity got no work; empty: it has work, or is this one
 }
 
 // longestLine is the longest line of a log that is read, in bytes.
@@ -140,12 +141,19 @@
 		_, _ = fmt.Fprintf(&b, "  of what is unspent %d are granted to instances; %d count as spent by instances that were lost\n", l.Out, l.Unproven)
 	}
 	for i, e := range l.Endpoints {
-		_, _ = fmt.Fprintf(&b, "  attempt %d: endpoint %s by %s, %d ms in: %s\n", i+1, e.Endpoint, e.Reason, e.AtMs, e.End)
+		_, _ = fmt.Fprintf(&b, "  attempt %d: endpoint %s by %s, %d ms in: %s%s\n", i+1, e.Endpoint, e.Reason, e.AtMs, e.End, e.keptOff())
 	}
 	_, _ = fmt.Fprintf(&b, "  %s; %d tokens billed\n", l.ending(), l.Used)
 	return b.String()
 }
 
+func (e AttemptLine) keptOff() string {
+	if e.KeptOff == "" {
+		return ""
+	}
+	return " (the first by affinity gets no work: " + e.KeptOff + ")"
+}
+
 func (l Line) ending() string {
 	switch {
 	case l.Code != "":
