fix: what an endpoint says of itself in an answer is a rule, and holds against its records

Cause: the word that it leaves, and the rest that it asks for, stood in answers and nowhere else, and nothing read them. A record told again overwrote what was known, and the pick of a last resort took what was paused. Change: pool keeps what each run of an endpoint's process has said, beside the records: leaving holds until a later start, another address, a drain that its record calls off, or ten minutes; rest until the longest time asked for, and up to a tenth later at random. Neither is a candidate, whatever else is left. 421 counts likewise. A request that no endpoint takes is refused at once, before anything is reserved, and told when the first one rests no more. One that is not sent yet is withdrawn when its endpoint says so meanwhile. An endpoint that comes back has a bound like a congestion window.

--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -81,7 +81,7 @@
 	defer s.pool.mu.RUnlock()
 	now := s.pool.byID[s.member.ID]
 	switch {
-	case now == s.member && !s.member.Draining:
+	case now == s.member && !s.member.Draining && !s.member.said.leaves(s.pool.now()):
 		return FateUnknown
 	case now != nil && s.member.Outdated(now.Endpoint):
 		return FateEnded
@@ -103,6 +103,16 @@
 	EndNeutral                // nothing is learnt: the caller left, or the time was up
 )
 
+// Accepted notes that the endpoint runs the request.
+func (s *Lease) Accepted() {
+	if s.back == nil {
+		return
+	}
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	s.back.answered()
+}
+
 // Done ends the use and learns from how it ended.
 func (s *Lease) Done(end End) {
 	l := s.pool
@@ -134,9 +144,7 @@
 	case EndBusy:
 		m.busyTil = now.Add(busyPause)
 	case EndMoved:
-		if l.byID[m.ID] == m {
-			m.Draining = true
-		}
+		l.hear(m, Word{Moved: true}, Answer{})
 	case EndNeutral:
 	}
 }
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -38,6 +38,7 @@
 	reason Reason
 	kept   Kept
 	ended  bool
+	back   *comeback // of the endpoint, as it was picked; nil: it did not rest lately
 	// patience is how long the first word of the answer may take before something is wrong
 	patience time.Duration
 }
@@ -74,7 +75,7 @@
 	if q.Prompt > 0 {
 		m.harm.add(now, pauseChance(l.reading(q), q.gap()))
 	}
-	return &Lease{pool: l, member: m, at: m.Endpoint, reason: reason, kept: l.keptFirst(q), patience: patience}
+	return &Lease{pool: l, member: m, at: m.Endpoint, reason: reason, kept: l.keptFirst(q), patience: patience, back: l.takenBack(m, now)}
 }
 
 // choose picks among the sound endpoints. If none is sound the fault may be on this side, so it picks among all.
@@ -102,7 +103,7 @@
 	for _, m := range members {
 		m.kept = l.keeps(m, now)
 		l.keeping = l.keeping || m.kept != KeptNot
-		m.candidate = m.kept == KeptNot && l.takes(m, q)
+		m.candidate = m.kept == KeptNot && l.mayRun(m, q) && m.room(now)
 		m.good = m.candidate && l.sound(m, now)
 		if !m.good {
 			continue
@@ -154,12 +155,20 @@
 	return first.kept
 }
 
-// takes says whether an endpoint may be sent the request at all.
-func (l *Pool) takes(m *member, q Query) bool {
+// mayRun says whether an endpoint may be sent the request at all.
+func (l *Pool) mayRun(m *member, q Query) bool {
 	if q.Regions != nil && !slices.Contains(q.Regions, l.regions[m.Zone]) {
 		return false
 	}
-	return !m.Draining && !q.Tried[m.ID] && (m.Slots <= 0 || m.open < m.Slots)
+	return !m.Draining && !q.Tried[m.ID]
+}
+
+// room says whether an endpoint may have one more request of this instance.
+func (m *member) room(now time.Time) bool {
+	if m.Slots > 0 && m.open >= m.Slots {
+		return false
+	}
+	return m.said == nil || m.said.comeback.over(now) || m.open < m.said.comeback.bound(now)
 }
 
 // leastLoaded picks the endpoint with the fewest open requests; one of another zone counts as a little busier.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -60,13 +60,15 @@
 	OwnZoneHelp float64       // load, in requests, that another zone's endpoint must be better by
 	ErrorShare  float64       // failures among the last answers at which an endpoint is avoided
 	ColdLast    bool          // cold endpoints get work only where no other is sound
+	RestSpread  float64       // part of a rest by which an instance comes back later, drawn at random: all were told at the same time
+	ReturnCut   float64       // part of what an endpoint had open here when it asked for rest that it may have again; 0: any number
 }
 
 // DefaultPolicy suits endpoints that answer within a second.
 func DefaultPolicy() Policy {
 	return Policy{
 		Silence: 700 * time.Millisecond, Patience: 4, FirstPause: 400 * time.Millisecond, LongPause: 4 * time.Second,
-		Slack: 1.5, SlackRoom: 3, OwnZoneHelp: 0.5, ErrorShare: 0.35, ColdLast: true,
+		Slack: 1.5, SlackRoom: 3, OwnZoneHelp: 0.5, ErrorShare: 0.35, ColdLast: true, RestSpread: 0.1, ReturnCut: 0.5,
 	}
 }
 
@@ -102,15 +104,18 @@
 	policy Policy
 	now    func() time.Time
 
-	mu       sync.RWMutex
-	services map[string][]*member
-	byID     map[string]*member
-	zones    map[string]*zoneHealth
-	gone     func(addr string)
-	heard    func(Heard)
-	others   Loads // what other instances have under way; nil: never told
-	othersAt time.Time
-	speeds   map[string]*speed // by service
+	mu          sync.RWMutex
+	services    map[string][]*member
+	byID        map[string]*member
+	zones       map[string]*zoneHealth
+	gone        func(addr string)
+	heard       func(Heard)
+	silenced    func(Silenced)
+	said        map[string]*said // by endpoint ID
+	toldLeaving Leaving          // by other instances, in the last exchange
+	others      Loads            // what other instances have under way; nil: never told
+	othersAt    time.Time
+	speeds      map[string]*speed // by service
 
 	evacuated  map[string]bool // availability zones
 	keeping    bool            // within one pick: work is kept off some endpoint
@@ -142,12 +147,16 @@
 // OnHeard sets what is told of endpoints' words that were taken. It is called while the pool is locked, so it must not call the pool.
 func OnHeard(f func(Heard)) Option { return func(l *Pool) { l.heard = f } }
 
+// OnSilenced sets what is told of endpoints' words that do not count any more. It is called as that of OnHeard is.
+func OnSilenced(f func(Silenced)) Option { return func(l *Pool) { l.silenced = f } }
+
 // New makes an empty pool for an instance in a zone.
 func New(zone string, opts ...Option) *Pool {
 	l := &Pool{
 		zone: zone, policy: DefaultPolicy(), now: time.Now,
 		services: make(map[string][]*member), byID: make(map[string]*member),
-		zones: make(map[string]*zoneHealth), gone: func(string) {}, heard: func(Heard) {},
+		zones: make(map[string]*zoneHealth), gone: func(string) {}, heard: func(Heard) {}, silenced: func(Silenced) {},
+		said:   make(map[string]*said),
 		speeds: make(map[string]*speed), owners: alone{}, random: rand.IntN,
 	}
 	for _, opt := range opts {
@@ -184,16 +193,17 @@
 }
 
 func (l *Pool) put(e Endpoint) bool {
-	m := l.byID[e.ID]
-	if m != nil && e.Outdated(m.Endpoint) {
+	if l.outdated(e) {
 		return false // a word of the process before, told late
 	}
+	m := l.byID[e.ID]
 	// A process that started again under its ID knows nothing of before, so nothing of before counts for it.
 	if m != nil && m.Service == e.Service && m.Addr == e.Addr && !m.Outdated(e) {
 		changed := m.Draining != e.Draining
 		e.Born, m.told = max(e.Born, m.Born), l.now()
 		m.run = runKey(e)
 		m.Endpoint = e
+		m.said = l.recall(e)
 		l.cool(m, l.now(), e.Cold)
 		return changed
 	}
@@ -203,7 +213,9 @@
 	m = &member{Endpoint: e, heard: l.now(), told: l.now(), hash: xxhash.Sum64String(e.ID), run: runKey(e)}
 	l.cool(m, l.now(), e.Cold)
 	m.others = l.others[m.key()]
+	m.said = l.recall(e)
 	l.byID[e.ID] = m
+	l.hearTold(m)
 	l.services[e.Service] = append(l.services[e.Service], m)
 	return true
 }
@@ -230,9 +242,10 @@
 func (l *Pool) Len() int {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
+	now := l.now()
 	n := 0
 	for _, m := range l.byID {
-		if !m.Draining {
+		if !m.Draining && !m.said.leaves(now) {
 			n++
 		}
 	}
--- a/internal/pool/warm.go
+++ b/internal/pool/warm.go
@@ -14,6 +14,8 @@
 	KeptNot       Kept = ""
 	KeptEvacuated Kept = "evacuated" // the operator has evacuated its availability zone
 	KeptCold      Kept = "cold"      // it has just started, or lost what it kept, and others own its share or have room
+	KeptLeaving   Kept = "leaving"   // it has said in an answer that it leaves
+	KeptResting   Kept = "resting"   // it has asked this instance for rest in an answer
 )
 
 // ownersFor is how long it counts who owns a cold endpoint, before that is looked up again: instances come and go in seconds.
@@ -96,7 +98,7 @@
 	case l.cold(m, now) && !l.admits(m, now):
 		return KeptCold
 	}
-	return KeptNot
+	return m.abstains(now)
 }
 
 // admits says whether this instance may send a request to a cold endpoint now. The caller holds mu.
--- a/internal/pool/word.go
+++ b/internal/pool/word.go
@@ -1,10 +1,14 @@
 package pool
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Word is what an endpoint says of itself in the head of an answer.
 type Word struct {
 	Leaving bool          // it takes no new work, and will end
+	Moved   bool          // another endpoint has its address
 	Rest    time.Duration // it wants nothing from this instance for so long; 0: it does not say so
 }
 
@@ -19,13 +23,45 @@
 	Endpoint Endpoint // by its record
 	Word     Word
 	Answer   Answer
+	Told     bool          // another instance has heard it
 	Age      time.Duration // of the record
 }
 
-// said is what an endpoint says of itself in answers.
+// Silenced tells of an endpoint's word that does not count any more, for logs.
+type Silenced struct {
+	Endpoint Endpoint
+	Why      WordEnd
+}
+
+// WordEnd says why an endpoint's word does not count any more.
+type WordEnd string
+
+// The reasons.
+const (
+	WordOver      WordEnd = "over"       // its time is over
+	WordRestarted WordEnd = "restarted"  // a later start of the endpoint is known
+	WordCalledOff WordEnd = "called-off" // the endpoint's record had said so too, and says that it is ready again
+)
+
+const (
+	// leavingFor is how long the word that an endpoint leaves holds after it was last heard. A planned end takes seconds, many of them where
+	// the store is away; an endpoint that changes its mind without a word in its record gets work again after this.
+	leavingFor = 10 * time.Minute
+	// mostSaid bounds the runs of endpoints without a record whose words are remembered.
+	mostSaid = 4096
+)
+
+// said is what one run of an endpoint's process says of itself in answers. It is newer than any record that the endpoint has written, and the
+// store, another instance and a list of all endpoints tell records again and again. So it is kept beside the records, and it outlives them: with
+// the record's word alone an endpoint whose record lagged by 13 s got 18 requests after it had said that it leaves.
 type said struct {
-	leaving time.Time // when it last said that it leaves; zero: it does not say so
-	resting time.Time // until when it wants nothing from this instance
+	run       Endpoint
+	leaving   time.Time // when it last said that it leaves; zero: it does not say so
+	own       bool      // it said so to this instance
+	drains    bool      // its record says so too
+	calledOff time.Time // when its record said that it is ready again
+	resting   time.Time // until when it gets nothing from this instance
+	comeback  *comeback // nil: it has work as before
 }
 
 // Said takes what the endpoint says of itself in an answer.
@@ -33,27 +69,263 @@
 	if w == (Word{}) {
 		return
 	}
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	s.pool.hear(s.member, w, a)
+}
+
+// hear takes a word of an endpoint that this instance has heard itself. The caller holds mu.
+func (l *Pool) hear(m *member, w Word, a Answer) {
+	x := l.saidBy(m.Endpoint)
+	if x == nil {
+		return
+	}
+	now := l.now()
+	news := false
+	if w.Leaving || w.Moved {
+		news = !x.leaves(now)
+		x.leaving, x.own = now, true
+	}
+	if w.Rest > 0 {
+		news = x.rests(now, now.Add(w.Rest+l.spread(w.Rest))) || news
+		x.comeback = x.comeback.after(now, m.open, l.policy.ReturnCut)
+	}
+	if news {
+		l.heard(Heard{Endpoint: m.Endpoint, Word: w, Answer: a, Age: now.Sub(m.told)})
+	}
+}
+
+// rests notes until when an endpoint wants nothing; true if it did not rest. The longest time counts: several answers may be under way when an
+// endpoint asks for rest, and the last of them names the shortest.
+func (x *said) rests(now, until time.Time) (news bool) {
+	news = !before(now, x.resting)
+	if until.After(x.resting) {
+		x.resting = until
+	}
+	return news
+}
+
+// spread is how much later than asked this instance comes back.
+func (l *Pool) spread(rest time.Duration) time.Duration {
+	const steps = 1 << 16
+	return time.Duration(l.policy.RestSpread * float64(rest) * float64(l.random(steps)) / steps)
+}
+
+// saidBy finds or makes what is kept of a run of an endpoint's process; nil if a later one is known. The caller holds mu.
+func (l *Pool) saidBy(run Endpoint) *said {
+	if l.outdated(run) {
+		return nil
+	}
+	m, x := l.byID[run.ID], l.said[run.ID]
+	if x == nil || !sameRun(x.run, run) {
+		l.forgetOver()
+		x = &said{run: run, drains: run.Draining}
+		l.said[run.ID] = x
+	}
+	if m != nil && sameRun(m.Endpoint, run) {
+		m.said, x.drains = x, m.Draining
+	}
+	return x
+}
+
+// outdated says whether a later start is known than that of a run. The caller holds mu.
+func (l *Pool) outdated(run Endpoint) bool {
+	if m := l.byID[run.ID]; m != nil && run.Outdated(m.Endpoint) {
+		return true
+	}
+	x := l.said[run.ID]
+	return x != nil && run.Outdated(x.run)
+}
+
+// sameRun says whether two words of an endpoint may be of one run of its process.
+func sameRun(a, b Endpoint) bool {
+	return a.ID == b.ID && a.Service == b.Service && a.Addr == b.Addr && !a.Outdated(b) && !b.Outdated(a)
+}
+
+// forgetOver makes room for another run: it drops what does not count any more, and what was said by endpoints without a record.
+func (l *Pool) forgetOver() {
+	if len(l.said) < mostSaid {
+		return
+	}
+	now := l.now()
+	maps.DeleteFunc(l.said, func(id string, x *said) bool {
+		m := l.byID[id]
+		if m != nil && !x.nothing(now) {
+			return false
+		}
+		if m != nil {
+			m.said = nil
+		}
+		return true
+	})
+}
+
+// recall finds what an endpoint has said whose record has come, and lets the record end it. The caller holds mu.
+func (l *Pool) recall(e Endpoint) *said {
+	x := l.said[e.ID]
+	switch {
+	case x == nil:
+		return nil
+	case x.run.Outdated(e):
+		l.said[e.ID] = &said{run: e} // so that the run before is known again when it is told late
+		l.silenced(Silenced{Endpoint: e, Why: WordRestarted})
+		return nil
+	case !sameRun(x.run, e):
+		return nil // at another address: what was said is not of this one
+	}
+	x.run.Born = max(x.run.Born, e.Born)
+	if x.drains && !e.Draining && !x.leaving.IsZero() {
+		// The record is newer than the word, for it had said so too: the endpoint stays after all.
+		x.leaving, x.own, x.calledOff = time.Time{}, false, l.now()
+		l.silenced(Silenced{Endpoint: e, Why: WordCalledOff})
+	}
+	x.drains = e.Draining
+	return x
+}
+
+// leaves says whether the word that the endpoint leaves counts.
+func (x *said) leaves(now time.Time) bool {
+	return x != nil && !x.leaving.IsZero() && now.Sub(x.leaving) < leavingFor
+}
+
+// nothing says whether nothing that the endpoint has said counts any more, and it has been told so.
+func (x *said) nothing(now time.Time) bool {
+	return x == nil || (x.leaving.IsZero() && x.resting.IsZero() && x.comeback.over(now))
+}
+
+// abstains says why an endpoint gets no work by its own word, whatever else is left: that word is a rule, not a preference. The caller holds mu.
+func (m *member) abstains(now time.Time) Kept {
+	switch {
+	case m.said == nil:
+		return KeptNot
+	case m.said.leaves(now):
+		return KeptLeaving
+	case before(now, m.said.resting):
+		return KeptResting
+	}
+	return KeptNot
+}
+
+// takenBack notes that an endpoint gets a request whose word does not count any more. The caller holds mu.
+func (l *Pool) takenBack(m *member, now time.Time) *comeback {
+	x := m.said
+	if x == nil {
+		return nil
+	}
+	if !x.leaving.IsZero() {
+		x.comeback = firstAgain(now)
+	}
+	if !x.leaving.IsZero() || !x.resting.IsZero() {
+		x.leaving, x.own, x.resting = time.Time{}, false, time.Time{}
+		l.silenced(Silenced{Endpoint: m.Endpoint, Why: WordOver})
+	}
+	if x.comeback.over(now) {
+		x.comeback = nil
+	}
+	return x.comeback
+}
+
+// Wanted says whether the endpoint still takes the request as far as is known: it, or its record, may have said otherwise since it was picked.
+func (s *Lease) Wanted() bool {
 	l := s.pool
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	m := l.byID[s.member.ID]
+	return m != nil && sameRun(m.Endpoint, s.member.Endpoint) && !m.Draining && m.abstains(l.now()) == KeptNot && !l.evacuated[m.Zone]
+}
+
+// Leaving tells how long ago endpoints have said that they leave, by the same key as Loads.
+type Leaving map[uint32]time.Duration
+
+// Add adds other words to these; of one endpoint the newest counts.
+func (l Leaving) Add(other Leaving) {
+	for key, age := range other {
+		if known, ok := l[key]; !ok || age < known {
+			l[key] = age
+		}
+	}
+}
+
+// Leaving is what endpoints have said to this instance, as long as their records do not say it themselves.
+func (l *Pool) Leaving() Leaving {
+	now := l.now()
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	var out Leaving
+	for id, x := range l.said {
+		m := l.byID[id]
+		if m == nil || m.said != x || m.Draining || !x.own || !x.leaves(now) {
+			continue
+		}
+		if out == nil {
+			out = make(Leaving)
+		}
+		out[m.key()] = now.Sub(x.leaving)
+	}
+	return out
+}
+
+// HearLeaving takes what endpoints have said to other instances.
+func (l *Pool) HearLeaving(told Leaving) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now, m := l.now(), s.member
-	if m.said == nil {
-		m.said = &said{}
+	l.toldLeaving = told
+	if len(told) == 0 {
+		return
 	}
-	if m.said.take(w, now) {
-		l.heard(Heard{Endpoint: m.Endpoint, Word: w, Answer: a, Age: now.Sub(m.told)})
+	for _, m := range l.byID {
+		l.hearTold(m)
 	}
 }
 
-// take takes a word; true if it is news: an endpoint that leaves or rests says so in each of its answers.
-func (s *said) take(w Word, now time.Time) (news bool) {
-	if w.Leaving {
-		news = s.leaving.IsZero()
-		s.leaving = now
+// hearTold takes what an endpoint has said to other instances, unless that is older than what is known. The caller holds mu.
+func (l *Pool) hearTold(m *member) {
+	age, ok := l.toldLeaving[m.key()]
+	if !ok || age >= leavingFor {
+		return
+	}
+	now := l.now()
+	at := now.Add(-age)
+	x := l.saidBy(m.Endpoint)
+	if x == nil || x.leaves(now) || !at.After(x.calledOff.Add(toldLag)) {
+		return
 	}
-	if until := now.Add(w.Rest); w.Rest > 0 && until.After(s.resting) {
-		news = news || !now.Before(s.resting)
-		s.resting = until
+	x.leaving = at
+	l.heard(Heard{Endpoint: m.Endpoint, Word: Word{Leaving: true}, Told: true, Age: now.Sub(m.told)})
+}
+
+// toldLag bounds how much younger a word seems that others tell than it is: it waits for an exchange at each instance that passes it on.
+const toldLag = 2 * OthersLife
+
+// Opening says whether any endpoint takes a request now.
+type Opening struct {
+	Open bool
+	Full bool          // some would, but have as much as they bear
+	Rest time.Duration // until the first that rests takes work again; 0: none rests
+}
+
+// Opens says whether any endpoint takes a request now.
+func (l *Pool) Opens(q Query) Opening {
+	now := l.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var o Opening
+	for _, m := range l.services[q.Service] {
+		if !l.mayRun(m, q) {
+			continue
+		}
+		switch l.keeps(m, now) {
+		case KeptNot:
+			if m.room(now) {
+				return Opening{Open: true}
+			}
+			o.Full = true
+		case KeptResting:
+			if left := m.said.resting.Sub(now); o.Rest == 0 || left < o.Rest {
+				o.Rest = left
+			}
+		case KeptEvacuated, KeptCold, KeptLeaving:
+		}
 	}
-	return news
+	return o
 }
--- /dev/null
+++ b/internal/pool/word_test.go
@@ -0,0 +1,350 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+// words is a pool of one endpoint, and what the pool tells of words.
+type words struct {
+	*Pool
+	clock *testClock
+	heard []Heard
+	ended []WordEnd
+}
+
+func newWords() *words {
+	w := &words{clock: &testClock{at: time.Unix(1000, 0)}}
+	w.Pool = New("a", WithNow(w.clock.now), WithRandom(func(int) int { return 0 }),
+		OnHeard(func(h Heard) { w.heard = append(w.heard, h) }), OnSilenced(func(s Silenced) { w.ended = append(w.ended, s.Why) }))
+	w.Put(w.record(0, false))
+	return w
+}
+
+// record is the endpoint's record.
+func (*words) record(born int64, draining bool) Endpoint {
+	return Endpoint{ID: "e", Service: "s", Addr: "10.0.0.1:80", Zone: "a", Slots: 64, Born: born, Draining: draining}
+}
+
+// lease picks the endpoint, which must take work.
+func (w *words) lease() *Lease {
+	lease := w.Pick(Query{Service: "s"})
+	So(lease, ShouldNotBeNil)
+	return lease
+}
+
+// takes says whether the endpoint takes work; nothing stays open there.
+func (w *words) takes() bool {
+	lease := w.Pick(Query{Service: "s"})
+	if lease == nil {
+		return false
+	}
+	lease.Done(EndNeutral)
+	return true
+}
+
+func TestLeavingWord(t *testing.T) {
+	leaving := Word{Leaving: true}
+	Convey("An endpoint that has said in an answer that it leaves gets nothing new, though it is the only one", t, func() {
+		w := newWords()
+		lease := w.lease()
+		So(w.Len(), ShouldEqual, 1)
+		w.clock.pass(time.Second)
+		lease.Said(leaving, Answer{Request: "r", Status: 200})
+		lease.Done(EndGood)
+		So(w.takes(), ShouldBeFalse)
+		So(w.Len(), ShouldEqual, 0)
+		So(lease.Fate(), ShouldEqual, FateLeaving)
+		So(w.heard, ShouldResemble, []Heard{{Endpoint: w.record(0, false), Word: leaving, Answer: Answer{Request: "r", Status: 200}, Age: time.Second}})
+
+		Convey("also when its record says again that it is ready: alone, among all, gone and back, or with a start that was not told before", func() {
+			for _, tell := range []func(){
+				func() { w.Put(w.record(0, false)) },
+				func() { w.Replace([]Endpoint{w.record(0, false)}) },
+				func() { w.Remove("e"); w.Put(w.record(0, false)) },
+				func() { w.Replace(nil); w.Replace([]Endpoint{w.record(0, false)}) },
+				func() { w.Put(w.record(500, false)) },
+				func() { w.Put(w.record(400, false)) }, // an earlier start, told late
+				func() { w.Put(w.record(0, true)) },
+			} {
+				tell()
+				So(w.takes(), ShouldBeFalse)
+			}
+			So(len(w.heard), ShouldEqual, 1)
+			So(w.ended, ShouldBeEmpty)
+		})
+
+		Convey("says so again without another line", func() {
+			lease.Said(leaving, Answer{})
+			So(len(w.heard), ShouldEqual, 1)
+		})
+
+		Convey("until its record, which had said so too, says that it is ready: the drain was called off", func() {
+			w.Put(w.record(0, true))
+			So(w.takes(), ShouldBeFalse)
+			w.Put(w.record(0, false))
+			So(w.takes(), ShouldBeTrue)
+			So(w.ended, ShouldResemble, []WordEnd{WordCalledOff})
+
+			Convey("which a word that others heard before does not undo, and one that they heard later does", func() {
+				key := w.byID["e"].key()
+				w.clock.pass(5 * time.Second)
+				w.HearLeaving(Leaving{key: 6 * time.Second})
+				So(w.takes(), ShouldBeTrue)
+				w.HearLeaving(Leaving{key: time.Second})
+				So(w.takes(), ShouldBeFalse)
+			})
+		})
+
+		Convey("until it starts again, and what the run before says late is not of this one", func() {
+			w.Put(w.record(500, false))
+			So(w.takes(), ShouldBeFalse) // the same run, which tells its start now
+			w.Put(w.record(900, false))
+			So(w.takes(), ShouldBeTrue)
+			So(w.ended, ShouldResemble, []WordEnd{WordRestarted})
+			lease.Said(leaving, Answer{})
+			So(w.takes(), ShouldBeTrue)
+		})
+
+		Convey("until it is at another address", func() {
+			e := w.record(0, false)
+			e.Addr = "10.0.0.2:80"
+			w.Put(e)
+			So(w.takes(), ShouldBeTrue)
+		})
+
+		Convey("until it has not said so for long; then it gets one request at first", func() {
+			w.clock.pass(leavingFor - time.Millisecond)
+			So(w.takes(), ShouldBeFalse)
+			w.clock.pass(time.Millisecond)
+			again := w.lease()
+			So(w.ended, ShouldResemble, []WordEnd{WordOver})
+			So(w.takes(), ShouldBeFalse)
+			again.Said(leaving, Answer{})
+			again.Done(EndGood)
+			So(w.takes(), ShouldBeFalse)
+			So(len(w.heard), ShouldEqual, 2)
+		})
+	})
+
+	Convey("An endpoint whose address another one has gets nothing new either, whatever its record says", t, func() {
+		w := newWords()
+		w.lease().Done(EndMoved)
+		w.Put(w.record(0, false))
+		So(w.takes(), ShouldBeFalse)
+	})
+
+	Convey("A request that is not sent yet is not wanted any more once its endpoint leaves, drains, rests, is gone or has started again", t, func() {
+		for _, end := range []func(*words, *Lease){
+			func(_ *words, l *Lease) { l.Said(Word{Leaving: true}, Answer{}) },
+			func(_ *words, l *Lease) { l.Said(Word{Rest: time.Second}, Answer{}) },
+			func(w *words, _ *Lease) { w.Put(w.record(7, true)) },
+			func(w *words, _ *Lease) { w.Put(w.record(8, false)) },
+			func(w *words, _ *Lease) { w.Remove("e") },
+			func(w *words, _ *Lease) { w.SetEvacuated([]string{"a"}) },
+		} {
+			w := newWords()
+			w.Put(w.record(7, false))
+			other, lease := w.lease(), w.lease()
+			So(lease.Wanted(), ShouldBeTrue)
+			end(w, other)
+			So(lease.Wanted(), ShouldBeFalse)
+		}
+	})
+}
+
+func TestLeavingTold(t *testing.T) {
+	Convey("An instance tells which endpoints have said to it that they leave", t, func() {
+		w, other := newWords(), newWords()
+		So(w.Leaving(), ShouldBeEmpty)
+		w.lease().Said(Word{Leaving: true}, Answer{})
+		w.clock.pass(2 * time.Second)
+		told := w.Leaving()
+		So(told, ShouldResemble, Leaving{w.byID["e"].key(): 2 * time.Second})
+
+		Convey("and not any more when the endpoint's record says so itself, or is gone", func() {
+			w.Put(w.record(0, true))
+			So(w.Leaving(), ShouldBeEmpty)
+			w.Remove("e")
+			So(w.Leaving(), ShouldBeEmpty)
+		})
+
+		Convey("and others that hear it send nothing there, and do not tell it on as their own", func() {
+			other.HearLeaving(told)
+			So(other.takes(), ShouldBeFalse)
+			So(other.heard[0].Told, ShouldBeTrue)
+			So(other.Leaving(), ShouldBeEmpty)
+			other.HearLeaving(told)
+			other.HearLeaving(nil)
+			So(other.takes(), ShouldBeFalse)
+			So(len(other.heard), ShouldEqual, 1)
+			other.clock.pass(leavingFor - 2*time.Second)
+			So(other.takes(), ShouldBeTrue)
+		})
+
+		Convey("also those that do not know the endpoint yet, or see its record go and come back", func() {
+			other.Remove("e")
+			other.HearLeaving(told)
+			other.Put(other.record(0, false))
+			So(other.takes(), ShouldBeFalse)
+			other.Remove("e")
+			other.Put(other.record(0, false))
+			So(other.takes(), ShouldBeFalse)
+		})
+
+		Convey("and it is not of a later run", func() {
+			other.Put(other.record(500, false))
+			other.HearLeaving(told)
+			So(other.takes(), ShouldBeTrue)
+		})
+	})
+
+	Convey("Of what several tell of one endpoint the newest counts", t, func() {
+		l := Leaving{1: 5 * time.Second, 2: time.Second}
+		l.Add(Leaving{1: time.Second, 2: 5 * time.Second, 3: 0})
+		So(l, ShouldResemble, Leaving{1: time.Second, 2: time.Second, 3: 0})
+	})
+}
+
+func TestRestingWord(t *testing.T) {
+	Convey("An endpoint that has asked for rest gets nothing meanwhile, though it is the only one", t, func() {
+		w := newWords()
+		first, second := w.lease(), w.lease()
+		first.Said(Word{Rest: 3 * time.Second}, Answer{Status: 503})
+		first.Done(EndBusy)
+		w.clock.pass(time.Second)
+		So(w.takes(), ShouldBeFalse)
+		So(w.Len(), ShouldEqual, 1) // it is there
+		So(w.Opens(Query{Service: "s"}), ShouldResemble, Opening{Rest: 2 * time.Second})
+		So(second.Fate(), ShouldEqual, FateUnknown)
+
+		Convey("the longest of the times that it asks for counts, in one line", func() {
+			second.Said(Word{Rest: time.Second}, Answer{})
+			w.clock.pass(1900 * time.Millisecond)
+			So(w.takes(), ShouldBeFalse)
+			second.Said(Word{Rest: time.Second}, Answer{})
+			w.clock.pass(900 * time.Millisecond)
+			So(w.takes(), ShouldBeFalse)
+			So(len(w.heard), ShouldEqual, 1)
+			w.clock.pass(100 * time.Millisecond)
+			second.Done(EndBusy)
+			So(w.takes(), ShouldBeTrue)
+			So(w.ended, ShouldResemble, []WordEnd{WordOver})
+		})
+
+		Convey("also where its record goes and comes back; a later run knows nothing of it", func() {
+			w.Remove("e")
+			w.Put(w.record(0, false))
+			So(w.takes(), ShouldBeFalse)
+			w.Put(w.record(500, false))
+			w.Put(w.record(900, false))
+			So(w.takes(), ShouldBeTrue)
+		})
+
+		Convey("then one request at a time, then with each answer one more, and in time as many as before", func() {
+			second.Done(EndGood)
+			w.clock.pass(2 * time.Second)
+			open := func() (out []*Lease) {
+				for {
+					lease := w.Pick(Query{Service: "s"})
+					if lease == nil {
+						return out
+					}
+					out = append(out, lease)
+				}
+			}
+			all := open()
+			So(len(all), ShouldEqual, 1)
+			So(w.Opens(Query{Service: "s"}), ShouldResemble, Opening{Full: true})
+			all[0].Accepted()
+			So(len(open()), ShouldEqual, 1)
+			w.clock.pass(forgotten * forgetting)
+			So(len(open()), ShouldEqual, 62)
+		})
+	})
+
+	Convey("Instances that were told at the same time come back at different times", t, func() {
+		w := newWords()
+		w.random = func(n int) int { return n - 1 }
+		w.lease().Said(Word{Rest: 10 * time.Second}, Answer{})
+		w.clock.pass(10*time.Second + 900*time.Millisecond)
+		So(w.takes(), ShouldBeFalse)
+		w.clock.pass(100 * time.Millisecond)
+		So(w.takes(), ShouldBeTrue)
+	})
+
+	Convey("A service opens when the first of its endpoints does", t, func() {
+		w := newWords()
+		w.Put(Endpoint{ID: "f", Service: "s", Addr: "10.0.0.2:80", Zone: "a", Slots: 1})
+		for range 2 {
+			lease := w.lease()
+			rest := map[string]time.Duration{"e": 4 * time.Second, "f": time.Second}[lease.Endpoint().ID]
+			lease.Said(Word{Rest: rest}, Answer{})
+		}
+		So(w.Opens(Query{Service: "s"}), ShouldResemble, Opening{Rest: time.Second})
+		So(w.Opens(Query{Service: "none"}), ShouldResemble, Opening{})
+	})
+}
+
+// A run that has said that it leaves gets nothing for as long as that holds, in whatever order records come, go, and are told again; nor does one
+// that rests.
+func TestWordsHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := &testClock{at: time.Unix(1000, 0)}
+		p := New("a", WithNow(clock.now), WithRandom(func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "random") }))
+		newest := 1
+		// record is that of the newest run, or of an earlier one, told late; not so once the newest run's record is gone: the store's order holds.
+		record := func() Endpoint {
+			first := 1
+			if p.byID["e"] == nil {
+				first = newest
+			}
+			run := rapid.IntRange(first, newest+1).Draw(t, "run")
+			newest = max(newest, run)
+			return Endpoint{ID: "e", Service: "s", Addr: "10.0.0.1:80", Zone: "a", Slots: 4, Born: int64(run) * 100}
+		}
+		leaving, resting := make(map[int64]time.Time), make(map[int64]time.Time) // until when, by the run's start
+		var open []*Lease
+		t.Repeat(map[string]func(*rapid.T){
+			"record":  func(*rapid.T) { p.Put(record()) },
+			"list":    func(*rapid.T) { p.Replace([]Endpoint{record()}) },
+			"gone":    func(*rapid.T) { p.Remove("e") },
+			"nothing": func(*rapid.T) { p.Replace(nil) },
+			"time":    func(t *rapid.T) { clock.pass(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond) },
+			"word": func(t *rapid.T) {
+				if len(open) == 0 {
+					return
+				}
+				i := rapid.IntRange(0, len(open)-1).Draw(t, "lease")
+				lease := open[i]
+				open = append(open[:i], open[i+1:]...)
+				run := lease.Endpoint().Born
+				if rapid.Bool().Draw(t, "leaving") {
+					lease.Said(Word{Leaving: true}, Answer{})
+					leaving[run] = clock.at.Add(leavingFor)
+				} else {
+					rest := time.Duration(rapid.IntRange(1, 3000).Draw(t, "rest")) * time.Millisecond
+					lease.Said(Word{Rest: rest}, Answer{})
+					if until := clock.at.Add(rest); until.After(resting[run]) {
+						resting[run] = until
+					}
+				}
+				lease.Done(EndBusy)
+			},
+			"pick": func(t *rapid.T) {
+				lease := p.Pick(Query{Service: "s"})
+				if lease == nil {
+					return
+				}
+				open = append(open, lease)
+				run := lease.Endpoint().Born
+				if clock.at.Before(leaving[run]) || clock.at.Before(resting[run]) {
+					t.Fatalf("run %d leaves until %v, rests until %v, and got a request at %v", run, leaving[run], resting[run], clock.at)
+				}
+			},
+		})
+	})
+}
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -156,8 +156,9 @@
 	tried    map[string]bool
 	attempts int
 	dials    int
-	ran      bool // an endpoint may have run it
-	begun    bool // the caller has seen the head
+	opening  pool.Opening // as far as it was asked
+	ran      bool         // an endpoint may have run it
+	begun    bool         // the caller has seen the head
 	events   int64
 	heard    time.Time // when the last event came
 	// wholeMetered: the caller has an answer without events, of which the tokens cannot be counted
@@ -184,6 +185,9 @@
 		defer cancel()
 		defer j.core.overdue.add(j, cancel)()
 	}
+	if err := j.opens(); err != nil {
+		return err
+	}
 	if err := j.reserve(ctx); err != nil {
 		return err
 	}
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -17,12 +17,13 @@
 type result int
 
 const (
-	resultDone   result = iota // the caller has a whole answer
-	resultUnsent               // the endpoint could not be reached: nothing was sent
-	resultNotRun               // the endpoint says that it did not run the request
-	resultFailed               // the endpoint answered that it failed; the answer is kept
-	resultBroken               // the request may have run; its answer is lost or broken off
-	resultLeft                 // the caller left, or does not take the answer
+	resultDone      result = iota // the caller has a whole answer
+	resultUnsent                  // the endpoint could not be reached: nothing was sent
+	resultNotRun                  // the endpoint says that it did not run the request
+	resultFailed                  // the endpoint answered that it failed; the answer is kept
+	resultBroken                  // the request may have run; its answer is lost or broken off
+	resultLeft                    // the caller left, or does not take the answer
+	resultWithdrawn               // nothing was sent: the endpoint has said meanwhile that it takes nothing
 )
 
 // kept is a failed answer that the caller gets if nothing better comes.
@@ -48,6 +49,8 @@
 		case resultDone:
 			j.endedWell()
 			return nil
+		case resultWithdrawn:
+			continue
 		case resultFailed:
 			failure = answer
 		case resultUnsent:
@@ -63,7 +66,8 @@
 	}
 }
 
-func (j *job) pick() *pool.Lease {
+// query is what an endpoint is picked for.
+func (j *job) query() pool.Query {
 	q := pool.Query{
 		Service: j.service.Name, Affinity: j.req.Subject(), Prompt: j.req.TokensIn, Shared: j.req.Shared(),
 		Target: j.route.Objective, Gap: j.route.Gap, Tried: j.tried,
@@ -72,13 +76,45 @@
 	if j.core.apart {
 		q.Affinity = ""
 	}
+	return q
+}
+
+func (j *job) pick() *pool.Lease {
+	q := j.query()
 	lease := j.core.Pool.Pick(q)
-	if lease != nil {
-		j.tried[lease.Endpoint().ID] = true
+	if lease == nil {
+		j.opening = j.core.Pool.Opens(q)
+		return nil
 	}
+	j.tried[lease.Endpoint().ID] = true
 	return lease
 }
 
+// opens refuses a request at once that no endpoint takes now, before anything is reserved for it.
+func (j *job) opens() error {
+	if j.opening = j.core.Pool.Opens(j.query()); j.opening.Open {
+		return nil
+	}
+	return j.noEndpoint()
+}
+
+// noEndpoint tells the caller that no endpoint takes the request. Where endpoints have asked for rest it comes back when the first of them does,
+// and some time later: all who are refused meanwhile would come back at that moment.
+func (j *job) noEndpoint() error {
+	rest := j.opening.Rest
+	switch {
+	case j.opening.Full:
+		return refuse(verdict.CodeEndpointRefused, "the endpoints have as much as they bear", retryNow)
+	case rest <= 0:
+		return refuse(verdict.CodeNoEndpoint, "no endpoint takes work or can be reached", retrySoon)
+	}
+	spread := j.core.random() * float64(max(retrySoon, min(rest, mostSpread)))
+	return refuse(verdict.CodeNoEndpoint, "all endpoints that take work have asked for rest", rest+time.Duration(spread))
+}
+
+// mostSpread bounds the time over which callers come back who were refused while all endpoints rested.
+const mostSpread = 2 * time.Second
+
 // again says whether the request goes to another endpoint.
 func (j *job) again(ctx context.Context, res result) bool {
 	if ctx.Err() != nil || j.attempts >= j.route.MaxAttempts {
@@ -90,7 +126,7 @@
 		if !j.route.Repeatable() || (res == resultBroken && j.lone()) {
 			return false
 		}
-	case resultDone, resultUnsent, resultLeft:
+	case resultDone, resultUnsent, resultLeft, resultWithdrawn:
 		return false
 	}
 	if left, ok := j.left(); ok && left < leastLeft {
@@ -116,7 +152,7 @@
 	case ctx.Err() != nil:
 		return verdict.New(j.verdict(), verdict.CodeCancelled, "the caller left")
 	case !j.ran && res == resultUnsent:
-		return refuse(verdict.CodeNoEndpoint, "no endpoint can be reached", retrySoon)
+		return j.noEndpoint()
 	case !j.ran:
 		return refuse(verdict.CodeEndpointRefused, "the endpoints did not run it", retryNow)
 	}
@@ -174,7 +210,7 @@
 
 var resultNames = map[result]string{
 	resultDone: "done", resultUnsent: "unreachable", resultNotRun: "not-run", resultFailed: "failed", resultBroken: "broken",
-	resultLeft: "left",
+	resultLeft: "left", resultWithdrawn: "withdrawn",
 }
 
 func endOf(res result) pool.End {
@@ -189,7 +225,7 @@
 		return pool.EndBroken
 	case resultNotRun:
 		return pool.EndBusy
-	case resultLeft:
+	case resultLeft, resultWithdrawn:
 	}
 	return pool.EndNeutral
 }
@@ -210,8 +246,12 @@
 	out := j.core.Dialect.Outbound(j.req, a)
 	sent := j.core.now()
 	out.Dialed = func(took time.Duration) { j.core.dialed(e.Zone, took) }
+	out.Wanted = lease.Wanted
 	res, err := j.core.Client.Do(ctx, e.Addr, out)
-	if errors.Is(err, upstream.ErrNotSent) {
+	switch {
+	case errors.Is(err, upstream.ErrWithdrawn):
+		return resultWithdrawn, nil
+	case errors.Is(err, upstream.ErrNotSent):
 		return resultUnsent, nil
 	}
 	j.attempts++
@@ -223,6 +263,9 @@
 	watch.heard()
 	reading := j.core.Dialect.Read(j.req, res)
 	lease.Said(reading.Word, pool.Answer{Request: j.req.ID, Status: res.Status})
+	if reading.Genuine && res.Status < http.StatusInternalServerError {
+		lease.Accepted()
+	}
 	switch {
 	case reading.Moved:
 		lease.Done(pool.EndMoved)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -26,6 +26,7 @@
 	Header http.Header
 	Body   []byte
 	Dialed func(took time.Duration) // told how long a new connection took to come up, or to be given up; nil: nobody is
+	Wanted func() bool              // asked when a connection is there: false: nothing is sent; nil: it is sent
 }
 
 // Response is an endpoint's answer. Close ends the exchange; a body that was not read to its end costs the connection.
@@ -36,8 +37,11 @@
 	Body   io.ReadCloser
 }
 
-// ErrNotSent says that no byte of the request was sent.
-var ErrNotSent = errors.New("the request was not sent")
+// Why a request was not sent.
+var (
+	ErrNotSent   = errors.New("the request was not sent")            // no byte of it was
+	ErrWithdrawn = errors.New("the request is not wanted there now") // likewise, though the endpoint could be reached
+)
 
 // Defaults of a Client.
 const (
@@ -120,6 +124,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if req.Wanted != nil && !req.Wanted() {
+		_ = cn.Close()
+		return nil, eris.Wrapf(errors.Join(ErrNotSent, ErrWithdrawn), "sending to %s", addr)
+	}
 	x := &exchange{client: c, conn: cn}
 	x.stop = context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	x.send(req)
