fix: instances tell each other which endpoints have said that they leave

Cause: the word reached one instance only; each of the others sent an endpoint that leaves one more request to hear it itself, and one that had no traffic there for a while did so seconds later. Change: the word, and how long ago it was heard, travels with the exchange of loads twice a second, in a field that a build without it passes over, as long as the endpoint's record does not say so itself. Only what an instance has heard itself is told, so no word circulates; one that is older than a called-off drain is passed over.

--- a/internal/load/digest.go
+++ b/internal/load/digest.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/ledgemount/ledgemount/internal/pool"
 )
@@ -13,6 +14,8 @@
 const (
 	flowSteps = 1000 // of a flow of one a second
 	mostLines = 300  // endpoints of a digest; those with the least under way are left out
+
+	mostAge = 24 * time.Hour // of a word; what claims to be older cannot be right
 )
 
 // line is what some instances have under way at one endpoint.
@@ -30,38 +33,67 @@
 type digest struct {
 	Lines []line `cbor:"1,keyasint,omitempty"`
 	Rider []byte `cbor:"2,keyasint,omitempty"` // what a Rider tells
+	// Leaving tells of endpoints that have said in answers that they leave; a build that does not know it passes it over
+	Leaving []leaving `cbor:"3,keyasint,omitempty"`
+}
+
+// leaving is an endpoint's word that it leaves.
+type leaving struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint uint32   // as in pool.Loads
+	AgeMs    int64    // since it said so
 }
 
-// pack writes loads down, as far as they are worth it.
-func pack(loads pool.Loads) digest {
-	d := digest{Lines: make([]line, 0, len(loads))}
+// pack writes a report down, as far as it is worth it.
+func pack(r report) digest { return digest{Lines: packLoads(r.loads), Leaving: packLeaving(r.leaving)} }
+
+func packLoads(loads pool.Loads) []line {
+	lines := make([]line, 0, len(loads))
 	for key, x := range loads {
 		l := line{Endpoint: key, Open: x.Open, Harm: steps(x.Harm), Ended: steps(x.Ended), Failed: steps(x.Failed), Silent: x.Silent}
 		if l.Open+l.Harm+l.Ended+l.Failed > 0 {
-			d.Lines = append(d.Lines, l)
+			lines = append(lines, l)
 		}
 	}
-	if len(d.Lines) > mostLines {
-		slices.SortFunc(d.Lines, func(a, b line) int {
+	if len(lines) > mostLines {
+		slices.SortFunc(lines, func(a, b line) int {
 			return cmp.Or(cmp.Compare(b.weight(), a.weight()), cmp.Compare(a.Endpoint, b.Endpoint))
 		})
-		d.Lines = d.Lines[:mostLines]
+		lines = lines[:mostLines]
 	}
-	return d
+	return lines
 }
 
-// weight is how much a line matters for picks, about.
-func (l line) weight() int { return (l.Open+l.Silent)*flowSteps + l.Harm + l.Failed }
-
-func steps(perSecond float64) int { return int(math.Round(perSecond * flowSteps)) }
+// packLeaving writes down which endpoints leave; of too many those that have said so last.
+func packLeaving(l pool.Leaving) []leaving {
+	out := make([]leaving, 0, len(l))
+	for key, age := range l {
+		out = append(out, leaving{Endpoint: key, AgeMs: age.Milliseconds()})
+	}
+	if len(out) > mostLines {
+		slices.SortFunc(out, func(a, b leaving) int { return cmp.Compare(a.AgeMs, b.AgeMs) })
+		out = out[:mostLines]
+	}
+	return out
+}
 
-// unpack reads loads.
-func (d digest) unpack() pool.Loads {
-	out := make(pool.Loads, len(d.Lines))
+// unpack reads a report.
+func (d digest) unpack() report {
+	out := report{loads: make(pool.Loads, len(d.Lines)), leaving: make(pool.Leaving, len(d.Leaving))}
 	for _, l := range d.Lines {
-		out[l.Endpoint] = pool.Load{
+		out.loads[l.Endpoint] = pool.Load{
 			Open: l.Open, Harm: float64(l.Harm) / flowSteps, Ended: float64(l.Ended) / flowSteps, Failed: float64(l.Failed) / flowSteps, Silent: l.Silent,
 		}
 	}
+	for _, l := range d.Leaving {
+		if l.AgeMs >= 0 && l.AgeMs <= mostAge.Milliseconds() {
+			out.leaving[l.Endpoint] = time.Duration(l.AgeMs) * time.Millisecond
+		}
+	}
 	return out
 }
+
+// weight is how much a line matters for picks, about.
+func (l line) weight() int { return (l.Open+l.Silent)*flowSteps + l.Harm + l.Failed }
+
+func steps(perSecond float64) int { return int(math.Round(perSecond * flowSteps)) }
--- a/internal/load/digest_test.go
+++ b/internal/load/digest_test.go
@@ -1,7 +1,9 @@
 package load
 
 import (
+	"math"
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	. "github.com/smartystreets/goconvey/convey"
@@ -17,25 +19,49 @@
 		}
 
 		Convey("tells what it was made of", func() {
-			So(pack(loads).unpack(), ShouldResemble, loads)
+			leaving := pool.Leaving{7: 1500 * time.Millisecond, 8: 0}
+			So(pack(report{loads, leaving}).unpack(), ShouldResemble, report{loads, leaving})
 		})
 
 		Convey("is short enough for a small link: 2.3 KB for 140 endpoints", func() {
-			raw, err := cbor.Marshal(pack(loads))
+			raw, err := cbor.Marshal(pack(report{loads: loads}))
 			So(err, ShouldBeNil)
 			So(len(raw), ShouldBeLessThan, 2400)
 		})
 
 		Convey("leaves out endpoints with nothing under way, and those with the least where there are too many", func() {
 			loads[1] = pool.Load{Harm: 0.0001}
-			So(len(pack(loads).Lines), ShouldEqual, 140)
+			So(len(pack(report{loads: loads}).Lines), ShouldEqual, 140)
 			for i := range uint32(1300) {
 				loads[i<<8+9] = pool.Load{Open: 1}
 			}
 			loads[3] = pool.Load{Open: 50}
-			d := pack(loads)
+			d := pack(report{loads: loads})
 			So(len(d.Lines), ShouldEqual, mostLines)
 			So(d.Lines[0].Endpoint, ShouldEqual, 3)
 		})
+
+		Convey("tells nothing of a word whose age cannot be right", func() {
+			for _, age := range []int64{-1, math.MinInt64, math.MaxInt64, mostAge.Milliseconds() + 1} {
+				So(digest{Leaving: []leaving{{Endpoint: 1, AgeMs: age}}}.unpack().leaving, ShouldBeEmpty)
+			}
+		})
+
+		Convey("is read by a build that knows no words, and one of such a build is read", func() {
+			type older struct {
+				Lines []line `cbor:"1,keyasint,omitempty"`
+				Rider []byte `cbor:"2,keyasint,omitempty"`
+			}
+			raw, err := cbor.Marshal(pack(report{loads, pool.Leaving{7: time.Second}}))
+			So(err, ShouldBeNil)
+			var o older
+			So(cbor.Unmarshal(raw, &o), ShouldBeNil)
+			So(len(o.Lines), ShouldEqual, 140)
+			raw, err = cbor.Marshal(o)
+			So(err, ShouldBeNil)
+			var d digest
+			So(cbor.Unmarshal(raw, &d), ShouldBeNil)
+			So(d.unpack(), ShouldResemble, report{loads, pool.Leaving{}})
+		})
 	})
 }
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -28,10 +28,22 @@
 	life      = pool.OthersLife        // what was told counts for so long
 )
 
+// report is what some instances know of endpoints.
+type report struct {
+	loads   pool.Loads
+	leaving pool.Leaving // which endpoints have said to them that they leave
+}
+
+// add adds what other instances know.
+func (r report) add(other report) {
+	r.loads.Add(other.loads)
+	r.leaving.Add(other.leaving)
+}
+
 // told is what one instance or zone said last.
 type told struct {
-	loads pool.Loads
-	at    time.Time
+	report report
+	at     time.Time
 }
 
 // Rider has something to tell to the same instances, rarely and in few bytes. It travels with the loads: messages of its own would double what
@@ -96,21 +108,30 @@
 	keepers := x.dir.Keepers()
 	if len(keepers) == 0 {
 		x.askZones(ctx)
-		x.pool.SetOthers(x.sum(""))
+		x.hear(x.sum(""))
 		return
 	}
-	mine := pack(x.pool.Loads())
+	mine := pack(x.own())
 	for _, p := range keepers {
 		mine.Rider = x.rider.Tell(p.ID)
 		others, err := peers.Call[digest, digest](ctx, x.dir, p, KindTell, mine)
 		if err == nil {
 			x.rider.Hear(p.ID, others.Rider)
-			x.pool.SetOthers(others.unpack())
+			x.hear(others.unpack())
 			return
 		}
 	}
 }
 
+// own is what this instance knows itself.
+func (x *Exchange) own() report { return report{loads: x.pool.Loads(), leaving: x.pool.Leaving()} }
+
+// hear takes what all others know.
+func (x *Exchange) hear(r report) {
+	x.pool.SetOthers(r.loads)
+	x.pool.HearLeaving(r.leaving)
+}
+
 // askZones exchanges sums with one instance of each other zone, if the fleet is so large that its zones are led.
 func (x *Exchange) askZones(ctx context.Context) {
 	if !x.dir.Large() {
@@ -120,7 +141,7 @@
 	var wg sync.WaitGroup
 	for _, p := range x.dir.Heads() {
 		wg.Go(func() {
-			mine := digest{Lines: mine.Lines, Rider: x.rider.Tell(p.ID)}
+			mine := digest{Lines: mine.Lines, Leaving: mine.Leaving, Rider: x.rider.Tell(p.ID)}
 			theirs, err := peers.Call[digest, digest](ctx, x.dir, p, KindZone, mine)
 			if err == nil {
 				x.rider.Hear(p.ID, theirs.Rider)
@@ -135,7 +156,7 @@
 func (x *Exchange) tell(_ context.Context, from mesh.Peer, d digest) (digest, error) {
 	x.note(x.members, from.ID, d.unpack())
 	sum := x.sum(from.ID)
-	sum.Add(x.pool.Loads())
+	sum.add(x.own())
 	return x.reply(from, d, sum), nil
 }
 
@@ -145,32 +166,33 @@
 	return x.reply(from, d, x.zoneSum()), nil
 }
 
-// reply answers a digest with loads, and lets the rider hear and tell.
-func (x *Exchange) reply(from mesh.Peer, d digest, loads pool.Loads) digest {
+// reply answers a digest with a report, and lets the rider hear and tell.
+func (x *Exchange) reply(from mesh.Peer, d digest, r report) digest {
 	x.rider.Hear(from.ID, d.Rider)
-	out := pack(loads)
+	out := pack(r)
 	out.Rider = x.rider.Tell(from.ID)
 	return out
 }
 
-func (x *Exchange) note(list map[string]told, key string, loads pool.Loads) {
+func (x *Exchange) note(list map[string]told, key string, r report) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	list[key] = told{loads: loads, at: x.now()}
+	list[key] = told{report: r, at: x.now()}
 }
 
-// zoneSum is what the instances that tell this one have under way, and this one itself.
-func (x *Exchange) zoneSum() pool.Loads {
-	out := x.pool.Loads()
+// zoneSum is what the instances that tell this one know, and this one itself.
+func (x *Exchange) zoneSum() report {
+	out := report{loads: make(pool.Loads), leaving: make(pool.Leaving)}
+	out.add(x.own())
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.add(out, x.members, "")
 	return out
 }
 
-// sum is what all others have under way but one.
-func (x *Exchange) sum(without string) pool.Loads {
-	out := make(pool.Loads)
+// sum is what all others know but one.
+func (x *Exchange) sum(without string) report {
+	out := report{loads: make(pool.Loads), leaving: make(pool.Leaving)}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.add(out, x.members, without)
@@ -179,14 +201,14 @@
 }
 
 // add adds up what was told lately, and forgets what is old. The caller holds mu.
-func (x *Exchange) add(to pool.Loads, list map[string]told, without string) {
+func (x *Exchange) add(to report, list map[string]told, without string) {
 	now := x.now()
 	for key, t := range list {
 		switch {
 		case now.Sub(t.at) > life:
 			delete(list, key)
 		case key != without:
-			to.Add(t.loads)
+			to.add(t.report)
 		}
 	}
 }
