perf: a pick passes over endpoints of which nothing is noted

Change: an endpoint of which nothing is noted, and that has nothing open, is taken as it is; what does not count any more is forgotten when it is looked at.

--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -100,7 +100,17 @@
 func (l *Pool) judge(members []*member, q Query, now time.Time) (sound, open int) {
 	warm := 0
 	l.keeping = false
+	calm := len(l.evacuated) == 0 && q.Regions == nil && l.reachesAll()
 	for _, m := range members {
+		if calm && m.unmarked() {
+			m.kept, m.candidate = KeptNot, !m.Draining && !q.Tried[m.ID]
+			if m.good = m.candidate; m.good {
+				sound++
+				warm++
+			}
+			continue
+		}
+		l.forgetMarks(m, now)
 		m.kept = l.keeps(m, now)
 		l.keeping = l.keeping || m.kept != KeptNot
 		m.candidate = m.kept == KeptNot && l.mayRun(m, q) && m.room(now)
@@ -120,6 +130,35 @@
 	return sound, open
 }
 
+// unmarked says whether nothing at all is noted of an endpoint, as of nearly all of them in a large fleet: then it need not be judged. It has slots,
+// as each record does, and none of them is taken from here.
+func (m *member) unmarked() bool {
+	return m.open == 0 && m.said == nil && m.errors == 0 && m.failed.perSecond == 0 && m.others.Failed == 0 && m.others.Silent == 0 &&
+		m.pausedTil.IsZero() && m.busyTil.IsZero() && m.warming.until.IsZero()
+}
+
+// forgetMarks takes what does not count any more from an endpoint, so that it need not be looked at again. The caller holds mu.
+func (l *Pool) forgetMarks(m *member, now time.Time) {
+	if !before(now, m.pausedTil) {
+		m.pausedTil = time.Time{}
+	}
+	if !before(now, m.busyTil) {
+		m.busyTil = time.Time{}
+	}
+	if !before(now, m.warming.until) {
+		m.warming.until = time.Time{}
+	}
+	if m.failing(now) < leastFlow {
+		m.errors = 0
+	}
+	if m.failed.now(now) < leastFlow {
+		m.failed = flow{}
+	}
+	if m.said.nothing(now) {
+		m.said = nil
+	}
+}
+
 // leaveCold takes cold endpoints out of those that are sound. The caller holds mu.
 func (l *Pool) leaveCold(members []*member, now time.Time) (sound, open int) {
 	l.keeping = true
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -204,3 +204,28 @@
 		})
 	})
 }
+
+// What was noted of an endpoint is forgotten when it does not count any more, so that picks need not look at it again.
+func TestForgetMarks(t *testing.T) {
+	Convey("An endpoint of which something was noted is unmarked again in time", t, func() {
+		for _, note := range []func(*Pool, *Lease){
+			func(_ *Pool, l *Lease) { l.Done(EndBroken) },
+			func(_ *Pool, l *Lease) { l.Done(EndBusy) },
+			func(_ *Pool, l *Lease) { l.Done(EndFailed) },
+			func(_ *Pool, l *Lease) { l.Done(EndUnreachable) },
+			func(_ *Pool, l *Lease) { l.Said(Word{Rest: time.Second}, Answer{}); l.Done(EndBusy) },
+			func(p *Pool, l *Lease) { l.Done(EndGood); p.cool(p.byID["e-0"], p.now(), time.Second) },
+		} {
+			clock := &testClock{at: time.Unix(1000, 0)}
+			p := newPool(clock, 1)
+			m := p.byID["e-0"]
+			So(m.unmarked(), ShouldBeTrue)
+			note(p, p.Pick(Query{Service: "models"}))
+			So(m.unmarked(), ShouldBeFalse)
+			clock.pass(3 * time.Minute)
+			p.Pick(Query{Service: "models"}).Done(EndNeutral)
+			p.Pick(Query{Service: "models"}).Done(EndNeutral)
+			So(m.unmarked(), ShouldBeTrue)
+		}
+	})
+}
--- a/internal/pool/zone.go
+++ b/internal/pool/zone.go
@@ -51,6 +51,16 @@
 	return now.Sub(z.probed) < zoneProbe
 }
 
+// reachesAll says whether no path to a zone is suspect. The caller holds mu.
+func (l *Pool) reachesAll() bool {
+	for _, z := range l.zones {
+		if len(z.missed) >= zoneMissed {
+			return false
+		}
+	}
+	return true
+}
+
 // probe notes that a suspect zone is tried. The caller holds mu.
 func (l *Pool) probe(m *member, now time.Time) {
 	if z := l.zones[m.Zone]; z != nil && len(z.missed) >= zoneMissed {
