fix: no instance takes a list of endpoints from another one that knows less than it does

Cause: an instance that reads everything (after failed calls, or when history is gone) took its leader's list however old. Change: a list that is older, by the store's revision, than what is known is passed over, and the store is asked; without it what is known holds. Measured: the test fails before (the step takes the list) and passes now.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -204,19 +204,19 @@
 }
 
 // Snapshot implements follow.Source.
-func (s *Source) Snapshot(ctx context.Context) (follow.Update, error) {
+func (s *Source) Snapshot(ctx context.Context, known follow.Cursor) (follow.Update, error) {
 	if s.slow.Swap(false) {
-		return s.store.Snapshot(ctx)
+		return s.store.Snapshot(ctx, known)
 	}
 	s.meet(ctx)
 	u, err := s.askAll(ctx)
-	if err == nil {
-		return u, nil
+	if err == nil && u.At >= known.At {
+		return u, nil // an older one would make an endpoint ready for good that is known to drain: what was followed since is not told again
 	}
 	if errors.Is(err, errDeaf) && s.rest.rests(s.now()) {
 		return follow.Update{}, err
 	}
-	u, err = s.store.Snapshot(ctx)
+	u, err = s.store.Snapshot(ctx, known)
 	s.rest.note(s.now(), err)
 	return u, err
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -28,7 +28,7 @@
 	calls      int
 }
 
-func (s *script) Snapshot(context.Context) (follow.Update, error) {
+func (s *script) Snapshot(context.Context, follow.Cursor) (follow.Update, error) {
 	s.calls++
 	return s.update, s.err
 }
@@ -202,6 +202,34 @@
 			So(b.member.pool.Len(), ShouldEqual, 1)
 		})
 
+		// A list that the leader had followed less far than this instance took an endpoint for ready again that was known to drain, and one that was
+		// gone for there. What this instance had followed already was not told to it again.
+		Convey("takes no list from the leader that is older than what it knows: it asks the store, and without it keeps what it knows", func() {
+			So(b.member.follower.Step(ctx), ShouldBeNil)
+			b.net.SetDown("lead:1", true)
+			draining := endpoint("e-1")
+			draining.Draining = true
+			b.member.store.update = follow.Update{At: 30, ConfigAt: 7, Events: 2, Endpoints: []pool.Endpoint{draining}, Gone: []string{"e-2"}}
+			So(b.member.follower.Step(ctx), ShouldBeNil)
+			So(b.member.pool.Len(), ShouldEqual, 0)
+			b.member.store.err = errDown
+			So(b.member.follower.Step(ctx), ShouldNotBeNil)
+			So(b.member.follower.Step(ctx), ShouldNotBeNil)
+			b.net.SetDown("lead:1", false)
+			b.at = b.at.Add(800 * time.Millisecond)
+			calls := b.member.store.calls
+			So(b.member.follower.Step(ctx), ShouldNotBeNil) // everything is read after some calls that failed
+			So(b.member.store.calls, ShouldEqual, calls+1)
+			So(b.member.pool.Len(), ShouldEqual, 0)
+
+			Convey("until the store tells, or the leader knows as much", func() {
+				b.lead.store.update = follow.Update{At: 31, ConfigAt: 7, Events: 3, Endpoints: []pool.Endpoint{draining, endpoint("e-3")}, Gone: []string{"e-2"}}
+				So(b.lead.follower.Step(ctx), ShouldBeNil)
+				So(b.member.follower.Step(ctx), ShouldBeNil)
+				So(b.member.pool.Len(), ShouldEqual, 1)
+			})
+		})
+
 		Convey("reads everything from the store, in the same step, where what has changed there does not arrive whole in time", func() {
 			So(b.member.follower.Step(ctx), ShouldBeNil)
 			b.net.SetDown("lead:1", true)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -43,8 +43,8 @@
 
 // Source reads the store in the product's terms.
 type Source interface {
-	// Snapshot reads everything.
-	Snapshot(ctx context.Context) (Update, error)
+	// Snapshot reads everything. What another instance knows counts only if that is as far as known.
+	Snapshot(ctx context.Context, known Cursor) (Update, error)
 	// Changes reads what has changed since; external.ErrHistoryGone asks for a snapshot. Without own, it leaves out what the
 	// fleet writes itself.
 	Changes(ctx context.Context, since Cursor, own bool) (Update, error)
@@ -262,7 +262,7 @@
 	ctx, cancel := context.WithTimeout(external.WithDuty(ctx, external.DutyConfig), snapshotCalls*f.times.Call+f.times.Near)
 	defer cancel()
 	asked := f.now()
-	u, err := f.source.Snapshot(ctx)
+	u, err := f.source.Snapshot(ctx, f.since)
 	if err != nil {
 		return eris.Wrap(err, "reading the configuration and the endpoints")
 	}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -22,7 +22,7 @@
 	during             func() // a call for changes
 }
 
-func (s *script) Snapshot(context.Context) (Update, error) {
+func (s *script) Snapshot(context.Context, Cursor) (Update, error) {
 	s.snapshots++
 	return s.whole, s.err
 }
