--- a/internal/budget/page.go
+++ b/internal/budget/page.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/ledgemount/ledgemount/internal/compat"
 	"github.com/ledgemount/ledgemount/internal/external"
 )
 
@@ -42,9 +43,11 @@
 		return nil, ErrUnknown
 	}
 	var r Row
-	if err := cbor.Unmarshal(raw, &r); err != nil {
+	unknown, err := compat.Decode(raw, &r)
+	if err != nil {
 		return nil, eris.Wrapf(err, "decoding the row of budget %s", budget)
 	}
+	r.unknown = unknown
 	p.Put(budget, &r)
 	return &r, nil
 }
@@ -90,7 +93,7 @@
 		p.raw = make(map[string]cbor.RawMessage, len(p.rows))
 	}
 	for id, r := range p.rows {
-		b, err := cbor.Marshal(r)
+		b, err := compat.Encode(r, r.unknown)
 		if err != nil {
 			return nil, eris.Wrapf(err, "encoding the row of budget %s", id)
 		}
--- a/internal/budget/row.go
+++ b/internal/budget/row.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"sort"
+
+	"github.com/ledgemount/ledgemount/internal/compat"
 )
 
 // The reasons why an operation on a row is refused.
@@ -25,6 +27,8 @@
 	Deposits map[string]int64 `cbor:"2,keyasint"` // by deposit id; a repeated id counts once; negative amounts shrink
 	Closed   int64            `cbor:"3,keyasint"` // spent through holders that are gone
 	Grants   map[string]Grant `cbor:"4,keyasint"` // by holder
+
+	unknown compat.Unknown // what a later build has put there
 }
 
 // Grant is what one holder may spend in all, and what it had spent when it last wrote the row.
--- a/internal/escrow/bench_test.go
+++ b/internal/escrow/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 
 	"github.com/ledgemount/ledgemount/internal/external/memkv"
@@ -22,3 +23,29 @@
 		r.Settle(0)
 	}
 }
+
+// BenchmarkPage reads and writes a page of 24 customers and 86 holders.
+func BenchmarkPage(b *testing.B) {
+	p, _ := DecodePage(nil)
+	for h := range 86 {
+		id := fmt.Sprintf("front-zone-%d/01j%023d", h, h)
+		p.Holders[id] = Report{Node: fmt.Sprintf("front-zone-%d", h), Boot: "2b1f0c5e-0c1e-4b5f-8f57-3b1f6f0c5e0c", Clock: 1, Count: 2, Wall: 3}
+		for c := range 24 {
+			p.account(fmt.Sprintf("customer-%d", c)).Rows[id] = Row{Granted: 1000, Spent: int64(h * c), Want: 5, Burst: 70, Rate: 30}
+		}
+	}
+	raw, err := p.Encode()
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		p, err := DecodePage(raw)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := p.Encode(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/escrow/page.go
+++ b/internal/escrow/page.go
@@ -10,8 +10,9 @@
 	"sort"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
+
+	"github.com/ledgemount/ledgemount/internal/compat"
 )
 
 // Row is one holder's part of an account. Amounts are tokens and, but for Want and Rate, counted from the holder's start.
@@ -75,6 +76,8 @@
 type Page struct {
 	Accounts map[string]*Account `cbor:"1,keyasint,omitempty"`
 	Holders  map[string]Report   `cbor:"2,keyasint,omitempty"`
+
+	unknown compat.Unknown // what a later build has put there
 }
 
 // DecodePage reads a page, compressed or not; no bytes are an empty page.
@@ -87,7 +90,8 @@
 		}
 	}
 	if len(b) > 0 {
-		if err := cbor.Unmarshal(b, p); err != nil {
+		var err error
+		if p.unknown, err = compat.Decode(b, p); err != nil {
 			return nil, eris.Wrap(err, "decoding an escrow page")
 		}
 	}
@@ -102,7 +106,7 @@
 
 // Encode writes the page. A large one is compressed: names of holders, which are most of it, stand in it many times.
 func (p *Page) Encode() ([]byte, error) {
-	b, err := cbor.Marshal(p)
+	b, err := compat.Encode(p, p.unknown)
 	if err != nil {
 		return nil, eris.Wrap(err, "encoding an escrow page")
 	}
--- a/internal/escrow/page_test.go
+++ b/internal/escrow/page_test.go
@@ -1,14 +1,75 @@
 package escrow
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
+// laterPage is a page as a later build may write it: with a field of a row, of an account and of a report that this build does not know.
+type laterPage struct {
+	Accounts map[string]laterAccount `cbor:"1,keyasint,omitempty"`
+	Holders  map[string]laterReport  `cbor:"2,keyasint,omitempty"`
+}
+
+type (
+	laterAccount struct {
+		Settled int64               `cbor:"1,keyasint,omitempty"`
+		Rows    map[string]laterRow `cbor:"2,keyasint,omitempty"`
+		Debt    int64               `cbor:"90,keyasint,omitempty"`
+	}
+	laterRow struct {
+		Granted int64 `cbor:"1,keyasint,omitempty"`
+		Spent   int64 `cbor:"2,keyasint,omitempty"`
+		Lent    int64 `cbor:"90,keyasint,omitempty"`
+	}
+	laterReport struct {
+		Node string `cbor:"1,keyasint"`
+		Seen int64  `cbor:"90,keyasint,omitempty"`
+	}
+)
+
+// While a version is replaced instances of both builds write the same pages. What the later one has put into a row was gone after the next write of
+// the earlier one.
+func TestPageOfLaterBuild(t *testing.T) {
+	Convey("A page that a later build has written keeps what this one does not know of it", t, func() {
+		for _, holders := range []int{2, 200} { // small, and so large that it is compressed
+			later := laterPage{Accounts: map[string]laterAccount{"north": {Settled: 4, Debt: 9, Rows: map[string]laterRow{}}}, Holders: map[string]laterReport{}}
+			for i := range holders {
+				id := fmt.Sprintf("node-%d/1", i)
+				later.Accounts["north"].Rows[id] = laterRow{Granted: 10, Spent: 3, Lent: int64(i)}
+				later.Holders[id] = laterReport{Node: fmt.Sprintf("node-%d", i), Seen: 7}
+			}
+			raw, err := cbor.Marshal(later)
+			So(err, ShouldBeNil)
+			p, err := DecodePage(raw)
+			So(err, ShouldBeNil)
+			p.Leave("node-0/1", map[string]int64{"north": 6})
+			p.account("north").Rows["node-1/1"] = Row{Granted: 12, Spent: 5}
+			out, err := p.Encode()
+			So(err, ShouldBeNil)
+			if bytes.HasPrefix(out, gzipMagic) {
+				out, err = decompress(out)
+				So(err, ShouldBeNil)
+			}
+			var back laterPage
+			So(cbor.Unmarshal(out, &back), ShouldBeNil)
+			delete(later.Accounts["north"].Rows, "node-0/1")
+			delete(later.Holders, "node-0/1")
+			later.Accounts["north"].Rows["node-1/1"] = laterRow{Granted: 12, Spent: 5, Lent: 1}
+			account := later.Accounts["north"]
+			account.Settled += 6
+			later.Accounts["north"] = account
+			So(back, ShouldResemble, later)
+		}
+	})
+}
+
 func TestFold(t *testing.T) {
 	const north = "north"
 	report := func(at time.Duration) Report {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -4,8 +4,9 @@
 import (
 	"sort"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
+
+	"github.com/ledgemount/ledgemount/internal/compat"
 )
 
 // Prefix begins the key of every journal; the zone and the holder follow.
@@ -31,12 +32,15 @@
 	Pages   []uint16         `cbor:"6,keyasint"` // pages on which the holder may have grants
 	Settled map[string]int64 `cbor:"7,keyasint"` // spent in all, by budget, where the page does not say so yet
 	Recent  []string         `cbor:"8,keyasint"` // charged requests that a client may still report
+
+	unknown compat.Unknown // what a later build has put there
 }
 
 // Decode reads a stored journal.
 func Decode(b []byte) (*Journal, error) {
 	var j Journal
-	if err := cbor.Unmarshal(b, &j); err != nil {
+	var err error
+	if j.unknown, err = compat.Decode(b, &j); err != nil {
 		return nil, eris.Wrap(err, "decoding a journal")
 	}
 	return &j, nil
@@ -44,7 +48,7 @@
 
 // Encode writes a journal as it is stored.
 func (j *Journal) Encode() ([]byte, error) {
-	b, err := cbor.Marshal(j)
+	b, err := compat.Encode(j, j.unknown)
 	return b, eris.Wrap(err, "encoding a journal")
 }
 
