fix: a report names the clock that it was made by; no build takes the difference of two clocks for an age

Cause: since ages are judged by the clock that counts suspensions, reports of this build and of earlier ones stand under the same boot ID but by two clocks. Where a machine had been suspended for less than 3 s, the most that its time of day may step, they were taken for one clock. After a rollback the age of a holder's last report was too short by the suspension, so less counted as spent than may have been: an overspent budget. Change: the machine's run is named with its clock. Across builds an age is that of the time of day, and 3 s more, as across a loss of power. Measured: the test fails before (2.5 s for an age of 5 s) and passes. An instance that is killed as its build is replaced settles 3 s more of use, once.

--- a/internal/escrow/clock.go
+++ b/internal/escrow/clock.go
@@ -18,6 +18,10 @@
 	Boot() string
 }
 
+// bootClock begins the name of a machine's run by this clock. Builds that leave suspensions out name the run by the boot ID alone, and take no
+// difference between the two clocks for an age.
+const bootClock = "boottime:"
+
 type machineClock struct{ boot string }
 
 // MachineClock is the time since the machine's boot, suspensions included, named by the kernel's boot ID. A holder releases its grant by it and
@@ -27,7 +31,7 @@
 	if err != nil {
 		return machineClock{}
 	}
-	return machineClock{boot: strings.TrimSpace(string(b))}
+	return machineClock{boot: bootClock + strings.TrimSpace(string(b))}
 }
 
 // Now implements Clock.
--- a/internal/escrow/page_test.go
+++ b/internal/escrow/page_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"fmt"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -70,6 +72,35 @@
 	})
 }
 
+// An earlier build reports by the steady clock under the machine's boot ID, this one by the clock that counts suspensions. On a machine that had been
+// suspended for less than a time of day may step, one build's age of the other's report was too short by that: tokens that may have been spent
+// were free again.
+func TestAgeAcrossBuilds(t *testing.T) {
+	Convey("No build takes the report of another build's clock for younger than it is", t, func() {
+		raw, err := os.ReadFile(bootIDPath)
+		So(err, ShouldBeNil)
+		const suspended, passed = 2500 * time.Millisecond, 5 * time.Second
+		at := func(boot string, clock time.Duration) Report {
+			return Report{Node: "node", Boot: boot, Clock: clock.Milliseconds(), Wall: (time.Hour + clock).Milliseconds()}
+		}
+		earlier := func(t time.Duration) Report {
+			r := at(strings.TrimSpace(string(raw)), t)
+			r.Clock -= suspended.Milliseconds()
+			return r
+		}
+		today := func(t time.Duration) Report { return at(MachineClock().Boot(), t) }
+		for _, c := range []struct{ then, now Report }{
+			{earlier(time.Minute), today(time.Minute + passed)}, // an upgrade
+			{today(time.Minute), earlier(time.Minute + passed)}, // a rollback: the earlier build judges in the same way
+			{today(time.Minute), today(time.Minute + passed)},
+		} {
+			age, known := ageOf(c.then, c.now)
+			So(known, ShouldBeTrue)
+			So(age, ShouldBeGreaterThanOrEqualTo, passed)
+		}
+	})
+}
+
 func TestFold(t *testing.T) {
 	const north = "north"
 	report := func(at time.Duration) Report {
