feat: the formats of messages, rows and pages are held against the bytes of earlier builds; a program tells its build and formats

Cause: nothing held the promise that builds of two ages run side by side. A field renumbered or dropped, or one more in a list by position, would have passed all tests. A build fails its tests when an encoding changes without a new file, and when the value of an earlier file does not come back whole. ledgemount version, the line instance_started and a gauge tell the build and its formats. Measured: today's code reads and returns all files whole. Planted: a dropped field, a renumbered one, one more in a list by position, a codec that forgets: each is a fault. A message that a peer does not know leaves the link as it is.

--- a/cmd/version.go
+++ b/cmd/version.go
@@ -3,15 +3,16 @@
 import (
 	"fmt"
 	"runtime"
-)
 
-// Version is the release that this source belongs to.
-const Version = "0.1.0-dev"
+	"github.com/ledgemount/ledgemount/internal/buildinfo"
+	"github.com/ledgemount/ledgemount/internal/compat"
+)
 
 type versionCmd struct{ env *env }
 
 // Execute implements flags.Commander.
 func (c *versionCmd) Execute([]string) error {
-	_, err := fmt.Fprintf(c.env.out, "ledgemount %s %s\n", Version, runtime.Version())
+	_, err := fmt.Fprintf(c.env.out, "ledgemount %s (%s) %s\nreads formats 1 to %d, writes %d\n",
+		buildinfo.Version, buildinfo.Revision(), runtime.Version(), compat.Generation, compat.Generation)
 	return err
 }
--- /dev/null
+++ b/internal/feed/formats_test.go
@@ -0,0 +1,17 @@
+package feed
+
+import (
+	"testing"
+
+	"github.com/ledgemount/ledgemount/internal/compat/formattest"
+	"github.com/ledgemount/ledgemount/internal/pool"
+	"github.com/ledgemount/ledgemount/internal/route"
+)
+
+// What instances of other builds read, or have written.
+func TestFormats(t *testing.T) {
+	formattest.Check[question](t, "question")
+	formattest.Check[news](t, "news")
+	formattest.Check[route.Config](t, "config")
+	formattest.Check[[]pool.Endpoint](t, "endpoints")
+}
--- /dev/null
+++ b/internal/fleettime/formats_test.go
@@ -0,0 +1,13 @@
+package fleettime
+
+import (
+	"testing"
+
+	"github.com/ledgemount/ledgemount/internal/compat/formattest"
+)
+
+// What instances of other builds read, or have written.
+func TestFormats(t *testing.T) {
+	formattest.Check[question](t, "question")
+	formattest.Check[answer](t, "answer")
+}
--- /dev/null
+++ b/internal/member/formats_test.go
@@ -0,0 +1,12 @@
+package member
+
+import (
+	"testing"
+
+	"github.com/ledgemount/ledgemount/internal/compat/formattest"
+)
+
+// What instances of other builds read, or have written.
+func TestFormats(t *testing.T) {
+	formattest.Check[Beat](t, "beat")
+}
--- /dev/null
+++ b/internal/mesh/formats_test.go
@@ -0,0 +1,13 @@
+package mesh
+
+import (
+	"testing"
+
+	"github.com/ledgemount/ledgemount/internal/compat/formattest"
+)
+
+// What instances of other builds read, or have written.
+func TestFormats(t *testing.T) {
+	formattest.Check[request](t, "request")
+	formattest.Check[reply](t, "reply")
+}
--- a/internal/mesh/transport_test.go
+++ b/internal/mesh/transport_test.go
@@ -77,9 +77,19 @@
 		So(err, ShouldBeNil)
 		So(got, ShouldResemble, []string{"a", "b", "c"})
 	})
-	Convey("An unknown message is refused as not run", t, func() {
-		_, err := Call[text, text](ctx, client, server.Self().Addr, "nonsense", text{})
-		So(verdict.Of(err), ShouldEqual, verdict.NotRun)
+	Convey("An unknown message, as a later build may send, is refused as not run, and costs nothing else: the link goes on", t, func() {
+		conn, err := client.conn(ctx, server.Self().Addr)
+		So(err, ShouldBeNil)
+		for range 3 {
+			_, err := Call[text, text](ctx, client, server.Self().Addr, "nonsense", text{})
+			So(verdict.Of(err), ShouldEqual, verdict.NotRun)
+			out, err := Call[text, text](ctx, client, server.Self().Addr, "echo", text{S: "still here"})
+			So(err, ShouldBeNil)
+			So(out.S, ShouldEqual, "client still here")
+		}
+		same, err := client.conn(ctx, server.Self().Addr)
+		So(err, ShouldBeNil)
+		So(same, ShouldEqual, conn)
 	})
 	Convey("A peer with a key of another fleet cannot call", t, func() {
 		other, err := NewAuthority()
--- /dev/null
+++ b/internal/peers/formats_test.go
@@ -0,0 +1,13 @@
+package peers
+
+import (
+	"testing"
+
+	"github.com/ledgemount/ledgemount/internal/compat/formattest"
+)
+
+// What instances of other builds read, or have written.
+func TestFormats(t *testing.T) {
+	formattest.Check[Record](t, "record")
+	formattest.Check[authority](t, "authority")
+}
--- /dev/null
+++ b/internal/quarantine/formats_test.go
@@ -0,0 +1,13 @@
+package quarantine
+
+import (
+	"testing"
+
+	"github.com/ledgemount/ledgemount/internal/compat/formattest"
+)
+
+// What instances of other builds read, or have written.
+func TestFormats(t *testing.T) {
+	formattest.Check[news](t, "news")
+	formattest.Check[together](t, "together")
+}
--- /dev/null
+++ b/internal/rollout/formats_test.go
@@ -0,0 +1,13 @@
+package rollout
+
+import (
+	"testing"
+
+	"github.com/ledgemount/ledgemount/internal/compat/formattest"
+)
+
+// What instances of other builds read, or have written.
+func TestFormats(t *testing.T) {
+	formattest.Check[CacheNews](t, "cache")
+	formattest.Check[Snapshot](t, "snapshot")
+}
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -2,11 +2,14 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/ledgemount/ledgemount/internal/buildinfo"
+	"github.com/ledgemount/ledgemount/internal/compat"
 	"github.com/ledgemount/ledgemount/internal/escrow"
 	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/mesh"
@@ -29,6 +32,7 @@
 	m := observe.NewMetrics(set.Instance.ID, set.Instance.Zone)
 	const smallest, growth, steps = time.Millisecond, 2, 15
 	buckets := tally.MustMakeExponentialDurationBuckets(smallest, growth, steps)
+	m.Scope().Tagged(map[string]string{"build": buildinfo.Revision(), "formats": strconv.Itoa(compat.Generation)}).Gauge("build_info").Update(1)
 	return &meters{
 		metrics: m,
 		calls:   newCallCounts(),
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -12,6 +12,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/ledgemount/ledgemount/internal/boottime"
+	"github.com/ledgemount/ledgemount/internal/buildinfo"
+	"github.com/ledgemount/ledgemount/internal/compat"
 	"github.com/ledgemount/ledgemount/internal/edge"
 	"github.com/ledgemount/ledgemount/internal/escrow"
 	"github.com/ledgemount/ledgemount/internal/escrow/remote"
@@ -240,7 +242,7 @@
 // Run runs the router until ctx ends, without a planned stop: use Stop for that.
 func (r *Router) Run(ctx context.Context) error {
 	r.log.Info().Str("event", "instance_started").Str("callers", r.callers.Addr()).Str("probes", r.set.Probes.Listen).
-		Str("store", r.set.Store.Address).Int("retry_slack", r.set.Retry.Slack).Dur("stop_within", r.set.Stop.Within).
+		Str("store", r.set.Store.Address).Str("build", buildinfo.Revision()).Int("formats", compat.Generation).Int("retry_slack", r.set.Retry.Slack).Dur("stop_within", r.set.Stop.Within).
 		Msg("instance started")
 	err := r.kernel.Run(ctx)
 	_ = r.client.Close()
