--- a/internal/declare/declare.go
+++ b/internal/declare/declare.go
@@ -114,6 +114,8 @@
 	Applied []string     `json:"applied,omitempty"` // ids of the latest changes, newest last
 	Fences  Fences       `json:"fences,omitempty"`
 	Decl    Declarations `json:"declarations"`
+
+	beyond error // names what a later build has written that this one does not know; nil: nothing
 }
 
 // Fences are the numbers of the latest order to each endpoint: the version that changed it last.
--- a/internal/declare/decode.go
+++ b/internal/declare/decode.go
@@ -50,6 +50,9 @@
 // unusedMark begins the decoder's message about fields that the target does not have.
 const unusedMark = "has invalid keys: "
 
+// unknownField is a Fault's detail.
+const unknownField = "is not a known field"
+
 func unknownFields(parent string, keys []string) Faults {
 	out := make(Faults, 0, len(keys))
 	for _, key := range keys {
@@ -57,7 +60,7 @@
 		if parent != "" {
 			path = parent + "." + key
 		}
-		out = append(out, Fault{Path: pathOf(path), Detail: "is not a known field"})
+		out = append(out, Fault{Path: pathOf(path), Detail: unknownField})
 	}
 	return out
 }
--- a/internal/intent/confirm.go
+++ b/internal/intent/confirm.go
@@ -94,6 +94,9 @@
 }
 
 func (s *Service) acceptOnce(ctx context.Context, doc *declare.Document, rev int64, p *Plan) (int64, error) {
+	if err := doc.WritableHere(); err != nil {
+		return 0, err
+	}
 	next, err := doc.Next(p.ID, p.Changes)
 	if err != nil {
 		return 0, conflictOf(err)
--- a/internal/intent/intent_test.go
+++ b/internal/intent/intent_test.go
@@ -1,6 +1,7 @@
 package intent
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -95,6 +96,23 @@
 			So(e.Field(), ShouldEqual, "classes/c")
 			So(s.feed.Document().Decl.Classes["c"].DeadlineMS, ShouldEqual, 10)
 		})
+		Convey("a configuration that a later build has written is not written by this one, which would lose what it does not know", func() {
+			p := plan(zone("a"))
+			_, err := s.Confirm(ctx, p.ID)
+			So(err, ShouldBeNil)
+			next := plan(zone("b"))
+			e, err := s.store.Get(ctx, declare.Key)
+			So(err, ShouldBeNil)
+			later := bytes.Replace(e.Data, []byte(`"declarations":{`), []byte(`"declarations":{"quotas":{"q":{"tokens":5}},`), 1)
+			_, err = s.store.Put(ctx, declare.Key, later, e.Revision, 0)
+			So(err, ShouldBeNil)
+			_, err = s.Confirm(ctx, next.ID)
+			So(verdict.From(err).Code(), ShouldEqual, verdict.CodeConflict)
+			So(err.Error(), ShouldContainSubstring, "quotas")
+			e, err = s.store.Get(ctx, declare.Key)
+			So(err, ShouldBeNil)
+			So(e.Data, ShouldResemble, later)
+		})
 		Convey("a change whose answers are all lost is reported as it is", func() {
 			server.Set(kv.AnswerLost, true)
 			in := zone("a")
--- a/internal/intent/service.go
+++ b/internal/intent/service.go
@@ -243,12 +243,12 @@
 	if err != nil {
 		return nil, 0, unavailable(err)
 	}
-	doc := &declare.Document{}
 	if e.Revision == 0 {
-		return doc, 0, nil
+		return &declare.Document{}, 0, nil
 	}
-	if err := json.Unmarshal(e.Data, doc); err != nil {
-		return nil, 0, eris.Wrap(err, "decoding the configuration")
+	doc, err := declare.DecodeDocument(e.Data)
+	if err != nil {
+		return nil, 0, err
 	}
 	_ = s.feed.Adopt(e.Data, e.Revision)
 	return doc, e.Revision, nil
