fix: a page of budgets that no holder can have written is not read

Cause: found by a new fuzz test within its seeds: an account without a value, as another writer may leave it, ended the process of each instance that read the page; an amount below 0 would have counted as tokens that are free. Change: DecodePage refuses such a page (ErrForeignPage), as it does one that cannot be decoded: holders go on with what they hold.

--- /dev/null
+++ b/internal/escrow/fuzz_test.go
@@ -0,0 +1,44 @@
+package escrow
+
+import "testing"
+
+// FuzzPage looks for pages that stop the process, grow without bound, or do not come back as they were.
+func FuzzPage(f *testing.F) {
+	p, _ := DecodePage(nil)
+	p.Holders["node-1/1"] = Report{Node: "node-1", Boot: "b", Clock: 1, Count: 2, Wall: 3}
+	p.account("north").Rows["node-1/1"] = Row{Granted: 10, Spent: 4}
+	raw, err := p.Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	packed, err := compress(append(make([]byte, leastCompressed), raw...))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(raw)
+	f.Add(packed)
+	f.Add([]byte{0xa1, 0x18, 90, 1}) // a field that is not known
+	f.Add([]byte{0x1f, 0x8b})
+	f.Add([]byte{0xa1, 0x01, 0xa1, 0x61, 'n', 0xf6}) // an account that is null
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		p, err := DecodePage(raw)
+		if err != nil {
+			return
+		}
+		for _, a := range p.Accounts {
+			_, _ = a.Spent(), a.Committed()
+		}
+		p.Fold("node-1/2", Report{Node: "node-1"})
+		out, err := p.Encode()
+		if err != nil {
+			return // what is not known cannot be written back: the page is left alone
+		}
+		again, err := DecodePage(out)
+		if err != nil {
+			t.Fatalf("%x came back as %x, which cannot be read: %v", raw, out, err)
+		}
+		if len(again.Accounts) != len(p.Accounts) || len(again.Holders) != len(p.Holders) {
+			t.Fatalf("%d accounts and %d holders came back as %d and %d", len(p.Accounts), len(p.Holders), len(again.Accounts), len(again.Holders))
+		}
+	})
+}
--- a/internal/escrow/page.go
+++ b/internal/escrow/page.go
@@ -7,6 +7,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"sort"
 	"time"
 
@@ -95,6 +96,9 @@
 			return nil, eris.Wrap(err, "decoding an escrow page")
 		}
 	}
+	if err := p.check(); err != nil {
+		return nil, err
+	}
 	if p.Accounts == nil {
 		p.Accounts = make(map[string]*Account)
 	}
@@ -104,6 +108,27 @@
 	return p, nil
 }
 
+// ErrForeignPage says that no holder has written a page: it must neither stop an instance nor free a token.
+var ErrForeignPage = errors.New("the escrow page is none of a holder's")
+
+// check says what in a page cannot be a holder's: an account without a value, or an amount below 0.
+func (p *Page) check() error {
+	for name, a := range p.Accounts {
+		if a == nil {
+			return eris.Wrapf(ErrForeignPage, "the account of %s has no value", name)
+		}
+		if a.Settled < 0 || a.Unproven < 0 {
+			return eris.Wrapf(ErrForeignPage, "the account of %s has settled %d, of it %d unproven", name, a.Settled, a.Unproven)
+		}
+		for holder, r := range a.Rows {
+			if min(r.Granted, r.Spent, r.Want, r.Burst, r.Rate) < 0 {
+				return eris.Wrapf(ErrForeignPage, "the row of %s in the account of %s has an amount below 0", holder, name)
+			}
+		}
+	}
+	return nil
+}
+
 // Encode writes the page. A large one is compressed: names of holders, which are most of it, stand in it many times.
 func (p *Page) Encode() ([]byte, error) {
 	b, err := compat.Encode(p, p.unknown)
--- a/internal/escrow/page_test.go
+++ b/internal/escrow/page_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"strings"
@@ -72,6 +73,32 @@
 	})
 }
 
+// A page whose account had no value ended the process of each instance that read it; one with an amount below 0 would have freed tokens.
+func TestForeignPage(t *testing.T) {
+	Convey("A page that no holder can have written is not read", t, func() {
+		type raw = map[int]any
+		row := func(key int, n int64) raw {
+			return raw{1: map[string]any{"north": raw{2: map[string]any{"node-1/1": raw{key: n}}}}}
+		}
+		for _, page := range []raw{
+			{1: map[string]any{"north": nil}},
+			{1: map[string]any{"north": raw{1: -5}}},
+			{1: map[string]any{"north": raw{3: -5}}},
+			row(1, -1), row(2, -1), row(3, -1), row(4, -1), row(5, -1),
+		} {
+			b, err := cbor.Marshal(page)
+			So(err, ShouldBeNil)
+			_, err = DecodePage(b)
+			So(errors.Is(err, ErrForeignPage), ShouldBeTrue)
+		}
+		b, err := cbor.Marshal(row(1, 7))
+		So(err, ShouldBeNil)
+		p, err := DecodePage(b)
+		So(err, ShouldBeNil)
+		So(p.Accounts["north"].Committed(), ShouldEqual, 7)
+	})
+}
+
 // An earlier build reports by the steady clock under the machine's boot ID, this one by the clock that counts suspensions. On a machine that had been
 // suspended for less than a time of day may step, one build's age of the other's report was too short by that: tokens that may have been spent
 // were free again.
--- /dev/null
+++ b/internal/feed/fuzz_test.go
@@ -0,0 +1,41 @@
+package feed
+
+import (
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/ledgemount/ledgemount/internal/pool"
+	"github.com/ledgemount/ledgemount/internal/route"
+)
+
+// FuzzNews looks for news that stop the process or unpack without bound.
+func FuzzNews(f *testing.F) {
+	all, err := pack([]pool.Endpoint{endpoint("e-1")})
+	if err != nil {
+		f.Fatal(err)
+	}
+	conf, err := pack(config(3))
+	if err != nil {
+		f.Fatal(err)
+	}
+	raw, err := cbor.Marshal(news{Known: true, At: 9, Whole: true, All: all, Config: conf})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(raw)
+	f.Add(all)
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var n news
+		if cbor.Unmarshal(raw, &n) != nil {
+			n.All, n.Config = raw, raw
+		}
+		list, err := unpack[[]pool.Endpoint](n.All)
+		if err == nil {
+			pool.New("a").Replace(list)
+		}
+		if c, err := unpack[*route.Config](n.Config); err == nil && c != nil {
+			_, _ = route.Compile(*c)
+		}
+	})
+}
