fix: an endpoint that tells of its first start only after its word has started again, if that start is later than the word

Cause: a record that tells a start where none was told before is taken for the same run. An endpoint that had said that it leaves and then started again stayed without work for ten minutes where its start had not been told before. Change: a start told for the first time ends the word if it is later, by the time of day, than the word was heard.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -111,6 +111,7 @@
 	zone   string
 	policy Policy
 	now    func() time.Time
+	wall   func() time.Time
 
 	mu          sync.RWMutex
 	services    map[string][]*member
@@ -152,6 +153,9 @@
 // WithNow replaces the clock.
 func WithNow(now func() time.Time) Option { return func(l *Pool) { l.now = now } }
 
+// WithWall replaces the time of day.
+func WithWall(wall func() time.Time) Option { return func(l *Pool) { l.wall = wall } }
+
 // WithRegions tells the region of each availability zone.
 func WithRegions(byZone map[string]string) Option { return func(l *Pool) { l.regions = byZone } }
 
@@ -180,7 +184,7 @@
 // New makes an empty pool for an instance in a zone.
 func New(zone string, opts ...Option) *Pool {
 	l := &Pool{
-		zone: zone, policy: DefaultPolicy(), now: time.Now,
+		zone: zone, policy: DefaultPolicy(), now: time.Now, wall: time.Now,
 		services: make(map[string][]*member), byID: make(map[string]*member),
 		zones: make(map[string]*zoneHealth), gone: func(string) {}, heard: func(Heard) {}, silenced: func(Silenced) {},
 		said: make(map[string]*said), leftovers: make(map[*member]bool), elsewhere: func(string) int { return 0 }, share: func() int { return 1 },
--- a/internal/pool/word.go
+++ b/internal/pool/word.go
@@ -102,6 +102,7 @@
 // the record's word alone an endpoint whose record lagged by 13 s got 18 requests after it had said that it leaves.
 type said struct {
 	run       Endpoint
+	wall      int64     // the time of day when it last said something to this instance, in Unix milliseconds
 	leaving   time.Time // when it last said that it leaves; zero: it does not say so
 	own       bool      // it said so to this instance
 	drains    bool      // its record says so too
@@ -126,6 +127,7 @@
 		return
 	}
 	now := l.now()
+	x.wall = l.wall().UnixMilli()
 	news := false
 	if w.Leaving || w.Moved {
 		news = !x.leaves(now)
@@ -210,7 +212,9 @@
 	switch {
 	case x == nil:
 		return nil
-	case x.run.Outdated(e):
+	case x.run.Outdated(e), x.run.Born == 0 && e.Born > x.wall:
+		// A start that is told for the first time is that of this run only if it was before this run said something. Clocks may differ by seconds,
+		// endpoints that leave have run for longer.
 		l.said[e.ID] = &said{run: e} // so that the run before is known again when it is told late
 		l.silenced(Silenced{Endpoint: e, Why: WordRestarted})
 		return nil
@@ -328,7 +332,7 @@
 	if x == nil || x.leaves(now) || !at.After(x.calledOff.Add(toldLag)) {
 		return
 	}
-	x.leaving = at
+	x.leaving, x.wall = at, l.wall().Add(-age).UnixMilli()
 	l.heard(Heard{Endpoint: m.Endpoint, Word: Word{Leaving: true}, Told: true, Age: now.Sub(m.told)})
 }
 
--- a/internal/pool/word_test.go
+++ b/internal/pool/word_test.go
@@ -18,12 +18,15 @@
 
 func newWords() *words {
 	w := &words{clock: &testClock{at: time.Unix(1000, 0)}}
-	w.Pool = New("a", WithNow(w.clock.now), WithRandom(func(int) int { return 0 }),
+	w.Pool = New("a", WithNow(w.clock.now), WithWall(func() time.Time { return wordHeard }), WithRandom(func(int) int { return 0 }),
 		OnHeard(func(h Heard) { w.heard = append(w.heard, h) }), OnSilenced(func(s Silenced) { w.ended = append(w.ended, s.Why) }))
 	w.Put(w.record(0, false))
 	return w
 }
 
+// wordHeard is the time of day at which words are heard.
+var wordHeard = time.UnixMilli(5000)
+
 // record is the endpoint's record.
 func (*words) record(born int64, draining bool) Endpoint {
 	return Endpoint{ID: "e", Service: "s", Addr: "10.0.0.1:80", Zone: "a", Slots: 64, Born: born, Draining: draining}
@@ -109,6 +112,12 @@
 			So(w.takes(), ShouldBeTrue)
 		})
 
+		Convey("until it tells of a start after that, where it told of none before", func() {
+			w.Put(w.record(wordHeard.UnixMilli()+1, false))
+			So(w.takes(), ShouldBeTrue)
+			So(w.ended, ShouldResemble, []WordEnd{WordRestarted})
+		})
+
 		Convey("until it is at another address", func() {
 			e := w.record(0, false)
 			e.Addr = "10.0.0.2:80"
