perf: the leader of a zone sums loads once for all that it tells, not once for each

Cause: in a large fleet each instance of a zone exchanges loads with the zone's leader twice a second, and the leader summed what all others had under way for each of them anew, its own part left out: O(n) maps for each of n askers.

Change: the leader keeps the sum for a quarter of a second (half the time between exchanges) and takes the asker's own part out of it. Which endpoints leave is not kept but told as it is now, without the asker's own word, so that a word that was called off does not come back. Small fleets, whose instances ask each other, are as before.

Measured: BenchmarkTell (100 instances of a zone, 1,000 endpoints, 60 under way at each): 827 us before, 22 us now. TestSummary: the sum is exact, no figure falls below 0, an own word is not told back.

--- a/internal/load/digest.go
+++ b/internal/load/digest.go
@@ -93,6 +93,26 @@
 	return out
 }
 
+// minus takes the parts of one instance out of lines that they are a part of.
+func minus(lines, parts []line) []line {
+	if len(parts) == 0 {
+		return lines
+	}
+	byEndpoint := make(map[uint32]line, len(parts))
+	for _, p := range parts {
+		byEndpoint[p.Endpoint] = p
+	}
+	out := make([]line, len(lines))
+	for i, l := range lines {
+		p := byEndpoint[l.Endpoint]
+		out[i] = line{
+			Endpoint: l.Endpoint, Open: max(0, l.Open-p.Open), Harm: max(0, l.Harm-p.Harm), Ended: max(0, l.Ended-p.Ended),
+			Failed: max(0, l.Failed-p.Failed), Silent: max(0, l.Silent-p.Silent),
+		}
+	}
+	return out
+}
+
 // weight is how much a line matters for picks, about.
 func (l line) weight() int { return (l.Open+l.Silent)*flowSteps + l.Harm + l.Failed }
 
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -26,6 +26,7 @@
 	tellEvery = 500 * time.Millisecond // between exchanges: a stream lasts some seconds, and each exchange costs a message
 	askLimit  = 250 * time.Millisecond // of one exchange
 	life      = pool.OthersLife        // what was told counts for so long
+	sumFor    = tellEvery / 2          // a sum that is told to many is made anew after this
 )
 
 // report is what some instances know of endpoints.
@@ -42,10 +43,19 @@
 
 // told is what one instance or zone said last.
 type told struct {
+	digest digest
 	report report
 	at     time.Time
 }
 
+// summary is what this instance and those that tell it have under way, as it is told to many of them. Made for each one anew, with its own part
+// left out, it took the leader of a zone of 100 instances 0.83 ms each time, 165 ms a second; summed once for all it takes 0.02 ms (BenchmarkTell).
+type summary struct {
+	lines    []line
+	included map[string][]line // of each instance that tells this one
+	at       time.Time
+}
+
 // Rider has something to tell to the same instances, rarely and in few bytes. It travels with the loads: messages of its own would double what
 // the leader of a zone handles.
 type Rider interface {
@@ -70,6 +80,7 @@
 	mu      sync.Mutex
 	members map[string]told // by instance, where this one gathers
 	zones   map[string]told // by zone other than its own, likewise
+	summary summary
 }
 
 // Option changes an Exchange.
@@ -145,7 +156,7 @@
 			theirs, err := peers.Call[digest, digest](ctx, x.dir, p, KindZone, mine)
 			if err == nil {
 				x.rider.Hear(p.ID, theirs.Rider)
-				x.note(x.zones, p.Zone, theirs.unpack())
+				x.note(x.zones, p.Zone, theirs)
 			}
 		})
 	}
@@ -154,30 +165,67 @@
 
 // tell takes what another instance has under way and answers with what all but that one have.
 func (x *Exchange) tell(_ context.Context, from mesh.Peer, d digest) (digest, error) {
-	x.note(x.members, from.ID, d.unpack())
+	x.note(x.members, from.ID, d)
+	if x.dir.Large() {
+		return x.ride(from, d, x.summed(from.ID)), nil
+	}
 	sum := x.sum(from.ID)
 	sum.add(x.own())
-	return x.reply(from, d, sum), nil
+	return x.ride(from, d, pack(sum)), nil
+}
+
+// summed is the summary without the part of one instance.
+func (x *Exchange) summed(without string) digest {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.now().Sub(x.summary.at) >= sumFor {
+		x.summarize()
+	}
+	return digest{Lines: minus(x.summary.lines, x.summary.included[without]), Leaving: packLeaving(x.leaving(without))}
+}
+
+// summarize makes the summary anew. The caller holds mu.
+func (x *Exchange) summarize() {
+	sum := make(pool.Loads)
+	sum.Add(x.pool.Loads())
+	add := func(r report) { sum.Add(r.loads) }
+	x.eachTold(x.members, "", add)
+	x.eachTold(x.zones, "", add)
+	included := make(map[string][]line, len(x.members))
+	for id, t := range x.members {
+		included[id] = t.digest.Lines
+	}
+	x.summary = summary{lines: packLoads(sum), included: included, at: x.now()}
+}
+
+// leaving is which endpoints have said that they leave, to this instance or to others but one. It is few, and told as it is now: a word must not
+// come back to who has forgotten it. The caller holds mu.
+func (x *Exchange) leaving(without string) pool.Leaving {
+	out := make(pool.Leaving)
+	out.Add(x.pool.Leaving())
+	add := func(r report) { out.Add(r.leaving) }
+	x.eachTold(x.members, without, add)
+	x.eachTold(x.zones, "", add)
+	return out
 }
 
 // zone takes the sum of another zone and answers with that of the own.
 func (x *Exchange) zone(_ context.Context, from mesh.Peer, d digest) (digest, error) {
-	x.note(x.zones, from.Zone, d.unpack())
-	return x.reply(from, d, x.zoneSum()), nil
+	x.note(x.zones, from.Zone, d)
+	return x.ride(from, d, pack(x.zoneSum())), nil
 }
 
-// reply answers a digest with a report, and lets the rider hear and tell.
-func (x *Exchange) reply(from mesh.Peer, d digest, r report) digest {
+// ride lets the rider hear what came with a digest, and tell with the answer.
+func (x *Exchange) ride(from mesh.Peer, d, out digest) digest {
 	x.rider.Hear(from.ID, d.Rider)
-	out := pack(r)
 	out.Rider = x.rider.Tell(from.ID)
 	return out
 }
 
-func (x *Exchange) note(list map[string]told, key string, r report) {
+func (x *Exchange) note(list map[string]told, key string, d digest) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	list[key] = told{report: r, at: x.now()}
+	list[key] = told{digest: d, report: d.unpack(), at: x.now()}
 }
 
 // zoneSum is what the instances that tell this one know, and this one itself.
@@ -186,7 +234,7 @@
 	out.add(x.own())
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.add(out, x.members, "")
+	x.eachTold(x.members, "", out.add)
 	return out
 }
 
@@ -195,20 +243,20 @@
 	out := report{loads: make(pool.Loads), leaving: make(pool.Leaving)}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.add(out, x.members, without)
-	x.add(out, x.zones, "")
+	x.eachTold(x.members, without, out.add)
+	x.eachTold(x.zones, "", out.add)
 	return out
 }
 
-// add adds up what was told lately, and forgets what is old. The caller holds mu.
-func (x *Exchange) add(to report, list map[string]told, without string) {
+// eachTold takes what was told lately by all but one, and forgets what is old. The caller holds mu.
+func (x *Exchange) eachTold(list map[string]told, without string, take func(report)) {
 	now := x.now()
 	for key, t := range list {
 		switch {
 		case now.Sub(t.at) > life:
 			delete(list, key)
 		case key != without:
-			to.add(t.report)
+			take(t.report)
 		}
 	}
 }
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -44,8 +44,10 @@
 	return b
 }
 
+// sync lets all exchange three times, as far apart as a sum is told to many.
 func (b *bed) sync(ctx context.Context) {
 	for range 3 {
+		b.now = b.now.Add(sumFor)
 		for _, x := range b.nodes {
 			x.Sync(ctx)
 		}
@@ -87,6 +89,7 @@
 				b.net.SetDown("i-3:1", true)
 				b.now = b.now.Add(life + time.Millisecond)
 				for range 3 {
+					b.now = b.now.Add(sumFor)
 					for _, x := range b.nodes[:3] {
 						x.Sync(ctx)
 					}
@@ -103,3 +106,57 @@
 		})
 	}
 }
+
+func TestSummary(t *testing.T) {
+	ctx := context.Background()
+	Convey("Where a zone is led", t, func() {
+		b := newBed(ctx, 2)
+		for i, p := range b.pools {
+			for range 3 * (i + 1) {
+				So(p.Pick(pool.Query{Service: "models"}), ShouldNotBeNil)
+			}
+		}
+		b.sync(ctx)
+		leader := b.nodes[0]
+
+		Convey("each instance is told the sum without its own part, endpoint by endpoint", func() {
+			b.now = b.now.Add(sumFor)
+			got, err := leader.tell(ctx, mesh.Peer{ID: "i-1", Zone: "a"}, pack(b.nodes[1].own()))
+			So(err, ShouldBeNil)
+			exact := leader.sum("i-1")
+			exact.add(leader.own())
+			told := got.unpack().loads
+			for key, want := range exact.loads {
+				So(told[key].Open, ShouldEqual, want.Open)
+			}
+			So(open(told), ShouldEqual, open(exact.loads))
+		})
+
+		Convey("an instance that tells more than when the sum was made is not told a negative figure", func() {
+			b.now = b.now.Add(sumFor)
+			_, err := leader.tell(ctx, mesh.Peer{ID: "i-1", Zone: "a"}, digest{})
+			So(err, ShouldBeNil)
+			got, err := leader.tell(ctx, mesh.Peer{ID: "i-1", Zone: "a"}, digest{Lines: []line{{Endpoint: 1, Open: 1000}}})
+			So(err, ShouldBeNil)
+			for _, l := range got.Lines {
+				So(l.Open, ShouldBeGreaterThanOrEqualTo, 0)
+			}
+		})
+
+		Convey("its own word that an endpoint leaves does not come back to it once it has called it off", func() {
+			key := packLeaving(pool.Leaving{7: time.Second})
+			b.now = b.now.Add(sumFor)
+			got, err := leader.tell(ctx, mesh.Peer{ID: "i-1", Zone: "a"}, digest{Leaving: key})
+			So(err, ShouldBeNil)
+			So(got.Leaving, ShouldBeEmpty)
+			got, err = leader.tell(ctx, mesh.Peer{ID: "i-9", Zone: "a"}, digest{})
+			So(err, ShouldBeNil)
+			So(got.Leaving, ShouldHaveLength, 1)
+			_, err = leader.tell(ctx, mesh.Peer{ID: "i-1", Zone: "a"}, digest{})
+			So(err, ShouldBeNil)
+			got, err = leader.tell(ctx, mesh.Peer{ID: "i-9", Zone: "a"}, digest{})
+			So(err, ShouldBeNil)
+			So(got.Leaving, ShouldBeEmpty)
+		})
+	})
+}
