perf: a page's writer adds up accounts once, not for each holder that it writes

Cause: for each holder's part of a page the writer walked all rows of each account five times (two shares, two sums of grants, one of what is spent) and all holders once: O(n^2) in the fleet's size.

Change: a pass over a page keeps the sums of its accounts and the number of holders of each node, and changes them with each row that it sets.

Measured: BenchmarkPrepare (300 holders with new rows for 10 customers) 38.4 ms before, 3.6 ms now. TestGrantingKeepsSums compares what is kept with the rows after any mixture of grants, reports and folds; the page's targets are as before.

--- a/internal/escrow/bench_test.go
+++ b/internal/escrow/bench_test.go
@@ -49,3 +49,37 @@
 		}
 	}
 }
+
+// BenchmarkPrepare computes the page that the leader of all writes: 300 holders, each with new rows for 10 customers.
+func BenchmarkPrepare(b *testing.B) {
+	const holders, customers = 300, 10
+	h := New(memkv.New(), "p/", 1, "node", "node/1")
+	prepaid := make([]Prepaid, 0, customers)
+	rows := make(map[string]Need)
+	for c := range customers {
+		name := fmt.Sprintf("customer-%d", c)
+		prepaid = append(prepaid, Prepaid{Customer: name, Tokens: 1 << 40})
+		rows[name] = Need{Spent: 10, Want: 1000, Burst: 100, Rate: 10}
+	}
+	h.SetPrepaid(prepaid)
+	h.startBeat()
+	h.draw(context.Background(), h.pages[0])
+	p := h.pages[0]
+	for i := range holders {
+		node := fmt.Sprintf("front-zone-%d", i)
+		p.pending = append(p.pending, &pending{
+			holder: node + "/1", came: h.now(), done: make(chan struct{}), part: Part{Report: Report{Node: node, Count: 1, Wall: 1}, Rows: rows},
+		})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		w, err := h.prepare(p)
+		if err != nil {
+			b.Fatal(err)
+		}
+		h.abandon([]write{w})
+		for _, x := range p.pending {
+			x.came = h.now()
+		}
+	}
+}
--- /dev/null
+++ b/internal/escrow/granting.go
@@ -0,0 +1,100 @@
+package escrow
+
+// sums are what the rows of an account add up to, in tokens.
+type sums struct {
+	spent, granted, want int64
+}
+
+func (s sums) add(r Row) sums { return sums{s.spent + r.Spent, s.granted + r.Granted, s.want + r.Want} }
+
+func (s sums) minus(r Row) sums {
+	return sums{s.spent - r.Spent, s.granted - r.Granted, s.want - r.Want}
+}
+
+// sums adds up the rows.
+func (a *Account) sums() sums {
+	var out sums
+	for _, r := range a.Rows {
+		out = out.add(r)
+	}
+	return out
+}
+
+// granting sets the rows of many holders of one page. It keeps the sums of accounts and the number of holders of each node, which would else be
+// made anew for each holder: a page with new rows of 300 holders for 10 customers then took 38 ms (BenchmarkPrepare), and the writer of a fleet
+// of 300 four fifths of a core.
+type granting struct {
+	page    *Page
+	sums    map[string]sums // by customer
+	holders map[string]int  // by node
+}
+
+func newGranting(p *Page) *granting {
+	g := &granting{page: p}
+	g.reset()
+	return g
+}
+
+// reset forgets what was kept: rows have changed that were not granted here.
+func (g *granting) reset() {
+	g.sums = make(map[string]sums, len(g.page.Accounts))
+	g.holders = make(map[string]int, len(g.page.Holders))
+	for _, r := range g.page.Holders {
+		g.holders[r.Node]++
+	}
+}
+
+// fold settles the rows of a node's earlier holders; see Page.Fold.
+func (g *granting) fold(successor string, begun Report) []Folded {
+	out := g.page.Fold(successor, begun)
+	if len(out) > 0 {
+		g.reset()
+	}
+	return out
+}
+
+// report notes a holder's report.
+func (g *granting) report(holder string, r Report) {
+	if old, ok := g.page.Holders[holder]; ok {
+		g.holders[old.Node]--
+	}
+	g.holders[r.Node]++
+	g.page.Holders[holder] = r
+}
+
+// unsettled says whether rows of a node's earlier holders are left.
+func (g *granting) unsettled(successor, node string) bool {
+	n := g.holders[node]
+	if r, ok := g.page.Holders[successor]; ok && r.Node == node {
+		n--
+	}
+	return n > 0
+}
+
+// of is what the rows of a customer's account add up to.
+func (g *granting) of(customer string, a *Account) sums {
+	s, ok := g.sums[customer]
+	if !ok {
+		s = a.sums()
+		g.sums[customer] = s
+	}
+	return s
+}
+
+// grant sets a holder's row of a customer's account so that nothing is overspent; target is what the holder should have unspent. prepaid < 0
+// is no limit.
+func (g *granting) grant(customer, holder string, n Need, prepaid int64) (row Row, target int64) {
+	a := g.page.account(customer)
+	old := a.Rows[holder]
+	others := g.of(customer, a).minus(old)
+	row, target = a.set(holder, n, prepaid, others)
+	g.sums[customer] = others.add(row)
+	return row, target
+}
+
+// rest is what nobody has spent of a customer's prepaid amount, and free what nobody may spend of it.
+func (g *granting) rest(customer string, prepaid int64) (rest, free int64) {
+	a := g.page.account(customer)
+	s := g.of(customer, a)
+	return prepaid - a.Settled - s.spent, prepaid - a.Settled - s.granted
+}
--- /dev/null
+++ b/internal/escrow/granting_test.go
@@ -0,0 +1,68 @@
+package escrow
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestGrantingKeepsSums plays any mixture of grants, reports and folds on one page, and compares what was kept with what the rows say.
+func TestGrantingKeepsSums(t *testing.T) {
+	const nodes, runs, prepaid = 4, 3, 1000
+	rapid.Check(t, func(t *rapid.T) {
+		p, _ := DecodePage(nil)
+		g := newGranting(p)
+		for range propertySteps {
+			node := fmt.Sprintf("node-%d", rapid.IntRange(0, nodes-1).Draw(t, "node"))
+			holder := fmt.Sprintf("%s/%d", node, rapid.IntRange(0, runs-1).Draw(t, "run"))
+			customer := rapid.SampledFrom(propertyCustomers).Draw(t, "customer")
+			switch rapid.IntRange(0, 3).Draw(t, "action") {
+			case 0:
+				g.report(holder, Report{Node: node, Count: 1})
+			case 1:
+				g.fold(holder, Report{Node: node})
+			default:
+				before := *p.account(customer)
+				n := Need{Want: rapid.Int64Range(0, prepaid).Draw(t, "want"), Spent: before.Rows[holder].Spent}
+				exact := before.share(n, prepaid, before.sums().minus(before.Rows[holder]))
+				if _, target := g.grant(customer, holder, n, prepaid); target != exact {
+					t.Fatalf("the target of %s is %d, not %d", holder, target, exact)
+				}
+			}
+			checkGranting(t, g, nodes, runs, prepaid)
+		}
+	})
+}
+
+func checkGranting(t *rapid.T, g *granting, nodes, runs int, prepaid int64) {
+	for _, customer := range propertyCustomers {
+		a := g.page.account(customer)
+		rest, free := g.rest(customer, prepaid)
+		if rest != prepaid-a.Spent() || free != prepaid-a.Committed() {
+			t.Fatalf("%s: %d unspent and %d free, by the rows %d and %d", customer, rest, free, prepaid-a.Spent(), prepaid-a.Committed())
+		}
+		if free < 0 {
+			t.Fatalf("%s: %d more than the prepaid amount is granted", customer, -free)
+		}
+	}
+	for n := range nodes {
+		node := fmt.Sprintf("node-%d", n)
+		for r := range runs {
+			holder := fmt.Sprintf("%s/%d", node, r)
+			if got, want := g.unsettled(holder, node), earlierLeft(g.page, holder, node); got != want {
+				t.Fatalf("rows of earlier holders than %s are left: %v, by the page %v", holder, got, want)
+			}
+		}
+	}
+}
+
+// earlierLeft says by the page's reports alone whether earlier holders of a node are left.
+func earlierLeft(p *Page, successor, node string) bool {
+	for id, r := range p.Holders {
+		if r.Node == node && id != successor {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/escrow/group.go
+++ b/internal/escrow/group.go
@@ -126,12 +126,12 @@
 }
 
 // applyAll puts the parts that wait into a page that is about to be written. The caller holds mu.
-func (h *Holder) applyAll(p *pageState, page *Page) []*pending {
+func (h *Holder) applyAll(p *pageState, g *granting) []*pending {
 	h.expire(p)
 	h.sumZone(p)
 	list := append([]*pending(nil), p.pending...)
 	for _, x := range list {
-		x.receipt = h.apply(x, page)
+		x.receipt = h.apply(x, g)
 	}
 	return list
 }
@@ -165,39 +165,38 @@
 }
 
 // apply puts one part into a page, unless the holder's row there is not the one that the part follows. The caller holds mu.
-func (h *Holder) apply(x *pending, page *Page) PartReceipt {
-	before, present := page.Holders[x.holder]
+func (h *Holder) apply(x *pending, g *granting) PartReceipt {
+	before, present := g.page.Holders[x.holder]
 	targets := make(map[string]int64, len(x.part.Rows))
 	if before.Count+1 == x.part.Report.Count && (present || before.Count == 0) {
-		h.grantAll(x, page, targets)
+		h.grantAll(x, g, targets)
 	}
-	return h.receipt(x, page, targets)
+	return h.receipt(x, g, targets)
 }
 
 // grantAll sets the rows of one part. The caller holds mu.
-func (h *Holder) grantAll(x *pending, page *Page, targets map[string]int64) {
+func (h *Holder) grantAll(x *pending, g *granting, targets map[string]int64) {
 	report := x.part.Report
 	x.folded = nil
 	if x.part.Begun.Node != "" {
-		x.folded = page.Fold(x.holder, x.part.Begun)
+		x.folded = g.fold(x.holder, x.part.Begun)
 	}
-	page.Holders[x.holder] = report
+	g.report(x.holder, report)
 	for name, need := range x.part.Rows {
 		a := h.accounts[name]
 		if a == nil || a.prepaid < 0 {
 			continue
 		}
-		acc := page.account(name)
-		targets[name] = acc.share(x.holder, need, a.prepaid)
-		acc.Grant(x.holder, need, a.prepaid)
+		_, targets[name] = g.grant(name, x.holder, need, a.prepaid)
 	}
 }
 
 // receipt tells how a page stands for a holder. The caller holds mu.
-func (h *Holder) receipt(x *pending, page *Page, targets map[string]int64) PartReceipt {
+func (h *Holder) receipt(x *pending, g *granting, targets map[string]int64) PartReceipt {
+	page := g.page
 	report, present := page.Holders[x.holder]
 	r := PartReceipt{
-		Page: x.part.Page, Present: present, Unsettled: page.Unsettled(x.holder, x.part.Report.Node), Report: report, Holders: len(page.Holders), Rate: h.all.rate(),
+		Page: x.part.Page, Present: present, Unsettled: g.unsettled(x.holder, x.part.Report.Node), Report: report, Holders: len(page.Holders), Rate: h.all.rate(),
 		Rows: make(map[string]Held, len(x.part.Rows)),
 	}
 	for name := range x.part.Rows {
@@ -205,8 +204,9 @@
 		if a == nil || acc == nil {
 			continue
 		}
+		rest, free := g.rest(name, a.prepaid)
 		r.Rows[name] = Held{
-			Row: acc.Rows[x.holder], Target: targets[name], Rest: a.prepaid - acc.Spent(), Free: a.prepaid - acc.Committed(),
+			Row: acc.Rows[x.holder], Target: targets[name], Rest: rest, Free: free,
 			Others: a.others, Rate: a.all.rate(), Zone: a.zoneRate, Unproven: acc.Unproven,
 		}
 	}
--- a/internal/escrow/page.go
+++ b/internal/escrow/page.go
@@ -43,20 +43,12 @@
 
 // Spent is what is settled and what holders have reported.
 func (a *Account) Spent() int64 {
-	sum := a.Settled
-	for _, r := range a.Rows {
-		sum += r.Spent
-	}
-	return sum
+	return a.Settled + a.sums().spent
 }
 
 // Committed is what is settled or granted: no more than this can be spent in any case.
 func (a *Account) Committed() int64 {
-	sum := a.Settled
-	for _, r := range a.Rows {
-		sum += r.Granted
-	}
-	return sum
+	return a.Settled + a.sums().granted
 }
 
 // Report says who a holder is and when it last wrote.
@@ -184,16 +176,6 @@
 	return out
 }
 
-// Unsettled says whether rows of a node's earlier holders are left.
-func (p *Page) Unsettled(successor, node string) bool {
-	for id, r := range p.Holders {
-		if r.Node == node && id != successor {
-			return true
-		}
-	}
-	return false
-}
-
 // waitsFor says whether the age of a report at a successor's start will be known better soon.
 func (r Report) waitsFor(begun Report) bool {
 	return begun.Later && begun.Fleet == 0 && r.Fleet != 0 && !sameRun(r, begun)
--- a/internal/escrow/page_test.go
+++ b/internal/escrow/page_test.go
@@ -189,10 +189,10 @@
 		Convey("and is waited for where it will be known soon", func() {
 			begun.Fleet, begun.Later = 0, true
 			So(p.Fold("node/2", begun), ShouldBeEmpty)
-			So(p.Unsettled("node/2", "node"), ShouldBeTrue)
+			So(newGranting(p).unsettled("node/2", "node"), ShouldBeTrue)
 			begun.Later = false
 			So(p.Fold("node/2", begun)[0].Settled, ShouldEqual, spent(Grace+ClockError))
-			So(p.Unsettled("node/2", "node"), ShouldBeFalse)
+			So(newGranting(p).unsettled("node/2", "node"), ShouldBeFalse)
 		})
 	})
 
--- a/internal/escrow/sizing.go
+++ b/internal/escrow/sizing.go
@@ -102,17 +102,22 @@
 // A holder gets what it wants while mostOut of the unspent rest covers what all want, else its part of that. What it holds beyond
 // that goes back. A row never falls below what is spent already.
 func (a *Account) Grant(holder string, n Need, prepaid int64) Row {
-	old := a.Rows[holder]
-	row := Row{Spent: n.Spent, Want: n.Want, Burst: n.Burst, Rate: n.Rate}
-	free := prepaid - a.Committed() + old.Granted // what the row may reach, counted from the holder's start
-	target := n.Spent + max(a.share(holder, n, prepaid), n.Urgent)
-	row.Granted = max(n.Spent, n.Keep, min(target, free))
+	row, _ := a.set(holder, n, prepaid, a.sums().minus(a.Rows[holder]))
+	return row
+}
+
+// set is Grant where the sums of all other rows are known; target is what the holder should have unspent.
+func (a *Account) set(holder string, n Need, prepaid int64, others sums) (row Row, target int64) {
+	row = Row{Spent: n.Spent, Want: n.Want, Burst: n.Burst, Rate: n.Rate}
+	free := prepaid - a.Settled - others.granted // what the row may reach, counted from the holder's start
+	target = a.share(n, prepaid, others)
+	row.Granted = max(n.Spent, n.Keep, min(n.Spent+max(target, n.Urgent), free))
 	if row == (Row{}) {
 		delete(a.Rows, holder) // in a large fleet most holders have nothing of most customers
-		return row
+		return row, target
 	}
 	a.Rows[holder] = row
-	return row
+	return row, target
 }
 
 // mostOut is the part of a budget's unspent rest that all holders may have together, but for what requests wait for: a loss of power of
@@ -120,16 +125,10 @@
 // of two days each), and calm days pay 0.015 less.
 const mostOut = 0.4
 
-// share is the part of the unspent rest that a holder may keep.
-func (a *Account) share(holder string, n Need, prepaid int64) int64 {
-	rest := prepaid - a.Settled - n.Spent
-	wants := n.Want
-	for id, r := range a.Rows {
-		if id != holder {
-			rest -= r.Spent
-			wants += r.Want
-		}
-	}
+// share is the part of the unspent rest that a holder may keep, beside others.
+func (a *Account) share(n Need, prepaid int64, others sums) int64 {
+	rest := prepaid - a.Settled - others.spent - n.Spent
+	wants := others.want + n.Want
 	if rest <= 0 {
 		return 0
 	}
--- a/internal/escrow/write.go
+++ b/internal/escrow/write.go
@@ -54,29 +54,29 @@
 	}
 	report := h.report(h.clock.Now(), page.Holders[h.id].Count+1)
 	var folded []Folded
+	g := newGranting(page)
 	if !p.joined || p.unsettled {
-		folded = page.Fold(h.id, h.start())
+		folded = g.fold(h.id, h.start())
 	}
-	page.Holders[h.id] = report
+	g.report(h.id, report)
 	rows := make(map[string]issued)
 	for name, a := range h.accounts {
 		if h.pageOf(name) != p || a.prepaid < 0 {
 			continue
 		}
-		acc := page.account(name)
-		row := acc.Grant(h.id, h.need(name, a, len(page.Holders)), a.prepaid)
+		row, _ := g.grant(name, h.id, h.need(name, a, len(page.Holders)), a.prepaid)
+		rest, free := g.rest(name, a.prepaid)
 		rows[name] = issued{
-			row: row, clock: time.Duration(report.Clock) * time.Millisecond,
-			rest: a.prepaid - acc.Spent(), free: a.prepaid - acc.Committed(), unproven: acc.Unproven,
+			row: row, clock: time.Duration(report.Clock) * time.Millisecond, rest: rest, free: free, unproven: page.Accounts[name].Unproven,
 		}
 		a.unsure = append(a.unsure, rows[name])
 	}
-	others := h.applyAll(p, page)
+	others := h.applyAll(p, g)
 	p.unsure = p.revision
 	raw, err := page.Encode()
 	return write{
 		to: p, raw: raw, page: page, base: p.revision, count: report.Count, rows: rows, others: others, folded: folded,
-		unsettled: page.Unsettled(h.id, h.node),
+		unsettled: g.unsettled(h.id, h.node),
 	}, err
 }
 
