feat: the chat edge logs and counts requests under which endpoints have ended

Cause: the chat edge kept such requests from endpoints without a line or a count: an operator saw refusals and not why. Its memory of them ran on the process's clock also where another one is given.

Change: the lines of the router are in the package that decides, and both edges use them; ledgemount_quarantine_requests counts; the clock is the gateway's. TestChatEdgeEnds asks for the lines.

--- a/internal/gateway/endings.go
+++ b/internal/gateway/endings.go
@@ -79,16 +79,30 @@
 	digest, customer := j.asks(), j.customer
 	end := quarantine.End{Run: t.ID, Began: began, Ended: j.g.now(), Events: j.begun}
 	if j.g.looker.Refused(ctx, u.Host) {
-		j.g.suspects.Ended(digest, customer, end)
+		j.g.endedUnder(digest, customer, end)
 		return
 	}
 	j.g.work.run(func() {
 		if j.g.looker.RefusedSoon(context.Background(), u.Host) {
-			j.g.suspects.Ended(digest, customer, end)
+			j.g.endedUnder(digest, customer, end)
 		}
 	})
 }
 
+// endedUnder notes that an endpoint has ended under a request.
+func (g *Gateway) endedUnder(digest quarantine.Digest, customer string, end quarantine.End) {
+	quarantine.LogEnd(g.log, end.Run, digest.String())
+	g.suspects.Ended(digest, customer, end)
+}
+
+// quarantined logs and counts that a request is kept from endpoints from now on, or logs that it is not any more.
+func (g *Gateway) quarantined(c quarantine.Change) {
+	if c.Held {
+		g.metrics.held.Inc(1)
+	}
+	quarantine.LogChanges(g.log)(c)
+}
+
 // opens refuses a request at once that no endpoint of its pool takes now.
 func (j *job) opens() error {
 	if o := j.g.targets.Opens(j.pool); !o.Open && !o.Full {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,9 +129,6 @@
 // WithLooker replaces what finds out whether an endpoint's process has ended.
 func WithLooker(l Looker) Option { return func(g *Gateway) { g.looker = l } }
 
-// WithQuarantine replaces the memory of requests that end endpoints.
-func WithQuarantine(m *quarantine.Memory) Option { return func(g *Gateway) { g.suspects = m } }
-
 const defaultMaxBody = 4 << 20
 
 // New makes a gateway and registers its message.
@@ -140,7 +137,6 @@
 		feed: d.Feed, members: d.Members, caller: d.Caller, targets: d.Targets, budgets: d.Budgets,
 		keys: d.Keys, claims: d.Claims, driver: d.Driver, stopper: d.Stopper,
 		retries:  retry.NewBudgets(),
-		suspects: quarantine.New(),
 		looker:   upstream.New(upstream.WithMaxIdle(0)),
 		now:      time.Now,
 		hook:     step.None,
@@ -158,6 +154,7 @@
 	for _, opt := range opts {
 		opt(g)
 	}
+	g.suspects = quarantine.New(quarantine.WithNow(g.now), quarantine.OnChange(g.quarantined))
 	mesh.HandleStream(d.Router, KindAttach, g.serveAttach)
 	return g
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,6 +15,7 @@
 	tokens   tally.Counter
 	first    tally.Histogram
 	gap      tally.Histogram
+	held     tally.Counter // requests
 }
 
 func newMetrics(s tally.Scope) metrics {
@@ -25,6 +26,7 @@
 		attempts: s.Counter("attempts"),
 		tokens:   s.Counter("tokens_billed"),
 		first:    s.Histogram("first_token_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)),
+		held:     s.Counter("quarantine_requests"),
 		gap:      s.Histogram("slowest_gap_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12)),
 	}
 }
--- a/internal/matrix/chatedge_test.go
+++ b/internal/matrix/chatedge_test.go
@@ -18,6 +18,7 @@
 	"github.com/ledgemount/ledgemount/internal/chat"
 	"github.com/ledgemount/ledgemount/internal/endpoint/wire"
 	"github.com/ledgemount/ledgemount/internal/gateway"
+	"github.com/ledgemount/ledgemount/internal/quarantine"
 	"github.com/ledgemount/ledgemount/internal/standin/engine"
 	"github.com/ledgemount/ledgemount/internal/verdict"
 )
@@ -129,6 +130,9 @@
 			So(arrived, ShouldEqual, 3)
 			other, _ := w.draft(n, "another prompt")
 			So(other.whole, ShouldBeTrue)
+			synctest.Wait()
+			So(strings.Count(n.log.String(), quarantine.EventEnded), ShouldEqual, 3)
+			So(strings.Count(n.log.String(), quarantine.EventHeld), ShouldEqual, 1)
 		})
 	})
 }
--- a/internal/matrix/node_test.go
+++ b/internal/matrix/node_test.go
@@ -1,6 +1,7 @@
 package matrix
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -27,6 +28,7 @@
 	feed    *rollout.Feed
 	planner *intent.Service
 	gateway *gateway.Gateway
+	log     bytes.Buffer // lines of the gateway from warnings on
 	cancel  context.CancelFunc
 
 	ticking sync.Mutex
--- a/internal/matrix/world_test.go
+++ b/internal/matrix/world_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/ledgemount/ledgemount/internal/budget"
 	"github.com/ledgemount/ledgemount/internal/declare"
 	"github.com/ledgemount/ledgemount/internal/endpoint"
@@ -211,7 +213,8 @@
 	n.gateway = gateway.New(gateway.Deps{
 		Feed: n.feed, Members: m, Caller: caller, Router: router, Targets: tg, Budgets: n.client, Keys: n.keys,
 		Claims: once.NewClaims(store, n.peer.Who(), w.clock.Now), Driver: driver, Stopper: stopper,
-	}, gateway.WithClock(w.clock.Now), gateway.WithHook(n.hook), gateway.WithKill(ctx), gateway.WithLooker(w.http))
+	}, gateway.WithClock(w.clock.Now), gateway.WithHook(n.hook), gateway.WithKill(ctx), gateway.WithLooker(w.http),
+		gateway.WithLogger(zerolog.New(zerolog.SyncWriter(&n.log)).Level(zerolog.WarnLevel)))
 	n.feed.OnChange(n.gateway.SetDocument)
 	n.planner = intent.New(store, n.feed, m, caller, router, tg.InFlight, intent.WithHook(n.hook))
 	w.http.Handle(n.peer.Addr, n.gateway.Handler())
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -15,6 +15,7 @@
 	"github.com/ledgemount/ledgemount/internal/mesh"
 	"github.com/ledgemount/ledgemount/internal/observe"
 	"github.com/ledgemount/ledgemount/internal/pool"
+	"github.com/ledgemount/ledgemount/internal/quarantine"
 	"github.com/ledgemount/ledgemount/internal/relay"
 )
 
@@ -143,8 +144,7 @@
 
 // lateEnd logs that an endpoint ended under a request, seen after the request's own line.
 func (r *Router) lateEnd(l relay.LateEnd) {
-	r.log.Warn().Str("event", "endpoint_ended").Str("endpoint", l.Endpoint).Str("digest", l.Digest).
-		Msg("an endpoint's process has ended while it ran a request")
+	quarantine.LogEnd(r.log, l.Endpoint, l.Digest)
 }
 
 // rejected counts a record that cannot be read.
