--- a/internal/external/memkv/memkv.go
+++ b/internal/external/memkv/memkv.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -19,6 +20,8 @@
 	revision int64
 	floor    int64 // history up to here is forgotten
 	calls    int
+	epoch    int64    // 0: the store names none
+	written  []logged // every change since the start, whatever the history forgets
 
 	down    bool
 	silent  bool
@@ -27,6 +30,12 @@
 	delayed []external.Commit
 }
 
+// logged is a change and when it was made.
+type logged struct {
+	external.Change
+	at time.Time
+}
+
 // New makes an empty store.
 func New() *Store { return &Store{entries: make(map[string]external.Entry)} }
 
@@ -42,6 +51,95 @@
 // SetLate keeps writes back without an answer until Release.
 func (s *Store) SetLate(on bool) { s.set(func() { s.late = on }) }
 
+// SetEpoch makes the store name its epoch, which rises with each restoration.
+func (s *Store) SetEpoch(n int64) { s.set(func() { s.epoch = n }) }
+
+// Epoch is the store's present epoch.
+func (s *Store) Epoch() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.epoch
+}
+
+// Number is the store's present revision, within its epoch.
+func (s *Store) Number() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
+// RestoreAged restores the store from a copy of the given age. It returns the last lost change of each key.
+func (s *Store) RestoreAged(age time.Duration) []external.Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	from := time.Now().Add(-age)
+	number := int64(0)
+	for _, w := range s.written {
+		if w.at.After(from) {
+			break
+		}
+		number = w.Revision
+	}
+	return s.restore(number)
+}
+
+// RestoreTo restores the store from the copy that was made at a revision. It returns the last lost change of each key.
+func (s *Store) RestoreTo(number int64) []external.Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.restore(number)
+}
+
+// restore drops everything after a revision. The caller holds mu.
+func (s *Store) restore(number int64) []external.Change {
+	kept := len(s.written)
+	for kept > 0 && s.written[kept-1].Revision > number {
+		kept--
+	}
+	last := make(map[string]external.Change)
+	for _, w := range s.written[kept:] {
+		last[w.Key] = w.Change
+	}
+	s.written = s.written[:kept]
+	s.entries, s.history = make(map[string]external.Entry), nil
+	for _, w := range s.written {
+		if w.Gone {
+			delete(s.entries, w.Key)
+		} else {
+			s.entries[w.Key] = w.Entry
+		}
+		if w.Revision > s.floor {
+			s.history = append(s.history, w.Change)
+		}
+	}
+	s.revision = min(s.revision, number)
+	s.floor = min(s.floor, s.revision)
+	s.epoch++
+	lost := make([]external.Change, 0, len(last))
+	for _, c := range last {
+		lost = append(lost, c)
+	}
+	sort.Slice(lost, func(i, j int) bool { return lost[i].Revision < lost[j].Revision })
+	return lost
+}
+
+// WriteAgain makes lost changes once more under some prefixes, but for keys that have been written since the restoration.
+func (s *Store) WriteAgain(lost []external.Change, restored int64, prefixes ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range lost {
+		if s.entries[c.Key].Revision > restored || !slices.ContainsFunc(prefixes, func(p string) bool { return strings.HasPrefix(c.Key, p) }) {
+			continue
+		}
+		if c.Gone {
+			s.revision++
+			s.drop(c.Key)
+			continue
+		}
+		s.apply(external.Commit{Put: []external.Entry{{Key: c.Key, Data: c.Data}}})
+	}
+}
+
 func (s *Store) set(f func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -91,7 +189,13 @@
 // drop removes a key at the present revision. The caller holds mu.
 func (s *Store) drop(key string) {
 	delete(s.entries, key)
-	s.history = append(s.history, external.Change{Entry: external.Entry{Key: key, Revision: s.revision}, Gone: true})
+	s.note(external.Change{Entry: external.Entry{Key: key, Revision: s.revision}, Gone: true})
+}
+
+// note keeps a change. The caller holds mu.
+func (s *Store) note(c external.Change) {
+	s.history = append(s.history, c)
+	s.written = append(s.written, logged{Change: c, at: time.Now()})
 }
 
 // enter counts a call and fails it if the store is down or silent. The caller holds mu; it is released while waiting.
@@ -147,7 +251,7 @@
 	if err := s.enter(ctx); err != nil {
 		return nil, 0, err
 	}
-	if after < s.floor {
+	if after < s.floor || after > s.revision {
 		return nil, 0, external.ErrHistoryGone
 	}
 	var out []external.Change
@@ -203,7 +307,7 @@
 	for _, p := range c.Put {
 		p.Revision = s.revision
 		s.entries[p.Key] = p
-		s.history = append(s.history, external.Change{Entry: p})
+		s.note(external.Change{Entry: p})
 	}
 	for _, key := range c.Drop {
 		s.drop(key)
