fix: what a restored store says is known though its revisions are lower than before

What callers saw: requests to an endpoint that had left 3.5 s before, answers by a configuration two versions old, 404 on a route that had been added.

Cause: a revision was taken for time. The store came back from an older copy and counted on from there; an instance that follows it through another one asked for what had changed since 367, and was told nothing until the store had come to 367 again. The same number stands for another write after a restoration, also in the condition of a write.

Change: a revision holds the store's epoch, which the store names in each answer, refusals included, and of two revisions the one of the later epoch is greater. What has changed since a revision of another epoch is not known, so everything is read. Questions and news between instances name the epoch; one that hears of a later epoch, from the store or from another instance, takes nothing of the earlier one for new. A store that names no epoch is used as before.

Evidence: revision 302 at an instance that had known 367 six seconds before; it alone took configurations 21 to 27.

--- a/internal/compat/compat.go
+++ b/internal/compat/compat.go
@@ -17,7 +17,7 @@
 
 // Generation counts the formats of messages, rows and pages: it rises with each build in which one of them is new or has changed. A build reads all
 // up to its own.
-const Generation = 4
+const Generation = 5
 
 // Unknown is a value as it was read, if it has fields that its type does not know. Its zero value is one without such fields.
 type Unknown struct{ raw cbor.RawMessage }
--- /dev/null
+++ b/internal/external/memkv/versioned.go
@@ -0,0 +1,76 @@
+package memkv
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/ledgemount/ledgemount/internal/external"
+)
+
+// versioned shows a Store as an adapter does: its revisions hold the store's epoch.
+type versioned struct{ store *Store }
+
+var _ external.KV = versioned{}
+
+// Versioned is the store with revisions that hold its epoch.
+func (s *Store) Versioned() external.KV { return versioned{store: s} }
+
+func (v versioned) entry(epoch int64, e external.Entry) external.Entry {
+	e.Revision = external.KeyRevision(epoch, e.Revision)
+	return e
+}
+
+func (v versioned) named(epoch int64, err error) error {
+	if err == nil || errors.Is(err, external.ErrAmbiguous) {
+		return err
+	}
+	var conflict *external.ConflictError
+	if errors.As(err, &conflict) {
+		out := &external.ConflictError{}
+		for _, e := range conflict.Current {
+			out.Current = append(out.Current, v.entry(epoch, e))
+		}
+		err = out
+	}
+	return &external.EpochError{Epoch: epoch, Err: err}
+}
+
+// Read implements external.KV.
+func (v versioned) Read(ctx context.Context, key string) (external.Entry, int64, error) {
+	epoch := v.store.Epoch()
+	e, at, err := v.store.Read(ctx, key)
+	return v.entry(epoch, e), external.Revision(epoch, at), v.named(epoch, err)
+}
+
+// ReadAll implements external.KV.
+func (v versioned) ReadAll(ctx context.Context, prefix string) ([]external.Entry, int64, error) {
+	epoch := v.store.Epoch()
+	entries, at, err := v.store.ReadAll(ctx, prefix)
+	for i, e := range entries {
+		entries[i] = v.entry(epoch, e)
+	}
+	return entries, external.Revision(epoch, at), v.named(epoch, err)
+}
+
+// Changes implements external.KV.
+func (v versioned) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]external.Change, int64, error) {
+	epoch := v.store.Epoch()
+	changes, at, err := v.store.Changes(ctx, prefix, external.NumberOf(after), wait)
+	for i, c := range changes {
+		changes[i].Entry = v.entry(epoch, c.Entry)
+	}
+	return changes, external.Revision(epoch, at), v.named(epoch, err)
+}
+
+// Commit implements external.KV.
+func (v versioned) Commit(ctx context.Context, c external.Commit) (int64, error) {
+	epoch := v.store.Epoch()
+	when := make([]external.Condition, 0, len(c.When))
+	for _, w := range c.When {
+		when = append(when, external.Condition{Key: w.Key, Revision: external.NumberOf(w.Revision)})
+	}
+	c.When = when
+	at, err := v.store.Commit(ctx, c)
+	return external.Revision(epoch, at), v.named(epoch, err)
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -47,6 +47,36 @@
 type question struct {
 	At       int64 `cbor:"1,keyasint"`
 	ConfigAt int64 `cbor:"2,keyasint"`
+	Epoch    int64 `cbor:"3,keyasint,omitempty"` // of the store; the others are numbers within it
+}
+
+// ask makes the question of an instance that has followed the store up to a cursor. One of an epoch that is over asks for everything.
+func ask(since follow.Cursor, present int64) question {
+	epoch := external.EpochOf(since.At)
+	if epoch < present {
+		return question{Epoch: present}
+	}
+	return question{At: external.NumberOf(since.At), ConfigAt: within(epoch, since.ConfigAt), Epoch: epoch}
+}
+
+// within is a revision's number if it is of an epoch, else 0: before all of it.
+func within(epoch, revision int64) int64 {
+	if external.EpochOf(revision) != epoch {
+		return 0
+	}
+	return external.NumberOf(revision)
+}
+
+// cursor is how far the asking instance has come. One that names no epoch is taken to follow the present one.
+func (q question) cursor(present int64) follow.Cursor {
+	epoch := q.Epoch
+	if epoch == 0 {
+		epoch = present
+	}
+	if q.At == 0 {
+		return follow.Cursor{}
+	}
+	return follow.Cursor{At: external.Revision(epoch, q.At), ConfigAt: external.Revision(epoch, q.ConfigAt)}
 }
 
 // news answers a question.
@@ -63,6 +93,7 @@
 	// Evacuated are all availability zones that are evacuated as of OperatorAt
 	OperatorAt int64    `cbor:"10,keyasint,omitempty"`
 	Evacuated  []string `cbor:"11,keyasint,omitempty"`
+	Epoch      int64    `cbor:"12,keyasint,omitempty"` // of the store; At, ConfigAt and OperatorAt are numbers within it
 }
 
 // Follower is what tells news: follow.Follower.
@@ -71,13 +102,14 @@
 }
 
 // Serve answers the questions of other instances from what a follower knows.
-func Serve(router *mesh.Router, f Follower) {
-	s := &server{follower: f}
+func Serve(router *mesh.Router, f Follower, epochs *external.Epochs) {
+	s := &server{follower: f, epochs: epochs}
 	mesh.Handle(router, KindNews, s.tell)
 }
 
 type server struct {
 	follower Follower
+	epochs   *external.Epochs
 
 	mu     sync.Mutex
 	config packed // by its version
@@ -92,23 +124,31 @@
 }
 
 func (s *server) tell(_ context.Context, _ mesh.Peer, q question) (news, error) {
-	u, ok := s.follower.News(follow.Cursor{At: q.At, ConfigAt: q.ConfigAt})
-	if !ok {
+	if q.Epoch > 0 && s.epochs.Observe(q.Epoch, 0) != nil {
+		q.At = 0 // it follows an epoch that is over, and needs everything
+	}
+	present := s.epochs.Current()
+	since := q.cursor(present)
+	u, ok := s.follower.News(since)
+	if !ok || external.EpochOf(u.At) < present {
 		return news{}, nil
 	}
 	if u.Age > mostAge {
 		return news{Known: true, AgeMs: u.Age.Milliseconds()}, nil // too old for whoever asks
 	}
+	epoch := external.EpochOf(u.At)
 	n := news{
-		Known: true, At: u.At, ConfigAt: u.ConfigAt, Whole: u.Whole, Endpoints: u.Endpoints, Gone: u.Gone, AgeMs: u.Age.Milliseconds(),
-		OperatorAt: u.OperatorAt, Evacuated: u.Evacuated.Zones,
+		Known: true, At: external.NumberOf(u.At), ConfigAt: within(epoch, u.ConfigAt), Whole: u.Whole, Endpoints: u.Endpoints, Gone: u.Gone,
+		AgeMs: u.Age.Milliseconds(), OperatorAt: within(epoch, u.OperatorAt), Evacuated: u.Evacuated.Zones, Epoch: epoch,
 	}
 	var err error
 	if u.Whole {
 		n.Endpoints = nil
-		if n.All, n.At, err = s.packAll(u, q.At); err != nil {
+		var at int64
+		if n.All, at, err = s.packAll(u, since.At); err != nil {
 			return news{}, err
 		}
+		n.At = external.NumberOf(at)
 	}
 	if u.Config != nil {
 		n.Config, err = s.packConfig(u.Config)
@@ -121,7 +161,7 @@
 func (s *server) packAll(u follow.Update, known int64) (all []byte, at int64, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.all.data == nil || time.Since(s.all.made) > allFor || s.all.of < known {
+	if s.all.data == nil || time.Since(s.all.made) > allFor || s.all.of < known || external.EpochOf(s.all.of) != external.EpochOf(u.At) {
 		if s.all, err = packOnce(u.Endpoints, u.At); err != nil {
 			return nil, 0, err
 		}
@@ -178,12 +218,13 @@
 
 // Source is a follow.Source that asks the zone's leaders first; a zone's leader asks the one that reads the store for all zones.
 type Source struct {
-	dir   *peers.Directory
-	store follow.Source
-	now   func() time.Time
-	call  time.Duration // limit of a call for changes to the store
-	slow  atomic.Bool   // the store's last answer was not whole in time: nobody else has news, so the store is asked at once
-	rest  rest
+	dir    *peers.Directory
+	store  follow.Source
+	now    func() time.Time
+	epochs *external.Epochs
+	call   time.Duration // limit of a call for changes to the store
+	slow   atomic.Bool   // the store's last answer was not whole in time: nobody else has news, so the store is asked at once
+	rest   rest
 }
 
 var _ follow.Source = (*Source)(nil)
@@ -194,9 +235,12 @@
 // WithNow replaces the clock.
 func WithNow(now func() time.Time) Option { return func(s *Source) { s.now = now } }
 
+// WithEpochs sets what knows the store's epoch.
+func WithEpochs(e *external.Epochs) Option { return func(s *Source) { s.epochs = e } }
+
 // NewSource makes a source. store is asked where no leader answers.
 func NewSource(dir *peers.Directory, store follow.Source, opts ...Option) *Source {
-	s := &Source{dir: dir, store: store, now: time.Now, call: follow.DefaultTimes().Call}
+	s := &Source{dir: dir, store: store, now: time.Now, call: follow.DefaultTimes().Call, epochs: external.NewEpochs()}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -299,7 +343,7 @@
 func (s *Source) askOne(ctx context.Context, p mesh.Peer, since follow.Cursor, most time.Duration) (follow.Update, error) {
 	ctx, cancel := context.WithTimeout(ctx, askLimit)
 	defer cancel()
-	n, err := peers.Call[question, news](ctx, s.dir, p, KindNews, question{At: since.At, ConfigAt: since.ConfigAt})
+	n, err := peers.Call[question, news](ctx, s.dir, p, KindNews, ask(since, s.epochs.Current()))
 	age := time.Duration(n.AgeMs) * time.Millisecond
 	switch {
 	case err != nil:
@@ -308,12 +352,16 @@
 		return follow.Update{}, errStarting
 	case age > most:
 		return follow.Update{}, errDeaf
-	case since.At == 0 && !n.Whole:
+	case !n.Whole && (since.At == 0 || external.EpochOf(since.At) < s.epochs.Current()):
 		return follow.Update{}, errNobody
 	}
+	if err := s.epoch(&n); err != nil {
+		return follow.Update{}, err
+	}
+	operator := external.Revision(n.Epoch, n.OperatorAt)
 	u := follow.Update{
-		At: n.At, ConfigAt: n.ConfigAt, Whole: n.Whole, Endpoints: n.Endpoints, Gone: n.Gone, Events: 1, Peer: true, Age: age,
-		OperatorAt: n.OperatorAt, Evacuated: &evacuation.Set{At: n.OperatorAt, Zones: n.Evacuated},
+		At: external.Revision(n.Epoch, n.At), ConfigAt: external.Revision(n.Epoch, n.ConfigAt), Whole: n.Whole, Endpoints: n.Endpoints, Gone: n.Gone,
+		Events: 1, Peer: true, Age: age, OperatorAt: operator, Evacuated: &evacuation.Set{At: operator, Zones: n.Evacuated},
 	}
 	if len(n.All) > 0 {
 		if u.Endpoints, err = unpack[[]pool.Endpoint](n.All); err != nil {
@@ -326,6 +374,18 @@
 	return u, err
 }
 
+// epoch checks the epoch of news. An instance that names none may know one that is over, once the store was restored.
+func (s *Source) epoch(n *news) error {
+	switch {
+	case n.Epoch > 0:
+		return s.epochs.Observe(n.Epoch, n.At)
+	case s.epochs.Restored():
+		return errNobody
+	}
+	n.Epoch = s.epochs.Current()
+	return nil
+}
+
 // rest keeps an instance from calls to a store that it does not reach, while others try in its place. Its zero value does not rest.
 type rest struct {
 	mu    sync.Mutex
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -50,6 +50,7 @@
 	source   *Source
 	follower *follow.Follower
 	pool     *pool.Pool
+	epochs   *external.Epochs
 }
 
 // bed is two instances, of one zone if no others are named; the first one leads.
@@ -70,10 +71,10 @@
 	So(err, ShouldBeNil)
 	ends := make([]*end, 0, len(fleet))
 	for _, x := range fleet {
-		e := &end{dir: x.Dir, store: &script{}, pool: pool.New("a")}
-		e.source = NewSource(e.dir, e.store, WithNow(now))
+		e := &end{dir: x.Dir, store: &script{}, pool: pool.New("a"), epochs: external.NewEpochs()}
+		e.source = NewSource(e.dir, e.store, WithNow(now), WithEpochs(e.epochs))
 		e.follower = follow.New(e.source, e.pool, follow.WithNow(now), follow.WithOwn(func() bool { return false }))
-		Serve(x.Router, e.follower)
+		Serve(x.Router, e.follower, e.epochs)
 		ends = append(ends, e)
 	}
 	b.lead, b.member = ends[0], ends[1]
@@ -285,7 +286,7 @@
 		b := newBed(ctx)
 		b.lead.store.update = follow.Update{Config: config(3), ConfigAt: 7, At: 9, Events: 1, Endpoints: []pool.Endpoint{endpoint("e-1")}}
 		So(b.lead.follower.Step(ctx), ShouldBeNil)
-		s := &server{follower: b.lead.follower}
+		s := &server{follower: b.lead.follower, epochs: external.NewEpochs()}
 		first, err := s.tell(ctx, mesh.Peer{}, question{})
 		So(err, ShouldBeNil)
 		b.lead.store.update = follow.Update{At: 12, ConfigAt: 7, Events: 1, Endpoints: []pool.Endpoint{endpoint("e-2")}}
@@ -320,3 +321,64 @@
 		So(err, ShouldNotBeNil)
 	})
 }
+
+// in makes an update of an epoch of the store; its revisions are numbers.
+func in(epoch int64, u follow.Update) follow.Update {
+	u.At, u.ConfigAt, u.OperatorAt = external.Revision(epoch, u.At), external.Revision(epoch, u.ConfigAt), external.Revision(epoch, u.OperatorAt)
+	return u
+}
+
+// read lets an instance's next step read the store in an epoch.
+func (e *end) read(epoch int64, u follow.Update) {
+	e.store.update = in(epoch, u)
+	_ = e.epochs.Observe(epoch, u.At)
+}
+
+func TestFeedAfterRestoration(t *testing.T) {
+	ctx := context.Background()
+	Convey("An instance whose zone is led, and a store that is restored from a copy", t, func() {
+		b := newBed(ctx)
+		list := []pool.Endpoint{endpoint("e-1"), endpoint("e-2")}
+		b.lead.read(1, follow.Update{Config: config(3), ConfigAt: 300, OperatorAt: 300, At: 367, Events: 2, Endpoints: list})
+		So(b.lead.follower.Step(ctx), ShouldBeNil)
+		So(b.member.follower.Step(ctx), ShouldBeNil)
+		So(b.member.epochs.Current(), ShouldEqual, 1)
+		So(b.member.store.calls, ShouldEqual, 0)
+
+		Convey("is told what was written since, though its revisions are lower than those that were known", func() {
+			b.lead.read(2, follow.Update{Config: config(4), ConfigAt: 290, OperatorAt: 290, At: 302, Events: 2, Endpoints: list})
+			b.lead.store.changesErr = external.ErrHistoryGone
+			So(b.lead.follower.Step(ctx), ShouldBeNil)
+			So(b.member.follower.Step(ctx), ShouldBeNil)
+			So(b.member.epochs.Current(), ShouldEqual, 2)
+			So(b.member.follower.Table().Version(), ShouldEqual, 4)
+
+			Convey("and then what changes", func() {
+				leaving := endpoint("e-1")
+				leaving.Draining = true
+				b.lead.store.changesErr = nil
+				b.lead.read(2, follow.Update{At: 303, Events: 1, Endpoints: []pool.Endpoint{leaving}})
+				So(b.lead.follower.Step(ctx), ShouldBeNil)
+				So(b.member.follower.Step(ctx), ShouldBeNil)
+				So(b.member.store.calls, ShouldEqual, 0)
+				lease := b.member.pool.Pick(pool.Query{Service: "models"})
+				So(lease.Endpoint().ID, ShouldEqual, "e-2")
+			})
+		})
+
+		Convey("tells its leader that the store was restored, and takes nothing from one that does not know", func() {
+			So(b.member.epochs.Observe(2, 0), ShouldBeNil)
+			b.member.store.err = errDown
+			So(b.member.follower.Step(ctx), ShouldNotBeNil)
+			So(b.lead.epochs.Current(), ShouldEqual, 2)
+		})
+
+		Convey("takes nothing from an instance that names no epoch", func() {
+			So(b.member.epochs.Observe(2, 0), ShouldBeNil)
+			So(b.member.source.epoch(&news{}), ShouldNotBeNil)
+			n := news{}
+			So(b.lead.source.epoch(&n), ShouldBeNil)
+			So(n.Epoch, ShouldEqual, 1)
+		})
+	})
+}
--- a/internal/follow/history.go
+++ b/internal/follow/history.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ledgemount/ledgemount/internal/evacuation"
+	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/pool"
 	"github.com/ledgemount/ledgemount/internal/route"
 )
@@ -106,7 +107,7 @@
 	h := f.history
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.config == nil {
+	if h.config == nil || external.EpochOf(since.At) > external.EpochOf(h.at.At) {
 		return Update{}, false
 	}
 	u = Update{
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -40,7 +40,9 @@
 
 // Platform is what a router needs of the place where it runs.
 type Platform struct {
-	Store   *external.Observed
+	Store   external.KV
+	Calls   *external.Observed // of the store
+	Epochs  *external.Epochs   // of the store
 	Source  follow.Source
 	Dialect relay.Dialect
 	Parser  edge.Parser
@@ -81,8 +83,8 @@
 		r.boot = boottime.New()
 	}
 	r.start = newStartLine(log, r.metrics.started)
-	on.Store.OnCall(r.called)
-	on.Store.OnRest(r.storeRests)
+	on.Calls.OnCall(r.called)
+	on.Calls.OnRest(r.storeRests)
 	id := set.Instance.ID + "/" + strings.ToLower(ulid.Make().String())
 	links := mesh.NewRouter()
 	r.newFleet(on, links, id)
@@ -136,11 +138,11 @@
 
 // newFollower makes what follows the configuration and the endpoints.
 func (r *Router) newFollower(on Platform, links *mesh.Router) {
-	r.follow = follow.New(feed.NewSource(r.peers, on.Source, feed.WithNow(r.boot.Now)), r.pool,
+	r.follow = follow.New(feed.NewSource(r.peers, on.Source, feed.WithNow(r.boot.Now), feed.WithEpochs(on.Epochs)), r.pool,
 		follow.WithLogger(r.log), follow.WithNow(r.boot.Now), follow.OnRejected(r.metrics.rejected),
 		follow.OnTable(r.fundsOf), follow.OnTable(r.servicesOf),
 		follow.OnEntry(r.observe), follow.OnPolled(r.escrow.Tick), follow.WithOwn(func() bool { return !r.peers.Large() }))
-	feed.Serve(links, r.follow)
+	feed.Serve(links, r.follow, on.Epochs)
 }
 
 // newSharing makes what instances tell each other of endpoints, and of requests that endpoints do not outlive.
