fix: endpoints and orders that a restored store lacks, or has as they were, do not change what is known

What callers would see: a sound endpoint gets no work because its record was made after the copy; one that has said that it leaves, or that is gone, gets new work again; a zone that is evacuated gets work, or one that was given back gets none.

Cause: what the store acknowledged was taken for lasting, so a whole read after a restoration replaced what was known. Change: for 3 s after a restoration was learnt, an endpoint that a list lacks stays, and a list of evacuated zones only adds zones of which no order is known; for 6 s, until records of endpoints that have ended have lapsed, a list makes no endpoint ready that was known to drain or to be gone. What is written in the new epoch always counts. Everything is read once more at both moments.

--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -59,6 +59,21 @@
 	return changed
 }
 
+// Add takes the zones of a set of which no order is known, and returns them. Where the store was restored, a set may lack the newest orders and have
+// ones that were taken back.
+func (s *State) Add(set Set) []Order {
+	var changed []Order
+	for _, zone := range slices.Sorted(slices.Values(set.Zones)) {
+		if _, known := s.orders[zone]; known {
+			continue
+		}
+		o := Order{Zone: zone, On: true, Revision: set.At}
+		s.keep(o)
+		changed = append(changed, o)
+	}
+	return changed
+}
+
 // Zones are the zones that are evacuated, by their names.
 func (s *State) Zones() []string {
 	var out []string
--- a/internal/evacuation/evacuation_test.go
+++ b/internal/evacuation/evacuation_test.go
@@ -46,3 +46,16 @@
 		})
 	})
 }
+
+func TestAdd(t *testing.T) {
+	Convey("A set that may be older than what is known adds zones, and neither takes back an order nor gives one again", t, func() {
+		var s State
+		s.Replace(Set{At: 10, Zones: []string{"a"}})
+		s.Apply(Order{Zone: "b", On: true, Revision: 12})
+		s.Apply(Order{Zone: "a", Revision: 13})
+		So(s.Add(Set{At: 20, Zones: []string{"a", "c"}}), ShouldResemble, []Order{{Zone: "c", On: true, Revision: 20}})
+		So(s.Zones(), ShouldResemble, []string{"b", "c"})
+		s.Replace(Set{At: 21, Zones: []string{"a"}})
+		So(s.Zones(), ShouldResemble, []string{"a"})
+	})
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -102,6 +102,7 @@
 	failed   int       // calls for changes that failed in a row
 	near     bool      // the last answer came from another instance
 	lost     bool
+	restored restoration
 }
 
 // Option changes a Follower.
@@ -220,14 +221,19 @@
 // Step makes one call and applies what it brings. What has changed may be more than everything, as when a large configuration was written
 // many times: where it did not arrive whole in time, everything is read at once.
 func (f *Follower) Step(ctx context.Context) error {
-	if f.since.At > 0 && !f.deaf && f.failed < mostFailed {
+	reread := f.restored.due(f.now())
+	if f.since.At > 0 && !f.deaf && f.failed < mostFailed && !reread {
 		err := f.follow(ctx)
 		if !errors.Is(err, external.ErrHistoryGone) && !errors.Is(err, external.ErrSlowAnswer) {
 			return err
 		}
 	}
 	f.failed = 0
-	return f.snapshot(ctx)
+	err := f.snapshot(ctx)
+	if err == nil && reread {
+		f.restored.rereads++
+	}
+	return err
 }
 
 // mostFailed is the number of calls for changes that fail in a row before everything is read once instead: what has changed may be
@@ -278,6 +284,10 @@
 // apply brings the view up to date.
 func (f *Follower) apply(u Update, whole bool) {
 	f.reject(u.Bad)
+	f.learn(u)
+	if whole {
+		u.Endpoints = f.reconcile(u.Endpoints)
+	}
 	f.since.At = max(f.since.At, u.At)
 	f.since.ConfigAt = max(f.since.ConfigAt, u.ConfigAt)
 	f.since.OperatorAt = max(f.since.OperatorAt, u.OperatorAt)
@@ -333,7 +343,7 @@
 
 // evacuate puts the operator's orders to evacuate availability zones in force.
 func (f *Follower) evacuate(u Update) {
-	changed, zones := f.history.evacuate(u)
+	changed, zones := f.history.evacuate(u, !f.restored.missing(f.now()))
 	if len(changed) == 0 {
 		return
 	}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -188,3 +188,92 @@
 		})
 	})
 }
+
+func TestFollowerAfterRestoration(t *testing.T) {
+	Convey("A follower of a store that is restored from an older copy", t, func() {
+		now := time.Unix(1000, 0)
+		endpoint := func(id string, draining bool) pool.Endpoint {
+			return pool.Endpoint{ID: id, Service: "s", Addr: id + ":1", Zone: id, Draining: draining}
+		}
+		at := external.Revision
+		src := &script{whole: Update{
+			At: at(1, 100), OperatorAt: at(1, 100), Config: &route.Config{Version: 5}, Evacuated: &evacuation.Set{At: at(1, 100)},
+			Endpoints: []pool.Endpoint{endpoint("stays", false), endpoint("leaves", false), endpoint("ends", false)},
+		}}
+		p := pool.New("z")
+		f := New(src, p, WithNow(func() time.Time { return now }))
+		step := func() { So(f.Step(context.Background()), ShouldBeNil) }
+		ready := func(id string) bool {
+			for _, e := range f.history.endpoints {
+				if e.ID == id {
+					return !e.Draining
+				}
+			}
+			return false
+		}
+		step()
+		src.change = Update{
+			At: at(1, 120), Events: 4, Endpoints: []pool.Endpoint{endpoint("leaves", true), endpoint("new", false)}, Gone: []string{"ends"},
+			OperatorAt: at(1, 120), Evacuations: []evacuation.Order{{Zone: "new", On: true, Revision: at(1, 119)}},
+		}
+		step()
+		f.failed = mostFailed
+		src.whole.At, src.whole.OperatorAt, src.whole.Evacuated = at(2, 90), at(2, 90), &evacuation.Set{At: at(2, 90), Zones: []string{"stays"}}
+		step()
+
+		Convey("lets no record of the copy undo what is known of endpoints", func() {
+			So(ready("stays"), ShouldBeTrue)
+			So(ready("leaves"), ShouldBeFalse)
+			So(ready("ends"), ShouldBeFalse)
+			So(ready("new"), ShouldBeTrue)
+			So(p.Len(), ShouldEqual, 2)
+		})
+
+		Convey("takes what endpoints write anew", func() {
+			src.change = Update{At: at(2, 95), Events: 2, Endpoints: []pool.Endpoint{endpoint("leaves", false), endpoint("ends", false)}}
+			step()
+			So(ready("leaves"), ShouldBeTrue)
+			So(ready("ends"), ShouldBeTrue)
+		})
+
+		Convey("reads everything again once its records are reliable, and then takes what is missing for gone", func() {
+			src.change = Update{At: at(2, 95), Events: 1}
+			before := src.snapshots
+			now = now.Add(returnWait)
+			step()
+			So(src.snapshots, ShouldEqual, before+1)
+			So(ready("new"), ShouldBeFalse)
+			So(ready("leaves"), ShouldBeFalse)
+			So(ready("ends"), ShouldBeFalse)
+			now = now.Add(lapseWait - returnWait)
+			step()
+			So(src.snapshots, ShouldEqual, before+2)
+			So(ready("leaves"), ShouldBeTrue)
+			So(ready("ends"), ShouldBeTrue)
+			now = now.Add(time.Second)
+			step()
+			So(src.snapshots, ShouldEqual, before+2)
+		})
+
+		Convey("keeps the operator's orders that the copy lacks, until the operator has had time to write them again", func() {
+			zones := func() []string { return f.history.evacuated.Zones() }
+			So(zones(), ShouldResemble, []string{"new", "stays"})
+			src.change = Update{At: at(2, 96), OperatorAt: at(2, 96), Events: 1, Evacuations: []evacuation.Order{{Zone: "stays", Revision: at(2, 96)}}}
+			step()
+			So(zones(), ShouldResemble, []string{"new"})
+			src.whole.Evacuated = &evacuation.Set{At: at(2, 97)}
+			now = now.Add(returnWait)
+			step()
+			So(zones(), ShouldBeEmpty)
+		})
+
+		Convey("tells an instance that follows the epoch before everything, and nothing to one that follows a later epoch", func() {
+			u, ok := f.News(Cursor{At: at(1, 120), ConfigAt: at(1, 100)})
+			So(ok, ShouldBeTrue)
+			So(u.Whole, ShouldBeTrue)
+			So(u.At, ShouldEqual, at(2, 90))
+			_, ok = f.News(Cursor{At: at(3, 1)})
+			So(ok, ShouldBeFalse)
+		})
+	})
+}
--- a/internal/follow/history.go
+++ b/internal/follow/history.go
@@ -32,9 +32,12 @@
 	config    *route.Config
 	evacuated evacuation.State
 	heard     time.Time // when all this was the newest
+	removed   removals
 }
 
-func newHistory() *history { return &history{endpoints: make(map[string]pool.Endpoint)} }
+func newHistory() *history {
+	return &history{endpoints: make(map[string]pool.Endpoint), removed: make(removals)}
+}
 
 // add takes an update that leads to a cursor. heard is when the store told it.
 func (h *history) add(u Update, whole bool, at Cursor, heard time.Time) {
@@ -47,11 +50,12 @@
 		h.heard = heard
 	}
 	if whole {
-		h.replace(u.Endpoints, at)
+		h.replace(u.Endpoints, at, heard)
 		return
 	}
 	b := batch{at: at.At, gone: u.Gone}
 	for _, e := range u.Endpoints {
+		delete(h.removed, e.ID)
 		if e.Outdated(h.endpoints[e.ID]) {
 			continue
 		}
@@ -62,6 +66,7 @@
 	}
 	for _, id := range u.Gone {
 		delete(h.endpoints, id)
+		h.removed.add(id, heard)
 	}
 	h.at = at
 	if len(b.endpoints)+len(b.gone) > 0 {
@@ -69,12 +74,17 @@
 	}
 }
 
-// evacuate takes the operator's orders of an update. It returns those that change what holds, and all zones that are evacuated then.
-func (h *history) evacuate(u Update) (changed []evacuation.Order, zones []string) {
+// evacuate takes the operator's orders of an update. It returns those that change what holds, and all zones that are evacuated then. A list that is
+// not to be relied on adds orders only.
+func (h *history) evacuate(u Update, reliable bool) (changed []evacuation.Order, zones []string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if u.Evacuated != nil {
+	switch {
+	case u.Evacuated == nil:
+	case reliable:
 		changed = h.evacuated.Replace(*u.Evacuated)
+	default:
+		changed = h.evacuated.Add(*u.Evacuated)
 	}
 	for _, o := range u.Evacuations {
 		if h.evacuated.Apply(o) {
@@ -85,10 +95,16 @@
 }
 
 // replace takes a list of all endpoints. The caller holds mu.
-func (h *history) replace(list []pool.Endpoint, at Cursor) {
-	clear(h.endpoints)
+func (h *history) replace(list []pool.Endpoint, at Cursor, heard time.Time) {
+	before := h.endpoints
+	h.endpoints = make(map[string]pool.Endpoint, len(list))
 	for _, e := range list {
 		h.endpoints[e.ID] = e
+		delete(before, e.ID)
+		delete(h.removed, e.ID)
+	}
+	for id := range before {
+		h.removed.add(id, heard)
 	}
 	h.at, h.from, h.batches = at, at.At, nil
 }
