fix: grants that a restored store lacks are not handed out twice, and none is stranded

What callers saw: after a second restoration every request on a budgeted route refused, with half of the prepaid tokens used by nobody; what they would see next, once pages were written again: a budget overspent by all that the copy lacks.

Cause: what the store acknowledged was taken for lasting. A page older than the known one was passed over and written in conflict without end (ended with the epoch in revisions); a restored page shows as free what holders have, gives a holder back what it had given away, and does not know those who joined or left since.

Change: the first holder that writes a page in an epoch puts back the newest copy that it knows of the epoch before. Each holder states its rows anew with what it holds. For 2 s no row is raised; later a holder that has not stated its rows counts with as much more as it wanted, and the rows of one that has ended are settled whole. No row is lowered for any of that, so what was granted is spent on. Rows stated before a restoration are not written after it, and receipts for them change nothing.

Left open: what a holder was granted in the last half second before a restoration is known to itself and, in a large fleet, to the one that writes; where these end or stay cut before they have written, only the margin stands for it.

--- a/internal/escrow/copy.go
+++ b/internal/escrow/copy.go
@@ -14,7 +14,8 @@
 func (h *Holder) load(ctx context.Context, p *pageState) error {
 	h.mu.Lock()
 	age := h.now().Sub(p.seen)
-	fresh := p.known && p.unsure < 0 && !p.submitted && (age < freshFor || (p.mine && age < mineFor))
+	fresh := p.known && p.unsure < 0 && !p.submitted && (age < freshFor || (p.mine && age < mineFor)) &&
+		external.EpochOf(p.revision) == h.epochs.Current()
 	h.mu.Unlock()
 	if fresh {
 		return nil
@@ -39,24 +40,37 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, p := range h.pages {
-		if p.key == e.Key && p.joined && e.Revision > p.revision {
+		if p.key == e.Key && p.joined && h.revisionOf(e) > p.revision {
 			_ = h.adopt(p, e)
 		}
 	}
 }
 
+// revisionOf is the revision that an entry stands for: also a page that does not exist is so in an epoch of the store.
+func (h *Holder) revisionOf(e external.Entry) int64 {
+	if e.Revision == 0 {
+		return external.Revision(h.epochs.Current(), 0)
+	}
+	return e.Revision
+}
+
 // adopt takes a newer copy of a page. The caller holds mu.
 func (h *Holder) adopt(p *pageState, e external.Entry) error {
-	if p.known && e.Revision < p.revision {
+	revision := h.revisionOf(e)
+	if p.known && revision < p.revision {
 		return nil
 	}
 	page, err := DecodePage(e.Data)
 	if err != nil {
 		return err
 	}
-	p.raw, p.revision, p.known, p.seen, p.mine = e.Data, e.Revision, true, h.now(), false
+	p.keepLost(revision)
+	p.raw, p.revision, p.known, p.seen, p.mine = e.Data, revision, true, h.now(), false
+	if page, _, err = p.basis(page); err != nil {
+		return err
+	}
 	report, present := page.Holders[h.id]
-	settled := p.settles(e.Revision, report, present)
+	settled := !h.restates(p) && p.settles(revision, report, present)
 	if settled {
 		p.unsure, p.submitted, p.count = -1, false, report.Count
 	}
--- a/internal/escrow/fleet.go
+++ b/internal/escrow/fleet.go
@@ -92,7 +92,8 @@
 	Holders int             `cbor:"5,keyasint,omitempty"`
 	Rate    float64         `cbor:"6,keyasint,omitempty"` // tokens a second that all holders use of all customers
 	// Unsettled: rows of the node's earlier holders are left
-	Unsettled bool `cbor:"7,keyasint,omitempty"`
+	Unsettled bool  `cbor:"7,keyasint,omitempty"`
+	Epoch     int64 `cbor:"8,keyasint,omitempty"` // of the store, when the page was written; 0: it names none
 }
 
 // Held is how one customer's account stands for a holder.
--- a/internal/escrow/granting.go
+++ b/internal/escrow/granting.go
@@ -3,12 +3,17 @@
 // sums are what the rows of an account add up to, in tokens.
 type sums struct {
 	spent, granted, want int64
+	margin               int64 // see Page.margin
 }
 
-func (s sums) add(r Row) sums { return sums{s.spent + r.Spent, s.granted + r.Granted, s.want + r.Want} }
+func (s sums) add(r Row) sums {
+	s.spent, s.granted, s.want = s.spent+r.Spent, s.granted+r.Granted, s.want+r.Want
+	return s
+}
 
 func (s sums) minus(r Row) sums {
-	return sums{s.spent - r.Spent, s.granted - r.Granted, s.want - r.Want}
+	s.spent, s.granted, s.want = s.spent-r.Spent, s.granted-r.Granted, s.want-r.Want
+	return s
 }
 
 // sums adds up the rows.
@@ -24,6 +29,7 @@
 // made anew for each holder, and take the writer of a large fleet most of its processor time.
 type granting struct {
 	page    *Page
+	frozen  bool            // no row is raised
 	sums    map[string]sums // by customer
 	holders map[string]int  // by node
 }
@@ -57,6 +63,9 @@
 	if old, ok := g.page.Holders[holder]; ok {
 		g.holders[old.Node]--
 	}
+	if g.page.doubtful(holder) {
+		clear(g.sums)
+	}
 	g.holders[r.Node]++
 	g.page.Holders[holder] = r
 }
@@ -75,6 +84,7 @@
 	s, ok := g.sums[customer]
 	if !ok {
 		s = a.sums()
+		s.margin = g.page.margin(a)
 		g.sums[customer] = s
 	}
 	return s
@@ -86,14 +96,23 @@
 	a := g.page.account(customer)
 	old := a.Rows[holder]
 	others := g.of(customer, a).minus(old)
-	row, target = a.set(holder, n, prepaid, others)
+	row, target = a.set(holder, n, prepaid, others, g.limit(old, prepaid-a.Settled-others.granted, others.margin))
 	g.sums[customer] = others.add(row)
 	return row, target
 }
 
+// limit is what a row may reach, of what no other row holds. After a restoration it is raised no further than the margin allows, but never lowered
+// for that.
+func (g *granting) limit(old Row, free, margin int64) int64 {
+	if g.frozen || free-margin < old.Granted {
+		return min(free, old.Granted)
+	}
+	return free - margin
+}
+
 // rest is what nobody has spent of a customer's prepaid amount, and free what nobody may spend of it.
 func (g *granting) rest(customer string, prepaid int64) (rest, free int64) {
 	a := g.page.account(customer)
 	s := g.of(customer, a)
-	return prepaid - a.Settled - s.spent, prepaid - a.Settled - s.granted
+	return prepaid - a.Settled - s.spent, prepaid - a.Settled - s.granted - s.margin
 }
--- a/internal/escrow/group.go
+++ b/internal/escrow/group.go
@@ -71,6 +71,11 @@
 }
 
 func (h *Holder) enqueue(s Submission) []*pending {
+	for _, part := range s.Parts {
+		if part.Report.Epoch > 0 {
+			_ = h.epochs.Observe(part.Report.Epoch, 0) // a part of an earlier one is not written, and its receipt says why
+		}
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.now()
@@ -166,9 +171,8 @@
 
 // apply puts one part into a page, unless the holder's row there is not the one that the part follows. The caller holds mu.
 func (h *Holder) apply(x *pending, g *granting) PartReceipt {
-	before, present := g.page.Holders[x.holder]
 	targets := make(map[string]int64, len(x.part.Rows))
-	if before.Count+1 == x.part.Report.Count && (present || before.Count == 0) {
+	if g.page.follows(x.holder, x.part.Report) {
 		h.grantAll(x, g, targets)
 	}
 	return h.receipt(x, g, targets)
@@ -197,7 +201,7 @@
 	report, present := page.Holders[x.holder]
 	r := PartReceipt{
 		Page: x.part.Page, Present: present, Unsettled: g.unsettled(x.holder, x.part.Report.Node), Report: report, Holders: len(page.Holders), Rate: h.all.rate(),
-		Rows: make(map[string]Held, len(x.part.Rows)),
+		Epoch: page.Epoch, Rows: make(map[string]Held, len(x.part.Rows)),
 	}
 	for name := range x.part.Rows {
 		a, acc := h.accounts[name], page.Accounts[name]
--- a/internal/escrow/group_test.go
+++ b/internal/escrow/group_test.go
@@ -107,7 +107,7 @@
 		Convey("is told that its rows are gone, and spends nothing more", func() {
 			entry, _, _ := w.store.Read(context.Background(), h.pageOf(north).key)
 			p, _ := DecodePage(entry.Data)
-			p.Leave(h.id, nil)
+			p.Leave(h.id, nil, false)
 			raw, _ := p.Encode()
 			w.store.Put(h.pageOf(north).key, raw)
 			w.use(member, north, 10)
--- a/internal/escrow/holder.go
+++ b/internal/escrow/holder.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -75,6 +76,8 @@
 	log    zerolog.Logger
 
 	onFolded func(Folded)
+	epochs   *external.Epochs
+	restored atomic.Pointer[time.Time] // when the store's last restoration was learnt; nil: it was not restored
 
 	mu       sync.Mutex
 	accounts map[string]*account
@@ -113,6 +116,8 @@
 	submitted bool
 	pending   []*pending // rows of others
 	joined    bool       // this holder is in it
+	epoch     int64      // of the store, in which this holder last stated its rows
+	lost      lostCopy
 	// unsettled: rows of this node's earlier processes are left
 	unsettled bool
 	drawn     time.Time
@@ -148,6 +153,9 @@
 // OnFolded is told of each earlier holder whose grants are settled; it must not call the Holder.
 func OnFolded(f func(Folded)) Option { return func(h *Holder) { h.onFolded = f } }
 
+// WithEpochs sets what knows the store's epoch.
+func WithEpochs(e *external.Epochs) Option { return func(h *Holder) { h.epochs = e } }
+
 // WithLogger sets the logger.
 func WithLogger(log zerolog.Logger) Option { return func(h *Holder) { h.log = log } }
 
@@ -155,7 +163,7 @@
 func New(store external.KV, prefix string, pages int, node, id string, opts ...Option) *Holder {
 	h := &Holder{
 		id: id, node: node, store: store, clock: MachineClock(), now: time.Now, wall: time.Now, random: rand.Float64,
-		policy: DefaultPolicy(), times: DefaultTimes(), log: zerolog.Nop(), onFolded: func(Folded) {},
+		policy: DefaultPolicy(), times: DefaultTimes(), log: zerolog.Nop(), onFolded: func(Folded) {}, epochs: external.NewEpochs(),
 		accounts: make(map[string]*account), changed: make(chan struct{}), kicks: make(chan struct{}, 1),
 		asked: make(map[string]asked), loans: make(map[loanKey]lent), returned: make(map[loanKey]time.Time),
 		owed: make(map[string]map[int64]int64), unpaid: make(map[string]time.Time),
@@ -167,6 +175,7 @@
 		opt(h)
 	}
 	h.begun = h.report(h.clock.Now()+time.Millisecond-1, 0) // rounded up: an earlier process may have spent until then
+	h.epochs.OnRestored(h.restoredStore)
 	return h
 }
 
--- a/internal/escrow/leave.go
+++ b/internal/escrow/leave.go
@@ -36,20 +36,27 @@
 	}
 	h.mu.Lock()
 	page, err := DecodePage(p.raw)
+	if err == nil {
+		page, _, err = p.basis(page)
+	}
 	if err != nil {
 		h.mu.Unlock()
 		return err
 	}
-	if _, held := page.Holders[h.id]; !held {
+	restates := h.restates(p)
+	if _, held := page.Holders[h.id]; !held && !restates {
 		h.mu.Unlock()
 		return nil
 	}
+	page.enter(h.epochs.Current(), h.wall(), p.joined)
 	spent := make(map[string]int64, len(h.accounts))
 	for name, a := range h.accounts {
-		spent[name] = a.used()
-		a.unsure = append(a.unsure, issued{})
+		if h.pageOf(name) == p {
+			spent[name] = a.used()
+			a.unsure = append(a.unsure, issued{})
+		}
 	}
-	page.Leave(h.id, spent)
+	page.Leave(h.id, spent, restates)
 	raw, err := page.Encode()
 	p.unsure = p.revision
 	w := write{to: p, raw: raw, page: page, base: p.revision}
--- a/internal/escrow/page.go
+++ b/internal/escrow/page.go
@@ -63,12 +63,17 @@
 	Fleet int64 `cbor:"6,keyasint,omitempty"`
 	// Later says, of a successor's start, that Fleet will be known soon.
 	Later bool `cbor:"7,keyasint,omitempty"`
+	// Epoch is the store's epoch as the holder knew it when it stated its rows; 0: the store names none.
+	Epoch int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Page holds the accounts of some customers in one value of the store.
 type Page struct {
 	Accounts map[string]*Account `cbor:"1,keyasint,omitempty"`
 	Holders  map[string]Report   `cbor:"2,keyasint,omitempty"`
+	Epoch    int64               `cbor:"3,keyasint,omitempty"` // of the store, when the page was last written; 0: it named none
+	Restored int64               `cbor:"4,keyasint,omitempty"` // the first epoch of the store after its last restoration; 0: there was none
+	Since    int64               `cbor:"5,keyasint,omitempty"` // time of day, ms, of the page's first write in that epoch
 
 	unknown compat.Unknown // what a later build has put there
 }
@@ -182,7 +187,7 @@
 }
 
 func (p *Page) fold(id string, begun Report) Folded {
-	f := Folded{Holder: id}
+	f, doubtful := Folded{Holder: id}, p.doubtful(id)
 	f.Age, f.Known = ageOf(p.Holders[id], begun)
 	for _, a := range p.Accounts {
 		row, ok := a.Rows[id]
@@ -190,7 +195,7 @@
 			continue
 		}
 		spent := row.Granted
-		if f.Known {
+		if f.Known && !doubtful {
 			spent = row.Ceiling(f.Age)
 		}
 		f.Spent += row.Spent
@@ -237,15 +242,24 @@
 	return then.Boot != "" && then.Boot == now.Boot && steady >= 0 && -ClockError < off && off < ClockError
 }
 
-// Leave settles what a holder has spent and gives the rest back. The holder spends nothing afterwards.
-func (p *Page) Leave(holder string, spent map[string]int64) {
+// Leave settles what a holder has spent and gives the rest back. The holder spends nothing afterwards. Where the page may lack the holder's last
+// rows, what it has spent counts whatever its rows are.
+func (p *Page) Leave(holder string, spent map[string]int64, lacking bool) {
 	for customer, a := range p.Accounts {
 		row, ok := a.Rows[holder]
 		if !ok {
 			continue
 		}
-		a.Settled += min(row.Granted, spent[customer])
+		if !lacking {
+			a.Settled += min(row.Granted, spent[customer])
+		}
 		delete(a.Rows, holder)
 	}
 	delete(p.Holders, holder)
+	if !lacking {
+		return
+	}
+	for customer, n := range spent {
+		p.account(customer).Settled += n
+	}
 }
--- a/internal/escrow/property_test.go
+++ b/internal/escrow/property_test.go
@@ -51,6 +51,13 @@
 	return g.KV.Read(ctx, key)
 }
 
+func (g *gate) ReadAll(ctx context.Context, prefix string) ([]external.Entry, int64, error) {
+	if g.cut {
+		return nil, 0, external.ErrUnavailable
+	}
+	return g.KV.ReadAll(ctx, prefix)
+}
+
 func (g *gate) Commit(ctx context.Context, c external.Commit) (int64, error) {
 	if g.cut {
 		return 0, external.ErrUnavailable
@@ -170,6 +177,8 @@
 	name   string
 	clock  *simClock
 	gate   *gate
+	kv     external.KV // through the gate
+	epochs *external.Epochs
 	link   int
 	role   Role
 	timed  bool // the fleet's time is known
@@ -196,6 +205,7 @@
 	nodes   []*simNode
 	spent   map[string]int64
 	prepaid map[string]int64
+	ended   int64 // the store's revision when a holder last ended, or the store was last restored
 }
 
 // leaderOf is the node that a node hands its rows to.
@@ -216,7 +226,7 @@
 		w.prepaid[c] = propertyPrepaid
 	}
 	for i := range propertyNodes {
-		n := &simNode{name: fmt.Sprintf("node-%d", i), gate: &gate{KV: w.store}}
+		n := &simNode{name: fmt.Sprintf("node-%d", i), gate: &gate{KV: w.store.Versioned()}}
 		n.clock = &simClock{world: w, base: time.Duration(i) * 1000 * time.Hour, boot: "one"}
 		w.nodes = append(w.nodes, n)
 		w.start(n)
@@ -227,11 +237,14 @@
 func (w *world) start(n *simNode) {
 	n.starts++
 	n.open = nil
+	w.ended = w.store.Number()
 	now := func() time.Time { return time.Unix(1_000_000, 0).Add(w.elapsed + n.step) }
 	times := DefaultTimes()
 	times.Gather, times.Group, times.Relayed = 0, 0, 0 // time stands still while rows are handed on
-	n.holder = New(n.gate, propertyPrefix, 2, n.name, fmt.Sprintf("%s/%d", n.name, n.starts), WithClock(n.clock), WithNow(now), WithWall(now),
-		WithFleet(&simFleet{world: w, node: n}), WithPolicy(w.policy), WithTimes(times))
+	n.epochs = external.NewEpochs(external.WithEpochClock(now))
+	n.kv = external.Fence(n.gate, "", n.epochs)
+	n.holder = New(n.kv, propertyPrefix, 2, n.name, fmt.Sprintf("%s/%d", n.name, n.starts), WithClock(n.clock), WithNow(now), WithWall(now),
+		WithEpochs(n.epochs), WithFleet(&simFleet{world: w, node: n}), WithPolicy(w.policy), WithTimes(times))
 	w.tell(n)
 }
 
@@ -396,7 +409,7 @@
 
 // observe shows a node the pages as they are.
 func (w *world) observe(n *simNode) {
-	entries, _, err := n.gate.ReadAll(context.Background(), propertyPrefix)
+	entries, _, err := n.kv.ReadAll(context.Background(), propertyPrefix)
 	if err != nil {
 		return
 	}
@@ -405,13 +418,193 @@
 	}
 }
 
-// leave is a planned stop and a new start.
-func (w *world) leave(n *simNode) {
+// leave is a planned stop and a new start. It says whether everything was given back.
+func (w *world) leave(n *simNode) bool {
 	w.die(n)
+	all := true
 	for _, p := range n.holder.pages {
 		if n.holder.leaveOnce(context.Background(), p) != nil {
+			all = false
 			break
 		}
 	}
 	w.start(n)
+	return all
+}
+
+// mostBack is the number of revisions that a restoration goes back at most.
+const mostBack = 40
+
+// restore restores the store from a copy, as far back as it may be. Instances that reach the store know its pages as they were, and one of them lives to
+// write them once.
+func (w *world) restore(t *rapid.T) {
+	var reach []*simNode
+	for _, n := range w.nodes {
+		if n.gate.cut || !n.holder.Ready() {
+			continue
+		}
+		w.observe(n)
+		reach = append(reach, n)
+	}
+	if len(reach) == 0 {
+		return
+	}
+	w.store.SetLose(false)
+	w.store.SetLate(false)
+	number := w.store.Number()
+	w.store.RestoreTo(rapid.Int64Range(max(0, number-mostBack), number).Draw(t, "restored to"))
+	first := reach[rapid.IntRange(0, len(reach)-1).Draw(t, "first")]
+	link, heads := first.link, first.heads
+	first.link, first.heads = linkNone, false
+	for range 3 { // the first write may meet the new epoch unawares
+		w.draw(first)
+	}
+	first.link, first.heads = link, heads
+	for _, p := range first.holder.pages {
+		if p.epoch != w.store.Epoch() {
+			t.Fatalf("%s was not written in epoch %d", p.key, w.store.Epoch())
+		}
+	}
+	w.ended = w.store.Number()
+}
+
+// restoreUnknown restores the store from a copy while no instance knows its pages as they were, but each its own rows. All holders that have written
+// since the copy live, hear of the restoration, and state their rows within the time that they have for it, some of them several times.
+func (w *world) restoreUnknown(t *rapid.T) {
+	w.store.SetLose(false)
+	w.store.SetLate(false)
+	for _, n := range w.nodes {
+		n.gate.cut, n.link, n.heads = false, linkNone, false
+		for range 3 {
+			w.draw(n)
+		}
+		for _, p := range n.holder.pages {
+			p.raw, p.known, p.lost = nil, false, lostCopy{}
+		}
+	}
+	number := w.store.Number()
+	w.store.RestoreTo(rapid.Int64Range(max(0, number-mostBack, w.ended), number).Draw(t, "restored to"))
+	for _, n := range w.nodes {
+		_ = n.epochs.Observe(w.store.Epoch(), 0)
+	}
+	const draws = 8
+	step := restateWait / (draws + propertyNodes + 1)
+	for range draws {
+		n := w.nodes[rapid.IntRange(0, propertyNodes-1).Draw(t, "early")]
+		w.elapsed += step
+		w.reserve(n, propertyCustomers[0], rapid.Int64Range(1, 9_000).Draw(t, "most"))
+		w.draw(n)
+	}
+	for _, n := range w.nodes {
+		w.elapsed += step
+		w.draw(n)
+	}
+	w.ended = w.store.Number()
+}
+
+// TestNothingIsOverspentRestored adds restorations of the store, several in a row, beside late writes of epochs before, cuts, losses of power, stops
+// and suspensions.
+func TestNothingIsOverspentRestored(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		policy := DefaultPolicy()
+		policy.Start = rapid.SampledFrom([]float64{policy.Start, 1, 3}).Draw(t, "start")
+		w := newWorld(policy)
+		w.store.SetEpoch(1)
+		for range propertySteps {
+			n := w.nodes[rapid.IntRange(0, propertyNodes-1).Draw(t, "node")]
+			if action := rapid.IntRange(0, 26).Draw(t, "action"); action > 23 {
+				w.restore(t)
+			} else {
+				w.act(t, n, action)
+			}
+			w.check(t)
+		}
+	})
+}
+
+// takeTurns lets all nodes in turn ask for a request's tokens and spend all that they get, until nothing more has come for some rounds.
+func (w *world) takeTurns(quiet int) {
+	const request = 1_000
+	customer := propertyCustomers[0]
+	for idle := 0; idle < quiet; idle++ {
+		before := w.spent[customer]
+		for _, n := range w.nodes {
+			n.gate.cut, n.link = false, linkNone
+			w.elapsed += time.Second
+			w.reserve(n, customer, request) // a draw brings what it waits for
+			w.draw(n)
+			w.burn(n, customer)
+		}
+		if quiet > 1 && w.spent[customer] > before {
+			idle = -1
+		}
+	}
+}
+
+// TestBudgetIsUsedRestored lets holders draw, use a little, stop and start between restorations, and spend all that they can get at the end: nothing
+// of that is overspent, and where no holder was lost nearly all is used.
+func TestBudgetIsUsedRestored(t *testing.T) {
+	const (
+		rounds = 4
+		moves  = 8
+		used   = 0.9
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(DefaultPolicy())
+		w.store.SetEpoch(1)
+		lost := false
+		move := func() {
+			n := w.nodes[rapid.IntRange(0, propertyNodes-1).Draw(t, "node")]
+			customer := propertyCustomers[0]
+			switch rapid.IntRange(0, 13).Draw(t, "move") {
+			case 0, 1, 2, 3:
+				w.elapsed += time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond
+				w.draw(n)
+			case 4, 5, 6:
+				w.reserve(n, customer, rapid.Int64Range(1, 3_000).Draw(t, "most"))
+			case 7:
+				w.settle(n, rapid.Int64Range(0, 3_000).Draw(t, "used"))
+			case 8:
+				lost = !w.leave(n) || lost
+			case 9:
+				w.die(n)
+				w.start(n)
+				lost = true
+			case 10:
+				n.gate.cut = !n.gate.cut
+			case 11:
+				n.link = rapid.IntRange(linkNone, linkModes-1).Draw(t, "link")
+				lost = lost || n.link == linkLate // rows may be written once their holder has stopped
+			case 12:
+				w.store.SetLate(rapid.Bool().Draw(t, "late"))
+			case 13:
+				w.burn(n, customer)
+			}
+		}
+		for range rounds {
+			for w.spent[propertyCustomers[0]] < rapid.Int64Range(0, propertyPrepaid*9/10).Draw(t, "used before") {
+				w.takeTurns(1)
+			}
+			for range moves {
+				move()
+			}
+			if rapid.Bool().Draw(t, "known") {
+				w.restore(t)
+			} else {
+				w.restoreUnknown(t)
+			}
+			for range moves / 2 {
+				move()
+			}
+		}
+		w.store.SetLate(false)
+		w.store.Release()
+		w.takeTurns(4)
+		w.check(t)
+		for c, spent := range w.spent {
+			if !lost && float64(spent) < used*float64(w.prepaid[c]) {
+				t.Fatalf("customer %s has spent %d of %d", c, spent, w.prepaid[c])
+			}
+		}
+	})
 }
--- a/internal/escrow/report.go
+++ b/internal/escrow/report.go
@@ -8,7 +8,7 @@
 // report is what this holder says of itself with a write.
 func (h *Holder) report(now time.Duration, count int64) Report {
 	low, _ := h.fleetTime()
-	return Report{Node: h.node, Boot: h.clock.Boot(), Clock: now.Milliseconds(), Wall: h.wall().UnixMilli(), Count: count, Fleet: low}
+	return Report{Node: h.node, Boot: h.clock.Boot(), Clock: now.Milliseconds(), Wall: h.wall().UnixMilli(), Count: count, Fleet: low, Epoch: h.epochs.Current()}
 }
 
 // fleetTime bounds the fleet's time of day in ms; 0 while it is not known.
--- /dev/null
+++ b/internal/escrow/restore.go
@@ -0,0 +1,120 @@
+package escrow
+
+import (
+	"time"
+
+	"github.com/ledgemount/ledgemount/internal/external"
+)
+
+// A store that was restored from an older copy lacks the last rows that it had acknowledged: grants that were raised, and spent, holders that had
+// joined, and what holders that had left had given back. To hand out what the copy shows as free would overspend.
+//
+// So the first holder that writes a page in the new epoch puts back the newest copy that it knows. Each holder then states its rows anew, with what it
+// holds. Nothing is granted beyond what holders have until they had time for that; after it, a holder that has not done so counts with what its rows
+// show and as much again as it wanted. The rows of one that has ended are settled whole.
+
+// restateWait is how long holders have for stating their rows anew after a restoration.
+const restateWait = 2 * time.Second
+
+// lostCopy is the newest copy of a page that is known of an epoch of the store that is over.
+type lostCopy struct {
+	raw      []byte // nil: none
+	revision int64
+}
+
+// enter notes that the page is written in an epoch. lived says that its writer held rows in it before. It returns whether the store was restored
+// since the page was last written.
+func (p *Page) enter(epoch int64, wall time.Time, lived bool) bool {
+	if epoch <= p.Epoch {
+		return false
+	}
+	restored := p.Epoch > 0 || lived
+	if restored {
+		p.Restored, p.Since = epoch, wall.UnixMilli()
+	}
+	p.Epoch = epoch
+	return restored
+}
+
+// doubtful says whether a holder has not stated its rows since the store was restored: it may have more than they show.
+func (p *Page) doubtful(holder string) bool { return p.Holders[holder].Epoch < p.Restored }
+
+// doubtfuls counts the holders that have not stated their rows since the store was restored.
+func (p *Page) doubtfuls() int {
+	n := 0
+	for id := range p.Holders {
+		if p.doubtful(id) {
+			n++
+		}
+	}
+	return n
+}
+
+// margin is what doubtful holders may have of an account beyond their rows.
+func (p *Page) margin(a *Account) int64 {
+	if p.Restored == 0 {
+		return 0
+	}
+	total := int64(0)
+	for id, r := range a.Rows {
+		if p.doubtful(id) {
+			total += r.Want
+		}
+	}
+	return total
+}
+
+// follows says whether a part is the one that comes after what a page has of its holder: the next one, or the first since a restoration, which may
+// have lost several.
+func (p *Page) follows(holder string, r Report) bool {
+	before, present := p.Holders[holder]
+	switch {
+	case r.Epoch < p.Restored:
+		return false
+	case p.Restored > 0 && before.Epoch < p.Restored:
+		return r.Count > before.Count
+	}
+	return before.Count+1 == r.Count && (present || before.Count == 0)
+}
+
+// basis is what the next write of a page stands on: the page as the store has it, or, where nothing was written since a restoration, the newest copy
+// that is known.
+func (p *pageState) basis(page *Page) (*Page, bool, error) {
+	if p.lost.raw == nil {
+		return page, false, nil
+	}
+	if page.Epoch > external.EpochOf(p.lost.revision) || external.NumberOf(p.revision) >= external.NumberOf(p.lost.revision) {
+		return page, false, nil
+	}
+	page, err := DecodePage(p.lost.raw)
+	return page, true, err
+}
+
+// keepLost keeps the copy that is known of a page before one of a later epoch takes its place.
+func (p *pageState) keepLost(next int64) {
+	if len(p.raw) > 0 && external.EpochOf(next) > external.EpochOf(p.revision) && p.revision > p.lost.revision {
+		p.lost = lostCopy{raw: p.raw, revision: p.revision}
+	}
+}
+
+// restates says whether this holder has yet to state its rows in the store's epoch.
+func (h *Holder) restates(p *pageState) bool { return p.joined && p.epoch < h.epochs.Current() }
+
+// frozen says whether nothing is to be granted on a page beyond what holders have. The caller holds mu.
+func (h *Holder) frozen(page *Page) bool {
+	if page.Restored == 0 || page.Restored < h.epochs.Current() {
+		return false
+	}
+	if learnt := h.restored.Load(); learnt != nil {
+		return h.now().Sub(*learnt) < restateWait
+	}
+	since := h.wall().Sub(time.UnixMilli(page.Since))
+	return since >= 0 && since < restateWait
+}
+
+// restoredStore notes that the store was restored. It is called while the Epochs is locked.
+func (h *Holder) restoredStore(external.Restoration) {
+	now := h.now()
+	h.restored.Store(&now)
+	h.kick()
+}
--- a/internal/escrow/sizing.go
+++ b/internal/escrow/sizing.go
@@ -101,14 +101,15 @@
 // A holder gets what it wants while mostOut of the unspent rest covers what all want, else its part of that. What it holds beyond
 // that goes back. A row never falls below what is spent already.
 func (a *Account) Grant(holder string, n Need, prepaid int64) Row {
-	row, _ := a.set(holder, n, prepaid, a.sums().minus(a.Rows[holder]))
+	others := a.sums().minus(a.Rows[holder])
+	row, _ := a.set(holder, n, prepaid, others, prepaid-a.Settled-others.granted)
 	return row
 }
 
-// set is Grant where the sums of all other rows are known; target is what the holder should have unspent.
-func (a *Account) set(holder string, n Need, prepaid int64, others sums) (row Row, target int64) {
+// set is Grant where the sums of all other rows are known, and free, which the row may reach, counted from the holder's start; target is what the
+// holder should have unspent.
+func (a *Account) set(holder string, n Need, prepaid int64, others sums, free int64) (row Row, target int64) {
 	row = Row{Spent: n.Spent, Want: n.Want, Burst: n.Burst, Rate: n.Rate}
-	free := prepaid - a.Settled - others.granted // what the row may reach, counted from the holder's start
 	target = a.share(n, prepaid, others)
 	row.Granted = max(n.Spent, n.Keep, min(n.Spent+max(target, n.Urgent), free))
 	if row == (Row{}) {
--- a/internal/escrow/submit.go
+++ b/internal/escrow/submit.go
@@ -29,7 +29,7 @@
 	case err == nil:
 		h.heard()
 		for _, r := range receipt.Parts {
-			h.received(r)
+			h.received(r, s.epoch(r.Page))
 		}
 		close(h.changed)
 		h.changed = make(chan struct{})
@@ -71,7 +71,7 @@
 func (h *Holder) part(i int, p *pageState) Part {
 	now := h.clock.Now()
 	part := Part{Page: i, Report: h.report(now, p.count+1), Rows: make(map[string]Need)}
-	if !p.joined || p.unsettled {
+	if !p.joined || p.unsettled || h.restates(p) {
 		part.Begun = h.start()
 	}
 	for name, a := range h.accounts {
@@ -100,12 +100,25 @@
 	return min(held, n.Spent+max(a.target, n.Urgent))
 }
 
-// received takes a leader's receipt for a page. The caller holds mu.
-func (h *Holder) received(r PartReceipt) {
+// epoch is the store's epoch in which a submission's part for a page was made.
+func (s Submission) epoch(page int) int64 {
+	for _, p := range s.Parts {
+		if p.Page == page {
+			return p.Report.Epoch
+		}
+	}
+	return 0
+}
+
+// received takes a leader's receipt for a page, for a part that was made in an epoch of the store. The caller holds mu.
+func (h *Holder) received(r PartReceipt, epoch int64) {
 	if r.Page < 0 || r.Page >= len(h.pages) {
 		return
 	}
 	p := h.pages[r.Page]
+	if !h.present(r, epoch) {
+		return
+	}
 	if r.Present && r.Report.Count <= p.count {
 		return // an older word than the one that is known
 	}
@@ -113,7 +126,7 @@
 		return
 	}
 	p.count, p.submitted, p.unsure = r.Report.Count, false, -1
-	p.joined, p.unsettled, p.known, p.drawn = true, r.Unsettled, false, h.now()
+	p.joined, p.unsettled, p.known, p.drawn, p.epoch = true, r.Unsettled, false, h.now(), h.epochs.Current()
 	h.holders, h.toldRate = r.Holders, r.Rate
 	for name, a := range h.accounts {
 		if h.pageOf(name) != p {
@@ -131,6 +144,15 @@
 	}
 }
 
+// present says whether a receipt is of the store's present epoch, in which the part was made too. Else it tells nothing of this holder's rows. The
+// caller holds mu.
+func (h *Holder) present(r PartReceipt, epoch int64) bool {
+	if r.Epoch == 0 { // of a build, or a store, that names none
+		return !h.epochs.Restored()
+	}
+	return h.epochs.Observe(r.Epoch, 0) == nil && r.Epoch == epoch
+}
+
 // withdrawn takes back a part that no leader has seen. The caller holds mu.
 func (h *Holder) withdrawn(part Part) {
 	p := h.pages[part.Page]
--- a/internal/escrow/write.go
+++ b/internal/escrow/write.go
@@ -29,6 +29,8 @@
 	folded []Folded
 	// unsettled: it leaves rows of this node's earlier holders
 	unsettled bool
+	restored  bool // it is the page's first one since the store was restored
+	putBack   bool // and puts back a copy that this holder knew
 }
 
 // write writes all pages of a list, or none.
@@ -37,7 +39,7 @@
 	defer cancel()
 	var c external.Commit
 	for _, w := range list {
-		c.When = append(c.When, external.Condition{Key: w.to.key, Revision: w.base})
+		c.When = append(c.When, external.Condition{Key: w.to.key, Revision: external.KeyRevision(external.EpochOf(w.base), external.NumberOf(w.base))})
 		c.Put = append(c.Put, external.Entry{Key: w.to.key, Data: w.raw})
 	}
 	revision, err := h.store.Commit(ctx, c)
@@ -52,10 +54,16 @@
 	if err != nil {
 		return write{}, err
 	}
-	report := h.report(h.clock.Now(), page.Holders[h.id].Count+1)
+	page, putBack, err := p.basis(page)
+	if err != nil {
+		return write{}, err
+	}
+	report := h.report(h.clock.Now(), max(p.count, page.Holders[h.id].Count)+1)
+	restored, restates := page.enter(report.Epoch, h.wall(), p.joined), h.restates(p)
 	var folded []Folded
 	g := newGranting(page)
-	if !p.joined || p.unsettled {
+	g.frozen = h.frozen(page)
+	if !p.joined || p.unsettled || restates {
 		folded = g.fold(h.id, h.start())
 	}
 	g.report(h.id, report)
@@ -64,7 +72,11 @@
 		if h.pageOf(name) != p || a.prepaid < 0 {
 			continue
 		}
-		row, _ := g.grant(name, h.id, h.need(name, a, len(page.Holders)), a.prepaid)
+		need := h.need(name, a, len(page.Holders))
+		if restates {
+			need.Keep = a.keep(need)
+		}
+		row, _ := g.grant(name, h.id, need, a.prepaid)
 		rest, free := g.rest(name, a.prepaid)
 		rows[name] = issued{
 			row: row, clock: time.Duration(report.Clock) * time.Millisecond, rest: rest, free: free, unproven: page.Accounts[name].Unproven,
@@ -76,7 +88,7 @@
 	raw, err := page.Encode()
 	return write{
 		to: p, raw: raw, page: page, base: p.revision, count: report.Count, rows: rows, others: others, folded: folded,
-		unsettled: g.unsettled(h.id, h.node),
+		unsettled: g.unsettled(h.id, h.node), restored: restored, putBack: restored && putBack,
 	}, err
 }
 
@@ -115,7 +127,8 @@
 		h.observeAll(p, w.page)
 	}
 	p.known, p.unsure, p.joined, p.drawn, p.seen = true, -1, true, h.now(), h.now()
-	p.count, p.submitted, p.unsettled = w.count, false, w.unsettled
+	p.count, p.submitted, p.unsettled, p.epoch = w.count, false, w.unsettled, external.EpochOf(revision)
+	h.logRestored(w)
 	h.tellFolded(w.folded, p.key)
 	for _, x := range w.others {
 		h.tellFolded(x.folded, p.key)
@@ -133,6 +146,14 @@
 	}
 }
 
+// logRestored tells that a page was written for the first time since the store was restored.
+func (h *Holder) logRestored(w write) {
+	if w.restored {
+		h.log.Info().Str("event", "escrow_restored").Str("page", w.to.key).Int64("epoch", w.page.Epoch).Bool("put_back", w.putBack).
+			Int("holders", len(w.page.Holders)).Int("doubtful", w.page.doubtfuls()).Msg("the store was restored: a budget page is written anew")
+	}
+}
+
 // undone takes back rows that were not written. Earlier writes of unknown outcome stay. The caller holds mu.
 func (h *Holder) undone(p *pageState, rows map[string]issued) {
 	left := false
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -132,6 +132,7 @@
 	set := r.set
 	r.escrow = escrow.New(on.Store, set.Store.Prefix+escrowPrefix, set.Store.pages(), set.Instance.ID, id,
 		escrow.WithLogger(r.log), escrow.WithNow(r.boot.Now), escrow.OnFolded(r.metrics.folded), escrow.WithPolicy(set.escrowPolicy()),
+		escrow.WithEpochs(on.Epochs),
 		escrow.WithFleet(remote.New(r.peers, r.clock, set.fleetOptions()...)))
 	remote.Serve(links, r.escrow)
 }
