fix: instances and the fleet's authority that a restored store lacks are written again, and stay known

What callers would see: an instance that has started within seconds before a restoration is unknown to all others until it starts again: it lends nothing, is told nothing and reads the store by itself; a fleet that has just started may end up with two authorities, whose halves do not accept each other.

Cause: a record is written once, an authority for ever, and both were taken for lasting. Change: after a restoration an instance writes its record again (or takes it back, if it stops) unless it is older than any copy; for 6 s instances whose records are missing stay known; the authority is put back where the copy lacks it, and where another has been made meanwhile the links are opened anew with that. In a large fleet these calls are spread over 2 s.

Evidence: TestRecordsAfterRestoration, TestAuthorityAfterRestoration; without the change the directory knows itself only, and nothing writes the records.

--- a/internal/external/epoch.go
+++ b/internal/external/epoch.go
@@ -34,6 +34,9 @@
 // NumberOf is a revision's number within its epoch.
 func NumberOf(revision int64) int64 { return revision & (1<<numberBits - 1) }
 
+// CopyAge is more than the age of any copy that a store is restored from: what was written longer ago is in it.
+const CopyAge = 30 * time.Second
+
 // ErrEarlierEpoch says that an answer is of an epoch before the one that is known. It matches ErrUnavailable.
 var ErrEarlierEpoch = fmt.Errorf("%w: its answer is of an earlier epoch", ErrUnavailable)
 
--- a/internal/follow/restoration.go
+++ b/internal/follow/restoration.go
@@ -24,8 +24,8 @@
 // mostRemovals is the number of endpoints from which on those that went long ago are dropped.
 const mostRemovals = 512
 
-// removalLife is the age of the oldest copy that a store is restored from, and the time until its records are reliable.
-const removalLife = 30 * time.Second
+// removalLife is how long an endpoint that has gone may come back with a copy, and until that copy's records are reliable.
+const removalLife = external.CopyAge + lapseWait
 
 func (r removals) add(id string, at time.Time) {
 	if len(r) >= mostRemovals {
--- a/internal/peers/directory.go
+++ b/internal/peers/directory.go
@@ -71,8 +71,18 @@
 	open    func() (mesh.Caller, error) // nil: over QUIC
 	traffic func(mesh.Kind, int)
 	caller  atomic.Pointer[mesh.Caller]
+	epochs  *external.Epochs
 
-	met chan struct{}
+	met      chan struct{}
+	wakes    chan struct{}             // the store was restored
+	restored atomic.Pointer[time.Time] // when that was learnt last; nil: it was not
+
+	// Used by Run only.
+	wrote     time.Time // when this instance's record was written last; zero: not yet
+	wroteIn   int64     // the store's epoch then
+	authority []byte    // that the links use, as the store has it; nil: none
+	linkedAt  time.Time // when they were opened first
+	checked   time.Time // when the store was last known to have it
 
 	mu        sync.Mutex
 	begun     time.Time
@@ -121,11 +131,12 @@
 	d := &Directory{
 		store: store, prefix: prefix, self: self, router: router, times: DefaultTimes(), now: time.Now, log: zerolog.Nop(),
 		large: DefaultLarge, pools: true, records: make(map[string]Record), suspects: make(map[string]*suspicion),
-		met: make(chan struct{}), traffic: func(mesh.Kind, int) {},
+		met: make(chan struct{}), wakes: make(chan struct{}, 1), traffic: func(mesh.Kind, int) {}, epochs: external.NewEpochs(),
 	}
 	for _, opt := range opts {
 		opt(d)
 	}
+	d.epochs.OnRestored(d.restoredStore)
 	return d
 }
 
@@ -142,13 +153,15 @@
 	d.mu.Lock()
 	d.begun = d.now()
 	d.mu.Unlock()
-	told := false
 	for ctx.Err() == nil {
 		if err := d.read(ctx); err != nil {
 			d.log.Debug().Str("event", "peers_unread").Err(err).Msg("the instances' records were not read")
 		}
-		if !told && !d.leaves() {
-			told = d.tell(ctx) == nil
+		if err := d.write(ctx); err != nil {
+			d.log.Debug().Str("event", "peer_unwritten").Err(err).Msg("this instance's record was not written")
+		}
+		if err := d.keepAuthority(ctx); err != nil {
+			d.log.Debug().Str("event", "authority_unread").Err(err).Msg("the fleet's authority was not read after a restoration")
 		}
 		d.connect(ctx)
 		d.meet()
@@ -194,6 +207,8 @@
 	select {
 	case <-ctx.Done():
 	case <-t.C:
+	case <-d.wakes:
+		d.spread(ctx)
 	}
 }
 
@@ -255,10 +270,24 @@
 		d.mu.Unlock()
 	}
 	records[d.self.Peer.ID] = d.self
+	if d.keepMissing() {
+		d.addMissing(records)
+	}
 	d.take(records)
 	return nil
 }
 
+// addMissing adds the known records that others lack.
+func (d *Directory) addMissing(records map[string]Record) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, r := range d.records {
+		if _, there := records[id]; !there {
+			records[id] = r
+		}
+	}
+}
+
 // connect opens the links once there are other instances.
 func (d *Directory) connect(ctx context.Context) {
 	if d.Size() < 2 || d.linked() {
--- a/internal/peers/keys.go
+++ b/internal/peers/keys.go
@@ -22,8 +22,11 @@
 func (d *Directory) identity(ctx context.Context) (*tls.Config, error) {
 	ctx, cancel := context.WithTimeout(external.WithDuty(ctx, external.DutyMembers), 2*d.times.Call)
 	defer cancel()
-	// It never changes once it is there, so a copy is good enough where the store has one.
-	e, _, err := d.store.Read(external.WithStale(ctx), d.prefix+authorityKey)
+	read := ctx
+	if d.restored.Load() == nil {
+		read = external.WithStale(ctx) // it changes with a restoration only, so a copy is good enough where the store has one
+	}
+	e, _, err := d.store.Read(read, d.prefix+authorityKey)
 	if err != nil {
 		return nil, eris.Wrap(err, "reading the fleet's authority")
 	}
@@ -33,6 +36,10 @@
 			return nil, err
 		}
 	}
+	if d.authority == nil {
+		d.linkedAt = d.now()
+	}
+	d.authority = raw
 	return d.issue(raw)
 }
 
@@ -50,8 +57,13 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "encoding the fleet's authority")
 	}
+	return d.putAuthority(ctx, raw)
+}
+
+// putAuthority writes an authority, unless the store has one; it returns the one that the store has then.
+func (d *Directory) putAuthority(ctx context.Context, raw []byte) ([]byte, error) {
 	name := d.prefix + authorityKey
-	_, err = d.store.Commit(ctx, external.Commit{
+	_, err := d.store.Commit(ctx, external.Commit{
 		When: []external.Condition{{Key: name}}, Put: []external.Entry{{Key: name, Data: raw}},
 	})
 	var conflict *external.ConflictError
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -113,7 +113,7 @@
 		Capacity: set.Instance.LinkMbps,
 	}
 	r.peers = peers.New(on.Store, set.Store.Prefix, self, links,
-		append(set.peersOptions(), peers.WithNow(now), peers.WithLogger(r.log), peers.WithTraffic(r.metrics.sentTo))...)
+		append(set.peersOptions(), peers.WithNow(now), peers.WithLogger(r.log), peers.WithEpochs(on.Epochs), peers.WithTraffic(r.metrics.sentTo))...)
 	heard, silenced := pool.LogWords(r.log)
 	opts := []pool.Option{
 		pool.WithPolicy(set.poolPolicy()), pool.OnGone(r.client.Forget), pool.WithOwners(r.peers), pool.WithNow(now), pool.OnSilenced(silenced),
