fix: what endpoints did not outlive is written again where a restored store has lost it

What callers would see: a request that is kept from endpoints is tried again, and ends them again, once all instances that know it have started anew. Evidence: a case of TestShare, where the store has nothing without it.

--- a/internal/peers/restore_test.go
+++ b/internal/peers/restore_test.go
@@ -45,7 +45,7 @@
 func (f *restoredFleet) records(ctx context.Context) []string {
 	entries, _, err := f.store.ReadAll(ctx, "p/peers/")
 	So(err, ShouldBeNil)
-	var out []string
+	out := make([]string, 0, len(entries))
 	for _, e := range entries {
 		out = append(out, e.Key[len("p/peers/"):])
 	}
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -58,6 +58,7 @@
 	mu       sync.Mutex
 	partners map[string]*partner
 	unsaved  bool
+	restored bool // the store was, and what is known here may be lost there
 }
 
 // ShareOption changes a Share.
@@ -69,6 +70,11 @@
 // WithWall replaces the time of day.
 func WithWall(wall func() time.Time) ShareOption { return func(s *Share) { s.wall = wall } }
 
+// WithEpochs sets what knows the store's epoch: after a restoration what is known here is written again.
+func WithEpochs(e *external.Epochs) ShareOption {
+	return func(s *Share) { e.OnRestored(s.restoredStore) }
+}
+
 // NewShare makes a share. Its record in the store lies under prefix.
 func NewShare(m *Memory, dir *peers.Directory, store external.KV, prefix string, router *mesh.Router, opts ...ShareOption) *Share {
 	s := &Share{
@@ -125,12 +131,29 @@
 			if s.unheard() {
 				s.load(ctx)
 			}
+			s.saveRestored()
 			s.save(ctx)
 			saved = false
 		}
 	}
 }
 
+// restoredStore notes that the store was restored. It is called while the Epochs is locked.
+func (s *Share) restoredStore(external.Restoration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.restored = true
+}
+
+// saveRestored asks for a write where a restoration may have lost what is known here. In a large fleet the leaders do it.
+func (s *Share) saveRestored() {
+	writes := s.memory.any() && (!s.dir.Large() || s.dir.Leads())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unsaved = s.unsaved || (s.restored && writes)
+	s.restored = false
+}
+
 func rest(ctx context.Context) {
 	select {
 	case <-ctx.Done():
--- a/internal/quarantine/share_test.go
+++ b/internal/quarantine/share_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/external/memkv"
 	"github.com/ledgemount/ledgemount/internal/mesh"
 	"github.com/ledgemount/ledgemount/internal/mesh/meshtest"
@@ -210,6 +211,32 @@
 		})
 	})
 
+	Convey("Ends that a restored store has lost are written again, by the leaders of a large fleet, and nothing where nothing is known", t, func() {
+		for _, large := range []int{2, 99} {
+			s := newSharing(4, large)
+			restored := func() int64 {
+				s.store.RestoreTo(0)
+				for _, x := range s.nodes {
+					x.restoredStore(external.Restoration{})
+					x.saveRestored()
+					x.save(s.ctx)
+				}
+				return s.store.Number()
+			}
+			So(restored(), ShouldEqual, 0)
+			for i := range 3 {
+				s.end(i)
+				s.push(i)
+			}
+			s.exchange()
+			s.exchange()
+			So(restored(), ShouldBeGreaterThan, 0)
+			s.start(0)
+			s.nodes[0].load(s.ctx)
+			So(s.nodes[0].memory.Held(crashing), ShouldBeTrue)
+		}
+	})
+
 	Convey("Where no endpoint has ended, nothing is told after the first words, and the store is not called", t, func() {
 		s := newSharing(4, 99)
 		s.exchange()
--- a/internal/quarantine/told.go
+++ b/internal/quarantine/told.go
@@ -164,6 +164,13 @@
 	Records []told `cbor:"2,keyasint,omitempty"`
 }
 
+// any says whether anything is known.
+func (m *Memory) any() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.records) > 0
+}
+
 // packAll packs what is worth outliving all instances: requests that are kept back first, then those with the latest ends.
 func (m *Memory) packAll(wall time.Time) ([]byte, error) {
 	now := m.now()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -151,7 +151,8 @@
 	now := r.boot.Now
 	r.suspects = quarantine.New(quarantine.WithNow(now), quarantine.WithProber(r.tries), quarantine.OnChange(r.quarantined),
 		quarantine.OnNews(func() { r.share.Changed() }))
-	r.share = quarantine.NewShare(r.suspects, r.peers, on.Store, r.set.Store.Prefix, links, quarantine.WithLogger(r.log))
+	r.share = quarantine.NewShare(r.suspects, r.peers, on.Store, r.set.Store.Prefix, links,
+		quarantine.WithLogger(r.log), quarantine.WithEpochs(on.Epochs))
 	r.load = load.New(r.peers, r.pool, links, load.WithRider(r.share), load.WithNow(now), load.OnLimits(r.metrics.limited))
 }
 
