--- a/cmd/explain_test.go
+++ b/cmd/explain_test.go
@@ -13,9 +13,10 @@
 	Convey("explain tells a request's story from a log", t, func() {
 		g := goldie.New(t, goldie.WithFixtureDir("testdata"))
 		for name, request := range map[string]string{
-			"explain-refused": "fbbaab824e52037a",
-			"explain-cut":     "7ac4bf74bc8e4d54",
-			"explain-late":    "28704ada8ff11b83",
+			"explain-refused":  "fbbaab824e52037a",
+			"explain-cut":      "7ac4bf74bc8e4d54",
+			"explain-late":     "28704ada8ff11b83",
+			"explain-restored": "0c5a1e77f2b94d10",
 		} {
 			var out, errOut bytes.Buffer
 			code := execute(context.Background(), []string{"explain", request, "testdata/router.log"}, &out, &errOut)
--- a/internal/external/epoch.go
+++ b/internal/external/epoch.go
@@ -93,12 +93,6 @@
 // WithEpochClock replaces the clock by which the age of a copy is told.
 func WithEpochClock(now func() time.Time) EpochsOption { return func(e *Epochs) { e.now = now } }
 
-// OnEarlier sets what is told of answers that name an epoch before the known one, or none any more: once for each such epoch in a row. It must not
-// block, nor call the Epochs.
-func OnEarlier(f func(epoch, known int64)) EpochsOption {
-	return func(e *Epochs) { e.earlier = f }
-}
-
 // NewEpochs makes an Epochs that knows no epoch.
 func NewEpochs(opts ...EpochsOption) *Epochs {
 	e := &Epochs{now: time.Now, earlier: func(int64, int64) {}, ignored: -1}
@@ -115,6 +109,14 @@
 	e.restored = append(e.restored, f)
 }
 
+// OnEarlier sets what is told of answers that name an epoch before the known one, or none any more: once for each such epoch in a row. It must not
+// block, nor call the Epochs.
+func (e *Epochs) OnEarlier(f func(epoch, known int64)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.earlier = f
+}
+
 // Current is the store's epoch; 0: it has named none.
 func (e *Epochs) Current() int64 {
 	e.mu.Lock()
--- a/internal/external/epoch_test.go
+++ b/internal/external/epoch_test.go
@@ -32,7 +32,8 @@
 		now := time.Unix(1000, 0)
 		var restored []external.Restoration
 		var earlier []int64
-		e := external.NewEpochs(external.WithEpochClock(func() time.Time { return now }), external.OnEarlier(func(n, _ int64) { earlier = append(earlier, n) }))
+		e := external.NewEpochs(external.WithEpochClock(func() time.Time { return now }))
+		e.OnEarlier(func(n, _ int64) { earlier = append(earlier, n) })
 		e.OnRestored(func(r external.Restoration) { restored = append(restored, r) })
 		So(e.Observe(0, 5), ShouldBeNil)
 		So(e.Observe(3, 100), ShouldBeNil)
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -113,6 +113,9 @@
 	if o.Late != relay.LateNot {
 		e = e.Str("late", string(o.Late))
 	}
+	if age := r.restored.age(); age > 0 {
+		e = e.Int64("restored_ms", age.Milliseconds())
+	}
 	if o.Digest != "" {
 		e = e.Str("digest", o.Digest)
 	}
--- a/internal/router/explain.go
+++ b/internal/router/explain.go
@@ -43,7 +43,8 @@
 	TotalMs   int64         `json:"total_ms"`
 	PauseMs   int64         `json:"pause_ms"` // the longest between two events
 	Prompt    int64         `json:"prompt_tokens"`
-	Late      string        `json:"late"` // what came later than the route wants it; empty: nothing
+	Late      string        `json:"late"`        // what came later than the route wants it; empty: nothing
+	Restored  int64         `json:"restored_ms"` // since the store was restored from an older copy; 0: not lately
 	Endpoints []AttemptLine `json:"endpoints"`
 }
 
@@ -140,6 +141,9 @@
 	if l.Out > 0 || l.Unproven > 0 {
 		_, _ = fmt.Fprintf(&b, "  of what is unspent %d are granted to instances; %d count as spent by instances that were lost\n", l.Out, l.Unproven)
 	}
+	if l.Restored > 0 {
+		_, _ = fmt.Fprintf(&b, "  the store was restored from an older copy %d ms before: grants are raised again once all instances have stated theirs\n", l.Restored)
+	}
 	for i, e := range l.Endpoints {
 		_, _ = fmt.Fprintf(&b, "  attempt %d: endpoint %s by %s, %d ms in: %s%s\n", i+1, e.Endpoint, e.Reason, e.AtMs, e.End, e.keptOff())
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -74,6 +74,7 @@
 	start    *startLine
 
 	pressure *pressure.Gauge
+	restored restorations
 }
 
 // New builds a router; it listens already, but runs only with Run.
@@ -83,6 +84,7 @@
 		r.boot = boottime.New()
 	}
 	r.start = newStartLine(log, r.metrics.started)
+	r.followEpochs(on.Epochs)
 	on.Calls.OnCall(r.called)
 	on.Calls.OnRest(r.storeRests)
 	id := set.Instance.ID + "/" + strings.ToLower(ulid.Make().String())
