--- a/cmd/check.go
+++ b/cmd/check.go
@@ -74,7 +74,7 @@
 	return hasField(data, "apply", "replace", "remove", "drain", "activate", "move", "budgets")
 }
 
-// hasField says whether JSON is an object with one of some fields.
+// hasField reports whether JSON is an object with one of some fields.
 func hasField(data []byte, names ...string) bool {
 	var fields map[string]json.RawMessage
 	if json.NewDecoder(bytes.NewReader(data)).Decode(&fields) != nil {
--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -20,9 +20,9 @@
 	Limit   string // requests a second that it takes from all instances together
 }
 
-// Word reads the word in a head with a status. A time for which the endpoint wants nothing counts where it turns a request away.
-func Word(status int, h http.Header, names Headers) pool.Word {
-	w := pool.Word{Leaving: slices.Contains(h.Values(names.Leaving), yes), Limit: limit.Of(h.Values(names.Limit))}
+// Notice reads the word in a head with a status. A time for which the endpoint wants nothing counts where it turns a request away.
+func Notice(status int, h http.Header, names Headers) pool.Notice {
+	w := pool.Notice{Leaving: slices.Contains(h.Values(names.Leaving), yes), Limit: limit.Of(h.Values(names.Limit))}
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		w.Rest, _ = retryafter.Of(h, time.Now())
 	}
--- a/internal/budget/draw.go
+++ b/internal/budget/draw.go
@@ -225,7 +225,7 @@
 	return true
 }
 
-// change edits a page by compare-and-swap. edit says whether there is anything to write. After a lost answer, applied
+// change edits a page by compare-and-swap. edit reports whether there is anything to write. After a lost answer, applied
 // tells from the page that is read back whether the write took effect; change goes on until it knows.
 func (h *Home) change(ctx context.Context, page uint16, edit func(*Page) (bool, error), applied func(*Page) bool) error {
 	key := PageKey(page)
--- a/internal/budget/home.go
+++ b/internal/budget/home.go
@@ -32,7 +32,7 @@
 
 // Stopper stops a run at its endpoint and keeps it from ever starting there.
 type Stopper interface {
-	// StopRun returns what the run used. known says whether the endpoint had the run; final says that it cannot
+	// StopRun returns what the run used. known reports whether the endpoint had the run; final says that it cannot
 	// start any more. An error means that the endpoint did not answer.
 	StopRun(ctx context.Context, place Place) (used int64, known, final bool, err error)
 }
--- a/internal/budget/page.go
+++ b/internal/budget/page.go
@@ -13,7 +13,7 @@
 )
 
 // Pages is the number of pages over which budgets are spread by hash. It is the same in the whole fleet for ever:
-// docs/design/escrow.md says why this many.
+// docs/design/escrow.md reports why this many.
 const Pages = 256
 
 // PagePrefix begins the key of every page.
--- a/internal/burn/report.go
+++ b/internal/burn/report.go
@@ -12,7 +12,7 @@
 	"github.com/ledgemount/ledgemount/internal/declare"
 )
 
-// Alert says whether someone should look.
+// Alert reports whether someone should look.
 type Alert string
 
 // The alerts, by the customary pairs of windows: a fast burn in 5 minutes and 1 hour, a slow one in 30 minutes and 6 hours.
--- a/internal/declare/document.go
+++ b/internal/declare/document.go
@@ -32,7 +32,7 @@
 	return out.OrNil()
 }
 
-// WritableHere says why this build must not write the next configuration: it would lose what a later one has declared.
+// WritableHere reports why this build must not write the next configuration: it would lose what a later one has declared.
 func (d *Document) WritableHere() error {
 	if d.beyond == nil {
 		return nil
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -237,7 +237,7 @@
 	return mesh.Peer{}, false
 }
 
-// hasCrashed says whether an instance has crashed.
+// hasCrashed reports whether an instance has crashed.
 func (f *fleet) hasCrashed() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -52,7 +52,7 @@
 // Option changes a Server.
 type Option func(*Server)
 
-// WithAway sets what says whether callers are to be sent to other instances: their connections end with their answers.
+// WithAway sets what reports whether callers are to be sent to other instances: their connections end with their answers.
 func WithAway(f func() bool) Option { return func(s *Server) { s.away = f } }
 
 // WithNow replaces the clock, which is read once for each request.
--- a/internal/endpoint/engine.go
+++ b/internal/endpoint/engine.go
@@ -42,16 +42,16 @@
 	Priority int
 	Fence    int64
 	Body     []byte // chat-completions request, already prepared with Prepare
-	Heard    Heard
+	Heard    OnNotice
 }
 
-// Heard is told what an endpoint says of itself in the head of an answer; nil: nobody is.
-type Heard func(w pool.Word, status int)
+// OnNotice is told what an endpoint says of itself in the head of an answer; nil: nobody is.
+type OnNotice func(w pool.Notice, status int)
 
 // tell reads the head of an answer, unless it names another request.
-func (f Heard) tell(resp *http.Response, run string) {
+func (f OnNotice) tell(resp *http.Response, run string) {
 	if named := resp.Header.Get(chat.HeaderRequestID); f != nil && (named == "" || named == run) {
-		f(answer.Word(resp.StatusCode, resp.Header, answer.Headers{Leaving: chat.HeaderLeaving, Limit: chat.HeaderLimit}), resp.StatusCode)
+		f(answer.Notice(resp.StatusCode, resp.Header, answer.Headers{Leaving: chat.HeaderLeaving, Limit: chat.HeaderLimit}), resp.StatusCode)
 	}
 }
 
@@ -127,7 +127,7 @@
 	req.Header.Set(chat.HeaderAttempt, strconv.Itoa(attempt))
 }
 
-func (d *Driver) open(req *http.Request, run string, attempt int, offset int64, heard Heard) (*Stream, error) {
+func (d *Driver) open(req *http.Request, run string, attempt int, offset int64, heard OnNotice) (*Stream, error) {
 	resp, err := d.http.Do(req)
 	if err != nil {
 		return nil, sendError(req.Context(), err)
--- a/internal/endpoint/plain.go
+++ b/internal/endpoint/plain.go
@@ -21,7 +21,7 @@
 	Attempt     int
 	Key         string // the caller's idempotency key, or empty
 	Body        []byte
-	Heard       Heard
+	Heard       OnNotice
 }
 
 // Answer is a plain service's whole answer.
--- a/internal/escrow/account.go
+++ b/internal/escrow/account.go
@@ -37,10 +37,10 @@
 	// unproven is Account.Unproven when last seen
 	unproven int64
 
-	told     bool    // by the zone's leader:
-	target   int64   // what this holder's unspent part should be
-	toldRate float64 // tokens a second that all holders use
-	zoneRate float64 // tokens a second that the zone is asked for
+	led        bool    // by the zone's leader:
+	target     int64   // what this holder's unspent part should be
+	leaderRate float64 // tokens a second that all holders use
+	zoneRate   float64 // tokens a second that the zone is asked for
 }
 
 // used is what is spent or reserved.
--- a/internal/escrow/borrow.go
+++ b/internal/escrow/borrow.go
@@ -7,10 +7,10 @@
 	"github.com/ledgemount/ledgemount/internal/kernel"
 )
 
-// follows says whether the zone's leader writes this holder's rows.
+// follows reports whether the zone's leader writes this holder's rows.
 func (h *Holder) follows() bool { return h.fleet != nil && !h.fleet.Leads() }
 
-// relays says whether this holder leads its zone and the leader of another zone writes its rows and its zone's.
+// relays reports whether this holder leads its zone and the leader of another zone writes its rows and its zone's.
 func (h *Holder) relays() bool { return h.fleet != nil && h.fleet.Relays() }
 
 // role is this holder's part in keeping a customer's tokens.
--- a/internal/escrow/copy.go
+++ b/internal/escrow/copy.go
@@ -28,12 +28,12 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.heard()
+	h.contacted()
 	return h.adopt(p, entry)
 }
 
-// heard notes an answer of the store. The caller holds mu.
-func (h *Holder) heard() { h.answered = h.now() }
+// contacted notes an answer of the store. The caller holds mu.
+func (h *Holder) contacted() { h.answered = h.now() }
 
 // Observe takes a page that was read or watched elsewhere.
 func (h *Holder) Observe(e external.Entry) {
@@ -103,7 +103,7 @@
 	}
 }
 
-// settles says whether a page at a revision shows what became of all writes of this holder whose outcome is not known. A direct
+// settles reports whether a page at a revision shows what became of all writes of this holder whose outcome is not known. A direct
 // write cannot happen any more once the page has moved on; rows that a leader has can, until a later write of this holder stands.
 func (p *pageState) settles(revision int64, report Report, present bool) bool {
 	if p.submitted {
--- a/internal/escrow/draw.go
+++ b/internal/escrow/draw.go
@@ -51,14 +51,14 @@
 	}
 }
 
-// owes says whether rows of others are to be written on a page now.
+// owes reports whether rows of others are to be written on a page now.
 func (h *Holder) owes(p *pageState) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.gathered(p) && !h.rests()
 }
 
-// rests says whether a call has failed just now: the next one is not worth its price yet. The caller holds mu.
+// rests reports whether a call has failed just now: the next one is not worth its price yet. The caller holds mu.
 func (h *Holder) rests() bool { return h.now().Sub(h.failed) < h.times.Rest }
 
 // pause waits for the next beat or for a request that waits; false means that ctx has ended.
@@ -104,7 +104,7 @@
 	return h.interval() * 3 / 2, least
 }
 
-// startBeat begins a round of draws. It says whether the round is a regular one; between these, only what requests wait for is
+// startBeat begins a round of draws. It reports whether the round is a regular one; between these, only what requests wait for is
 // drawn.
 func (h *Holder) startBeat() bool {
 	h.mu.Lock()
@@ -124,7 +124,7 @@
 	return true
 }
 
-// due says whether a page has something to report. A page that is not joined or not settled is always due.
+// due reports whether a page has something to report. A page that is not joined or not settled is always due.
 func (h *Holder) due(p *pageState, regular bool) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/escrow/fleet.go
+++ b/internal/escrow/fleet.go
@@ -13,15 +13,15 @@
 type Fleet interface {
 	// Time bounds the fleet's time of day; false while it is not known.
 	Time() (fleettime.Bounds, bool)
-	// Settled says whether this holder knows the others well enough to begin: not just after its start.
+	// Settled reports whether this holder knows the others well enough to begin: not just after its start.
 	Settled() bool
-	// Large says whether the fleet's zones are led.
+	// Large reports whether the fleet's zones are led.
 	Large() bool
-	// Leads says whether this holder does its own writing: it leads, or no leader can be reached.
+	// Leads reports whether this holder does its own writing: it leads, or no leader can be reached.
 	Leads() bool
-	// Stranded says whether it does so only because those that lead cannot be reached.
+	// Stranded reports whether it does so only because those that lead cannot be reached.
 	Stranded() bool
-	// Relays says whether this holder leads its zone, but the leader of another zone writes for that one too.
+	// Relays reports whether this holder leads its zone, but the leader of another zone writes for that one too.
 	Relays() bool
 	// Submit hands rows to the leader; a holder that relays hands its zone's to the leader of another zone. ErrNotTaken promises that none of them will be written; after any other error they may be.
 	Submit(ctx context.Context, s Submission) (Receipt, error)
--- a/internal/escrow/granting.go
+++ b/internal/escrow/granting.go
@@ -70,7 +70,7 @@
 	g.page.Holders[holder] = r
 }
 
-// unsettled says whether rows of a node's earlier holders are left.
+// unsettled reports whether rows of a node's earlier holders are left.
 func (g *granting) unsettled(successor, node string) bool {
 	n := g.holders[node]
 	if r, ok := g.page.Holders[successor]; ok && r.Node == node {
--- a/internal/escrow/group.go
+++ b/internal/escrow/group.go
@@ -7,8 +7,8 @@
 	"github.com/ledgemount/ledgemount/internal/verdict"
 )
 
-// hears says whether the store has answered lately, or was not asked yet.
-func (h *Holder) hears() bool {
+// reachesStore reports whether the store has answered lately, or was not asked yet.
+func (h *Holder) reachesStore() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.answered.IsZero() || h.now().Sub(h.answered) < 2*h.times.Lost
@@ -34,7 +34,7 @@
 
 // Submit takes rows of another holder of the zone, and returns once they are written.
 func (h *Holder) Submit(ctx context.Context, s Submission) (Receipt, error) {
-	if !h.hears() {
+	if !h.reachesStore() {
 		return Receipt{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the store does not answer here")
 	}
 	ctx, cancel := context.WithTimeout(ctx, submissionWait)
@@ -73,7 +73,7 @@
 func (h *Holder) enqueue(s Submission) []*pending {
 	for _, part := range s.Parts {
 		if part.Report.Epoch > 0 {
-			_ = h.epochs.Observe(part.Report.Epoch, 0) // a part of an earlier one is not written, and its receipt says why
+			_ = h.epochs.Observe(part.Report.Epoch, 0) // a part of an earlier one is not written, and its receipt reports why
 		}
 	}
 	h.mu.Lock()
@@ -99,7 +99,7 @@
 	return out
 }
 
-// gathered says whether the parts that wait for a page are to be written now. The caller holds mu.
+// gathered reports whether the parts that wait for a page are to be written now. The caller holds mu.
 func (h *Holder) gathered(p *pageState) bool {
 	if len(p.pending) == 0 {
 		return false
--- a/internal/escrow/holder.go
+++ b/internal/escrow/holder.go
@@ -92,14 +92,14 @@
 	changed  chan struct{} // closed and replaced after each draw
 	stopping bool
 
-	fleet     Fleet            // nil: this holder is by itself
-	toldRate  float64          // by the zone's leader: tokens a second that all holders use of all customers
-	asked     map[string]asked // by holder of the zone that this one leads
-	loanCount int64
-	loans     map[loanKey]lent           // given to others
-	returned  map[loanKey]time.Time      // returned before they were given
-	owed      map[string]map[int64]int64 // loans that have ended, by lender and number
-	unpaid    map[string]time.Time       // since when a lender has not taken them; only Repayments uses it
+	fleet      Fleet            // nil: this holder is by itself
+	leaderRate float64          // by the zone's leader: tokens a second that all holders use of all customers
+	asked      map[string]asked // by holder of the zone that this one leads
+	loanCount  int64
+	loans      map[loanKey]lent           // given to others
+	returned   map[loanKey]time.Time      // returned before they were given
+	owed       map[string]map[int64]int64 // loans that have ended, by lender and number
+	unpaid     map[string]time.Time       // since when a lender has not taken them; only Repayments uses it
 
 	kicks chan struct{}
 }
@@ -221,7 +221,7 @@
 	h.mu.Lock()
 	now := h.now()
 	if told {
-		h.heard()
+		h.contacted()
 	}
 	due := now.Sub(h.beat) >= h.interval()*9/10
 	for _, p := range h.pages {
@@ -249,7 +249,7 @@
 	return time.Duration(max(1, min(h.holders/beatHolders, mostBeats)))
 }
 
-// Ready says whether the holder has seen the store and knows its accounts.
+// Ready reports whether the holder has seen the store and knows its accounts.
 func (h *Holder) Ready() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/escrow/need.go
+++ b/internal/escrow/need.go
@@ -42,7 +42,7 @@
 	return n
 }
 
-// fresh says whether too little is measured yet, here or in the zone that this holder pools tokens for. The caller holds mu.
+// fresh reports whether too little is measured yet, here or in the zone that this holder pools tokens for. The caller holds mu.
 func (h *Holder) fresh() bool {
 	if h.first.IsZero() && h.asks() {
 		h.first = h.now()
@@ -50,7 +50,7 @@
 	return h.first.IsZero() || h.now().Sub(h.first) < freshFlow
 }
 
-// asks says whether anything was asked for yet. The caller holds mu.
+// asks reports whether anything was asked for yet. The caller holds mu.
 func (h *Holder) asks() bool {
 	if h.own.sizes > 0 {
 		return true
@@ -80,8 +80,8 @@
 func (h *Holder) flow(a *account, role Role) flow {
 	local := a.meter.rate()
 	all, mine := h.all.rate(), a.all.rate()
-	if a.told {
-		all, mine = h.toldRate, a.toldRate
+	if a.led {
+		all, mine = h.leaderRate, a.leaderRate
 	}
 	f := flow{rate: local, whole: mine, grain: h.own.grain()}
 	switch {
--- a/internal/escrow/page.go
+++ b/internal/escrow/page.go
@@ -181,7 +181,7 @@
 	return out
 }
 
-// waitsFor says whether the age of a report at a successor's start will be known better soon.
+// waitsFor reports whether the age of a report at a successor's start will be known better soon.
 func (r Report) waitsFor(begun Report) bool {
 	return begun.Later && begun.Fleet == 0 && r.Fleet != 0 && !sameRun(r, begun)
 }
@@ -235,7 +235,7 @@
 	return wall + ClockError, true
 }
 
-// sameRun says whether two reports come from one run of a machine, as far as its clocks do not contradict each other.
+// sameRun reports whether two reports come from one run of a machine, as far as its clocks do not contradict each other.
 func sameRun(then, now Report) bool {
 	steady := time.Duration(now.Clock-then.Clock) * time.Millisecond
 	off := time.Duration(now.Wall-then.Wall)*time.Millisecond - steady
--- a/internal/escrow/property_test.go
+++ b/internal/escrow/property_test.go
@@ -418,7 +418,7 @@
 	}
 }
 
-// leave is a planned stop and a new start. It says whether everything was given back.
+// leave is a planned stop and a new start. It reports whether everything was given back.
 func (w *world) leave(n *simNode) bool {
 	w.die(n)
 	all := true
--- a/internal/escrow/relay.go
+++ b/internal/escrow/relay.go
@@ -88,7 +88,7 @@
 	}
 }
 
-// urgent says whether a request waits for a part to be written.
+// urgent reports whether a request waits for a part to be written.
 func (p Part) urgent() bool {
 	for _, n := range p.Rows {
 		if n.Urgent > 0 {
--- a/internal/escrow/reserve.go
+++ b/internal/escrow/reserve.go
@@ -174,7 +174,7 @@
 // lastRank is the rank from which on a customer's requests give way to its first ones.
 const lastRank = 2
 
-// short says whether a request gives way to those of first ranks: in a cut they keep a part of what is granted here. The caller holds mu.
+// short reports whether a request gives way to those of first ranks: in a cut they keep a part of what is granted here. The caller holds mu.
 func (h *Holder) short(a *account, most int64, rank int) bool {
 	if rank < lastRank || h.inTouch() {
 		return false
@@ -209,7 +209,7 @@
 	return refuseBudget("this instance holds too little of the budget now", after)
 }
 
-// inTouch says whether the store has answered lately. The caller holds mu.
+// inTouch reports whether the store has answered lately. The caller holds mu.
 func (h *Holder) inTouch() bool { return h.now().Sub(h.answered) < h.times.Lost }
 
 // comeBack is when a request that was refused may be served: at the next draw, or in a cut once the steps in which the grant is
@@ -231,7 +231,7 @@
 	return verdict.New(verdict.NotRun, verdict.CodeBudgetUnready, detail, verdict.WithRetryAfter(after))
 }
 
-// worthDrawing says whether a draw is likely to be answered and to bring something.
+// worthDrawing reports whether a draw is likely to be answered and to bring something.
 func (h *Holder) worthDrawing(customer string, most int64) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/escrow/restore.go
+++ b/internal/escrow/restore.go
@@ -36,7 +36,7 @@
 	return restored
 }
 
-// doubtful says whether a holder has not stated its rows since the store was restored: it may have more than they show.
+// doubtful reports whether a holder has not stated its rows since the store was restored: it may have more than they show.
 func (p *Page) doubtful(holder string) bool { return p.Holders[holder].Epoch < p.Restored }
 
 // doubtfuls counts the holders that have not stated their rows since the store was restored.
@@ -64,7 +64,7 @@
 	return total
 }
 
-// follows says whether a part is the one that comes after what a page has of its holder: the next one, or the first since a restoration, which may
+// follows reports whether a part is the one that comes after what a page has of its holder: the next one, or the first since a restoration, which may
 // have lost several.
 func (p *Page) follows(holder string, r Report) bool {
 	before, present := p.Holders[holder]
@@ -97,10 +97,10 @@
 	}
 }
 
-// restates says whether this holder has yet to state its rows in the store's epoch.
+// restates reports whether this holder has yet to state its rows in the store's epoch.
 func (h *Holder) restates(p *pageState) bool { return p.joined && p.epoch < h.epochs.Current() }
 
-// frozen says whether nothing is to be granted on a page beyond what holders have. The caller holds mu.
+// frozen reports whether nothing is to be granted on a page beyond what holders have. The caller holds mu.
 func (h *Holder) frozen(page *Page) bool {
 	if page.Restored == 0 || page.Restored < h.epochs.Current() {
 		return false
--- a/internal/escrow/share_test.go
+++ b/internal/escrow/share_test.go
@@ -67,7 +67,7 @@
 
 // measured is the flow of a customer that all holders use at one rate, and all customers at another, in tokens a second.
 func measured(h *Holder, a *account, use, all float64) flow {
-	a.told, a.toldRate, h.toldRate = true, use, all
+	a.led, a.leaderRate, h.leaderRate = true, use, all
 	return h.flow(a, RoleAlone)
 }
 
@@ -81,7 +81,7 @@
 		w.draw(n)
 		h := n.holder
 		a := h.accounts["north"]
-		a.told, a.toldRate, h.toldRate = true, 0, 1000
+		a.led, a.leaderRate, h.leaderRate = true, 0, 1000
 		h.Shrink()
 		need := h.need("north", a, 3)
 		So(need.Want, ShouldEqual, 0)
--- a/internal/escrow/spread.go
+++ b/internal/escrow/spread.go
@@ -18,8 +18,8 @@
 		return 1
 	}
 	use := a.all.rate()
-	if a.told {
-		use = a.toldRate
+	if a.led {
+		use = a.leaderRate
 	}
 	enough := use * spreadOver.Seconds()
 	left := float64(max(0, a.unspent()))
--- a/internal/escrow/spread_test.go
+++ b/internal/escrow/spread_test.go
@@ -15,7 +15,7 @@
 	Convey("A request reserves by lot", t, func() {
 		const prepaid, use = 1_000_000, 10_000.0 // tokens, tokens a second
 		enough := int64(use * spreadOver.Seconds())
-		a := &account{prepaid: prepaid, unproven: prepaid / 5, told: true, toldRate: use}
+		a := &account{prepaid: prepaid, unproven: prepaid / 5, led: true, leaderRate: use}
 
 		Convey("where losses took a large part of the budget and little is left, more rarely as that falls", func() {
 			a.rest = enough / 2
@@ -37,9 +37,9 @@
 		})
 
 		Convey("not while no use is known, nor without a limit", func() {
-			a.rest, a.toldRate = enough/2, 0
+			a.rest, a.leaderRate = enough/2, 0
 			So(a.odds(), ShouldEqual, 1)
-			a.toldRate, a.prepaid = use, Unlimited
+			a.leaderRate, a.prepaid = use, Unlimited
 			So(a.odds(), ShouldEqual, 1)
 		})
 	})
@@ -53,7 +53,7 @@
 		h.startBeat()
 		h.draw(context.Background(), h.pages[0])
 		a := h.accounts["north"]
-		a.unproven, a.told, a.toldRate = prepaid/2, true, 2*prepaid/spreadOver.Seconds()
+		a.unproven, a.led, a.leaderRate = prepaid/2, true, 2*prepaid/spreadOver.Seconds()
 
 		_, err := h.Reserve(context.Background(), "north", 100, 0)
 		So(verdict.Of(err), ShouldEqual, verdict.NotRun)
--- a/internal/escrow/submit.go
+++ b/internal/escrow/submit.go
@@ -27,7 +27,7 @@
 func (h *Holder) submitted(s Submission, receipt Receipt, err error) {
 	switch {
 	case err == nil:
-		h.heard()
+		h.contacted()
 		for _, r := range receipt.Parts {
 			h.received(r, s.epoch(r.Page))
 		}
@@ -94,7 +94,7 @@
 	for _, u := range a.unsure {
 		held = min(held, u.row.Granted)
 	}
-	if !a.told {
+	if !a.led {
 		return held
 	}
 	return min(held, n.Spent+max(a.target, n.Urgent))
@@ -127,7 +127,7 @@
 	}
 	p.count, p.submitted, p.unsure = r.Report.Count, false, -1
 	p.joined, p.unsettled, p.known, p.drawn, p.epoch = true, r.Unsettled, false, h.now(), h.epochs.Current()
-	h.holders, h.toldRate = r.Holders, r.Rate
+	h.holders, h.leaderRate = r.Holders, r.Rate
 	for name, a := range h.accounts {
 		if h.pageOf(name) != p {
 			continue
@@ -139,12 +139,12 @@
 		}
 		a.confirm(issued{row: held.Row, clock: time.Duration(r.Report.Clock) * time.Millisecond})
 		a.rest, a.free, a.others, a.target = held.Rest, held.Free, held.Others, held.Target
-		a.toldRate, a.zoneRate, a.told, a.unproven = held.Rate, held.Zone, true, held.Unproven
+		a.leaderRate, a.zoneRate, a.led, a.unproven = held.Rate, held.Zone, true, held.Unproven
 		p.reported[name] = held.Row.Spent
 	}
 }
 
-// present says whether a receipt is of the store's present epoch, in which the part was made too. Else it tells nothing of this holder's rows. The
+// present reports whether a receipt is of the store's present epoch, in which the part was made too. Else it tells nothing of this holder's rows. The
 // caller holds mu.
 func (h *Holder) present(r PartReceipt, epoch int64) bool {
 	if r.Epoch == 0 { // of a build, or a store, that names none
--- a/internal/escrow/write.go
+++ b/internal/escrow/write.go
@@ -99,7 +99,7 @@
 	var conflict *external.ConflictError
 	told := errors.As(err, &conflict)
 	if err == nil || told {
-		h.heard()
+		h.contacted()
 	}
 	for _, w := range list {
 		switch {
--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -29,7 +29,7 @@
 	orders map[string]Order // the last of each zone
 }
 
-// Apply takes one order. It says whether that changes what holds.
+// Apply takes one order. It reports whether that changes what holds.
 func (s *State) Apply(o Order) bool {
 	if o.Revision <= s.known(o.Zone) {
 		return false
--- a/internal/external/epoch.go
+++ b/internal/external/epoch.go
@@ -124,7 +124,7 @@
 	return e.current
 }
 
-// Restored says whether the store was restored since this instance first knew its epoch.
+// Restored reports whether the store was restored since this instance first knew its epoch.
 func (e *Epochs) Restored() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/external/kv.go
+++ b/internal/external/kv.go
@@ -44,7 +44,7 @@
 // WithStale marks reads under ctx that may be answered from a copy some seconds old, where the store has such reads cheaper.
 func WithStale(ctx context.Context) context.Context { return context.WithValue(ctx, staleKey{}, true) }
 
-// Stale says whether WithStale marked a read.
+// Stale reports whether WithStale marked a read.
 func Stale(ctx context.Context) bool {
 	on, _ := ctx.Value(staleKey{}).(bool)
 	return on
--- a/internal/external/rest.go
+++ b/internal/external/rest.go
@@ -35,7 +35,7 @@
 	until time.Time
 }
 
-// check says why the store must not be called now.
+// check reports why the store must not be called now.
 func (r *rests) check() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -393,7 +393,7 @@
 	pause time.Duration
 }
 
-// rests says whether the store is left alone now.
+// rests reports whether the store is left alone now.
 func (r *rest) rests(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -93,16 +93,16 @@
 	rejected   map[string]int64 // revisions of records that could not be read, by key
 	onRejected func()
 
-	mu       sync.Mutex
-	since    Cursor
-	answered time.Time
-	heard    time.Time // see Heard
-	told     time.Time // the last answer that told of any change
-	deaf     bool      // answers have told nothing for too long
-	failed   int       // calls for changes that failed in a row
-	near     bool      // the last answer came from another instance
-	lost     bool
-	restored restoration
+	mu        sync.Mutex
+	since     Cursor
+	answered  time.Time
+	contact   time.Time // see Heard
+	changedAt time.Time // the last answer that told of any change
+	deaf      bool      // answers have told nothing for too long
+	failed    int       // calls for changes that failed in a row
+	near      bool      // the last answer came from another instance
+	lost      bool
+	restored  restoration
 }
 
 // Option changes a Follower.
@@ -125,7 +125,7 @@
 // OnEntry sets what is told of other values.
 func OnEntry(g func(external.Entry)) Option { return func(f *Follower) { f.entries = g } }
 
-// OnPolled sets what is called after each answer that tells what has changed, once all of that has been told. own says whether
+// OnPolled sets what is called after each answer that tells what has changed, once all of that has been told. own reports whether
 // that included what the fleet writes itself.
 func OnPolled(g func(own bool)) Option { return func(f *Follower) { f.polled = g } }
 
@@ -161,20 +161,20 @@
 	return f.now().Sub(f.answered)
 }
 
-// Heard is a moment since which nothing that is known can have been older than the store's: when the last call was made that was answered, less the
+// LastContact is a moment since which nothing that is known can have been older than the store's: when the last call was made that was answered, less the
 // age of what another instance told. An answer may have waited in a socket while this machine was suspended. The zero time: none was answered.
-func (f *Follower) Heard() time.Time {
+func (f *Follower) LastContact() time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.heard
+	return f.contact
 }
 
-// hears notes an answer to a call that was made at a moment.
-func (f *Follower) hears(asked time.Time, u Update) {
+// contacted notes an answer to a call that was made at a moment.
+func (f *Follower) contacted(asked time.Time, u Update) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if at := asked.Add(-u.Age); at.After(f.heard) {
-		f.heard = at
+	if at := asked.Add(-u.Age); at.After(f.contact) {
+		f.contact = at
 	}
 }
 
@@ -253,12 +253,12 @@
 	f.failed = 0
 	f.near = u.Peer
 	now := f.now()
-	if u.Events > 0 || f.told.IsZero() {
-		f.told = now
+	if u.Events > 0 || f.changedAt.IsZero() {
+		f.changedAt = now
 	}
-	f.deaf = now.Sub(f.told) >= f.times.Silence
+	f.deaf = now.Sub(f.changedAt) >= f.times.Silence
 	f.apply(u, u.Whole)
-	f.hears(asked, u)
+	f.contacted(asked, u)
 	f.polled(own && !u.Peer)
 	return nil
 }
@@ -272,9 +272,9 @@
 	if err != nil {
 		return eris.Wrap(err, "reading the configuration and the endpoints")
 	}
-	f.told, f.deaf, f.near = f.now(), false, u.Peer
+	f.changedAt, f.deaf, f.near = f.now(), false, u.Peer
 	f.apply(u, true)
-	f.hears(asked, u)
+	f.contacted(asked, u)
 	return nil
 }
 
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -63,18 +63,18 @@
 				woke = now
 			}
 			So(step(), ShouldBeNil)
-			So(f.Heard(), ShouldHappenBefore, woke)
+			So(f.LastContact(), ShouldHappenBefore, woke)
 			src.during = nil
 			now = now.Add(time.Millisecond)
 			So(step(), ShouldBeNil)
-			So(f.Heard(), ShouldHappenAfter, woke)
+			So(f.LastContact(), ShouldHappenAfter, woke)
 		})
 
 		Convey("has not heard lately what another instance heard long ago", func() {
 			now = now.Add(10 * time.Second)
 			src.change = Update{At: 12, Events: 1, Peer: true, Age: 5 * time.Second}
 			So(step(), ShouldBeNil)
-			So(now.Sub(f.Heard()), ShouldEqual, 5*time.Second)
+			So(now.Sub(f.LastContact()), ShouldEqual, 5*time.Second)
 		})
 
 		Convey("keeps what it has when a configuration cannot be compiled", func() {
--- a/internal/follow/restoration.go
+++ b/internal/follow/restoration.go
@@ -46,16 +46,16 @@
 	rereads int       // of everything, since its records are reliable
 }
 
-// missing says whether what a list lacks counts as there.
+// missing reports whether what a list lacks counts as there.
 func (r restoration) missing(now time.Time) bool { return !r.at.IsZero() && now.Sub(r.at) < returnWait }
 
-// older says whether what a list has may be older than what is known.
+// older reports whether what a list has may be older than what is known.
 func (r restoration) older(now time.Time) bool { return !r.at.IsZero() && now.Sub(r.at) < lapseWait }
 
 // rereadAt are the times after a restoration at which everything is read once more.
 var rereadAt = []time.Duration{returnWait, lapseWait}
 
-// due says whether everything is to be read once more now.
+// due reports whether everything is to be read once more now.
 func (r restoration) due(now time.Time) bool {
 	return !r.at.IsZero() && r.rereads < len(rereadAt) && now.Sub(r.at) >= rereadAt[r.rereads]
 }
--- a/internal/gateway/deferred.go
+++ b/internal/gateway/deferred.go
@@ -8,7 +8,7 @@
 )
 
 // deferred is a request that was served while the home of its key could not be asked. Its tokens stay held until the
-// home says whether the same request has been billed elsewhere.
+// home reports whether the same request has been billed elsewhere.
 type deferred struct {
 	j    *job
 	used int64
--- a/internal/gateway/endings.go
+++ b/internal/gateway/endings.go
@@ -15,9 +15,9 @@
 
 // Looker finds out whether an endpoint's process has ended: upstream.Client.
 type Looker interface {
-	// Refused says whether a new connection to an address is refused now.
+	// Refused reports whether a new connection to an address is refused now.
 	Refused(ctx context.Context, addr string) bool
-	// RefusedSoon says whether it is within a moment.
+	// RefusedSoon reports whether it is within a moment.
 	RefusedSoon(ctx context.Context, addr string) bool
 }
 
@@ -62,7 +62,7 @@
 	}
 }
 
-// lone says whether only its caller may send the request again: two endpoints in a row did not outlive it.
+// lone reports whether only its caller may send the request again: two endpoints in a row did not outlive it.
 func (j *job) lone() bool {
 	return j.g.suspects.Suspects(j.customer) && j.g.suspects.Lone(j.asks())
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -227,7 +227,7 @@
 	in.view.OnBeat(in.feed.Heard)
 	heard, silenced := pool.LogWords(in.log)
 	in.targets = targets.New(in.set.Instance.Zone, targets.WithZoneView(in.view.InFlight, func() int { return len(in.view.Zone()) }),
-		targets.OnHeard(heard), targets.OnSilenced(silenced))
+		targets.OnNotice(heard), targets.OnNoticeEnded(silenced))
 	in.feed.OnChange(in.targets.SetDocument)
 	in.cache = rollout.NewCache(in.feed, in.view, in.transport, in.router, in.driver, in.targets)
 	in.feed.OnChange(in.recorder.SetDocument)
--- a/internal/limit/bucket.go
+++ b/internal/limit/bucket.go
@@ -64,7 +64,7 @@
 // burst is the number of requests that may be sent at once.
 func burst(rate float64) float64 { return max(1, rate*burstTime.Seconds()) }
 
-// Has says whether a request may be sent now.
+// Has reports whether a request may be sent now.
 func (b *Bucket) Has(r Rate, now time.Time) bool {
 	b.fill(r, now)
 	return b.level >= 1
@@ -84,7 +84,7 @@
 // unusedFor is how long a request may be sent that no session of the endpoint's own asks for, before one of others is to take its place.
 const unusedFor = 500 * time.Millisecond
 
-// Draws says whether the instance is to send any request there that it has, since one may be sent that nobody uses: it is one of few that are lent a
+// Draws reports whether the instance is to send any request there that it has, since one may be sent that nobody uses: it is one of few that are lent a
 // part, so what they send by themselves is not what all would send. It draws no more than an endpoint's even share of what all have, so that a high
 // limit draws nothing: even is that part of all requests for the service. Without, an endpoint of hundreds would get next to nothing, and nobody would
 // hear that it takes more again.
--- a/internal/limit/division.go
+++ b/internal/limit/division.go
@@ -75,7 +75,7 @@
 	leases []Lease // that may still be in use: an answer may be lost, so that an earlier one is
 }
 
-// counts says whether what it said still counts.
+// counts reports whether what it said still counts.
 func (a *asker) counts(now time.Time) bool { return now.Sub(a.at) < countsFor }
 
 // held is the most that it may be using.
@@ -89,10 +89,10 @@
 }
 
 // Own takes what this instance would send, and its own parts.
-func (d *Division) Own(asks Asks, now time.Time) { d.Hear(own, asks, now) }
+func (d *Division) Own(asks Asks, now time.Time) { d.Observe(own, asks, now) }
 
-// Hear takes what an instance asks.
-func (d *Division) Hear(from string, asks Asks, now time.Time) {
+// Observe takes what an instance asks.
+func (d *Division) Observe(from string, asks Asks, now time.Time) {
 	for key, ask := range asks {
 		s := d.endpoints[key]
 		if s == nil {
@@ -200,7 +200,7 @@
 	return out
 }
 
-// led says whether this instance lends only what it is lent: it has given its parts up, or is about to.
+// led reports whether this instance lends only what it is lent: it has given its parts up, or is about to.
 func (d *Division) led(now time.Time) bool {
 	return now.Before(d.given) || now.Sub(d.asked) < countsFor
 }
--- a/internal/limit/division_test.go
+++ b/internal/limit/division_test.go
@@ -115,7 +115,7 @@
 	if up := s.above(n); up != nil {
 		asks := n.div.Above(up.name, s.now)
 		if s.rng.Float64() >= s.lose {
-			up.div.Hear(n.name, asks, s.now)
+			up.div.Observe(n.name, asks, s.now)
 			grants := up.div.Lend(n.name, up.rates(s), s.now)
 			if s.rng.Float64() >= s.lose {
 				n.div.Take(grants, s.now)
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -32,7 +32,7 @@
 // PerSecond makes a Rate.
 func PerSecond(x float64) Rate { return Rate{perSecond: min(max(0, x), most), named: true} }
 
-// Named says whether a rate is named at all.
+// Named reports whether a rate is named at all.
 func (r Rate) Named() bool { return r.named }
 
 // PerSecond is the rate as it was named, in requests a second.
@@ -67,12 +67,12 @@
 	missing time.Time // when the last request was sent whose answer named none
 }
 
-// Holds says whether the limit counts.
+// Holds reports whether the limit counts.
 func (k Known) Holds(now time.Time) bool {
 	return !k.named.IsZero() && !k.missing.After(k.named) && now.Sub(k.named) < life
 }
 
-// Over says whether nothing that is known matters any more.
+// Over reports whether nothing that is known matters any more.
 func (k Known) Over(now time.Time) bool {
 	return now.Sub(k.named) >= life && now.Sub(k.missing) >= life
 }
@@ -94,11 +94,11 @@
 // Last is the rate that was last named, whether it holds or not.
 func (k Known) Last() Rate { return k.rate }
 
-// Hear takes an answer's head, to a request that was sent at a moment.
+// Observe takes an answer's head, to a request that was sent at a moment.
 //
 // An answer that names none lifts the limit only if its request was sent after the limit had last been named: one that began before may come later.
 // Where two answers that were under way at once name two rates, the lower one holds until the next answer.
-func (k *Known) Hear(r Rate, sent, now time.Time) {
+func (k *Known) Observe(r Rate, sent, now time.Time) {
 	switch {
 	case !r.named:
 		if sent.After(k.missing) {
@@ -122,8 +122,8 @@
 	}
 }
 
-// Told makes what another instance has heard from what it says: the rate that was last named and when, and when a request was sent whose answer
+// Reported makes what another instance has heard from what it says: the rate that was last named and when, and when a request was sent whose answer
 // named none. A zero time says that there was none.
-func Told(r Rate, named, missing time.Time) Known {
+func Reported(r Rate, named, missing time.Time) Known {
 	return Known{rate: r, named: named, missing: missing}
 }
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -57,30 +57,30 @@
 	two, five := PerSecond(2), PerSecond(5)
 	Convey("A limit that an answer named", t, func() {
 		var k Known
-		k.Hear(two, at(0), at(1))
+		k.Observe(two, at(0), at(1))
 		So(k.Rate(at(2)), ShouldResemble, two)
 
 		Convey("is not lifted by an answer whose request was sent before, and is by a later one", func() {
-			k.Hear(Rate{}, at(0.9), at(3))
+			k.Observe(Rate{}, at(0.9), at(3))
 			So(k.Holds(at(3)), ShouldBeTrue)
-			k.Hear(Rate{}, at(1.1), at(3))
+			k.Observe(Rate{}, at(1.1), at(3))
 			So(k.Holds(at(3)), ShouldBeFalse)
 
 			Convey("and then holds again when it is named again", func() {
-				k.Hear(five, at(1.2), at(4))
+				k.Observe(five, at(1.2), at(4))
 				So(k.Rate(at(4)), ShouldResemble, five)
 			})
 			Convey("and does not come back from another instance that was told before", func() {
-				k.Merge(Told(two, at(1.05), time.Time{}))
+				k.Merge(Reported(two, at(1.05), time.Time{}))
 				So(k.Holds(at(3)), ShouldBeFalse)
 			})
 		})
 		Convey("changes with a later answer; of two that were under way at once the lower rate holds", func() {
-			k.Hear(five, at(0.5), at(1.5))
+			k.Observe(five, at(0.5), at(1.5))
 			So(k.Rate(at(2)), ShouldResemble, two)
-			k.Hear(five, at(1.6), at(2))
+			k.Observe(five, at(1.6), at(2))
 			So(k.Rate(at(2)), ShouldResemble, five)
-			k.Hear(two, at(1.7), at(2.1))
+			k.Observe(two, at(1.7), at(2.1))
 			So(k.Rate(at(3)), ShouldResemble, two)
 		})
 		Convey("is forgotten some time after it was last named", func() {
@@ -97,7 +97,7 @@
 		moment := func(t *rapid.T) time.Time { return time.Unix(int64(rapid.IntRange(0, 20).Draw(t, "s")), 0) }
 		words := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Known {
 			named := moment(t)
-			return Told(PerSecond(float64(named.Unix())), named, moment(t)) // one rate at a time
+			return Reported(PerSecond(float64(named.Unix())), named, moment(t)) // one rate at a time
 		}), 1, 8).Draw(t, "words")
 		var a, b Known
 		for _, w := range words {
--- a/internal/load/fuzz_test.go
+++ b/internal/load/fuzz_test.go
@@ -36,8 +36,8 @@
 		p := pool.New("a")
 		p.Put(pool.Endpoint{ID: "e", Service: "s", Addr: "1:1", Zone: "a", Slots: 4})
 		p.SetOthers(r.loads)
-		p.HearLeaving(r.leaving)
-		p.HearLimits(r.limits)
+		p.ObserveLeaving(r.leaving)
+		p.ObserveLimits(r.limits)
 		fuzzDivision(t, d)
 		p.Pick(pool.Query{Service: "s"})
 	})
@@ -48,7 +48,7 @@
 	now := time.Now()
 	rates := map[uint32]limit.Rate{7: limit.PerSecond(1.5)}
 	v := limit.NewDivision()
-	v.Hear("x", unpackAsks(d.Asks), now)
+	v.Observe("x", unpackAsks(d.Asks), now)
 	v.Take(unpackGrants(d.Grants), now)
 	for _, g := range v.Lend("x", rates, now) {
 		if !(g.PerSecond <= rates[7].Bound()) {
--- a/internal/load/limits.go
+++ b/internal/load/limits.go
@@ -67,7 +67,7 @@
 	}
 	for _, n := range list {
 		if n.Rate >= 0 {
-			out[n.Endpoint] = limit.Told(limit.PerSecond(whole(n.Rate)), at(n.NamedMs), at(n.MissingMs))
+			out[n.Endpoint] = limit.Reported(limit.PerSecond(whole(n.Rate)), at(n.NamedMs), at(n.MissingMs))
 		}
 	}
 	return out
@@ -170,7 +170,7 @@
 	if len(asks) == 0 || now.Sub(x.synced) > stalled {
 		return nil
 	}
-	x.division.Hear(to, unpackAsks(asks), now)
+	x.division.Observe(to, unpackAsks(asks), now)
 	return packGrants(x.division.Lend(to, x.rates, now))
 }
 
--- a/internal/load/limits_test.go
+++ b/internal/load/limits_test.go
@@ -85,7 +85,7 @@
 		b.refused++
 		return
 	}
-	word := pool.Word{}
+	word := pool.Notice{}
 	if lease.Endpoint().ID == "e-0" {
 		b.got = append(b.got, b.now)
 		word.Limit = b.rate
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -48,8 +48,8 @@
 	r.limits.Add(other.limits)
 }
 
-// told is what one instance or zone said last.
-type told struct {
+// received is what one instance or zone said last.
+type received struct {
 	digest digest
 	report report
 	at     time.Time
@@ -68,14 +68,14 @@
 type Rider interface {
 	// Tell is what is to be told to an instance now; nil: nothing.
 	Tell(to string) []byte
-	// Hear takes what an instance tells.
-	Hear(from string, b []byte)
+	// Receive takes what an instance tells.
+	Receive(from string, b []byte)
 }
 
 type noRider struct{}
 
-func (noRider) Tell(string) []byte  { return nil }
-func (noRider) Hear(string, []byte) {}
+func (noRider) Tell(string) []byte     { return nil }
+func (noRider) Receive(string, []byte) {}
 
 // Exchange is the service that tells and asks.
 type Exchange struct {
@@ -85,8 +85,8 @@
 	rider Rider
 
 	mu      sync.Mutex
-	members map[string]told // by instance, where this one gathers
-	zones   map[string]told // by zone other than its own, likewise
+	members map[string]received // by instance, where this one gathers
+	zones   map[string]received // by zone other than its own, likewise
 	summary summary
 
 	division *limit.Division
@@ -113,7 +113,7 @@
 // New makes an exchange and registers its messages.
 func New(dir *peers.Directory, p *pool.Pool, router *mesh.Router, opts ...Option) *Exchange {
 	x := &Exchange{
-		dir: dir, pool: p, now: time.Now, rider: noRider{}, members: make(map[string]told), zones: make(map[string]told),
+		dir: dir, pool: p, now: time.Now, rider: noRider{}, members: make(map[string]received), zones: make(map[string]received),
 		division: limit.NewDivision(), limits: func(int, float64) {},
 	}
 	for _, opt := range opts {
@@ -142,7 +142,7 @@
 	keepers := x.dir.Keepers()
 	if len(keepers) == 0 {
 		x.askZones(ctx)
-		x.hear(x.sum(""))
+		x.observe(x.sum(""))
 		return
 	}
 	mine := pack(x.own(), x.now())
@@ -151,9 +151,9 @@
 		mine.Rider, mine.Asks = x.rider.Tell(p.ID), x.asks(p.ID)
 		others, err := peers.Call[digest, digest](ctx, x.dir, p, KindTell, mine)
 		if err == nil {
-			x.rider.Hear(p.ID, others.Rider)
+			x.rider.Receive(p.ID, others.Rider)
 			x.granted(others.Grants, asked)
-			x.hear(others.unpack(x.now()))
+			x.observe(others.unpack(x.now()))
 			return
 		}
 	}
@@ -164,11 +164,11 @@
 	return report{loads: x.pool.Loads(), leaving: x.pool.Leaving(), limits: x.pool.Limits()}
 }
 
-// hear takes what all others know.
-func (x *Exchange) hear(r report) {
+// observe takes what all others know.
+func (x *Exchange) observe(r report) {
 	x.pool.SetOthers(r.loads)
-	x.pool.HearLeaving(r.leaving)
-	x.pool.HearLimits(r.limits)
+	x.pool.ObserveLeaving(r.leaving)
+	x.pool.ObserveLimits(r.limits)
 }
 
 // askZones exchanges sums with one instance of each other zone, if the fleet is so large that its zones are led.
@@ -188,7 +188,7 @@
 			}
 			theirs, err := peers.Call[digest, digest](ctx, x.dir, p, KindZone, mine)
 			if err == nil {
-				x.rider.Hear(p.ID, theirs.Rider)
+				x.rider.Receive(p.ID, theirs.Rider)
 				x.granted(theirs.Grants, asked)
 				x.note(x.zones, p.Zone, theirs)
 			}
@@ -226,8 +226,8 @@
 	sum := make(pool.Loads)
 	sum.Add(x.pool.Loads())
 	add := func(r report) { sum.Add(r.loads) }
-	x.eachTold(x.members, "", add)
-	x.eachTold(x.zones, "", add)
+	x.eachReported(x.members, "", add)
+	x.eachReported(x.zones, "", add)
 	included := make(map[string][]line, len(x.members))
 	for id, t := range x.members {
 		included[id] = t.digest.Lines
@@ -244,8 +244,8 @@
 		out.limits.Add(r.limits)
 	}
 	add(report{leaving: x.pool.Leaving(), limits: x.pool.Limits()})
-	x.eachTold(x.members, without, add)
-	x.eachTold(x.zones, "", add)
+	x.eachReported(x.members, without, add)
+	x.eachReported(x.zones, "", add)
 	return out
 }
 
@@ -257,15 +257,15 @@
 
 // ride lets the rider hear what came with a digest, and tell with the answer; the answer has what is lent of limits, too.
 func (x *Exchange) ride(from mesh.Peer, d, out digest) digest {
-	x.rider.Hear(from.ID, d.Rider)
+	x.rider.Receive(from.ID, d.Rider)
 	out.Rider, out.Grants = x.rider.Tell(from.ID), x.grants(from.ID, d.Asks)
 	return out
 }
 
-func (x *Exchange) note(list map[string]told, key string, d digest) {
+func (x *Exchange) note(list map[string]received, key string, d digest) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	list[key] = told{digest: d, report: d.unpack(x.now()), at: x.now()}
+	list[key] = received{digest: d, report: d.unpack(x.now()), at: x.now()}
 }
 
 // zoneSum is what the instances that tell this one know, and this one itself.
@@ -274,7 +274,7 @@
 	out.add(x.own())
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.eachTold(x.members, "", out.add)
+	x.eachReported(x.members, "", out.add)
 	return out
 }
 
@@ -283,13 +283,13 @@
 	out := newReport()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.eachTold(x.members, without, out.add)
-	x.eachTold(x.zones, "", out.add)
+	x.eachReported(x.members, without, out.add)
+	x.eachReported(x.zones, "", out.add)
 	return out
 }
 
-// eachTold takes what was told lately by all but one, and forgets what is old. The caller holds mu.
-func (x *Exchange) eachTold(list map[string]told, without string, take func(report)) {
+// eachReported takes what was told lately by all but one, and forgets what is old. The caller holds mu.
+func (x *Exchange) eachReported(list map[string]received, without string, take func(report)) {
 	now := x.now()
 	for key, t := range list {
 		switch {
--- a/internal/matrix/chatedge_test.go
+++ b/internal/matrix/chatedge_test.go
@@ -137,7 +137,7 @@
 	})
 }
 
-// asks says whether a request to an engine has a prompt, and leaves its body to be read again.
+// asks reports whether a request to an engine has a prompt, and leaves its body to be read again.
 func (w *world) asks(r *http.Request, prompt string) bool {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -112,7 +112,7 @@
 		opt(v)
 	}
 	mesh.Handle(router, KindBeat, func(ctx context.Context, _ mesh.Peer, b Beat) (Beat, error) {
-		v.Hear(ctx, b)
+		v.Receive(ctx, b)
 		return v.beat(false), nil
 	})
 	return v
@@ -196,8 +196,8 @@
 	}
 }
 
-// Hear takes a heartbeat.
-func (v *View) Hear(ctx context.Context, b Beat) {
+// Receive takes a heartbeat.
+func (v *View) Receive(ctx context.Context, b Beat) {
 	if b.Peer.ID == v.self.ID || b.Peer.ID == "" {
 		return
 	}
@@ -271,7 +271,7 @@
 	defer cancel()
 	back, err := mesh.Call[Beat, Beat](ctx, v.caller, p.Addr, KindBeat, b)
 	if err == nil {
-		v.Hear(ctx, back)
+		v.Receive(ctx, back)
 	}
 }
 
--- a/internal/peers/directory.go
+++ b/internal/peers/directory.go
@@ -324,7 +324,7 @@
 	return nil
 }
 
-// Settled says whether the others are known well enough to begin with: in a large fleet a leader is to be found first, for a few
+// Settled reports whether the others are known well enough to begin with: in a large fleet a leader is to be found first, for a few
 // seconds.
 func (d *Directory) Settled() bool {
 	if d.self.Peer.Addr == "" {
@@ -349,7 +349,7 @@
 	soleRecords = 2 // no more records than these may be a fleet that is just starting
 )
 
-// Large says whether the fleet is so large that its zones are led.
+// Large reports whether the fleet is so large that its zones are led.
 func (d *Directory) Large() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/peers/leaders.go
+++ b/internal/peers/leaders.go
@@ -7,10 +7,10 @@
 	"github.com/ledgemount/ledgemount/internal/mesh"
 )
 
-// Leads says whether this instance leads its zone, as far as it knows.
+// Leads reports whether this instance leads its zone, as far as it knows.
 func (d *Directory) Leads() bool { return len(d.Leaders()) == 0 }
 
-// Stranded says whether this instance does the work itself only because those that lead cannot be reached.
+// Stranded reports whether this instance does the work itself only because those that lead cannot be reached.
 func (d *Directory) Stranded() bool {
 	d.mu.Lock()
 	ahead := len(d.ahead)
@@ -114,7 +114,7 @@
 	return d.heads()
 }
 
-// Cut says whether the last call to an instance that this one tells has failed: in a large fleet one that leads another zone, in a small one
+// Cut reports whether the last call to an instance that this one tells has failed: in a large fleet one that leads another zone, in a small one
 // any other.
 func (d *Directory) Cut() bool {
 	d.mu.Lock()
@@ -135,13 +135,13 @@
 	return false
 }
 
-// Linked says whether links to other instances are open.
+// Linked reports whether links to other instances are open.
 func (d *Directory) Linked() bool { return d.linked() }
 
-// linked says whether links to other instances are open.
+// linked reports whether links to other instances are open.
 func (d *Directory) linked() bool { return d.caller.Load() != nil }
 
-// isLarge says whether the fleet is so large that its zones are led. The caller holds mu.
+// isLarge reports whether the fleet is so large that its zones are led. The caller holds mu.
 func (d *Directory) isLarge() bool { return len(d.records) >= d.large }
 
 // reachable are the first of a list that are not left alone. The caller holds mu.
--- a/internal/peers/lenders.go
+++ b/internal/peers/lenders.go
@@ -11,7 +11,7 @@
 	mostLenders = 4 // instances of a large fleet that are asked for one loan
 )
 
-// Pool says whether the own zone pools a customer's tokens, and whether it does so here.
+// Pool reports whether the own zone pools a customer's tokens, and whether it does so here.
 func (d *Directory) Pool(customer string) (pooled, here bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -69,5 +69,5 @@
 	return out
 }
 
-// Near says whether an instance is of the own zone.
+// Near reports whether an instance is of the own zone.
 func (d *Directory) Near(p mesh.Peer) bool { return p.Zone == d.self.Peer.Zone }
--- a/internal/peers/rank.go
+++ b/internal/peers/rank.go
@@ -31,7 +31,7 @@
 	s.until = d.now().Add(s.pause)
 }
 
-// suspected says whether an instance is left alone now. The caller holds mu.
+// suspected reports whether an instance is left alone now. The caller holds mu.
 func (d *Directory) suspected(id string) bool {
 	s := d.suspects[id]
 	return s != nil && d.now().Before(s.until)
@@ -59,7 +59,7 @@
 	}
 }
 
-// Known says whether the other instances are known as well as they soon will be.
+// Known reports whether the other instances are known as well as they soon will be.
 func (d *Directory) Known() bool {
 	select {
 	case <-d.met:
@@ -76,7 +76,7 @@
 	return d.place, max(1, len(d.records))
 }
 
-// Owns says whether this instance is one of the first in the order of all instances for a key, by rendezvous hashing. Instances with
+// Owns reports whether this instance is one of the first in the order of all instances for a key, by rendezvous hashing. Instances with
 // other records may come to another order: callers must leave room for that. An instance that stays by itself owns all.
 func (d *Directory) Owns(key string, first int) bool {
 	if d.self.Peer.Addr == "" {
--- a/internal/peers/restore.go
+++ b/internal/peers/restore.go
@@ -34,7 +34,7 @@
 	}
 }
 
-// keepMissing says whether instances whose records are missing stay known.
+// keepMissing reports whether instances whose records are missing stay known.
 func (d *Directory) keepMissing() bool {
 	at := d.restored.Load()
 	return at != nil && d.now().Sub(*at) < recordsWait
--- a/internal/pool/cascade_test.go
+++ b/internal/pool/cascade_test.go
@@ -129,14 +129,14 @@
 		_, _ = fmt.Sscanf(lease.Endpoint().ID, "e-%d", &i)
 		if c.running[i] >= c.room(i) || (c.forced == i && c.at < c.forcedTil) {
 			c.turned++
-			lease.Said(Word{Rest: c.rest, Limit: c.limit(i)}, Answer{})
+			lease.Said(Notice{Rest: c.rest, Limit: c.limit(i)}, Answer{})
 			lease.Done(EndBusy)
 			continue
 		}
 		c.running[i]++
 		c.after(cascadeAnswers, func() {
 			lease.Accepted()
-			lease.Said(Word{Limit: c.limit(i)}, Answer{})
+			lease.Said(Notice{Limit: c.limit(i)}, Answer{})
 		})
 		c.after(cascadeRuns, func() {
 			c.running[i]--
--- a/internal/pool/comeback.go
+++ b/internal/pool/comeback.go
@@ -63,7 +63,7 @@
 	return int(c.room * math.Exp2(now.Sub(c.turned).Seconds()/forgetting.Seconds()))
 }
 
-// over says whether there is no bound, or it does not count any more.
+// over reports whether there is no bound, or it does not count any more.
 func (c *comeback) over(now time.Time) bool {
 	return c == nil || (!c.turned.IsZero() && now.Sub(c.turned) > forgotten*forgetting)
 }
--- a/internal/pool/connections.go
+++ b/internal/pool/connections.go
@@ -47,12 +47,12 @@
 	return c
 }
 
-// connects says whether one more connection may be opened to an endpoint. The caller holds mu.
+// connects reports whether one more connection may be opened to an endpoint. The caller holds mu.
 func (l *Pool) connects(m *member, c *connections, now time.Time) bool {
 	switch {
 	case c == nil, m.open < c.part:
 		return true
-	case l.told(now) && float64(m.open+m.others.Open) < freeConnections*float64(c.most):
+	case l.othersKnown(now) && float64(m.open+m.others.Open) < freeConnections*float64(c.most):
 		return true
 	case c.part > 0 || m.open > 0:
 		return false
--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -24,7 +24,7 @@
 	m.errorsAt = now
 }
 
-// sound says whether nothing speaks against an endpoint.
+// sound reports whether nothing speaks against an endpoint.
 func (l *Pool) sound(m *member, now time.Time) bool {
 	switch {
 	case l.cutOff(m, now), before(now, m.pausedTil), before(now, m.busyTil):
@@ -35,30 +35,30 @@
 	return !l.silent(m, now)
 }
 
-// before says whether a moment lies ahead; the zero one, which most endpoints have, never does.
+// before reports whether a moment lies ahead; the zero one, which most endpoints have, never does.
 func before(now, at time.Time) bool { return !at.IsZero() && now.Before(at) }
 
-// silent says whether an endpoint owes an answer and has said nothing for too long.
+// silent reports whether an endpoint owes an answer and has said nothing for too long.
 func (l *Pool) silent(m *member, now time.Time) bool {
 	if m.open == 0 {
 		return false
 	}
 	since := m.asked
-	if m.heard.After(since) {
-		since = m.heard
+	if m.receivedAt.After(since) {
+		since = m.receivedAt
 	}
 	return now.Sub(since) > max(l.policy.Silence, m.patience)
 }
 
-// Heard notes that the endpoint has sent something.
-func (s *Lease) Heard() {
+// Received notes that the endpoint has sent something.
+func (s *Lease) Received() {
 	s.pool.mu.Lock()
-	s.member.heard = s.pool.now()
+	s.member.receivedAt = s.pool.now()
 	s.pool.reached(s.member)
 	s.pool.mu.Unlock()
 }
 
-// Silent says whether the endpoint says nothing to anybody here.
+// Silent reports whether the endpoint says nothing to anybody here.
 func (s *Lease) Silent() bool {
 	s.pool.mu.RLock()
 	defer s.pool.mu.RUnlock()
@@ -81,7 +81,7 @@
 	defer s.pool.mu.RUnlock()
 	now := s.pool.byID[s.member.ID]
 	switch {
-	case now == s.member && !s.member.Draining && !s.member.said.leaves(s.pool.now()):
+	case now == s.member && !s.member.Draining && !s.member.announced.leaves(s.pool.now()):
 		return FateUnknown
 	case now != nil && s.member.Outdated(now.Endpoint):
 		return FateEnded
@@ -151,7 +151,7 @@
 			m.comeback = m.comeback.after(now, m.open, l.policy.BusyCut)
 		}
 	case EndMoved:
-		l.hear(m, Word{Moved: true}, Answer{})
+		l.observe(m, Notice{Moved: true}, Answer{})
 	case EndUnsent:
 		s.unsent()
 	case EndNeutral:
@@ -184,7 +184,7 @@
 	}
 }
 
-// mayPause says whether one more endpoint of a service may be paused: what looks like a fault of most of them is one on the way there.
+// mayPause reports whether one more endpoint of a service may be paused: what looks like a fault of most of them is one on the way there.
 func (l *Pool) mayPause(m *member) bool {
 	if l.policy.MostPaused >= 1 {
 		return true
--- a/internal/pool/limits.go
+++ b/internal/pool/limits.go
@@ -29,10 +29,10 @@
 // WithLeases makes a pool that sends to endpoints under limits what it is lent with SetLeases. Without, it sends an even part of what they take.
 func WithLeases() Option { return func(l *Pool) { l.leased = true } }
 
-// hearLimit takes the limit that an answer names, or that it names none. The caller holds mu.
-func (l *Pool) hearLimit(s *Lease, r limit.Rate, a Answer) {
+// observeLimit takes the limit that an answer names, or that it names none. The caller holds mu.
+func (l *Pool) observeLimit(s *Lease, r limit.Rate, a Answer) {
 	m := s.member
-	if !r.Named() && (m.said == nil || !m.said.limits.active) {
+	if !r.Named() && (m.announced == nil || !m.announced.limits.active) {
 		return
 	}
 	x := l.saidBy(m.Endpoint)
@@ -42,13 +42,13 @@
 	now := l.now()
 	before := x.limits.known.Rate(now)
 	x.wall = l.wall().UnixMilli()
-	x.limits.own.Hear(r, s.picked, now)
-	x.limits.known.Hear(r, s.picked, now)
-	l.turned(m, x, before, Heard{Endpoint: m.Endpoint, Answer: a, Age: now.Sub(m.told)})
+	x.limits.own.Observe(r, s.picked, now)
+	x.limits.known.Observe(r, s.picked, now)
+	l.turned(m, x, before, NoticeTaken{Endpoint: m.Endpoint, Answer: a, Age: now.Sub(m.recordAt)})
 }
 
 // turned tells that a limit holds, has changed or does not hold any more. The caller holds mu.
-func (l *Pool) turned(m *member, x *said, before limit.Rate, h Heard) {
+func (l *Pool) turned(m *member, x *announced, before limit.Rate, h NoticeTaken) {
 	now := l.now()
 	r := x.limits.known.Rate(now)
 	if x.limits.active = r.Named(); x.limits.active && !before.Named() {
@@ -58,20 +58,20 @@
 	switch {
 	case r == before:
 	case r.Named():
-		h.Word = Word{Limit: r}
-		l.heard(h)
+		h.Word = Notice{Limit: r}
+		l.onNotice(h)
 	default:
-		l.silenced(Silenced{Endpoint: m.Endpoint, Why: WordLifted})
+		l.onNoticeEnded(NoticeEnded{Endpoint: m.Endpoint, Why: WordLifted})
 	}
 }
 
 // limit is the limit of an endpoint, if it names one. The caller holds mu.
 func (m *member) limit(now time.Time) limit.Rate {
-	if m.said == nil || !m.said.limits.active {
+	if m.announced == nil || !m.announced.limits.active {
 		return limit.Rate{}
 	}
-	r := m.said.limits.known.Rate(now)
-	m.said.limits.active = r.Named()
+	r := m.announced.limits.known.Rate(now)
+	m.announced.limits.active = r.Named()
 	return r
 }
 
@@ -80,7 +80,7 @@
 	if l.leased {
 		return
 	}
-	m.said.limits.bucket.Set(limit.NewLease(r, l.evenPart(r), now.Add(leaseAlone)), r, now)
+	m.announced.limits.bucket.Set(limit.NewLease(r, l.evenPart(r), now.Add(leaseAlone)), r, now)
 }
 
 // evenPart is this instance's even part of a limit, in requests a second. The caller holds mu.
@@ -91,21 +91,21 @@
 // leaseAlone is how long an even part counts that is renewed whenever it is asked for.
 const leaseAlone = time.Minute
 
-// allows says whether an endpoint takes a request of this instance under the limit that it names. The caller holds mu.
+// allows reports whether an endpoint takes a request of this instance under the limit that it names. The caller holds mu.
 func (l *Pool) allows(m *member, now time.Time) bool {
 	r := m.limit(now)
 	if !r.Named() {
 		return true
 	}
 	l.lend(m, r, now)
-	return m.said.limits.bucket.Has(r, now)
+	return m.announced.limits.bucket.Has(r, now)
 }
 
 // permits is the number of requests a second that callers here may hope for at an endpoint under a limit: what this instance is lent, or its even
 // part, since what it is lent follows its callers. The caller holds mu.
 func (l *Pool) permits(m *member, now time.Time) float64 {
 	r := m.limit(now)
-	return max(m.said.limits.bucket.Rate(r, now), l.evenPart(r))
+	return max(m.announced.limits.bucket.Rate(r, now), l.evenPart(r))
 }
 
 // takePermit counts a request under the limit of its endpoint; nil if it names none. The caller holds mu.
@@ -113,11 +113,11 @@
 	if !m.limit(now).Named() {
 		return nil
 	}
-	m.said.limits.bucket.Take(now)
-	return &m.said.limits.bucket
+	m.announced.limits.bucket.Take(now)
+	return &m.announced.limits.bucket
 }
 
-// permitted says whether a request that was picked is counted, where the endpoint names a limit by now. The caller holds mu.
+// permitted reports whether a request that was picked is counted, where the endpoint names a limit by now. The caller holds mu.
 func (l *Pool) permitted(s *Lease) bool {
 	now := l.now()
 	if s.permit != nil || !s.member.limit(now).Named() {
@@ -137,10 +137,10 @@
 	}
 	even := 1 / float64(max(1, len(members)))
 	for _, m := range members {
-		if !m.good || m.said == nil {
+		if !m.good || m.announced == nil {
 			continue
 		}
-		if r := m.limit(now); r.Named() && m.said.limits.bucket.Draws(r, even, now) {
+		if r := m.limit(now); r.Named() && m.announced.limits.bucket.Draws(r, even, now) {
 			return m
 		}
 	}
@@ -171,7 +171,7 @@
 	l.mu.RLock()
 	defer l.mu.RUnlock()
 	var out Limits
-	for _, x := range l.said {
+	for _, x := range l.announced {
 		if x.limits.own == (limit.Known{}) || x.limits.own.Over(now) {
 			continue
 		}
@@ -183,17 +183,17 @@
 	return out
 }
 
-// HearLimits takes what other instances have heard of limits.
-func (l *Pool) HearLimits(told Limits) {
+// ObserveLimits takes what other instances have heard of limits.
+func (l *Pool) ObserveLimits(told Limits) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.toldLimits = told
-	l.eachTold(len(told), l.hearToldLimit)
+	l.peersLimits = told
+	l.eachReported(len(told), l.applyPeersLimit)
 }
 
-// hearToldLimit takes what other instances have heard of an endpoint's limit. The caller holds mu.
-func (l *Pool) hearToldLimit(m *member) {
-	told, ok := l.toldLimits[m.key()]
+// applyPeersLimit takes what other instances have heard of an endpoint's limit. The caller holds mu.
+func (l *Pool) applyPeersLimit(m *member) {
+	told, ok := l.peersLimits[m.key()]
 	if !ok {
 		return
 	}
@@ -204,7 +204,7 @@
 	before := x.limits.known.Rate(l.now())
 	x.wall = max(x.wall, l.wall().Add(-l.now().Sub(told.Named())).UnixMilli())
 	x.limits.known.Merge(told)
-	l.turned(m, x, before, Heard{Endpoint: m.Endpoint, Told: true, Age: l.now().Sub(m.told)})
+	l.turned(m, x, before, NoticeTaken{Endpoint: m.Endpoint, Told: true, Age: l.now().Sub(m.recordAt)})
 }
 
 // Limited is an endpoint under a limit, as an exchange between instances sees it.
@@ -242,7 +242,7 @@
 	defer l.mu.Unlock()
 	for _, m := range l.byID {
 		if lease, ok := byEndpoint[m.key()]; ok && m.limit(now).Named() {
-			m.said.limits.bucket.Set(lease, m.limit(now), now)
+			m.announced.limits.bucket.Set(lease, m.limit(now), now)
 		}
 	}
 }
--- a/internal/pool/limits_test.go
+++ b/internal/pool/limits_test.go
@@ -31,7 +31,7 @@
 }
 
 func TestLimitWord(t *testing.T) {
-	two := Word{Limit: limit.PerSecond(2)}
+	two := Notice{Limit: limit.PerSecond(2)}
 	Convey("An endpoint that names a limit in an answer", t, func() {
 		w := newWords()
 		lease := w.lease()
@@ -51,7 +51,7 @@
 			So(w.taken(40*time.Second), ShouldBeBetween, 16, 21)
 		})
 		Convey("gets what is lent of it, where it is lent", func() {
-			w.leased, w.byID["e"].said.limits.bucket = true, limit.Bucket{}
+			w.leased, w.byID["e"].announced.limits.bucket = true, limit.Bucket{}
 			So(w.taken(10*time.Second), ShouldEqual, 0)
 			key := runKey(w.record(0, false))
 			w.SetLeases(map[uint32]limit.Lease{key: limit.NewLease(two.Limit, 1, w.clock.now().Add(5*time.Second))})
@@ -76,7 +76,7 @@
 		Convey("gets what is left of other bounds, too: they do not undo each other", func() {
 			w.clock.pass(time.Second)
 			turned := w.lease()
-			turned.Said(Word{Rest: 3 * time.Second, Limit: two.Limit}, Answer{})
+			turned.Said(Notice{Rest: 3 * time.Second, Limit: two.Limit}, Answer{})
 			turned.Done(EndBusy)
 			So(w.taken(2900*time.Millisecond), ShouldEqual, 0)
 			So(w.taken(10*time.Second), ShouldBeBetween, 15, 21)
@@ -95,30 +95,30 @@
 			So(w.taken(time.Second), ShouldEqual, 100)
 		})
 		Convey("is not freed by an answer to a request that was sent before", func() {
-			lease.Said(Word{}, Answer{})
+			lease.Said(Notice{}, Answer{})
 			So(w.takes(), ShouldBeFalse)
 		})
 		Convey("is free again once a later answer names none, and tells so", func() {
 			w.clock.pass(time.Second)
 			later := w.lease()
 			w.clock.pass(time.Second)
-			later.Said(Word{}, Answer{})
+			later.Said(Notice{}, Answer{})
 			later.Done(EndGood)
 			So(w.taken(time.Second), ShouldEqual, 100)
-			So(w.ended, ShouldResemble, []WordEnd{WordLifted})
-			So(w.byID["e"].said, ShouldBeNil)
+			So(w.ended, ShouldResemble, []NoticeEnd{WordLifted})
+			So(w.byID["e"].announced, ShouldBeNil)
 
 			Convey("also where another instance was told before, and tells it", func() {
 				key := runKey(w.record(0, false))
-				w.HearLimits(Limits{key: limit.Told(two.Limit, w.clock.now().Add(-2500*time.Millisecond), time.Time{})})
+				w.ObserveLimits(Limits{key: limit.Reported(two.Limit, w.clock.now().Add(-2500*time.Millisecond), time.Time{})})
 				So(w.taken(time.Second), ShouldEqual, 100)
-				w.HearLimits(Limits{key: limit.Told(two.Limit, w.clock.now(), time.Time{})})
+				w.ObserveLimits(Limits{key: limit.Reported(two.Limit, w.clock.now(), time.Time{})})
 				So(w.taken(time.Second), ShouldBeLessThan, 3)
 			})
 		})
 		Convey("is kept to by an instance that is told", func() {
 			other := newWords()
-			other.HearLimits(w.Limits())
+			other.ObserveLimits(w.Limits())
 			So(other.takes(), ShouldBeFalse)
 			So(other.heard[0].Told, ShouldBeTrue)
 			So(other.Limits(), ShouldBeEmpty) // it tells only what it has heard itself
@@ -126,7 +126,7 @@
 			Convey("also where its record comes later", func() {
 				late := newWords()
 				late.Remove("e")
-				late.HearLimits(w.Limits())
+				late.ObserveLimits(w.Limits())
 				late.Put(late.record(0, false))
 				So(late.takes(), ShouldBeFalse)
 			})
@@ -152,12 +152,12 @@
 		for range 100 {
 			lease := w.Pick(Query{Service: "s", Affinity: "a"})
 			So(lease, ShouldNotBeNil)
-			lease.Said(Word{Limit: limit.PerSecond(0)}, Answer{})
+			lease.Said(Notice{Limit: limit.PerSecond(0)}, Answer{})
 			lease.Done(EndGood)
 			if lease.Endpoint().ID == "f" {
 				So(lease.Kept(), ShouldBeIn, KeptLimited, KeptNot)
 			}
-			w.byID["f"].said = nil // only the first endpoint is under a limit
+			w.byID["f"].announced = nil // only the first endpoint is under a limit
 		}
 	})
 }
--- a/internal/pool/load.go
+++ b/internal/pool/load.go
@@ -32,7 +32,7 @@
 	return Load{Open: x.Open + y.Open, Harm: x.Harm + y.Harm, Ended: x.Ended + y.Ended, Failed: x.Failed + y.Failed, Silent: x.Silent + y.Silent}
 }
 
-// silent says whether an endpoint has fallen silent for all: to most of those who wait there, and to more than one instance's request,
+// silent reports whether an endpoint has fallen silent for all: to most of those who wait there, and to more than one instance's request,
 // whose own path may be at fault.
 func (x Load) silent() bool { return x.Silent >= leastSilent && silentShare*x.Silent >= x.Open }
 
@@ -44,7 +44,7 @@
 	return x.Failed / x.Ended
 }
 
-// nothing says whether there is nothing to tell.
+// nothing reports whether there is nothing to tell.
 func (x Load) nothing() bool { return x.Open == 0 && x.Harm < leastFlow && x.Ended < leastFlow }
 
 // OthersLife is how long what others have under way counts.
@@ -128,15 +128,17 @@
 	}
 }
 
-// told says whether it is known what others have under way. The caller holds mu.
-func (l *Pool) told(now time.Time) bool { return l.others != nil && now.Sub(l.othersAt) < OthersLife }
+// othersKnown reports whether it is known what others have under way. The caller holds mu.
+func (l *Pool) othersKnown(now time.Time) bool {
+	return l.others != nil && now.Sub(l.othersAt) < OthersLife
+}
 
 // Others is what all other instances have under way, as far as it is known.
 func (l *Pool) Others() Loads {
 	now := l.now()
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	if !l.told(now) {
+	if !l.othersKnown(now) {
 		return nil
 	}
 	return l.others
@@ -145,16 +147,16 @@
 // total is what all instances have under way at an endpoint, as far as it is known. The caller holds mu.
 func (l *Pool) total(m *member, now time.Time) Load {
 	x := l.load(m, now)
-	if l.told(now) {
+	if l.othersKnown(now) {
 		x = x.plus(m.others)
 	}
 	return x
 }
 
-// failsForAll says whether requests of all instances fail at an endpoint, or wait there in vain. It is asked of every endpoint for every
+// failsForAll reports whether requests of all instances fail at an endpoint, or wait there in vain. It is asked of every endpoint for every
 // request, so it begins with what is nothing nearly always. The caller holds mu.
 func (l *Pool) failsForAll(m *member, now time.Time) bool {
-	if (m.others.Failed == 0 && m.others.Silent == 0 && m.failed.perSecond == 0) || !l.told(now) {
+	if (m.others.Failed == 0 && m.others.Silent == 0 && m.failed.perSecond == 0) || !l.othersKnown(now) {
 		return false
 	}
 	x := l.total(m, now)
--- a/internal/pool/notice.go
+++ b/internal/pool/notice.go
@@ -9,8 +9,8 @@
 	"github.com/ledgemount/ledgemount/internal/limit"
 )
 
-// Word is what an endpoint says of itself in the head of an answer.
-type Word struct {
+// Notice is what an endpoint says of itself in the head of an answer.
+type Notice struct {
 	Leaving bool          // it takes no new work, and will end
 	Moved   bool          // another endpoint has its address
 	Rest    time.Duration // it wants nothing from this instance for so long; 0: it does not say so
@@ -23,10 +23,10 @@
 	Status  int
 }
 
-// Heard tells of an endpoint's word that was taken, for logs.
-type Heard struct {
+// NoticeTaken tells of an endpoint's word that was taken, for logs.
+type NoticeTaken struct {
 	Endpoint Endpoint // by its record
-	Word     Word
+	Word     Notice
 	Answer   Answer
 	Told     bool          // another instance has heard it
 	Age      time.Duration // of the record
@@ -39,7 +39,7 @@
 )
 
 // Name names the word in logs and metrics.
-func (w Word) Name() string {
+func (w Notice) Name() string {
 	switch {
 	case w.Moved:
 		return "moved"
@@ -52,24 +52,24 @@
 }
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
-func (h Heard) MarshalZerologObject(e *zerolog.Event) {
+func (h NoticeTaken) MarshalZerologObject(e *zerolog.Event) {
 	e.Str("word", h.Word.Name()).Str("endpoint", h.Endpoint.Run()).Str("service", h.Endpoint.Service).Bool("told", h.Told).
 		Str("request", h.Answer.Request).Int("status", h.Answer.Status).Int64("rest_ms", h.Word.Rest.Milliseconds()).
 		Float64("limit", h.Word.Limit.PerSecond()).Bool("record_draining", h.Endpoint.Draining).Int64("record_age_ms", h.Age.Milliseconds())
 }
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
-func (s Silenced) MarshalZerologObject(e *zerolog.Event) {
+func (s NoticeEnded) MarshalZerologObject(e *zerolog.Event) {
 	e.Str("endpoint", s.Endpoint.Run()).Str("service", s.Endpoint.Service).Str("why", string(s.Why))
 }
 
 // LogWords makes what logs words: 20 lines a second at most, for endpoints that ask for rest for moments do so again and again.
-func LogWords(log zerolog.Logger) (heard func(Heard), silenced func(Silenced)) {
+func LogWords(log zerolog.Logger) (heard func(NoticeTaken), silenced func(NoticeEnded)) {
 	lines := log.Sample(&zerolog.BurstSampler{Burst: wordLines, Period: time.Second})
-	heard = func(h Heard) {
+	heard = func(h NoticeTaken) {
 		lines.Info().Str("event", EventWord).EmbedObject(h).Msg("an endpoint says in an answer that it takes less work, or none")
 	}
-	silenced = func(s Silenced) {
+	silenced = func(s NoticeEnded) {
 		lines.Info().Str("event", EventWordEnded).EmbedObject(s).Msg("an endpoint gets work again")
 	}
 	return heard, silenced
@@ -78,21 +78,21 @@
 // wordLines bounds the lines about words in a second.
 const wordLines = 20
 
-// Silenced tells of an endpoint's word that does not count any more, for logs.
-type Silenced struct {
+// NoticeEnded tells of an endpoint's word that does not count any more, for logs.
+type NoticeEnded struct {
 	Endpoint Endpoint
-	Why      WordEnd
+	Why      NoticeEnd
 }
 
-// WordEnd says why an endpoint's word does not count any more.
-type WordEnd string
+// NoticeEnd reports why an endpoint's word does not count any more.
+type NoticeEnd string
 
 // The reasons.
 const (
-	WordOver      WordEnd = "over"       // its time is over
-	WordRestarted WordEnd = "restarted"  // a later start of the endpoint is known
-	WordCalledOff WordEnd = "called-off" // the endpoint's record had said so too, and says that it is ready again
-	WordLifted    WordEnd = "lifted"     // it names no limit any more
+	WordOver      NoticeEnd = "over"       // its time is over
+	WordRestarted NoticeEnd = "restarted"  // a later start of the endpoint is known
+	WordCalledOff NoticeEnd = "called-off" // the endpoint's record had said so too, and says that it is ready again
+	WordLifted    NoticeEnd = "lifted"     // it names no limit any more
 )
 
 const (
@@ -103,10 +103,10 @@
 	mostSaid = 4096
 )
 
-// said is what one run of an endpoint's process says of itself in answers. It is newer than any record that the endpoint has written, and the
+// announced is what one run of an endpoint's process says of itself in answers. It is newer than any record that the endpoint has written, and the
 // store, another instance and a list of all endpoints tell records again and again. So it is kept beside the records, and it outlives them: an
-// endpoint whose record lags would go on getting work after it has said that it leaves.
-type said struct {
+// endpoint whose record lags would go on getting work after it has announced that it leaves.
+type announced struct {
 	run       Endpoint
 	wall      int64     // the time of day when it last said something to this instance, in Unix milliseconds
 	leaving   time.Time // when it last said that it leaves; zero: it does not say so
@@ -118,17 +118,17 @@
 }
 
 // Said takes what the endpoint says of itself in an answer. That it names no limit is a word too.
-func (s *Lease) Said(w Word, a Answer) {
+func (s *Lease) Said(w Notice, a Answer) {
 	s.pool.mu.Lock()
 	defer s.pool.mu.Unlock()
 	if w.Leaving || w.Moved || w.Rest > 0 {
-		s.pool.hear(s.member, w, a)
+		s.pool.observe(s.member, w, a)
 	}
-	s.pool.hearLimit(s, w.Limit, a)
+	s.pool.observeLimit(s, w.Limit, a)
 }
 
-// hear takes a word of an endpoint that this instance has heard itself. The caller holds mu.
-func (l *Pool) hear(m *member, w Word, a Answer) {
+// observe takes a word of an endpoint that this instance has heard itself. The caller holds mu.
+func (l *Pool) observe(m *member, w Notice, a Answer) {
 	x := l.saidBy(m.Endpoint)
 	if x == nil {
 		return
@@ -145,13 +145,13 @@
 		m.comeback = m.comeback.after(now, m.open, l.policy.ReturnCut)
 	}
 	if news {
-		l.heard(Heard{Endpoint: m.Endpoint, Word: w, Answer: a, Age: now.Sub(m.told)})
+		l.onNotice(NoticeTaken{Endpoint: m.Endpoint, Word: w, Answer: a, Age: now.Sub(m.recordAt)})
 	}
 }
 
 // rests notes until when an endpoint wants nothing; true if it did not rest. The longest time counts: several answers may be under way when an
 // endpoint asks for rest, and the last of them names the shortest.
-func (x *said) rests(now, until time.Time) (news bool) {
+func (x *announced) rests(now, until time.Time) (news bool) {
 	news = !before(now, x.resting)
 	if until.After(x.resting) {
 		x.resting = until
@@ -180,64 +180,64 @@
 const returnStep = 500 * time.Millisecond
 
 // saidBy finds or makes what is kept of a run of an endpoint's process; nil if a later one is known. The caller holds mu.
-func (l *Pool) saidBy(run Endpoint) *said {
+func (l *Pool) saidBy(run Endpoint) *announced {
 	if l.outdated(run) {
 		return nil
 	}
-	m, x := l.byID[run.ID], l.said[run.ID]
+	m, x := l.byID[run.ID], l.announced[run.ID]
 	if x == nil || !sameRun(x.run, run) {
 		l.forgetOver()
-		x = &said{run: run, drains: run.Draining}
-		l.said[run.ID] = x
+		x = &announced{run: run, drains: run.Draining}
+		l.announced[run.ID] = x
 	}
 	if m != nil && sameRun(m.Endpoint, run) {
-		m.said, x.drains = x, m.Draining
+		m.announced, x.drains = x, m.Draining
 	}
 	return x
 }
 
-// outdated says whether a later start is known than that of a run. The caller holds mu.
+// outdated reports whether a later start is known than that of a run. The caller holds mu.
 func (l *Pool) outdated(run Endpoint) bool {
 	if m := l.byID[run.ID]; m != nil && run.Outdated(m.Endpoint) {
 		return true
 	}
-	x := l.said[run.ID]
+	x := l.announced[run.ID]
 	return x != nil && run.Outdated(x.run)
 }
 
-// sameRun says whether two words of an endpoint may be of one run of its process.
+// sameRun reports whether two words of an endpoint may be of one run of its process.
 func sameRun(a, b Endpoint) bool {
 	return a.ID == b.ID && a.Service == b.Service && a.Addr == b.Addr && !a.Outdated(b) && !b.Outdated(a)
 }
 
 // forgetOver makes room for another run: it drops what does not count any more, and what was said by endpoints without a record.
 func (l *Pool) forgetOver() {
-	if len(l.said) < mostSaid {
+	if len(l.announced) < mostSaid {
 		return
 	}
-	maps.DeleteFunc(l.said, func(id string, x *said) bool {
+	maps.DeleteFunc(l.announced, func(id string, x *announced) bool {
 		m := l.byID[id]
 		if m != nil && !x.nothing() {
 			return false
 		}
 		if m != nil {
-			m.said = nil
+			m.announced = nil
 		}
 		return true
 	})
 }
 
 // recall finds what an endpoint has said whose record has come, and lets the record end it. The caller holds mu.
-func (l *Pool) recall(e Endpoint) *said {
-	x := l.said[e.ID]
+func (l *Pool) recall(e Endpoint) *announced {
+	x := l.announced[e.ID]
 	switch {
 	case x == nil:
 		return nil
 	case x.run.Outdated(e), x.run.Born == 0 && e.Born > x.wall:
 		// A start that is told for the first time is that of this run only if it was before this run said something. Clocks may differ by seconds,
 		// endpoints that leave have run for longer.
-		l.said[e.ID] = &said{run: e} // so that the run before is known again when it is told late
-		l.silenced(Silenced{Endpoint: e, Why: WordRestarted})
+		l.announced[e.ID] = &announced{run: e} // so that the run before is known again when it is told late
+		l.onNoticeEnded(NoticeEnded{Endpoint: e, Why: WordRestarted})
 		return nil
 	case !sameRun(x.run, e):
 		return nil // at another address: what was said is not of this one
@@ -246,31 +246,31 @@
 	if x.drains && !e.Draining && !x.leaving.IsZero() {
 		// The record is newer than the word, for it had said so too: the endpoint stays after all.
 		x.leaving, x.own, x.calledOff = time.Time{}, false, l.now()
-		l.silenced(Silenced{Endpoint: e, Why: WordCalledOff})
+		l.onNoticeEnded(NoticeEnded{Endpoint: e, Why: WordCalledOff})
 	}
 	x.drains = e.Draining
 	return x
 }
 
-// leaves says whether the word that the endpoint leaves counts.
-func (x *said) leaves(now time.Time) bool {
+// leaves reports whether the word that the endpoint leaves counts.
+func (x *announced) leaves(now time.Time) bool {
 	return x != nil && !x.leaving.IsZero() && now.Sub(x.leaving) < leavingFor
 }
 
-// nothing says whether nothing that the endpoint has said counts any more, and it has been told so.
-func (x *said) nothing() bool { return x.silent() && (x == nil || !x.limits.active) }
+// nothing reports whether nothing that the endpoint has said counts any more, and it has been told so.
+func (x *announced) nothing() bool { return x.silent() && (x == nil || !x.limits.active) }
 
-// silent says whether it has neither said that it leaves nor asked for rest.
-func (x *said) silent() bool { return x == nil || (x.leaving.IsZero() && x.resting.IsZero()) }
+// silent reports whether it has neither said that it leaves nor asked for rest.
+func (x *announced) silent() bool { return x == nil || (x.leaving.IsZero() && x.resting.IsZero()) }
 
-// abstains says why an endpoint gets no work by its own word, whatever else is left: that word is a rule, not a preference. The caller holds mu.
+// abstains reports why an endpoint gets no work by its own word, whatever else is left: that word is a rule, not a preference. The caller holds mu.
 func (m *member) abstains(now time.Time) Kept {
 	switch {
-	case m.said == nil:
+	case m.announced == nil:
 		return KeptNot
-	case m.said.leaves(now):
+	case m.announced.leaves(now):
 		return KeptLeaving
-	case before(now, m.said.resting):
+	case before(now, m.announced.resting):
 		return KeptResting
 	}
 	return KeptNot
@@ -278,18 +278,18 @@
 
 // takenBack notes that an endpoint gets a request; what it had said counts no more then. The caller holds mu.
 func (l *Pool) takenBack(m *member, now time.Time) *comeback {
-	if x := m.said; !x.silent() {
+	if x := m.announced; !x.silent() {
 		if !x.leaving.IsZero() {
 			m.comeback = firstAgain()
 		}
 		x.leaving, x.own, x.resting = time.Time{}, false, time.Time{}
-		l.silenced(Silenced{Endpoint: m.Endpoint, Why: WordOver})
+		l.onNoticeEnded(NoticeEnded{Endpoint: m.Endpoint, Why: WordOver})
 	}
 	m.comeback.begin(now)
 	return m.comeback
 }
 
-// Wanted says whether the endpoint still takes the request as far as is known: it, or its record, may have said otherwise since it was picked.
+// Wanted reports whether the endpoint still takes the request as far as is known: it, or its record, may have said otherwise since it was picked.
 func (s *Lease) Wanted() bool {
 	l := s.pool
 	l.mu.Lock()
@@ -317,9 +317,9 @@
 	l.mu.RLock()
 	defer l.mu.RUnlock()
 	var out Leaving
-	for id, x := range l.said {
+	for id, x := range l.announced {
 		m := l.byID[id]
-		if m == nil || m.said != x || m.Draining || !x.own || !x.leaves(now) {
+		if m == nil || m.announced != x || m.Draining || !x.own || !x.leaves(now) {
 			continue
 		}
 		if out == nil {
@@ -330,16 +330,16 @@
 	return out
 }
 
-// HearLeaving takes what endpoints have said to other instances.
-func (l *Pool) HearLeaving(told Leaving) {
+// ObserveLeaving takes what endpoints have said to other instances.
+func (l *Pool) ObserveLeaving(told Leaving) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.toldLeaving = told
-	l.eachTold(len(told), l.hearTold)
+	l.peersLeaving = told
+	l.eachReported(len(told), l.applyPeersLeaving)
 }
 
-// eachTold lets each endpoint take what other instances have told, if that is anything. The caller holds mu.
-func (l *Pool) eachTold(told int, take func(*member)) {
+// eachReported lets each endpoint take what other instances have told, if that is anything. The caller holds mu.
+func (l *Pool) eachReported(told int, take func(*member)) {
 	if told == 0 {
 		return
 	}
@@ -348,9 +348,9 @@
 	}
 }
 
-// hearTold takes what an endpoint has said to other instances, unless that is older than what is known. The caller holds mu.
-func (l *Pool) hearTold(m *member) {
-	age, ok := l.toldLeaving[m.key()]
+// applyPeersLeaving takes what an endpoint has said to other instances, unless that is older than what is known. The caller holds mu.
+func (l *Pool) applyPeersLeaving(m *member) {
+	age, ok := l.peersLeaving[m.key()]
 	if !ok || age >= leavingFor {
 		return
 	}
@@ -361,13 +361,13 @@
 		return
 	}
 	x.leaving, x.wall = at, l.wall().Add(-age).UnixMilli()
-	l.heard(Heard{Endpoint: m.Endpoint, Word: Word{Leaving: true}, Told: true, Age: now.Sub(m.told)})
+	l.onNotice(NoticeTaken{Endpoint: m.Endpoint, Word: Notice{Leaving: true}, Told: true, Age: now.Sub(m.recordAt)})
 }
 
 // toldLag bounds how much younger a word seems that others tell than it is: it waits for an exchange at each instance that passes it on.
 const toldLag = 2 * OthersLife
 
-// Opening says whether any endpoint takes a request now.
+// Opening reports whether any endpoint takes a request now.
 type Opening struct {
 	Open bool
 	Full bool          // some would, but have as much as they bear
@@ -377,7 +377,7 @@
 	Rate    float64
 }
 
-// Opens says whether any endpoint takes a request now.
+// Opens reports whether any endpoint takes a request now.
 func (l *Pool) Opens(q Query) Opening {
 	now := l.now()
 	l.mu.Lock()
@@ -394,7 +394,7 @@
 			}
 			o.Full = true
 		case KeptResting:
-			if left := m.said.resting.Sub(now); o.Rest == 0 || left < o.Rest {
+			if left := m.announced.resting.Sub(now); o.Rest == 0 || left < o.Rest {
 				o.Rest = left
 			}
 		case KeptLimited:
--- a/internal/pool/notice_test.go
+++ b/internal/pool/notice_test.go
@@ -12,14 +12,14 @@
 type words struct {
 	*Pool
 	clock *testClock
-	heard []Heard
-	ended []WordEnd
+	heard []NoticeTaken
+	ended []NoticeEnd
 }
 
 func newWords() *words {
 	w := &words{clock: &testClock{at: time.Unix(1000, 0)}}
 	w.Pool = New("a", WithNow(w.clock.now), WithWall(func() time.Time { return wordHeard }), WithRandom(func(int) int { return 0 }),
-		OnHeard(func(h Heard) { w.heard = append(w.heard, h) }), OnSilenced(func(s Silenced) { w.ended = append(w.ended, s.Why) }))
+		OnNotice(func(h NoticeTaken) { w.heard = append(w.heard, h) }), OnNoticeEnded(func(s NoticeEnded) { w.ended = append(w.ended, s.Why) }))
 	w.Put(w.record(0, false))
 	return w
 }
@@ -39,7 +39,7 @@
 	return lease
 }
 
-// takes says whether the endpoint takes work; nothing stays open there.
+// takes reports whether the endpoint takes work; nothing stays open there.
 func (w *words) takes() bool {
 	lease := w.Pick(Query{Service: "s"})
 	if lease == nil {
@@ -50,7 +50,7 @@
 }
 
 func TestLeavingWord(t *testing.T) {
-	leaving := Word{Leaving: true}
+	leaving := Notice{Leaving: true}
 	Convey("An endpoint that has said in an answer that it leaves gets nothing new, though it is the only one", t, func() {
 		w := newWords()
 		lease := w.lease()
@@ -61,7 +61,7 @@
 		So(w.takes(), ShouldBeFalse)
 		So(w.Len(), ShouldEqual, 0)
 		So(lease.Fate(), ShouldEqual, FateLeaving)
-		So(w.heard, ShouldResemble, []Heard{{Endpoint: w.record(0, false), Word: leaving, Answer: Answer{Request: "r", Status: 200}, Age: time.Second}})
+		So(w.heard, ShouldResemble, []NoticeTaken{{Endpoint: w.record(0, false), Word: leaving, Answer: Answer{Request: "r", Status: 200}, Age: time.Second}})
 
 		Convey("also when its record says again that it is ready: alone, among all, gone and back, or with a start that was not told before", func() {
 			for _, tell := range []func(){
@@ -90,14 +90,14 @@
 			So(w.takes(), ShouldBeFalse)
 			w.Put(w.record(0, false))
 			So(w.takes(), ShouldBeTrue)
-			So(w.ended, ShouldResemble, []WordEnd{WordCalledOff})
+			So(w.ended, ShouldResemble, []NoticeEnd{WordCalledOff})
 
 			Convey("which a word that others heard before does not undo, and one that they heard later does", func() {
 				key := w.byID["e"].key()
 				w.clock.pass(5 * time.Second)
-				w.HearLeaving(Leaving{key: 6 * time.Second})
+				w.ObserveLeaving(Leaving{key: 6 * time.Second})
 				So(w.takes(), ShouldBeTrue)
-				w.HearLeaving(Leaving{key: time.Second})
+				w.ObserveLeaving(Leaving{key: time.Second})
 				So(w.takes(), ShouldBeFalse)
 			})
 		})
@@ -107,7 +107,7 @@
 			So(w.takes(), ShouldBeFalse) // the same run, which tells its start now
 			w.Put(w.record(900, false))
 			So(w.takes(), ShouldBeTrue)
-			So(w.ended, ShouldResemble, []WordEnd{WordRestarted})
+			So(w.ended, ShouldResemble, []NoticeEnd{WordRestarted})
 			lease.Said(leaving, Answer{})
 			So(w.takes(), ShouldBeTrue)
 		})
@@ -115,7 +115,7 @@
 		Convey("until it tells of a start after that, where it told of none before", func() {
 			w.Put(w.record(wordHeard.UnixMilli()+1, false))
 			So(w.takes(), ShouldBeTrue)
-			So(w.ended, ShouldResemble, []WordEnd{WordRestarted})
+			So(w.ended, ShouldResemble, []NoticeEnd{WordRestarted})
 		})
 
 		Convey("until it is at another address", func() {
@@ -130,7 +130,7 @@
 			So(w.takes(), ShouldBeFalse)
 			w.clock.pass(time.Millisecond)
 			again := w.lease()
-			So(w.ended, ShouldResemble, []WordEnd{WordOver})
+			So(w.ended, ShouldResemble, []NoticeEnd{WordOver})
 			So(w.takes(), ShouldBeFalse)
 			again.Said(leaving, Answer{})
 			again.Done(EndGood)
@@ -148,8 +148,8 @@
 
 	Convey("A request that is not sent yet is not wanted any more once its endpoint leaves, drains, rests, is gone or has started again", t, func() {
 		for _, end := range []func(*words, *Lease){
-			func(_ *words, l *Lease) { l.Said(Word{Leaving: true}, Answer{}) },
-			func(_ *words, l *Lease) { l.Said(Word{Rest: time.Second}, Answer{}) },
+			func(_ *words, l *Lease) { l.Said(Notice{Leaving: true}, Answer{}) },
+			func(_ *words, l *Lease) { l.Said(Notice{Rest: time.Second}, Answer{}) },
 			func(w *words, _ *Lease) { w.Put(w.record(7, true)) },
 			func(w *words, _ *Lease) { w.Put(w.record(8, false)) },
 			func(w *words, _ *Lease) { w.Remove("e") },
@@ -169,7 +169,7 @@
 	Convey("An instance tells which endpoints have said to it that they leave", t, func() {
 		w, other := newWords(), newWords()
 		So(w.Leaving(), ShouldBeEmpty)
-		w.lease().Said(Word{Leaving: true}, Answer{})
+		w.lease().Said(Notice{Leaving: true}, Answer{})
 		w.clock.pass(2 * time.Second)
 		told := w.Leaving()
 		So(told, ShouldResemble, Leaving{w.byID["e"].key(): 2 * time.Second})
@@ -182,12 +182,12 @@
 		})
 
 		Convey("and others that hear it send nothing there, and do not tell it on as their own", func() {
-			other.HearLeaving(told)
+			other.ObserveLeaving(told)
 			So(other.takes(), ShouldBeFalse)
 			So(other.heard[0].Told, ShouldBeTrue)
 			So(other.Leaving(), ShouldBeEmpty)
-			other.HearLeaving(told)
-			other.HearLeaving(nil)
+			other.ObserveLeaving(told)
+			other.ObserveLeaving(nil)
 			So(other.takes(), ShouldBeFalse)
 			So(len(other.heard), ShouldEqual, 1)
 			other.clock.pass(leavingFor - 2*time.Second)
@@ -196,7 +196,7 @@
 
 		Convey("also those that do not know the endpoint yet, or see its record go and come back", func() {
 			other.Remove("e")
-			other.HearLeaving(told)
+			other.ObserveLeaving(told)
 			other.Put(other.record(0, false))
 			So(other.takes(), ShouldBeFalse)
 			other.Remove("e")
@@ -206,7 +206,7 @@
 
 		Convey("and it is not of a later run", func() {
 			other.Put(other.record(500, false))
-			other.HearLeaving(told)
+			other.ObserveLeaving(told)
 			So(other.takes(), ShouldBeTrue)
 		})
 	})
@@ -222,7 +222,7 @@
 	Convey("An endpoint that has asked for rest gets nothing meanwhile, though it is the only one", t, func() {
 		w := newWords()
 		first, second := w.lease(), w.lease()
-		first.Said(Word{Rest: 3 * time.Second}, Answer{Status: 503})
+		first.Said(Notice{Rest: 3 * time.Second}, Answer{Status: 503})
 		first.Done(EndBusy)
 		w.clock.pass(time.Second)
 		So(w.takes(), ShouldBeFalse)
@@ -231,17 +231,17 @@
 		So(second.Fate(), ShouldEqual, FateUnknown)
 
 		Convey("the longest of the times that it asks for counts, in one line", func() {
-			second.Said(Word{Rest: time.Second}, Answer{})
+			second.Said(Notice{Rest: time.Second}, Answer{})
 			w.clock.pass(1900 * time.Millisecond)
 			So(w.takes(), ShouldBeFalse)
-			second.Said(Word{Rest: time.Second}, Answer{})
+			second.Said(Notice{Rest: time.Second}, Answer{})
 			w.clock.pass(900 * time.Millisecond)
 			So(w.takes(), ShouldBeFalse)
 			So(len(w.heard), ShouldEqual, 1)
 			w.clock.pass(100 * time.Millisecond)
 			second.Done(EndBusy)
 			So(w.takes(), ShouldBeTrue)
-			So(w.ended, ShouldResemble, []WordEnd{WordOver})
+			So(w.ended, ShouldResemble, []NoticeEnd{WordOver})
 		})
 
 		Convey("also where its record goes and comes back; a later run knows nothing of it", func() {
@@ -278,7 +278,7 @@
 	Convey("Instances that were told at the same time come back at different times", t, func() {
 		w := newWords()
 		w.random = func(n int) int { return n - 1 }
-		w.lease().Said(Word{Rest: 10 * time.Second}, Answer{})
+		w.lease().Said(Notice{Rest: 10 * time.Second}, Answer{})
 		w.clock.pass(10*time.Second + 900*time.Millisecond)
 		So(w.takes(), ShouldBeFalse)
 		w.clock.pass(100 * time.Millisecond)
@@ -291,7 +291,7 @@
 		for range 2 {
 			lease := w.lease()
 			rest := map[string]time.Duration{"e": 4 * time.Second, "f": time.Second}[lease.Endpoint().ID]
-			lease.Said(Word{Rest: rest}, Answer{})
+			lease.Said(Notice{Rest: rest}, Answer{})
 		}
 		So(w.Opens(Query{Service: "s"}), ShouldResemble, Opening{Rest: time.Second})
 		So(w.Opens(Query{Service: "none"}), ShouldResemble, Opening{})
@@ -332,11 +332,11 @@
 				open = append(open[:i], open[i+1:]...)
 				run := lease.Endpoint().Born
 				if rapid.Bool().Draw(t, "leaving") {
-					lease.Said(Word{Leaving: true}, Answer{})
+					lease.Said(Notice{Leaving: true}, Answer{})
 					leaving[run] = clock.at.Add(leavingFor)
 				} else {
 					rest := time.Duration(rapid.IntRange(1, 3000).Draw(t, "rest")) * time.Millisecond
-					lease.Said(Word{Rest: rest}, Answer{})
+					lease.Said(Notice{Rest: rest}, Answer{})
 					if until := clock.at.Add(rest); until.After(resting[run]) {
 						resting[run] = until
 					}
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -24,7 +24,7 @@
 	Sound    bool            // it shall rather not run than at an endpoint that something speaks against
 }
 
-// Reason says why an endpoint was picked, for logs.
+// Reason reports why an endpoint was picked, for logs.
 type Reason string
 
 // The reasons.
@@ -55,10 +55,10 @@
 // Endpoint is the endpoint that was picked.
 func (s *Lease) Endpoint() Endpoint { return s.at }
 
-// Reason says why it was picked.
+// Reason reports why it was picked.
 func (s *Lease) Reason() Reason { return s.reason }
 
-// Kept says why the endpoint that the request's affinity names first was passed over, if it gets no work now.
+// Kept reports why the endpoint that the request's affinity names first was passed over, if it gets no work now.
 func (s *Lease) Kept() Kept { return s.kept }
 
 // Pick chooses an endpoint and counts the request as open there. It returns nil if none takes work or all have been tried.
@@ -154,10 +154,10 @@
 	return sound, open
 }
 
-// unmarked says whether nothing at all is noted of an endpoint, as of nearly all of them in a large fleet: then it need not be judged. It has slots,
+// unmarked reports whether nothing at all is noted of an endpoint, as of nearly all of them in a large fleet: then it need not be judged. It has slots,
 // as each record does, and none of them is taken from here.
 func (m *member) unmarked() bool {
-	return m.open == 0 && m.said == nil && m.comeback == nil && m.errors == 0 && m.failed.perSecond == 0 && m.others.Failed == 0 && m.others.Silent == 0 &&
+	return m.open == 0 && m.announced == nil && m.comeback == nil && m.errors == 0 && m.failed.perSecond == 0 && m.others.Failed == 0 && m.others.Silent == 0 &&
 		m.pausedTil.IsZero() && m.busyTil.IsZero() && m.warming.until.IsZero()
 }
 
@@ -178,8 +178,8 @@
 	if m.failed.now(now) < leastFlow {
 		m.failed = flow{}
 	}
-	if m.said.nothing() {
-		m.said = nil
+	if m.announced.nothing() {
+		m.announced = nil
 	}
 	if m.comeback.over(now) {
 		m.comeback = nil
@@ -202,7 +202,7 @@
 	return sound, open
 }
 
-// keptFirst says why the first endpoint in the order of a request's affinity gets no work. It tells of the last judgement.
+// keptFirst reports why the first endpoint in the order of a request's affinity gets no work. It tells of the last judgement.
 func (l *Pool) keptFirst(q Query) Kept {
 	if !l.keeping || q.Affinity == "" {
 		return KeptNot
@@ -221,7 +221,7 @@
 	return first.kept
 }
 
-// mayRun says whether an endpoint may be sent the request at all.
+// mayRun reports whether an endpoint may be sent the request at all.
 func (l *Pool) mayRun(m *member, q Query) bool {
 	if q.Regions != nil && !slices.Contains(q.Regions, l.regions[m.Zone]) {
 		return false
@@ -229,7 +229,7 @@
 	return !m.Draining && !q.Tried[m.ID] && (q.Zones == nil || slices.Contains(q.Zones, m.Zone))
 }
 
-// room says whether an endpoint may have one more request of this instance.
+// room reports whether an endpoint may have one more request of this instance.
 func (l *Pool) room(m *member, c *connections, now time.Time) bool {
 	if (m.Slots > 0 && m.open >= l.part(m)) || !l.connects(m, c, now) {
 		return false
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -23,10 +23,10 @@
 	return float64(q.Shared) / l.speeds[q.Service].perSecond() / max(leastTarget, q.Target).Seconds()
 }
 
-// roams says whether a request may go where it is calm: it is known what others have under way, and what an endpoint may keep of its
+// roams reports whether a request may go where it is calm: it is known what others have under way, and what an endpoint may keep of its
 // prompt is read so soon that it is not worth waiting for.
 func (l *Pool) roams(q Query, now time.Time) bool {
-	return q.Prompt > 0 && l.told(now) && l.again(q) < weakAffinity
+	return q.Prompt > 0 && l.othersKnown(now) && l.again(q) < weakAffinity
 }
 
 // calmest weighs the first few endpoints in the order of the request's affinity by all that runs there. All endpoints would be too
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -36,10 +36,10 @@
 	return e.ID + "@" + strconv.FormatInt(e.Born, 10)
 }
 
-// Outdated says whether a word of an endpoint comes from a process that ended before the one that started at by.
+// Outdated reports whether a word of an endpoint comes from a process that ended before the one that started at by.
 func (e Endpoint) Outdated(by Endpoint) bool { return e.Born > 0 && by.Born > e.Born }
 
-// Tells says whether what an endpoint says of itself now is news to an instance that knows the earlier word. That it is a little less cold
+// Tells reports whether what an endpoint says of itself now is news to an instance that knows the earlier word. That it is a little less cold
 // than before is not.
 func (e Endpoint) Tells(now Endpoint) bool {
 	if (e.Cold > 0) != (now.Cold > 0) || now.Cold > e.Cold {
@@ -80,30 +80,30 @@
 // member is an endpoint with what this instance has seen of it.
 type member struct {
 	Endpoint
-	open      int           // requests of this instance
-	patience  time.Duration // the most that one of them has
-	heard     time.Time     // the last byte
-	harm      flow          // of this instance's prompts: see Load
-	ended     flow          // this instance's requests that ended well or badly
-	failed    flow          // those that ended badly
-	others    Load          // what other instances have there, as last told
-	asked     time.Time     // since when it owes an answer without a break; zero: it owes none
-	pausedTil time.Time
-	pause     time.Duration // the last one; 0: it has answered well since
-	failures  int           // in a row
-	comeback  *comeback     // the bound after a rest or a pause; nil: none
-	pace      pace
-	errors    float64 // share of failures among the last answers, at errorsAt
-	errorsAt  time.Time
-	busyTil   time.Time
-	told      time.Time // when its record last came
-	said      *said     // what it says of itself in answers; nil: nothing
-	hash      uint64    // of the ID
-	run       uint32    // see Loads
-	warming   warming
-	kept      Kept // within one pick: why it gets no work, whatever the request
-	candidate bool // within one pick: it may be sent the request
-	good      bool // within one pick: and nothing speaks against it
+	open       int           // requests of this instance
+	patience   time.Duration // the most that one of them has
+	receivedAt time.Time     // the last byte
+	harm       flow          // of this instance's prompts: see Load
+	ended      flow          // this instance's requests that ended well or badly
+	failed     flow          // those that ended badly
+	others     Load          // what other instances have there, as last told
+	asked      time.Time     // since when it owes an answer without a break; zero: it owes none
+	pausedTil  time.Time
+	pause      time.Duration // the last one; 0: it has answered well since
+	failures   int           // in a row
+	comeback   *comeback     // the bound after a rest or a pause; nil: none
+	pace       pace
+	errors     float64 // share of failures among the last answers, at errorsAt
+	errorsAt   time.Time
+	busyTil    time.Time
+	recordAt   time.Time  // when its record last came
+	announced  *announced // what it says of itself in answers; nil: nothing
+	hash       uint64     // of the ID
+	run        uint32     // see Loads
+	warming    warming
+	kept       Kept // within one pick: why it gets no work, whatever the request
+	candidate  bool // within one pick: it may be sent the request
+	good       bool // within one pick: and nothing speaks against it
 }
 
 // Pool is the directory of endpoints. All its methods may be called at once.
@@ -113,15 +113,15 @@
 	now    func() time.Time
 	wall   func() time.Time
 
-	mu          sync.RWMutex
-	services    map[string][]*member
-	byID        map[string]*member
-	zones       map[string]*zoneHealth
-	gone        func(addr string)
-	heard       func(Heard)
-	silenced    func(Silenced)
-	said        map[string]*said // by endpoint ID
-	toldLeaving Leaving          // by other instances, in the last exchange
+	mu            sync.RWMutex
+	services      map[string][]*member
+	byID          map[string]*member
+	zones         map[string]*zoneHealth
+	gone          func(addr string)
+	onNotice      func(NoticeTaken)
+	onNoticeEnded func(NoticeEnded)
+	announced     map[string]*announced // by endpoint ID
+	peersLeaving  Leaving               // by other instances, in the last exchange
 
 	chooser    Chooser[Candidate] // nil: picks go by affinity and load
 	choice     Rand
@@ -144,10 +144,10 @@
 	regions     map[string]string       // by availability zone
 	random      func(n int) int         // from 0 up to n, not including it
 
-	limited    int             // endpoints whose limits hold, about
-	demand     map[string]flow // requests of this instance for services, since some endpoint names a limit
-	leased     bool            // what this instance may send under limits is granted; else it has an even part
-	toldLimits Limits          // by other instances, in the last exchange
+	limited     int             // endpoints whose limits hold, about
+	demand      map[string]flow // requests of this instance for services, since some endpoint names a limit
+	leased      bool            // what this instance may send under limits is granted; else it has an even part
+	peersLimits Limits          // by other instances, in the last exchange
 }
 
 // Option changes a Pool.
@@ -171,11 +171,11 @@
 // OnGone sets what is called with the address of an endpoint that is not there any more.
 func OnGone(f func(addr string)) Option { return func(l *Pool) { l.gone = f } }
 
-// OnHeard sets what is told of endpoints' words that were taken. It is called while the pool is locked, so it must not call the pool.
-func OnHeard(f func(Heard)) Option { return func(l *Pool) { l.heard = f } }
+// OnNotice sets what is told of endpoints' words that were taken. It is called while the pool is locked, so it must not call the pool.
+func OnNotice(f func(NoticeTaken)) Option { return func(l *Pool) { l.onNotice = f } }
 
-// OnSilenced sets what is told of endpoints' words that do not count any more. It is called as that of OnHeard is.
-func OnSilenced(f func(Silenced)) Option { return func(l *Pool) { l.silenced = f } }
+// OnNoticeEnded sets what is told of endpoints' words that do not count any more. It is called as that of OnHeard is.
+func OnNoticeEnded(f func(NoticeEnded)) Option { return func(l *Pool) { l.onNoticeEnded = f } }
 
 // WithChooser lets a Chooser pick among sound endpoints, and keeps in mind which endpoint saw which blocks of prompts lately.
 func WithChooser(c Chooser[Candidate], r Rand) Option {
@@ -192,8 +192,8 @@
 	l := &Pool{
 		zone: zone, policy: DefaultPolicy(), now: time.Now, wall: time.Now,
 		services: make(map[string][]*member), byID: make(map[string]*member),
-		zones: make(map[string]*zoneHealth), gone: func(string) {}, heard: func(Heard) {}, silenced: func(Silenced) {},
-		said: make(map[string]*said), leftovers: make(map[*member]bool), elsewhere: func(string) int { return 0 }, share: func() int { return 1 },
+		zones: make(map[string]*zoneHealth), gone: func(string) {}, onNotice: func(NoticeTaken) {}, onNoticeEnded: func(NoticeEnded) {},
+		announced: make(map[string]*announced), leftovers: make(map[*member]bool), elsewhere: func(string) int { return 0 }, share: func() int { return 1 },
 		speeds: make(map[string]*speed), owners: alone{}, random: rand.IntN, demand: make(map[string]flow),
 	}
 	for _, opt := range opts {
@@ -237,23 +237,23 @@
 	// A process that started again under its ID knows nothing of before, so nothing of before counts for it.
 	if m != nil && m.Service == e.Service && m.Addr == e.Addr && !m.Outdated(e) {
 		changed := m.Draining != e.Draining
-		e.Born, m.told = max(e.Born, m.Born), l.now()
+		e.Born, m.recordAt = max(e.Born, m.Born), l.now()
 		m.run = runKey(e)
 		m.Endpoint = e
-		m.said = l.recall(e)
+		m.announced = l.recall(e)
 		l.cool(m, l.now(), e.Cold)
 		return changed
 	}
 	if m != nil {
 		l.remove(e.ID)
 	}
-	m = &member{Endpoint: e, heard: l.now(), told: l.now(), hash: xxhash.Sum64String(e.ID), run: runKey(e)}
+	m = &member{Endpoint: e, receivedAt: l.now(), recordAt: l.now(), hash: xxhash.Sum64String(e.ID), run: runKey(e)}
 	l.cool(m, l.now(), e.Cold)
 	m.others = l.others[m.key()]
-	m.said = l.recall(e)
+	m.announced = l.recall(e)
 	l.byID[e.ID] = m
-	l.hearTold(m)
-	l.hearToldLimit(m)
+	l.applyPeersLeaving(m)
+	l.applyPeersLimit(m)
 	l.services[e.Service] = append(l.services[e.Service], m)
 	return true
 }
@@ -286,7 +286,7 @@
 	now := l.now()
 	n := 0
 	for _, m := range l.byID {
-		if !m.Draining && !m.said.leaves(now) {
+		if !m.Draining && !m.announced.leaves(now) {
 			n++
 		}
 	}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -72,7 +72,7 @@
 			clock.pass(p.policy.Silence + time.Millisecond)
 			So(lease.Silent(), ShouldBeTrue)
 			So(pick("prompt").Endpoint().ID, ShouldNotEqual, lease.Endpoint().ID)
-			lease.Heard()
+			lease.Received()
 			So(lease.Silent(), ShouldBeFalse)
 		})
 
@@ -178,7 +178,7 @@
 			lease := p.Pick(long)
 			clock.pass(500 * time.Millisecond)
 			lease.First(long.Prompt, 500*time.Millisecond)
-			lease.Heard()
+			lease.Received()
 			lease.Done(EndGood)
 		}
 		lease := p.Pick(long)
@@ -213,7 +213,7 @@
 			func(_ *Pool, l *Lease) { l.Done(EndBusy) },
 			func(_ *Pool, l *Lease) { l.Done(EndFailed) },
 			func(_ *Pool, l *Lease) { l.Done(EndUnreachable) },
-			func(_ *Pool, l *Lease) { l.Said(Word{Rest: time.Second}, Answer{}); l.Done(EndBusy) },
+			func(_ *Pool, l *Lease) { l.Said(Notice{Rest: time.Second}, Answer{}); l.Done(EndBusy) },
 			func(p *Pool, l *Lease) { l.Done(EndGood); p.cool(p.byID["e-0"], p.now(), time.Second) },
 		} {
 			clock := &testClock{at: time.Unix(1000, 0)}
--- a/internal/pool/silence_test.go
+++ b/internal/pool/silence_test.go
@@ -48,7 +48,7 @@
 		if clock.at.Sub(lastEvent) >= eventEvery {
 			lastEvent = clock.at
 			for _, s := range running {
-				s.lease.Heard()
+				s.lease.Received()
 			}
 		}
 		if told && clock.at.Sub(lastTold) >= tellEvery {
--- a/internal/pool/suspend_test.go
+++ b/internal/pool/suspend_test.go
@@ -54,7 +54,7 @@
 		"a rest is over": {
 			func(p *Pool) {
 				lease := p.Pick(Query{Service: "s"})
-				lease.Said(Word{Rest: 3 * time.Second}, Answer{})
+				lease.Said(Notice{Rest: 3 * time.Second}, Answer{})
 				lease.Done(EndBusy)
 			},
 			takes,
--- a/internal/pool/warm.go
+++ b/internal/pool/warm.go
@@ -6,7 +6,7 @@
 	"github.com/ledgemount/ledgemount/internal/slowstart"
 )
 
-// Kept says why an endpoint that would have been picked for its affinity gets no work now, for logs.
+// Kept reports why an endpoint that would have been picked for its affinity gets no work now, for logs.
 type Kept string
 
 // The reasons.
@@ -24,13 +24,13 @@
 
 // Owners tells which instances own what, in an order that all instances come to alone.
 type Owners interface {
-	// Known says whether the other instances are known at all.
+	// Known reports whether the other instances are known at all.
 	Known() bool
 	// Size is their number, this one among them.
 	Size() int
 	// Place is this instance's place among them, from 0, and their number. All come to the same order.
 	Place() (place, size int)
-	// Owns says whether this instance is one of the first of them in the order for a key.
+	// Owns reports whether this instance is one of the first of them in the order for a key.
 	Owns(key string, first int) bool
 }
 
@@ -89,12 +89,12 @@
 	}
 }
 
-// cold says whether an endpoint is cold and what it gets is bounded. The caller holds mu.
+// cold reports whether an endpoint is cold and what it gets is bounded. The caller holds mu.
 func (l *Pool) cold(m *member, now time.Time) bool {
 	return before(now, m.warming.until) && l.warmups[m.Service].PerSecond > 0
 }
 
-// keeps says why an endpoint gets no work now, whatever the request. The caller holds mu.
+// keeps reports why an endpoint gets no work now, whatever the request. The caller holds mu.
 func (l *Pool) keeps(m *member, now time.Time) Kept {
 	switch {
 	case len(l.evacuated) > 0 && l.evacuated[m.Zone]:
@@ -111,7 +111,7 @@
 	return KeptNot
 }
 
-// admits says whether this instance may send a request to a cold endpoint now. The caller holds mu.
+// admits reports whether this instance may send a request to a cold endpoint now. The caller holds mu.
 func (l *Pool) admits(m *member, now time.Time) bool {
 	w := &m.warming
 	if now.Sub(w.checked) > ownersFor {
--- a/internal/pool/zone.go
+++ b/internal/pool/zone.go
@@ -38,7 +38,7 @@
 	}
 }
 
-// cutOff says whether the path to an endpoint's zone is suspect. Endpoints of the own zone are judged one by one. The caller
+// cutOff reports whether the path to an endpoint's zone is suspect. Endpoints of the own zone are judged one by one. The caller
 // holds mu.
 func (l *Pool) cutOff(m *member, now time.Time) bool {
 	if len(l.zones) == 0 || m.Zone == l.zone {
@@ -51,7 +51,7 @@
 	return now.Sub(z.probed) < zoneProbe
 }
 
-// reachesAll says whether no path to a zone is suspect. The caller holds mu.
+// reachesAll reports whether no path to a zone is suspect. The caller holds mu.
 func (l *Pool) reachesAll() bool {
 	for _, z := range l.zones {
 		if len(z.missed) >= zoneMissed {
--- a/internal/pressure/pressure.go
+++ b/internal/pressure/pressure.go
@@ -99,7 +99,7 @@
 	g.judge(now)
 }
 
-// Away says whether callers are to be sent to other instances.
+// Away reports whether callers are to be sent to other instances.
 func (g *Gauge) Away() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -108,7 +108,7 @@
 	return g.away
 }
 
-// Crowded says whether the link is crowded now.
+// Crowded reports whether the link is crowded now.
 func (g *Gauge) Crowded() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -156,7 +156,7 @@
 	g.until = now.Add(g.rest)
 }
 
-// crowded says whether even the fastest of the last connections waited for the link. The caller holds mu.
+// crowded reports whether even the fastest of the last connections waited for the link. The caller holds mu.
 func (g *Gauge) crowded(now time.Time) bool {
 	kept := g.samples[:0]
 	fastest := g.policy.Slow
--- a/internal/quarantine/memory.go
+++ b/internal/quarantine/memory.go
@@ -141,7 +141,7 @@
 // WithLife sets how long a request is kept back.
 func WithLife(d time.Duration) Option { return func(m *Memory) { m.life = d } }
 
-// WithProber sets what says whether this instance is the one that tries a request again once its life is over. Where none does for another
+// WithProber sets what reports whether this instance is the one that tries a request again once its life is over. Where none does for another
 // life, all may.
 func WithProber(f func(Digest) bool) Option { return func(m *Memory) { m.prober = f } }
 
@@ -163,7 +163,7 @@
 	return m
 }
 
-// Suspects says whether any request of a customer is under suspicion. It costs one atomic read where none is.
+// Suspects reports whether any request of a customer is under suspicion. It costs one atomic read where none is.
 func (m *Memory) Suspects(customer string) bool {
 	if m.active.Load() == 0 {
 		return false
@@ -204,7 +204,7 @@
 	}
 }
 
-// Held says whether a request is kept back by now, though it was let in before.
+// Held reports whether a request is kept back by now, though it was let in before.
 func (m *Memory) Held(p Digest) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -212,7 +212,7 @@
 	return r != nil && !r.held.IsZero() && m.now().Before(r.held.Add(m.lifeOf(r)))
 }
 
-// Lone says whether only its caller may send a request again.
+// Lone reports whether only its caller may send a request again.
 func (m *Memory) Lone(p Digest) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -274,7 +274,7 @@
 	return r
 }
 
-// old says whether nothing was heard of a request for so long that it counts as new. The caller holds mu.
+// old reports whether nothing was heard of a request for so long that it counts as new. The caller holds mu.
 func (m *Memory) old(r *record, now time.Time) bool { return now.Sub(r.at) > oldLives*m.lifeOf(r) }
 
 // of finds or makes a record. The caller holds mu.
@@ -309,7 +309,7 @@
 	}
 }
 
-// less says whether a record is less worth keeping than another.
+// less reports whether a record is less worth keeping than another.
 func less(a, b *record) bool {
 	if a.held.IsZero() != b.held.IsZero() {
 		return a.held.IsZero()
--- a/internal/quarantine/memory_test.go
+++ b/internal/quarantine/memory_test.go
@@ -179,7 +179,7 @@
 		for i := range list {
 			list[i] = New(WithNow(func() time.Time { return now }))
 		}
-		var sent []told
+		var sent []report
 		for range rapid.IntRange(1, 25).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
 			m := list[rapid.IntRange(0, members-1).Draw(t, "member")]
@@ -224,16 +224,16 @@
 
 func TestToldCheck(t *testing.T) {
 	Convey("What cannot be right is not taken", t, func() {
-		good := told{Digest: crashing[:], Customer: "north", Ends: []toldEnd{{Run: "e-0", BeganMs: 9, EndedMs: 1}}}
+		good := report{Digest: crashing[:], Customer: "north", Ends: []reportedEnd{{Run: "e-0", BeganMs: 9, EndedMs: 1}}}
 		So(good.valid(), ShouldBeTrue)
-		for _, bad := range []told{
+		for _, bad := range []report{
 			{},
 			{Digest: []byte("short")},
 			{Digest: crashing[:], HeldMs: -1},
 			{Digest: crashing[:], Probes: -1},
-			{Digest: crashing[:], Ends: []toldEnd{{BeganMs: 9, EndedMs: 1}}},
-			{Digest: crashing[:], Ends: []toldEnd{{Run: "e", BeganMs: 1, EndedMs: 9}}},
-			{Digest: crashing[:], Ends: make([]toldEnd, mostEnds+1)},
+			{Digest: crashing[:], Ends: []reportedEnd{{BeganMs: 9, EndedMs: 1}}},
+			{Digest: crashing[:], Ends: []reportedEnd{{Run: "e", BeganMs: 1, EndedMs: 9}}},
+			{Digest: crashing[:], Ends: make([]reportedEnd, mostEnds+1)},
 		} {
 			So(bad.valid(), ShouldBeFalse)
 		}
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -9,18 +9,18 @@
 	"github.com/rotisserie/eris"
 )
 
-// told is a record as it travels. Moments are told as ages in milliseconds: clocks of instances differ.
-type told struct {
-	Digest   []byte    `cbor:"1,keyasint"`
-	Customer string    `cbor:"2,keyasint,omitempty"`
-	Gen      uint32    `cbor:"3,keyasint,omitempty"`
-	Ends     []toldEnd `cbor:"4,keyasint,omitempty"`
-	Held     bool      `cbor:"5,keyasint,omitempty"`
-	HeldMs   int64     `cbor:"6,keyasint,omitempty"` // since it is kept back
-	Probes   int       `cbor:"7,keyasint,omitempty"`
+// report is a record as it travels. Moments are report as ages in milliseconds: clocks of instances differ.
+type report struct {
+	Digest   []byte        `cbor:"1,keyasint"`
+	Customer string        `cbor:"2,keyasint,omitempty"`
+	Gen      uint32        `cbor:"3,keyasint,omitempty"`
+	Ends     []reportedEnd `cbor:"4,keyasint,omitempty"`
+	Held     bool          `cbor:"5,keyasint,omitempty"`
+	HeldMs   int64         `cbor:"6,keyasint,omitempty"` // since it is kept back
+	Probes   int           `cbor:"7,keyasint,omitempty"`
 }
 
-type toldEnd struct {
+type reportedEnd struct {
 	Run     string `cbor:"1,keyasint"`
 	BeganMs int64  `cbor:"2,keyasint"`
 	EndedMs int64  `cbor:"3,keyasint"`
@@ -34,21 +34,21 @@
 )
 
 // pack writes a record down as of a moment.
-func (r *record) pack(now time.Time) told {
-	t := told{Digest: r.digest[:], Customer: r.customer, Gen: r.gen, Probes: r.probes, Held: !r.held.IsZero()}
+func (r *record) pack(now time.Time) report {
+	t := report{Digest: r.digest[:], Customer: r.customer, Gen: r.gen, Probes: r.probes, Held: !r.held.IsZero()}
 	if t.Held {
 		t.HeldMs = now.Sub(r.held).Milliseconds()
 	}
 	for _, e := range r.ends {
-		t.Ends = append(t.Ends, toldEnd{
+		t.Ends = append(t.Ends, reportedEnd{
 			Run: e.Run, BeganMs: now.Sub(e.Began).Milliseconds(), EndedMs: now.Sub(e.Ended).Milliseconds(), Events: e.Events,
 		})
 	}
 	return t
 }
 
-// valid says whether a record that was told can be right.
-func (t told) valid() bool {
+// valid reports whether a record that was told can be right.
+func (t report) valid() bool {
 	if len(t.Digest) != len(Digest{}) || len(t.Customer) > mostName || len(t.Ends) > mostEnds || t.HeldMs < 0 || t.Probes < 0 {
 		return false
 	}
@@ -61,8 +61,8 @@
 }
 
 // learn takes a record that was told; age is how long ago it was written down, same how far apart moments of one end may be.
-// from is the instance that told it; empty: the store has it. news says whether it told of a run that ended well.
-func (m *Memory) learn(t told, from string, age, same time.Duration) (news bool) {
+// from is the instance that told it; empty: the store has it. news reports whether it told of a run that ended well.
+func (m *Memory) learn(t report, from string, age, same time.Duration) (news bool) {
 	if !t.valid() {
 		return false
 	}
@@ -90,7 +90,7 @@
 }
 
 // join adds what was told of the same generation. at is the moment as of which it was told. The caller holds mu.
-func (m *Memory) join(r *record, t told, at, now time.Time, same time.Duration) *Change {
+func (m *Memory) join(r *record, t report, at, now time.Time, same time.Duration) *Change {
 	before, added := r.suspected(), false
 	for _, e := range t.Ends {
 		added = r.note(End{
@@ -136,7 +136,7 @@
 
 // since packs the records that have changed after a number, the first to change first, and the number that they lead to. What the instance that
 // is told has told itself is left out: each member of a zone would send its leader all that it had heard from it.
-func (m *Memory) since(seq uint64, to string) ([]told, uint64) {
+func (m *Memory) since(seq uint64, to string) ([]report, uint64) {
 	now := m.now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -150,7 +150,7 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b *record) int { return cmp.Compare(a.seq, b.seq) })
-	out := make([]told, 0, min(len(list), mostTold))
+	out := make([]report, 0, min(len(list), mostTold))
 	for _, r := range list[:min(len(list), mostTold)] {
 		out = append(out, r.pack(now))
 		seq = r.seq
@@ -160,11 +160,11 @@
 
 // together is all that is kept in the store.
 type together struct {
-	WallMs  int64  `cbor:"1,keyasint"` // when it was written
-	Records []told `cbor:"2,keyasint,omitempty"`
+	WallMs  int64    `cbor:"1,keyasint"` // when it was written
+	Records []report `cbor:"2,keyasint,omitempty"`
 }
 
-// any says whether anything is known.
+// any reports whether anything is known.
 func (m *Memory) any() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -31,10 +31,10 @@
 
 // news is a message. Both sides tell what the other has not acknowledged, so that lost messages and starts do no harm.
 type news struct {
-	Hello   bool   `cbor:"1,keyasint,omitempty"` // the sender has not heard the other before: it wants all
-	Seq     uint64 `cbor:"2,keyasint,omitempty"` // of the last record below
-	Ack     uint64 `cbor:"3,keyasint,omitempty"` // the last Seq that the sender has heard
-	Records []told `cbor:"4,keyasint,omitempty"`
+	Hello   bool     `cbor:"1,keyasint,omitempty"` // the sender has not heard the other before: it wants all
+	Seq     uint64   `cbor:"2,keyasint,omitempty"` // of the last record below
+	Ack     uint64   `cbor:"3,keyasint,omitempty"` // the last Seq that the sender has heard
+	Records []report `cbor:"4,keyasint,omitempty"`
 }
 
 // partner is another instance as far as it has been told.
@@ -85,7 +85,7 @@
 		opt(s)
 	}
 	mesh.Handle(router, KindTell, func(_ context.Context, from mesh.Peer, n news) (news, error) {
-		s.hear(from.ID, n)
+		s.receive(from.ID, n)
 		reply, _ := s.tell(from.ID)
 		return reply, nil
 	})
@@ -128,7 +128,7 @@
 			}
 			rest(ctx)
 		case <-look.C:
-			if s.unheard() {
+			if s.isolated() {
 				s.load(ctx)
 			}
 			s.saveRestored()
@@ -174,8 +174,8 @@
 	}
 }
 
-// unheard says whether the store is the only one that can tell of other instances. A small fleet hears it from the store in any case.
-func (s *Share) unheard() bool {
+// isolated reports whether the store is the only one that can tell of other instances. A small fleet hears it from the store in any case.
+func (s *Share) isolated() bool {
 	return s.dir.Large() && (s.dir.Stranded() || (s.dir.Leads() && s.dir.Cut()))
 }
 
@@ -193,8 +193,8 @@
 	return raw
 }
 
-// Hear takes what another instance tells.
-func (s *Share) Hear(from string, raw []byte) {
+// Receive takes what another instance tells.
+func (s *Share) Receive(from string, raw []byte) {
 	if len(raw) == 0 {
 		return
 	}
@@ -203,7 +203,7 @@
 		s.log.Warn().Str("event", "quarantine_unread").Str("from", from).Err(err).Msg("what another instance tells cannot be read")
 		return
 	}
-	s.hear(from, n)
+	s.receive(from, n)
 }
 
 func (s *Share) partner(id string) *partner {
@@ -226,7 +226,7 @@
 	return n, anything
 }
 
-func (s *Share) hear(from string, n news) {
+func (s *Share) receive(from string, n news) {
 	s.mu.Lock()
 	p := s.partner(from)
 	p.met = true
@@ -285,7 +285,7 @@
 		s.log.Debug().Str("event", "quarantine_untold").Str("peer", p.ID).Err(err).Msg("another instance was not told of an end")
 		return err
 	}
-	s.hear(p.ID, reply)
+	s.receive(p.ID, reply)
 	return nil
 }
 
--- a/internal/quarantine/share_test.go
+++ b/internal/quarantine/share_test.go
@@ -81,8 +81,8 @@
 		for _, p := range to {
 			for j, q := range s.peers {
 				if q.ID == p.ID {
-					s.nodes[j].Hear(s.peers[i].ID, x.Tell(q.ID))
-					x.Hear(q.ID, s.nodes[j].Tell(s.peers[i].ID))
+					s.nodes[j].Receive(s.peers[i].ID, x.Tell(q.ID))
+					x.Receive(q.ID, s.nodes[j].Tell(s.peers[i].ID))
 				}
 			}
 		}
@@ -147,7 +147,7 @@
 			s.push(0)
 			n, _ := s.nodes[1].tell(s.peers[0].ID)
 			So(n.Records, ShouldBeEmpty)
-			s.nodes[1].hear(s.peers[0].ID, news{Hello: true})
+			s.nodes[1].receive(s.peers[0].ID, news{Hello: true})
 			n, _ = s.nodes[1].tell(s.peers[0].ID)
 			So(len(n.Records), ShouldEqual, 1)
 		})
@@ -187,7 +187,7 @@
 				s.push(at - 1)
 			}
 			for _, leader := range []int{0, 2, 4} {
-				So(s.nodes[leader].unheard(), ShouldBeTrue)
+				So(s.nodes[leader].isolated(), ShouldBeTrue)
 				s.nodes[leader].load(s.ctx)
 			}
 			s.exchange()
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -74,10 +74,10 @@
 	return func(c *Core) { c.dialed = f }
 }
 
-// WithCrowded sets what says whether this instance's link is so crowded that requests are better served elsewhere.
+// WithCrowded sets what reports whether this instance's link is so crowded that requests are better served elsewhere.
 func WithCrowded(f func() bool) Option { return func(c *Core) { c.crowded = f } }
 
-// WithWoken sets what says whether what is known may be used: a machine that was suspended hears it again first.
+// WithWoken sets what reports whether what is known may be used: a machine that was suspended hears it again first.
 func WithWoken(f func() bool) Option { return func(c *Core) { c.woken = f } }
 
 // WithStall sets how long an endpoint may be silent at least before a request that may be repeated looks elsewhere; long prompts and
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -122,7 +122,7 @@
 // mostSpread bounds the time over which callers come back who were refused while all endpoints rested.
 const mostSpread = 2 * time.Second
 
-// again says whether the request goes to another endpoint.
+// again reports whether the request goes to another endpoint.
 func (j *job) again(ctx context.Context, res result) bool {
 	if ctx.Err() != nil || j.attempts >= j.route.MaxAttempts {
 		return false
@@ -269,7 +269,7 @@
 		return resultBroken, nil
 	}
 	defer func() { _ = res.Body.Close() }()
-	watch.heard()
+	watch.received()
 	reading := j.core.Dialect.Read(j.req, res)
 	if reading.Genuine || (reading.NotRun && !reading.Moved) {
 		lease.Said(reading.Word, pool.Answer{Request: j.req.ID, Status: res.Status})
@@ -304,7 +304,7 @@
 // whole passes on an answer that is no stream. A failure may still be repeated, so it is kept.
 func (j *job) whole(res *upstream.Response, watch *watchdog) (result, *kept) {
 	body, err := io.ReadAll(io.LimitReader(res.Body, mostWhole))
-	watch.heard()
+	watch.received()
 	if err != nil {
 		return resultBroken, nil
 	}
--- a/internal/relay/endings.go
+++ b/internal/relay/endings.go
@@ -42,7 +42,7 @@
 	return false
 }
 
-// sawEnd notes whether the endpoint of an attempt that broke off has ended with it. events says whether the attempt had passed events on.
+// sawEnd notes whether the endpoint of an attempt that broke off has ended with it. events reports whether the attempt had passed events on.
 func (j *job) sawEnd(lease *pool.Lease, began time.Time, events bool) bool {
 	digest, customer, endpoint := j.digest(), j.outcome.Customer, lease.Endpoint()
 	j.outcome.Digest = digest.String()
@@ -85,7 +85,7 @@
 	}
 }
 
-// heldMeanwhile says whether a request that was let in is kept back by now: it waited for its budget, or for its second attempt.
+// heldMeanwhile reports whether a request that was let in is kept back by now: it waited for its budget, or for its second attempt.
 func (j *job) heldMeanwhile() bool {
 	return j.core.suspects.Suspects(j.outcome.Customer) && j.core.suspects.Held(j.digest())
 }
@@ -99,7 +99,7 @@
 	return j.giveUp(ctx, failure, resultBroken)
 }
 
-// lone says whether only its caller may send a request again: two endpoints in a row did not outlive it.
+// lone reports whether only its caller may send a request again: two endpoints in a row did not outlive it.
 func (j *job) lone() bool {
 	return j.core.suspects.Suspects(j.outcome.Customer) && j.core.suspects.Lone(j.digest())
 }
--- a/internal/relay/late_test.go
+++ b/internal/relay/late_test.go
@@ -17,7 +17,7 @@
 		j.begun = true
 		for _, gap := range []time.Duration{0, 100 * time.Millisecond, 600 * time.Millisecond, 20 * time.Millisecond} {
 			now = now.Add(gap)
-			j.hear("7")
+			j.received("7")
 		}
 		So(j.events, ShouldEqual, 4)
 		So(j.last, ShouldEqual, "7")
--- a/internal/relay/overdue.go
+++ b/internal/relay/overdue.go
@@ -42,7 +42,7 @@
 // EndOverdue ends the requests whose time is up by now, however long their timers still have.
 func (c *Core) EndOverdue() { c.overdue.end(c.now()) }
 
-// over says whether a request ended because its time was up.
+// over reports whether a request ended because its time was up.
 func (j *job) over(ctx context.Context) bool {
 	return ctx.Err() != nil && !j.end.IsZero() && !j.core.now().Before(j.end)
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -71,7 +71,7 @@
 	Genuine bool // it answers this request, and an endpoint has signed it
 	NotRun  bool // the endpoint says that it did not run the request
 	Moved   bool // it comes from another endpoint than the one meant
-	Word    pool.Word
+	Word    pool.Notice
 }
 
 // Dialect writes requests for endpoints and reads their answers.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -24,7 +24,7 @@
 
 var errLongEvent = errors.New("an event is too long")
 
-// streams says whether an answer is a stream of events.
+// streams reports whether an answer is a stream of events.
 func (j *job) streams(res *upstream.Response) bool {
 	if j.route.Kind != route.Streaming || res.Status != http.StatusOK {
 		return false
@@ -47,22 +47,22 @@
 		if err != nil {
 			return resultBroken
 		}
-		watch.heard()
+		watch.received()
 		watch.begin()
 		if j.heard.IsZero() {
 			lease.First(j.req.TokensIn, j.core.now().Sub(sent))
 		}
 		id := eventID(event)
 		j.begin(res.Status, res.Header, -1)
-		j.hear(id)
+		j.received(id)
 		if j.out.Write(event) != nil {
 			return resultLeft
 		}
 	}
 }
 
-// hear notes an event, by its ID if it has one.
-func (j *job) hear(id string) {
+// received notes an event, by its ID if it has one.
+func (j *job) received(id string) {
 	now := j.core.now()
 	if !j.heard.IsZero() {
 		j.outcome.Pause = max(j.outcome.Pause, now.Sub(j.heard))
@@ -173,9 +173,9 @@
 // watchSteps is how many times a silence is looked at again within the length of a stall.
 const watchSteps = 4
 
-func (w *watchdog) heard() {
+func (w *watchdog) received() {
 	w.last.Store(int64(w.now().Sub(w.since)))
-	w.lease.Heard()
+	w.lease.Received()
 }
 
 func (w *watchdog) stalled() bool { return w.fired.Load() }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -50,7 +50,7 @@
 	Regions     []string // in which its requests may run; nil: in all
 }
 
-// Repeatable says whether a request of the route may run more than once.
+// Repeatable reports whether a request of the route may run more than once.
 func (r *Route) Repeatable() bool { return r.Kind == Safe || (r.Kind == Streaming && r.Resumable) }
 
 // Service is a group of endpoints that serve the same requests.
@@ -198,7 +198,7 @@
 // Limits bound what a caller may send.
 func (t *Table) Limits() Limits { return t.cfg.Limits }
 
-// Keyed says whether requests need a key.
+// Keyed reports whether requests need a key.
 func (t *Table) Keyed() bool { return t.cfg.Keyed }
 
 // Warmups are what services say of endpoints that have just started, by service.
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -159,7 +159,7 @@
 	m.metrics.Scope().Gauge("limits_lent_per_second").Update(perSecond)
 }
 
-// wordHeard counts what an endpoint says of itself in an answer.
-func (m *meters) wordHeard(h pool.Heard) {
+// noticeTaken counts what an endpoint says of itself in an answer.
+func (m *meters) noticeTaken(h pool.NoticeTaken) {
 	m.metrics.Scope().Tagged(map[string]string{"word": h.Word.Name()}).Counter("endpoint_words_total").Inc(1)
 }
--- a/internal/router/experiment.go
+++ b/internal/router/experiment.go
@@ -32,7 +32,7 @@
 	Scarcity    Mechanism = "scarcity"     // less is held of a budget that runs out
 )
 
-// without says whether a mechanism is switched off.
+// without reports whether a mechanism is switched off.
 func (s *Settings) without(m Mechanism) bool { return slices.Contains(s.Without, m) }
 
 func (s *Settings) poolPolicy() pool.Policy {
--- a/internal/router/quarantine.go
+++ b/internal/router/quarantine.go
@@ -11,7 +11,7 @@
 	r.share.Observe(e)
 }
 
-// tries says whether this instance is the one that tries a request again once the time is over for which it is kept back.
+// tries reports whether this instance is the one that tries a request again once the time is over for which it is kept back.
 func (r *Router) tries(p quarantine.Digest) bool { return r.peers.Owns(p.String(), 1) }
 
 // quarantined logs that a request is kept from endpoints from now on, or not any more, and lets what was decided here outlive the fleet.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -94,7 +94,7 @@
 	r.newFollower(on, links)
 	r.newSharing(on, links)
 	r.newCore(on)
-	r.waking = waking{clock: r.boot, heard: r.follow.Heard}
+	r.waking = waking{clock: r.boot, heard: r.follow.LastContact}
 	r.boot.OnWake(r.wake)
 	if err := r.listen(on); err != nil {
 		return nil, err
@@ -118,8 +118,8 @@
 		append(set.peersOptions(), peers.WithNow(now), peers.WithLogger(r.log), peers.WithEpochs(on.Epochs), peers.WithTraffic(r.metrics.sentTo))...)
 	heard, silenced := pool.LogWords(r.log)
 	opts := []pool.Option{
-		pool.WithPolicy(set.poolPolicy()), pool.OnGone(r.client.Forget), pool.WithOwners(r.peers), pool.WithNow(now), pool.OnSilenced(silenced),
-		pool.OnHeard(func(h pool.Heard) { r.metrics.wordHeard(h); heard(h) }),
+		pool.WithPolicy(set.poolPolicy()), pool.OnGone(r.client.Forget), pool.WithOwners(r.peers), pool.WithNow(now), pool.OnNoticeEnded(silenced),
+		pool.OnNotice(func(h pool.NoticeTaken) { r.metrics.noticeTaken(h); heard(h) }),
 		pool.WithRegions(set.Instance.Regions), pool.WithColdBounds(slowstart.Bounds{Overage: set.Cold.Overage, Slack: set.Cold.Slack}),
 	}
 	if !set.without(Loads) {
@@ -264,7 +264,7 @@
 	r.log.Info().Str("event", "link_calm").Msg("callers may come again")
 }
 
-// ready says whether callers may be sent here: the configuration, the endpoints and the escrow are known, and the link is calm; after a
+// ready reports whether callers may be sent here: the configuration, the endpoints and the escrow are known, and the link is calm; after a
 // suspension all that was heard again.
 func (r *Router) ready() bool {
 	return !r.pressure.Away() && r.waking.over() && r.follow.Table() != nil && r.escrow.Ready() && r.pool.Len() > 0
--- a/internal/router/start.go
+++ b/internal/router/start.go
@@ -121,7 +121,7 @@
 	return nil
 }
 
-// look notes the steps that have been reached, and says whether the instance is ready.
+// look notes the steps that have been reached, and reports whether the instance is ready.
 func (w *startWatch) look() bool {
 	for step, reached := range w.steps {
 		if reached() {
--- a/internal/router/wake.go
+++ b/internal/router/wake.go
@@ -29,7 +29,7 @@
 // begin notes that the machine has been suspended.
 func (w *waking) begin() { w.woke.Store(int64(w.clock.Elapsed())) }
 
-// over says whether the instance may serve.
+// over reports whether the instance may serve.
 func (w *waking) over() bool {
 	woke := w.woke.Load()
 	if woke == 0 {
--- a/internal/slowstart/slowstart.go
+++ b/internal/slowstart/slowstart.go
@@ -52,7 +52,7 @@
 	at   time.Time
 }
 
-// Has says whether a request may be sent now.
+// Has reports whether a request may be sent now.
 func (b *Bucket) Has(now time.Time, s Share) bool { return b.level(now, s) <= burst-1 }
 
 // Take counts a request.
--- a/internal/standin/inproc/inproc.go
+++ b/internal/standin/inproc/inproc.go
@@ -52,7 +52,7 @@
 	}
 }
 
-// Refused says whether a new connection to a host is refused.
+// Refused reports whether a new connection to a host is refused.
 func (t *Transport) Refused(_ context.Context, name string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -56,14 +56,14 @@
 	return func(o *options) { o.pool = append(o.pool, pool.WithZoneView(others, share)) }
 }
 
-// OnHeard sets what is told of the words of endpoints that were taken.
-func OnHeard(f func(pool.Heard)) Option {
-	return func(o *options) { o.pool = append(o.pool, pool.OnHeard(f)) }
+// OnNotice sets what is told of the words of endpoints that were taken.
+func OnNotice(f func(pool.NoticeTaken)) Option {
+	return func(o *options) { o.pool = append(o.pool, pool.OnNotice(f)) }
 }
 
-// OnSilenced sets what is told of the words that do not count any more.
-func OnSilenced(f func(pool.Silenced)) Option {
-	return func(o *options) { o.pool = append(o.pool, pool.OnSilenced(f)) }
+// OnNoticeEnded sets what is told of the words that do not count any more.
+func OnNoticeEnded(f func(pool.NoticeEnded)) Option {
+	return func(o *options) { o.pool = append(o.pool, pool.OnNoticeEnded(f)) }
 }
 
 // New makes targets for an instance of a zone.
@@ -134,7 +134,7 @@
 	return Target{}, false
 }
 
-// Opens says whether any endpoint of a pool takes a request now.
+// Opens reports whether any endpoint of a pool takes a request now.
 func (t *Targets) Opens(name string) pool.Opening {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/targets/targets_test.go
+++ b/internal/targets/targets_test.go
@@ -153,8 +153,8 @@
 
 		Convey("one that says that it leaves, or wants rest, gets nothing, and its status says why", func() {
 			leases := all()
-			leases["e0"][0].Said(pool.Word{Leaving: true}, pool.Answer{})
-			leases["e1"][0].Said(pool.Word{Rest: 2 * time.Second}, pool.Answer{})
+			leases["e0"][0].Said(pool.Notice{Leaving: true}, pool.Answer{})
+			leases["e1"][0].Said(pool.Notice{Rest: 2 * time.Second}, pool.Answer{})
 			for _, l := range leases {
 				end(l, pool.EndGood)
 			}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -121,7 +121,7 @@
 	return nil
 }
 
-// quiet says whether an idle connection is still open and has received nothing.
+// quiet reports whether an idle connection is still open and has received nothing.
 func (c *conn) quiet() bool {
 	if c.br.Buffered() > 0 {
 		return false
--- a/internal/upstream/peek.go
+++ b/internal/upstream/peek.go
@@ -6,7 +6,7 @@
 	"syscall"
 )
 
-// nothingToRead says whether a connection is open and no byte waits on it. It reads without taking anything.
+// nothingToRead reports whether a connection is open and no byte waits on it. It reads without taking anything.
 func nothingToRead(c net.Conn) bool {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
--- a/internal/upstream/refused.go
+++ b/internal/upstream/refused.go
@@ -28,7 +28,7 @@
 	lookedNothing               // no answer: the machine is cut off or without power, or packets were lost
 )
 
-// Refused says whether a new connection to an address is refused. A machine that is cut off or without power says nothing, and does not count.
+// Refused reports whether a new connection to an address is refused. A machine that is cut off or without power says nothing, and does not count.
 // A connection that comes up is kept for the next request.
 func (c *Client) Refused(ctx context.Context, addr string) bool {
 	cn, saw := c.look(ctx, addr)
@@ -58,7 +58,7 @@
 	return false
 }
 
-// staysOpen says whether a new connection is still open after a moment.
+// staysOpen reports whether a new connection is still open after a moment.
 func staysOpen(cn *conn) bool {
 	if err := cn.SetReadDeadline(time.Now().Add(endingFor)); err != nil {
 		return false
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -148,7 +148,7 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.cause }
 
-// Verdict says whether the request may have run.
+// Verdict reports whether the request may have run.
 func (e *Error) Verdict() Verdict { return e.verdict }
 
 // Code is the reason.
