fix: after a restoration instances do not call the store at the same moment, nor twice for what is known

Cause: all learn of a restoration within milliseconds, and read lists, records and pages and wrote rows at once; lists were read again after 3 and 6 s also where the first had shown nothing new. Change: rows are stated over 0.8 s, records read and written over 1 s (2 s in a large fleet), and lists are read again only where they differed from what was known.

--- a/internal/escrow/draw.go
+++ b/internal/escrow/draw.go
@@ -134,7 +134,7 @@
 	if h.rests() {
 		return false
 	}
-	if p.unsure >= 0 || h.restates(p) {
+	if p.unsure >= 0 || h.restatesNow(p) {
 		return len(h.accounts) > 0
 	}
 	if p.unsettled && !h.start().Later {
--- a/internal/escrow/restore.go
+++ b/internal/escrow/restore.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/ledgemount/ledgemount/internal/external"
 )
 
@@ -16,6 +18,9 @@
 // restateWait is how long holders have for stating their rows anew after a restoration.
 const restateWait = 2 * time.Second
 
+// restateSpread is the time over which holders state their rows anew, so that they do not meet in conditional writes.
+const restateSpread = 800 * time.Millisecond
+
 // lostCopy is the newest copy of a page that is known of an epoch of the store that is over.
 type lostCopy struct {
 	raw      []byte // nil: none
@@ -100,6 +105,13 @@
 // restates reports whether this holder has yet to state its rows in the store's epoch.
 func (h *Holder) restates(p *pageState) bool { return p.joined && p.epoch < h.epochs.Current() }
 
+// restatesNow reports whether it is this holder's turn to state its rows anew. The caller holds mu.
+func (h *Holder) restatesNow(p *pageState) bool {
+	learnt := h.restored.Load()
+	turn := time.Duration(xxhash.Sum64String(h.id) % uint64(restateSpread))
+	return h.restates(p) && (learnt == nil || h.now().Sub(*learnt) >= turn)
+}
+
 // frozen reports whether nothing is to be granted on a page beyond what holders have. The caller holds mu.
 func (h *Holder) frozen(page *Page) bool {
 	if page.Restored == 0 || page.Restored < h.epochs.Current() {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -343,7 +344,11 @@
 
 // evacuate puts the operator's orders to evacuate availability zones in force.
 func (f *Follower) evacuate(u Update) {
-	changed, zones := f.history.evacuate(u, !f.restored.missing(f.now()))
+	reliable := !f.restored.missing(f.now())
+	changed, zones := f.history.evacuate(u, reliable)
+	if u.Evacuated != nil && !reliable && !slices.Equal(slices.Sorted(slices.Values(u.Evacuated.Zones)), zones) {
+		f.restored.differs = true
+	}
 	if len(changed) == 0 {
 		return
 	}
--- a/internal/follow/restoration.go
+++ b/internal/follow/restoration.go
@@ -44,6 +44,7 @@
 type restoration struct {
 	at      time.Time // when it was learnt; zero: there was none
 	rereads int       // of everything, since its records are reliable
+	differs bool      // the store's lists are not what is known
 }
 
 // missing reports whether what a list lacks counts as there.
@@ -57,7 +58,7 @@
 
 // due reports whether everything is to be read once more now.
 func (r restoration) due(now time.Time) bool {
-	return !r.at.IsZero() && r.rereads < len(rereadAt) && now.Sub(r.at) >= rereadAt[r.rereads]
+	return r.differs && !r.at.IsZero() && r.rereads < len(rereadAt) && now.Sub(r.at) >= rereadAt[r.rereads]
 }
 
 // learn notes that an update is of a later epoch than what was followed so far.
@@ -76,6 +77,7 @@
 	}
 	out, kept := f.history.reconcile(list, f.restored.missing(now))
 	if kept != (keptBack{}) {
+		f.restored.differs = true
 		f.log.Info().Str("event", "endpoints_reconciled").Int("missing", kept.missing).Int("draining", kept.draining).Int("gone", kept.gone).
 			Msg("the store was restored: what is known of endpoints counts for more than its records")
 	}
--- a/internal/peers/restore.go
+++ b/internal/peers/restore.go
@@ -17,8 +17,10 @@
 const (
 	// recordsWait is how long instances whose records are missing after a restoration stay known.
 	recordsWait = 6 * time.Second
-	// writeSpread is the time over which the instances of a large fleet write anew, so that they do not all call the store at once.
+	// writeSpread is the time over which the instances of a large fleet write anew, and smallSpread those of a small one, so that they do not all call
+	// the store at once.
 	writeSpread = 2 * time.Second
+	smallSpread = time.Second
 )
 
 // WithEpochs sets what knows the store's epoch.
@@ -58,18 +60,17 @@
 	return err
 }
 
-// spread waits for a part of the time over which a large fleet writes anew; false means that ctx has ended.
-func (d *Directory) spread(ctx context.Context) bool {
-	if !d.Large() {
-		return ctx.Err() == nil
+// spread waits for a part of the time over which the fleet writes anew.
+func (d *Directory) spread(ctx context.Context) {
+	most := smallSpread
+	if d.Large() {
+		most = writeSpread
 	}
-	t := time.NewTimer(rand.N(writeSpread))
+	t := time.NewTimer(rand.N(most))
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
-		return false
 	case <-t.C:
-		return true
 	}
 }
 
