--- a/internal/peers/directory.go
+++ b/internal/peers/directory.go
@@ -153,9 +153,9 @@
 	d.mu.Lock()
 	d.begun = d.now()
 	d.mu.Unlock()
-	for ctx.Err() == nil {
-		if err := d.read(ctx); err != nil {
-			d.log.Debug().Str("event", "peers_unread").Err(err).Msg("the instances' records were not read")
+	for woken := false; ctx.Err() == nil; woken = d.sleep(ctx) {
+		if !woken {
+			d.tryRead(ctx)
 		}
 		if err := d.write(ctx); err != nil {
 			d.log.Debug().Str("event", "peer_unwritten").Err(err).Msg("this instance's record was not written")
@@ -165,7 +165,6 @@
 		}
 		d.connect(ctx)
 		d.meet()
-		d.sleep(ctx)
 	}
 	return d.disconnect()
 }
@@ -193,8 +192,9 @@
 	close(d.met)
 }
 
-// sleep waits for the time of the next read. After the start reads are closer together: others may be starting too.
-func (d *Directory) sleep(ctx context.Context) {
+// sleep waits for the time of the next read. After the start reads are closer together: others may be starting too. It reports whether a restoration of
+// the store has ended it.
+func (d *Directory) sleep(ctx context.Context) bool {
 	wait := d.times.Read
 	switch age := d.now().Sub(d.begun); {
 	case age < d.times.Settle:
@@ -209,7 +209,9 @@
 	case <-t.C:
 	case <-d.wakes:
 		d.spread(ctx)
+		return true
 	}
+	return false
 }
 
 // tell writes this instance's record.
@@ -247,6 +249,13 @@
 
 func (d *Directory) recordKey() string { return d.prefix + recordsPrefix + d.self.Peer.ID }
 
+// tryRead reads all records; where that fails, those that are known hold.
+func (d *Directory) tryRead(ctx context.Context) {
+	if err := d.read(ctx); err != nil {
+		d.log.Debug().Str("event", "peers_unread").Err(err).Msg("the instances' records were not read")
+	}
+}
+
 // read reads all records, from a copy that may be some seconds old.
 func (d *Directory) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(external.WithDuty(external.WithStale(ctx), external.DutyMembers), d.times.Call)
