fix: holders of a build that names no epoch can join after a restoration

While a version is rolled back after a restoration, rows of older holders were refused by leaders of this build, for ever. They are written again where they follow what the page has, as before a restoration; such a holder stays doubtful, so its want is kept free.

--- a/internal/escrow/restore.go
+++ b/internal/escrow/restore.go
@@ -70,10 +70,11 @@
 }
 
 // follows reports whether a part is the one that comes after what a page has of its holder: the next one, or the first since a restoration, which may
-// have lost several.
+// have lost several. A holder of a build that names no epoch has to follow its last one also then.
 func (p *Page) follows(holder string, r Report) bool {
 	before, present := p.Holders[holder]
 	switch {
+	case r.Epoch == 0 && before.Epoch == 0:
 	case r.Epoch < p.Restored:
 		return false
 	case p.Restored > 0 && before.Epoch < p.Restored:
--- a/internal/escrow/restore_test.go
+++ b/internal/escrow/restore_test.go
@@ -211,6 +211,9 @@
 			{2, &Report{Count: 7, Epoch: 2}, Report{Count: 9, Epoch: 2}, false},
 			{2, &Report{Count: 7, Epoch: 2}, Report{Count: 8, Epoch: 2}, true},
 			{2, &Report{Count: 7, Epoch: 2}, Report{Count: 8}, false},
+			{2, nil, Report{Count: 1}, true},
+			{2, &Report{Count: 3}, Report{Count: 4}, true},
+			{2, &Report{Count: 3}, Report{Count: 5}, false},
 		} {
 			p := &Page{Restored: c.restored, Holders: map[string]Report{}}
 			if c.before != nil {
