--- a/cmd/check.go
+++ b/cmd/check.go
@@ -38,7 +38,7 @@
 	return err
 }
 
-// check says what kind of file it is and what is wrong with it; notes tell of the fields of the platform's settings.
+// check reports what kind of file it is and what is wrong with it; notes tell of the fields of the platform's settings.
 func check(path string) (kind string, notes []platform.Note, err error) {
 	info, err := os.Stat(path)
 	if err != nil {
--- a/cmd/router.go
+++ b/cmd/router.go
@@ -96,7 +96,7 @@
 	return set, nil, err
 }
 
-// logNotes tells of the platform's fields that are missing or cannot be right.
+// logNotes reports the platform's fields that are missing or cannot be right.
 func logNotes(log zerolog.Logger, notes []platform.Note) {
 	for _, n := range notes {
 		if n.Use == platform.UseDefaulted {
--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -1,4 +1,4 @@
-// Package answer reads what an endpoint says of itself in the head of an answer, for all who speak to endpoints.
+// Package answer reads what an endpoint reports of itself in the head of an answer, for all who speak to endpoints.
 package answer
 
 import (
--- a/internal/bench/balance.go
+++ b/internal/bench/balance.go
@@ -74,7 +74,7 @@
 	served  int
 }
 
-// holds tells whether a prefix is cached, and makes it the newest. evicted is the prefix that had to go, or -1.
+// holds reports whether a prefix is cached, and makes it the newest. evicted is the prefix that had to go, or -1.
 func (e *simEngine) holds(prefix, size int) (hit bool, evicted int) {
 	if el, ok := e.keys[prefix]; ok {
 		e.cache.MoveToFront(el)
--- a/internal/budget/client.go
+++ b/internal/budget/client.go
@@ -205,7 +205,7 @@
 	return nil, ReserveResp{}, last
 }
 
-// worthAnother tells whether another home may do better.
+// worthAnother reports whether another home may do better.
 func worthAnother(err error) bool {
 	if errors.Is(err, mesh.ErrUnreachable) || errors.Is(err, mesh.ErrNoReply) {
 		return true
--- a/internal/budget/draw.go
+++ b/internal/budget/draw.go
@@ -36,7 +36,7 @@
 	}
 }
 
-// wantsTopUp tells whether less than a share of a full grant is in hand, and a draw may be tried.
+// wantsTopUp reports whether less than a share of a full grant is in hand, and a draw may be tried.
 func (h *Home) wantsTopUp(a *account, now time.Time, share float64) bool {
 	if a.busy != nil || now.Before(a.blocked) {
 		return false
@@ -180,7 +180,7 @@
 	}
 }
 
-// editDraws edits the rows of a batch. It tells whether any row has changed.
+// editDraws edits the rows of a batch. It reports whether any row has changed.
 func (h *Home) editDraws(p *Page, holder string, batch []*drawing) (bool, error) {
 	changed := false
 	for _, d := range batch {
@@ -210,7 +210,7 @@
 	return nil
 }
 
-// drawnOn tells whether a page that is read back has the writes of a batch.
+// drawnOn reports whether a page that is read back has the writes of a batch.
 func drawnOn(p *Page, holder string, batch []*drawing) bool {
 	for _, d := range batch {
 		if !d.drawn {
@@ -375,7 +375,7 @@
 	return h.writeJournal(ctx, "", &page)
 }
 
-// recall asks the other holders of a budget to give back what they do not need. It tells whether any did.
+// recall asks the other holders of a budget to give back what they do not need. It reports whether any did.
 func (h *Home) recall(ctx context.Context, a *account, need int64) bool {
 	page, _, err := h.readPage(ctx, PageKey(PageOf(a.budget)))
 	if err != nil {
--- a/internal/budget/home.go
+++ b/internal/budget/home.go
@@ -32,7 +32,7 @@
 
 // Stopper stops a run at its endpoint and keeps it from ever starting there.
 type Stopper interface {
-	// StopRun returns what the run used. known reports whether the endpoint had the run; final says that it cannot
+	// StopRun returns what the run used. known reports whether the endpoint had the run; final reports that it cannot
 	// start any more. An error means that the endpoint did not answer.
 	StopRun(ctx context.Context, place Place) (used int64, known, final bool, err error)
 }
@@ -65,7 +65,7 @@
 	}
 }
 
-// Billed is told of every charge that has become durable.
+// Billed is notified of every charge that has become durable.
 type Billed func(c ledger.Charge)
 
 // Home is the holder: the part of an instance that owns escrow and answers reservations of its zone.
--- a/internal/budget/journal.go
+++ b/internal/budget/journal.go
@@ -48,7 +48,7 @@
 	return nil
 }
 
-// journaled tells whether another writer has done the work while this one waited.
+// journaled reports whether another writer has done the work while this one waited.
 func (h *Home) journaled(client string, page *uint16) bool {
 	if client == "" && page == nil {
 		return false
@@ -178,7 +178,7 @@
 	return eris.Wrap(last, "writing the journal")
 }
 
-// readBack resolves a write whose fate is unknown. It tells whether the write has taken effect.
+// readBack resolves a write whose fate is unknown. It reports whether the write has taken effect.
 func (h *Home) readBack(ctx context.Context, key string, w *journalWrite) (bool, error) {
 	e, err := h.store.Get(ctx, key)
 	if err != nil {
--- a/internal/budget/messages.go
+++ b/internal/budget/messages.go
@@ -116,7 +116,7 @@
 	Need   int64  `cbor:"2,keyasint"`
 }
 
-// RecallResp says how much went back to the store.
+// RecallResp reports how much went back to the store.
 type RecallResp struct {
 	Returned int64 `cbor:"1,keyasint"`
 }
--- a/internal/budget/orphan.go
+++ b/internal/budget/orphan.go
@@ -21,7 +21,7 @@
 }
 
 // resolveOrphans settles reservations whose serving instance has been missing for longer than any reservation may be
-// used. The endpoint says how far the run came, and will not start it any more. While the endpoint does not answer, or
+// used. The endpoint reports how far the run came, and will not start it any more. While the endpoint does not answer, or
 // cannot promise that, the tokens stay held.
 func (h *Home) resolveOrphans(ctx context.Context) {
 	for _, o := range h.orphans() {
@@ -77,7 +77,7 @@
 	return out
 }
 
-// missed tells whether a reservation's owner has been missing for long enough.
+// missed reports whether a reservation's owner has been missing for long enough.
 func (h *Home) missed(r *reservation, now time.Time) bool {
 	if h.members.Alive(r.owner) {
 		r.orphan = time.Time{}
--- a/internal/budget/reclaim.go
+++ b/internal/budget/reclaim.go
@@ -51,7 +51,7 @@
 	}
 }
 
-// isJanitor tells whether this instance has the zone's duty of reclaiming. Two that both think so do no harm.
+// isJanitor reports whether this instance has the zone's duty of reclaiming. Two that both think so do no harm.
 func (h *Home) isJanitor() bool {
 	self := h.members.Self()
 	p, ok := member.Top("janitor", h.members.Zone(), "")
@@ -196,7 +196,7 @@
 	return resp.Reports, err
 }
 
-// excused tells whether an operator has confirmed that a client of a holder can spend nothing any more.
+// excused reports whether an operator has confirmed that a client of a holder can spend nothing any more.
 func (h *Home) excused(holder, client string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/budget/reclaim_move.go
+++ b/internal/budget/reclaim_move.go
@@ -50,7 +50,7 @@
 	return ""
 }
 
-// reclaimPage moves the dead holder's grants on one page. It tells whether there were any.
+// reclaimPage moves the dead holder's grants on one page. It reports whether there were any.
 func (h *Home) reclaimPage(ctx context.Context, n uint16, j *ledger.Journal, reports []Report) (bool, error) {
 	if err := h.ensurePage(ctx, n); err != nil {
 		return false, err
--- a/internal/budget/row.go
+++ b/internal/budget/row.go
@@ -161,7 +161,7 @@
 	return nil
 }
 
-// Sound tells whether the invariant holds.
+// Sound reports whether the invariant holds.
 func (r *Row) Sound() bool {
 	for _, g := range r.Grants {
 		if g.Granted < 0 || g.Settled < 0 || g.Settled > g.Granted {
--- a/internal/budget/tick.go
+++ b/internal/budget/tick.go
@@ -33,7 +33,7 @@
 	h.reclaimDue(ctx)
 }
 
-// flushDue tells whether the journal should be written. A holder that never drew writes none.
+// flushDue reports whether the journal should be written. A holder that never drew writes none.
 func (h *Home) flushDue() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/burn/burn.go
+++ b/internal/burn/burn.go
@@ -165,7 +165,7 @@
 	return c
 }
 
-// callersFault tells whether the caller, not the system, kept a request from being answered.
+// callersFault reports whether the caller, not the system, kept a request from being answered.
 func callersFault(code verdict.Code) bool {
 	switch code {
 	case verdict.CodeBadRequest, verdict.CodeBudgetExhausted, verdict.CodeCancelled, verdict.CodeNotFound,
--- a/internal/compat/formattest/formattest.go
+++ b/internal/compat/formattest/formattest.go
@@ -60,7 +60,7 @@
 	}
 }
 
-// compare says what is wrong with the encodings of a value, and adds a file where it is asked to.
+// compare reports what is wrong with the encodings of a value, and adds a file where it is asked to.
 func compare[T any](name string, c Codec[T], generation int) (faults []string, err error) {
 	files, err := read(name, generation)
 	if err != nil {
@@ -91,7 +91,7 @@
 		"(docs/design/builds.md), add a file: go test . -run TestFormats -args -formats.add", name, last.generation)), nil
 }
 
-// keeps says what is lost of a value that is read and written again.
+// keeps reports what is lost of a value that is read and written again.
 func keeps[T any](c Codec[T], raw []byte) error {
 	v, err := c.Decode(raw)
 	if err != nil {
--- a/internal/declare/declare.go
+++ b/internal/declare/declare.go
@@ -124,7 +124,7 @@
 // keepApplied is how many change ids a document remembers.
 const keepApplied = 512
 
-// Has tells whether a change is in the document.
+// Has reports whether a change is in the document.
 func (d *Document) Has(change string) bool {
 	for _, id := range d.Applied {
 		if id == change {
--- a/internal/demo/caller.go
+++ b/internal/demo/caller.go
@@ -66,7 +66,7 @@
 // refusals is how often the call was refused as not run, with an instance at the other end.
 func (c *call) refusals() int { return c.turnedAway }
 
-// everRan tells whether any try may have run.
+// everRan reports whether any try may have run.
 func (c *call) everRan() bool {
 	for _, v := range c.verdicts {
 		if v != verdict.NotRun {
@@ -253,7 +253,7 @@
 	return live[rng.IntN(len(live))]
 }
 
-// try makes one attempt. It tells whether another one with the same key makes sense.
+// try makes one attempt. It reports whether another one with the same key makes sense.
 func (c *callers) try(ctx context.Context, cl *call, zone string, rng *rand.Rand, hangUp bool) bool {
 	n := c.pick(zone, rng)
 	if n == nil {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -19,7 +19,7 @@
 	"github.com/ledgemount/ledgemount/internal/external"
 )
 
-// Config says what to run.
+// Config reports what to run.
 type Config struct {
 	Duration time.Duration
 	Seed     uint64
@@ -63,7 +63,7 @@
 	Notes      []string                         `json:"notes,omitempty"`
 }
 
-// Kept tells whether every promise was kept.
+// Kept reports whether every promise was kept.
 func (r *Result) Kept() bool {
 	return r.Overspend == 0 && r.DoubleBilled == 0 && r.Unbilled == 0 && r.Lost == 0 && r.Crossed == 0 && r.RanTwice == 0 &&
 		r.NotRunButRan == 0 && r.ConfigReverts == 0 && r.LateNewWork == 0 && r.CutByStop == 0 && r.Answered > 0
--- a/internal/demo/pause.go
+++ b/internal/demo/pause.go
@@ -86,7 +86,7 @@
 // hook is the instance's step hook.
 func (b *brake) hook(ctx context.Context, _ step.Step) error { return b.wait(ctx) }
 
-// to tells whether an address may be called.
+// to reports whether an address may be called.
 func (b *brake) to(addr string) bool {
 	if b.wait(context.Background()) != nil {
 		return false
@@ -95,7 +95,7 @@
 	return !ok || b.from(p)
 }
 
-// from tells whether a peer may call.
+// from reports whether a peer may call.
 func (b *brake) from(p mesh.Peer) bool {
 	if b.wait(context.Background()) != nil {
 		return false
--- a/internal/endpoint/engine.go
+++ b/internal/endpoint/engine.go
@@ -45,7 +45,7 @@
 	Heard    OnNotice
 }
 
-// OnNotice is told what an endpoint says of itself in the head of an answer; nil: nobody is.
+// OnNotice is told what an endpoint reports of itself in the head of an answer; nil: nobody is.
 type OnNotice func(w pool.Notice, status int)
 
 // tell reads the head of an answer, unless it names another request.
--- a/internal/endpoint/wire/wire.go
+++ b/internal/endpoint/wire/wire.go
@@ -61,7 +61,7 @@
 	PathKV     = "/cache/blocks/" // + block in hexadecimal: GET exports, PUT imports
 )
 
-// CacheEvent says that an engine has stored or evicted a block of prompts. Numbers rise by one; a missing one is a gap.
+// CacheEvent reports that an engine has stored or evicted a block of prompts. Numbers rise by one; a missing one is a gap.
 type CacheEvent struct {
 	Seq     int64  `json:"seq" cbor:"1,keyasint"`
 	Block   uint64 `json:"block,string" cbor:"2,keyasint"`
--- a/internal/escrow/account.go
+++ b/internal/escrow/account.go
@@ -49,7 +49,7 @@
 // unspent is what nobody has spent of the whole account, as far as it is known here.
 func (a *account) unspent() int64 { return a.rest - max(0, a.used()-a.row.row.Spent) }
 
-// exhausted explains a refusal at a budget's end. Where instances were lost it says how much of the budget nobody is known to have used.
+// exhausted explains a refusal at a budget's end. Where instances were lost it reports how much of the budget nobody is known to have used.
 func (a *account) exhausted() string {
 	const text = "what remains of the budget cannot hold the request"
 	if a.unproven == 0 {
--- a/internal/escrow/fleet.go
+++ b/internal/escrow/fleet.go
@@ -52,10 +52,10 @@
 	Later  time.Duration // the first moment at which one that refused may have enough; 0: none has said
 }
 
-// ErrNotTaken says that a leader has not seen a submission.
+// ErrNotTaken reports that a leader has not seen a submission.
 var ErrNotTaken = errors.New("no leader has taken the rows")
 
-// errShortReceipt says that a leader did not tell of all rows.
+// errShortReceipt reports that a leader did not tell of all rows.
 var errShortReceipt = errors.New("the receipt does not tell of all rows")
 
 // Submission is what a holder asks its zone's leader to write.
@@ -83,7 +83,7 @@
 	Zone  []Receipt     `cbor:"2,keyasint,omitempty"` // of the submissions in Submission.Zone, in their order
 }
 
-// PartReceipt says how a page stands after a Part was taken, or was not because the holder's row is another one.
+// PartReceipt reports how a page stands after a Part was taken, or was not because the holder's row is another one.
 type PartReceipt struct {
 	Page    int             `cbor:"1,keyasint"`
 	Present bool            `cbor:"2,keyasint,omitempty"` // the page knows the holder
--- a/internal/escrow/holder.go
+++ b/internal/escrow/holder.go
@@ -150,7 +150,7 @@
 // WithFleet sets the way to the other holders.
 func WithFleet(f Fleet) Option { return func(h *Holder) { h.fleet = f } }
 
-// OnFolded is told of each earlier holder whose grants are settled; it must not call the Holder.
+// OnFolded is notified of each earlier holder whose grants are settled; it must not call the Holder.
 func OnFolded(f func(Folded)) Option { return func(h *Holder) { h.onFolded = f } }
 
 // WithEpochs sets what knows the store's epoch.
@@ -214,7 +214,7 @@
 	}
 }
 
-// Tick tells the holder that the store has just answered: the best moment for a regular draw. own says that all pages that have
+// Tick tells the holder that the store has just answered: the best moment for a regular draw. own reports that all pages that have
 // changed were observed, so that a write can stand on them.
 func (h *Holder) Tick(own bool) {
 	told := h.follows() || h.relays() // by a leader that has heard the store
--- a/internal/escrow/meter.go
+++ b/internal/escrow/meter.go
@@ -29,7 +29,7 @@
 	m.squares += x * x
 }
 
-// tick brings the rate up to date. A meter begins with the first requests, whatever they are: idle says that there were none yet.
+// tick brings the rate up to date. A meter begins with the first requests, whatever they are: idle reports that there were none yet.
 func (m *meter) tick(now time.Time, idle bool) {
 	if m.at.IsZero() || idle {
 		m.at = now
--- a/internal/escrow/page.go
+++ b/internal/escrow/page.go
@@ -51,7 +51,7 @@
 	return a.Settled + a.sums().granted
 }
 
-// Report says who a holder is and when it last wrote.
+// Report reports who a holder is and when it last wrote.
 type Report struct {
 	Node  string `cbor:"1,keyasint"`           // the name under which a holder's successor starts
 	Boot  string `cbor:"2,keyasint,omitempty"` // the machine's run; empty: not known
@@ -59,7 +59,7 @@
 	Count int64  `cbor:"4,keyasint,omitempty"` // writes of this holder
 	Wall  int64  `cbor:"5,keyasint,omitempty"` // time of day, ms
 	// Fleet is a bound of the fleet's time of day in ms, 0 where it is not known: the lower one in a holder's report, the upper one
-	// in what a successor tells of its start.
+	// in what a successor reports its start.
 	Fleet int64 `cbor:"6,keyasint,omitempty"`
 	// Later says, of a successor's start, that Fleet will be known soon.
 	Later bool `cbor:"7,keyasint,omitempty"`
@@ -105,10 +105,10 @@
 	return p, nil
 }
 
-// ErrForeignPage says that no holder has written a page: it must neither stop an instance nor free a token.
+// ErrForeignPage reports that no holder has written a page: it must neither stop an instance nor free a token.
 var ErrForeignPage = errors.New("the escrow page is none of a holder's")
 
-// check says what in a page cannot be a holder's: an account without a value, or an amount below 0.
+// check reports what in a page cannot be a holder's: an account without a value, or an amount below 0.
 func (p *Page) check() error {
 	for name, a := range p.Accounts {
 		if a == nil {
--- a/internal/escrow/report.go
+++ b/internal/escrow/report.go
@@ -5,7 +5,7 @@
 // fleetTimeWait is how long a new process waits for the fleet's time before it settles without.
 const fleetTimeWait = 3 * time.Second
 
-// report is what this holder says of itself with a write.
+// report is what this holder reports of itself with a write.
 func (h *Holder) report(now time.Duration, count int64) Report {
 	low, _ := h.fleetTime()
 	return Report{Node: h.node, Boot: h.clock.Boot(), Clock: now.Milliseconds(), Wall: h.wall().UnixMilli(), Count: count, Fleet: low, Epoch: h.epochs.Current()}
@@ -23,7 +23,7 @@
 	return b.Low.UnixMilli(), b.High.UnixMilli()
 }
 
-// start tells of the start of this holder's process. The fleet's time of then is told by that of now and the steady clock.
+// start reports the start of this holder's process. The fleet's time of then is told by that of now and the steady clock.
 func (h *Holder) start() Report {
 	r := h.begun
 	age := h.clock.Now() - time.Duration(r.Clock)*time.Millisecond
--- a/internal/escrow/reserve.go
+++ b/internal/escrow/reserve.go
@@ -137,7 +137,7 @@
 )
 
 // try reserves of this holder's own grant, as it is. Without a reservation or an error it is worth another try once the channel
-// is closed. lent says that it is for a request at another holder.
+// is closed. lent reports that it is for a request at another holder.
 func (h *Holder) try(customer string, most int64, rank int, lent bool) (*Reservation, <-chan struct{}, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/escrow/restore.go
+++ b/internal/escrow/restore.go
@@ -27,7 +27,7 @@
 	revision int64
 }
 
-// enter notes that the page is written in an epoch. lived says that its writer held rows in it before. It returns whether the store was restored
+// enter notes that the page is written in an epoch. lived reports that its writer held rows in it before. It returns whether the store was restored
 // since the page was last written.
 func (p *Page) enter(epoch int64, wall time.Time, lived bool) bool {
 	if epoch <= p.Epoch {
--- a/internal/escrow/sizing.go
+++ b/internal/escrow/sizing.go
@@ -54,7 +54,7 @@
 // takes from the customer's last requests. Draws for single requests do the rest.
 const tight = 600 * time.Millisecond
 
-// plenty says how far an unspent rest is from scarce: 1 is plenty, 0 is nothing.
+// plenty reports how far an unspent rest is from scarce: 1 is plenty, 0 is nothing.
 func (p Policy) plenty(rest, prepaid int64) float64 {
 	if prepaid <= 0 || p.Scarce <= 0 {
 		return 1
--- a/internal/escrow/write.go
+++ b/internal/escrow/write.go
@@ -146,7 +146,7 @@
 	}
 }
 
-// logRestored tells that a page was written for the first time since the store was restored.
+// logRestored reports that a page was written for the first time since the store was restored.
 func (h *Holder) logRestored(w write) {
 	if w.restored {
 		h.log.Info().Str("event", "escrow_restored").Str("page", w.to.key).Int64("epoch", w.page.Epoch).Bool("put_back", w.putBack).
--- a/internal/external/epoch.go
+++ b/internal/external/epoch.go
@@ -37,7 +37,7 @@
 // CopyAge is more than the age of any copy that a store is restored from: what was written longer ago is in it.
 const CopyAge = 30 * time.Second
 
-// ErrEarlierEpoch says that an answer is of an epoch before the one that is known. It matches ErrUnavailable.
+// ErrEarlierEpoch reports that an answer is of an epoch before the one that is known. It matches ErrUnavailable.
 var ErrEarlierEpoch = fmt.Errorf("%w: its answer is of an earlier epoch", ErrUnavailable)
 
 // EpochError is the error of a call whose answer named the store's epoch.
@@ -102,14 +102,14 @@
 	return e
 }
 
-// OnRestored adds what is told of each restoration. It must not block, nor call the Epochs.
+// OnRestored adds what is notified of each restoration. It must not block, nor call the Epochs.
 func (e *Epochs) OnRestored(f func(Restoration)) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.restored = append(e.restored, f)
 }
 
-// OnEarlier sets what is told of answers that name an epoch before the known one, or none any more: once for each such epoch in a row. It must not
+// OnEarlier sets what is notified of answers that name an epoch before the known one, or none any more: once for each such epoch in a row. It must not
 // block, nor call the Epochs.
 func (e *Epochs) OnEarlier(f func(epoch, known int64)) {
 	e.mu.Lock()
@@ -131,7 +131,7 @@
 	return e.current > e.first
 }
 
-// Observe takes an epoch that was named, and a number of it; 0: none. ErrEarlierEpoch says that a later one is known.
+// Observe takes an epoch that was named, and a number of it; 0: none. ErrEarlierEpoch reports that a later one is known.
 func (e *Epochs) Observe(epoch, number int64) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/external/kv.go
+++ b/internal/external/kv.go
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// ErrHistoryGone says that the store no longer knows what changed since a revision: read everything again.
+// ErrHistoryGone reports that the store no longer knows what changed since a revision: read everything again.
 var ErrHistoryGone = errors.New("the store's history does not reach back that far")
 
-// Change is one change that the store tells of. Gone means that the key was removed.
+// Change is one change that the store reports. Gone means that the key was removed.
 type Change struct {
 	Entry
 	Gone bool
@@ -28,7 +28,7 @@
 	Drop []string
 }
 
-// ConflictError says that a condition did not hold. Current has the keys of the conditions as they are.
+// ConflictError reports that a condition did not hold. Current has the keys of the conditions as they are.
 type ConflictError struct {
 	Current []Entry
 }
--- a/internal/external/meter.go
+++ b/internal/external/meter.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Duty says what a store call is for, so that calls can be counted by purpose.
+// Duty reports what a store call is for, so that calls can be counted by purpose.
 type Duty string
 
 // The duties that use the store.
--- a/internal/external/observed.go
+++ b/internal/external/observed.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// Call tells of one call to a store.
+// Call reports one call to a store.
 type Call struct {
 	Name    string        // read, list, changes or commit
 	Duty    Duty          // what it is for
@@ -16,7 +16,7 @@
 	Took    time.Duration // until its answer, or until it was given up
 }
 
-// Observed is a KV that tells of its calls, and leaves the store alone while it asks for that: a store that turns all away would else be called again
+// Observed is a KV that reports its calls, and leaves the store alone while it asks for that: a store that turns all away would else be called again
 // at once by each instance.
 type Observed struct {
 	next  KV
@@ -30,13 +30,13 @@
 // Observe wraps a store. Until OnCall nobody is told.
 func Observe(next KV) *Observed { return &Observed{next: next} }
 
-// OnCall sets what is told of each call.
+// OnCall sets what is notified of each call.
 func (o *Observed) OnCall(f func(Call)) { o.told.Store(&f) }
 
 // OnRest sets what is told when the store asks for rest.
 func (o *Observed) OnRest(f func(time.Duration)) { o.rest.Store(&f) }
 
-// call makes a call, unless the store rests, and tells of it.
+// call makes a call, unless the store rests, and reports it.
 func (o *Observed) call(ctx context.Context, name string, f func() error) error {
 	if err := o.rests.check(); err != nil && !last(ctx) {
 		return err
--- a/internal/external/rest.go
+++ b/internal/external/rest.go
@@ -8,7 +8,7 @@
 	"github.com/rotisserie/eris"
 )
 
-// RestError says that the store did not take a call and wants none for a while. It matches ErrUnavailable.
+// RestError reports that the store did not take a call and wants none for a while. It matches ErrUnavailable.
 type RestError struct {
 	After  time.Duration
 	Detail string
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -156,7 +156,7 @@
 	return n, err
 }
 
-// packAll encodes all endpoints once for all who ask within allFor, and tells of when they are: what has changed since then is asked for
+// packAll encodes all endpoints once for all who ask within allFor, and reports when they are: what has changed since then is asked for
 // next. A list that is older than what the asking instance knows is of no use to it.
 func (s *server) packAll(u follow.Update, known int64) (all []byte, at int64, err error) {
 	s.mu.Lock()
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -118,12 +118,12 @@
 // WithNow replaces the clock.
 func WithNow(now func() time.Time) Option { return func(f *Follower) { f.now = now } }
 
-// OnTable adds what is told of a newer configuration.
+// OnTable adds what is notified of a newer configuration.
 func OnTable(g func(*route.Table)) Option {
 	return func(f *Follower) { f.changed = append(f.changed, g) }
 }
 
-// OnEntry sets what is told of other values.
+// OnEntry sets what is notified of other values.
 func OnEntry(g func(external.Entry)) Option { return func(f *Follower) { f.entries = g } }
 
 // OnPolled sets what is called after each answer that tells what has changed, once all of that has been told. own reports whether
--- a/internal/follow/history.go
+++ b/internal/follow/history.go
@@ -31,7 +31,7 @@
 	endpoints map[string]pool.Endpoint
 	config    *route.Config
 	evacuated evacuation.State
-	heard     time.Time // when all this was the newest
+	asOf      time.Time // when all this was the newest
 	removed   removals
 }
 
@@ -39,18 +39,18 @@
 	return &history{endpoints: make(map[string]pool.Endpoint), removed: make(removals)}
 }
 
-// add takes an update that leads to a cursor. heard is when the store told it.
-func (h *history) add(u Update, whole bool, at Cursor, heard time.Time) {
+// add takes an update that leads to a cursor. asOf is when the store answered.
+func (h *history) add(u Update, whole bool, at Cursor, asOf time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if u.Config != nil && (h.config == nil || u.Config.Version > h.config.Version) {
 		h.config = u.Config
 	}
-	if heard.After(h.heard) {
-		h.heard = heard
+	if asOf.After(h.asOf) {
+		h.asOf = asOf
 	}
 	if whole {
-		h.replace(u.Endpoints, at, heard)
+		h.replace(u.Endpoints, at, asOf)
 		return
 	}
 	b := batch{at: at.At, gone: u.Gone}
@@ -66,7 +66,7 @@
 	}
 	for _, id := range u.Gone {
 		delete(h.endpoints, id)
-		h.removed.add(id, heard)
+		h.removed.add(id, asOf)
 	}
 	h.at = at
 	if len(b.endpoints)+len(b.gone) > 0 {
@@ -95,7 +95,7 @@
 }
 
 // replace takes a list of all endpoints. The caller holds mu.
-func (h *history) replace(list []pool.Endpoint, at Cursor, heard time.Time) {
+func (h *history) replace(list []pool.Endpoint, at Cursor, asOf time.Time) {
 	before := h.endpoints
 	h.endpoints = make(map[string]pool.Endpoint, len(list))
 	for _, e := range list {
@@ -104,7 +104,7 @@
 		delete(h.removed, e.ID)
 	}
 	for id := range before {
-		h.removed.add(id, heard)
+		h.removed.add(id, asOf)
 	}
 	h.at, h.from, h.batches = at, at.At, nil
 }
@@ -128,7 +128,7 @@
 	}
 	u = Update{
 		At: max(since.At, h.at.At), ConfigAt: max(since.ConfigAt, h.at.ConfigAt), OperatorAt: h.at.OperatorAt, Peer: true,
-		Evacuated: &evacuation.Set{At: h.at.OperatorAt, Zones: h.evacuated.Zones()}, Age: f.now().Sub(h.heard),
+		Evacuated: &evacuation.Set{At: h.at.OperatorAt, Zones: h.evacuated.Zones()}, Age: f.now().Sub(h.asOf),
 	}
 	if since.ConfigAt < h.at.ConfigAt {
 		u.Config = h.config
--- a/internal/gateway/attach.go
+++ b/internal/gateway/attach.go
@@ -125,7 +125,7 @@
 	g.takeOver(ctx, j, rec)
 }
 
-// lost tells whether an owner cannot give the answer, as opposed to an answer that is an error.
+// lost reports whether an owner cannot give the answer, as opposed to an answer that is an error.
 func lost(err error) bool {
 	if errors.Is(err, mesh.ErrUnreachable) || errors.Is(err, mesh.ErrNoReply) {
 		return true
--- a/internal/gateway/deferred.go
+++ b/internal/gateway/deferred.go
@@ -36,7 +36,7 @@
 	}
 }
 
-// stillThere tells whether an instance is in the fleet.
+// stillThere reports whether an instance is in the fleet.
 func (g *Gateway) stillThere(p mesh.Peer) bool {
 	for _, q := range g.members.Fleet() {
 		if q.Who() == p.Who() {
@@ -46,7 +46,7 @@
 	return false
 }
 
-// settleOne bills a deferred request unless another instance owns it. It tells whether the home has answered.
+// settleOne bills a deferred request unless another instance owns it. It reports whether the home has answered.
 func (g *Gateway) settleOne(ctx context.Context, d deferred) bool {
 	var place budget.Place
 	if d.j.hold != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,7 +42,7 @@
 	Version() int64
 }
 
-// Outcome is what the service-level report is told of a request.
+// Outcome is what the service-level report is notified of a request.
 type Outcome struct {
 	Class      string
 	Customer   string
@@ -191,7 +191,7 @@
 	g.work.close()
 }
 
-// Leaving tells whether the gateway refuses new requests.
+// Leaving reports whether the gateway refuses new requests.
 func (g *Gateway) Leaving() bool { return g.work.isClosed() }
 
 // Drain waits until every job has ended and every deferred settlement is made, or ctx ends.
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -186,7 +186,7 @@
 	return nil
 }
 
-// onNotice takes what the endpoint says of itself in its answer.
+// onNotice takes what the endpoint reports of itself in its answer.
 func (j *job) onNotice(t targets.Target) endpoint.OnNotice {
 	return func(w pool.Notice, status int) {
 		t.Lease.Said(w, pool.Answer{Request: j.id, Status: status})
--- a/internal/gateway/transcript.go
+++ b/internal/gateway/transcript.go
@@ -52,7 +52,7 @@
 	t.wake()
 }
 
-// reset takes back what nobody has seen. It tells whether that was possible.
+// reset takes back what nobody has seen. It reports whether that was possible.
 func (t *transcript) reset() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -63,7 +63,7 @@
 	return true
 }
 
-// delivered tells whether a caller has seen a part of the answer.
+// delivered reports whether a caller has seen a part of the answer.
 func (t *transcript) delivered() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/intent/changes.go
+++ b/internal/intent/changes.go
@@ -81,7 +81,7 @@
 	return faults
 }
 
-// edit changes an endpoint in place. It tells whether the endpoint exists.
+// edit changes an endpoint in place. It reports whether the endpoint exists.
 func edit(objects declare.Objects, path string, f func(*declare.Endpoint)) bool {
 	raw, ok := objects[path]
 	if !ok {
--- a/internal/intent/intent.go
+++ b/internal/intent/intent.go
@@ -37,7 +37,7 @@
 	InFlight int    `json:"in_flight"`
 }
 
-// Plan says what confirming it will do. Nothing has changed yet.
+// Plan reports what confirming it will do. Nothing has changed yet.
 type Plan struct {
 	ID       string           `json:"id"`
 	Note     string           `json:"note,omitempty"`
@@ -48,10 +48,10 @@
 	Unseen   []string         `json:"unseen,omitempty"`    // instances that did not answer while the plan was made
 }
 
-// Empty tells whether the plan changes nothing.
+// Empty reports whether the plan changes nothing.
 func (p *Plan) Empty() bool { return len(p.Changes) == 0 && len(p.Deposits) == 0 }
 
-// State says how far a confirmed plan has come.
+// State reports how far a confirmed plan has come.
 type State string
 
 // The states of a confirmed plan.
@@ -70,7 +70,7 @@
 	Zones   []Report `json:"zones,omitempty"`
 }
 
-// Report says what an instance has in force.
+// Report reports what an instance has in force.
 type Report struct {
 	Instance string `json:"instance"`
 	Zone     string `json:"zone"`
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -52,7 +52,7 @@
 	return b, eris.Wrap(err, "encoding a journal")
 }
 
-// Charged tells whether a request is among the recent ones.
+// Charged reports whether a request is among the recent ones.
 func (j *Journal) Charged(request string) bool {
 	for _, r := range j.Recent {
 		if r == request {
@@ -86,7 +86,7 @@
 // Pending is the number of charges that are not in the store.
 func (b *Book) Pending() int { return len(b.pending) }
 
-// Stored tells whether a charge is in the store.
+// Stored reports whether a charge is in the store.
 func (b *Book) Stored(request string) bool {
 	_, ok := b.recent[request]
 	return ok
@@ -106,7 +106,7 @@
 	}
 }
 
-// Mentions tells whether the next journal will carry anything of a budget.
+// Mentions reports whether the next journal will carry anything of a budget.
 func (b *Book) Mentions(budget string) bool {
 	_, ok := b.settled[budget]
 	return ok || b.written[budget]
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -23,7 +23,7 @@
 	life = 10 * time.Minute
 )
 
-// Rate is a number of requests a second that an endpoint takes. Its zero value says that none is named.
+// Rate is a number of requests a second that an endpoint takes. Its zero value reports that none is named.
 type Rate struct {
 	perSecond float64
 	named     bool
@@ -112,7 +112,7 @@
 	k.named = now
 }
 
-// Merge takes what another instance has heard itself. Told twice, late or in another order, it comes to the same.
+// Merge takes what another instance has observed itself. Told twice, late or in another order, it comes to the same.
 func (k *Known) Merge(other Known) {
 	if other.named.After(k.named) {
 		k.rate, k.named = other.rate, other.named
@@ -123,7 +123,7 @@
 }
 
 // Reported makes what another instance has heard from what it says: the rate that was last named and when, and when a request was sent whose answer
-// named none. A zero time says that there was none.
+// named none. A zero time reports that there was none.
 func Reported(r Rate, named, missing time.Time) Known {
 	return Known{rate: r, named: named, missing: missing}
 }
--- a/internal/load/digest.go
+++ b/internal/load/digest.go
@@ -32,7 +32,7 @@
 type digest struct {
 	Lines []line `cbor:"1,keyasint,omitempty"`
 	Rider []byte `cbor:"2,keyasint,omitempty"` // what a Rider tells
-	// Leaving tells of endpoints that have said in answers that they leave; a build that does not know it passes it over
+	// Leaving reports endpoints that have said in answers that they leave; a build that does not know it passes it over
 	Leaving []leaving `cbor:"3,keyasint,omitempty"`
 	// Limits, Asks and Grants tell of endpoints' limits, and divide them; likewise
 	Limits []named `cbor:"4,keyasint,omitempty"`
--- a/internal/matrix/cell_test.go
+++ b/internal/matrix/cell_test.go
@@ -79,7 +79,7 @@
 	c.acted = true
 }
 
-// wasStruck tells whether the faults have struck.
+// wasStruck reports whether the faults have struck.
 func (c *cell) wasStruck() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -308,7 +308,7 @@
 	return strings.Join(parts, ", ")
 }
 
-// mayRun tells whether any try was told something else than not run.
+// mayRun reports whether any try was told something else than not run.
 func (c *cell) mayRun() bool {
 	for _, a := range c.answers {
 		if a.verdict != verdict.NotRun {
@@ -318,7 +318,7 @@
 	return false
 }
 
-// ran says how often endpoints ran the request, and the most that it can have cost.
+// ran reports how often endpoints ran the request, and the most that it can have cost.
 func (c *cell) ran() (runs int, most int64) {
 	if c.kind == kindPayment {
 		for _, p := range c.w.plains {
--- a/internal/matrix/node_test.go
+++ b/internal/matrix/node_test.go
@@ -52,7 +52,7 @@
 	return n.frozen != nil
 }
 
-// awake tells whether the instance runs at all.
+// awake reports whether the instance runs at all.
 func (n *node) awake() bool { return !n.isDead() && !n.isFrozen() }
 
 // wait blocks while the instance is frozen, and fails once it has crashed.
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -41,7 +41,7 @@
 	Loaded   bool           `cbor:"5,keyasint,omitempty"` // InFlight is told, if only as empty
 }
 
-// Listener is told of every beat heard.
+// Listener is notified of every beat heard.
 type Listener func(ctx context.Context, b Beat)
 
 type seen struct {
@@ -127,7 +127,7 @@
 // Self is this instance.
 func (v *View) Self() mesh.Peer { return v.self }
 
-// Leave makes later heartbeats say that this instance is leaving.
+// Leave makes later heartbeats report that this instance is leaving.
 func (v *View) Leave() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -299,7 +299,7 @@
 	return !s.heard.IsZero() && now.Sub(s.heard) <= time.Duration(missedBeats)*v.every
 }
 
-// Alive tells whether a process, named as by mesh.Peer.Who, was heard lately. Leaving ones are alive.
+// Alive reports whether a process, named as by mesh.Peer.Who, was heard lately. Leaving ones are alive.
 func (v *View) Alive(who string) bool {
 	id, inc := mesh.SplitWho(who)
 	if id == v.self.ID {
@@ -367,7 +367,7 @@
 	return s.peer, true
 }
 
-// Gone tells whether a process is neither listed nor heard lately, or has been replaced by another of its instance.
+// Gone reports whether a process is neither listed nor heard lately, or has been replaced by another of its instance.
 func (v *View) Gone(who string) bool {
 	id, inc := mesh.SplitWho(who)
 	if id == v.self.ID {
--- a/internal/mesh/transport.go
+++ b/internal/mesh/transport.go
@@ -33,7 +33,7 @@
 	closeNormally = quic.ApplicationErrorCode(0)
 )
 
-// Gate tells whether a peer may be talked to. Tests cut links with it.
+// Gate reports whether a peer may be talked to. Tests cut links with it.
 type Gate func(peer Peer) bool
 
 type request struct {
@@ -89,7 +89,7 @@
 // WithLogger sets the logger.
 func WithLogger(log zerolog.Logger) Option { return func(t *Transport) { t.log = log } }
 
-// WithTraffic sets what is told of each frame sent, calls and replies alike: its kind and its size in bytes, without the transport's own
+// WithTraffic sets what is notified of each frame sent, calls and replies alike: its kind and its size in bytes, without the transport's own
 // overhead.
 func WithTraffic(f func(kind Kind, bytes int)) Option { return func(t *Transport) { t.traffic = f } }
 
--- a/internal/once/keys.go
+++ b/internal/once/keys.go
@@ -56,7 +56,7 @@
 	Tokens      int64        `cbor:"7,keyasint"` // billed, once done
 }
 
-// unbilled tells whether nothing has been or will be billed for the request unless its owner dispatches it, which it
+// unbilled reports whether nothing has been or will be billed for the request unless its owner dispatches it, which it
 // may do only while it is the owner.
 func (r Record) unbilled() bool { return r.Place.Run == "" || (r.Done && r.Tokens == 0) }
 
@@ -203,7 +203,7 @@
 	k.zone, k.ticked = zone, now
 }
 
-// settled tells whether every record that lives here should have arrived. The caller holds the lock.
+// settled reports whether every record that lives here should have arrived. The caller holds the lock.
 func (k *Keys) settled() bool {
 	now := k.now()
 	if now.Sub(k.ticked) > 2*k.tick {
@@ -252,7 +252,7 @@
 	return resp, nil
 }
 
-// BillOrphan tells whether a run whose serving instance is gone is to be billed: not if another run of the request has
+// BillOrphan reports whether a run whose serving instance is gone is to be billed: not if another run of the request has
 // been. sure is false while the home cannot say, or another instance is still serving the request.
 func (k *Keys) BillOrphan(ctx context.Context, customer, request string, place budget.Place, tokens int64) (bill, sure bool) {
 	rec := Record{Request: request, Owner: k.members.Self(), Place: place, Done: true, Tokens: tokens}
--- a/internal/once/keys_home.go
+++ b/internal/once/keys_home.go
@@ -103,7 +103,7 @@
 	return out
 }
 
-// tell sends records to their home. It tells whether the home has them.
+// tell sends records to their home. It reports whether the home has them.
 func (k *Keys) tell(ctx context.Context, home mesh.Peer, ids []string) bool {
 	var n Notes
 	k.mu.Lock()
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -157,7 +157,7 @@
 	return c.JSON(http.StatusOK, res)
 }
 
-// reports says what every instance has in force.
+// reports reports what every instance has in force.
 func (s *Server) reports(ctx context.Context) []intent.Report {
 	seen, unseen := s.d.Planner.Statuses(ctx)
 	out := make([]intent.Report, 0, len(seen)+len(unseen))
--- a/internal/peers/directory.go
+++ b/internal/peers/directory.go
@@ -115,7 +115,7 @@
 // WithoutPools makes a directory in which no zone pools its customers' tokens.
 func WithoutPools() Option { return func(d *Directory) { d.pools = false } }
 
-// WithTraffic sets what is told of each message sent to other instances: its kind and its size in bytes.
+// WithTraffic sets what is notified of each message sent to other instances: its kind and its size in bytes.
 func WithTraffic(f func(kind mesh.Kind, bytes int)) Option {
 	return func(d *Directory) { d.traffic = f }
 }
--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -95,7 +95,7 @@
 // The ends.
 const (
 	EndGood        End = iota // a whole answer
-	EndFailed                 // an answer that says that the endpoint failed
+	EndFailed                 // an answer that reports that the endpoint failed
 	EndBroken                 // no answer, half an answer, or none that can be trusted
 	EndUnreachable            // no connection came about
 	EndBusy                   // the endpoint did not run it for lack of room
--- a/internal/pool/limits.go
+++ b/internal/pool/limits.go
@@ -47,7 +47,7 @@
 	l.turned(m, x, before, NoticeTaken{Endpoint: m.Endpoint, Answer: a, Age: now.Sub(m.recordAt)})
 }
 
-// turned tells that a limit holds, has changed or does not hold any more. The caller holds mu.
+// turned reports that a limit holds, has changed or does not hold any more. The caller holds mu.
 func (l *Pool) turned(m *member, x *announced, before limit.Rate, h NoticeTaken) {
 	now := l.now()
 	r := x.limits.known.Rate(now)
@@ -165,7 +165,7 @@
 	l.demand[service] = f
 }
 
-// Limits is what this instance has heard itself of limits.
+// Limits is what this instance has observed itself of limits.
 func (l *Pool) Limits() Limits {
 	now := l.now()
 	l.mu.RLock()
@@ -183,7 +183,7 @@
 	return out
 }
 
-// ObserveLimits takes what other instances have heard of limits.
+// ObserveLimits takes what other instances have observed of limits.
 func (l *Pool) ObserveLimits(told Limits) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -191,7 +191,7 @@
 	l.eachReported(len(told), l.applyPeersLimit)
 }
 
-// applyPeersLimit takes what other instances have heard of an endpoint's limit. The caller holds mu.
+// applyPeersLimit takes what other instances have observed of an endpoint's limit. The caller holds mu.
 func (l *Pool) applyPeersLimit(m *member) {
 	told, ok := l.peersLimits[m.key()]
 	if !ok {
--- a/internal/pool/limits_test.go
+++ b/internal/pool/limits_test.go
@@ -121,7 +121,7 @@
 			other.ObserveLimits(w.Limits())
 			So(other.takes(), ShouldBeFalse)
 			So(other.heard[0].Told, ShouldBeTrue)
-			So(other.Limits(), ShouldBeEmpty) // it tells only what it has heard itself
+			So(other.Limits(), ShouldBeEmpty) // it tells only what it has observed itself
 
 			Convey("also where its record comes later", func() {
 				late := newWords()
--- a/internal/pool/notice.go
+++ b/internal/pool/notice.go
@@ -9,7 +9,7 @@
 	"github.com/ledgemount/ledgemount/internal/limit"
 )
 
-// Notice is what an endpoint says of itself in the head of an answer.
+// Notice is what an endpoint reports of itself in the head of an answer.
 type Notice struct {
 	Leaving bool          // it takes no new work, and will end
 	Moved   bool          // another endpoint has its address
@@ -23,7 +23,7 @@
 	Status  int
 }
 
-// NoticeTaken tells of an endpoint's word that was taken, for logs.
+// NoticeTaken reports an endpoint's word that was taken, for logs.
 type NoticeTaken struct {
 	Endpoint Endpoint // by its record
 	Word     Notice
@@ -78,7 +78,7 @@
 // wordLines bounds the lines about words in a second.
 const wordLines = 20
 
-// NoticeEnded tells of an endpoint's word that does not count any more, for logs.
+// NoticeEnded reports an endpoint's word that does not count any more, for logs.
 type NoticeEnded struct {
 	Endpoint Endpoint
 	Why      NoticeEnd
@@ -103,7 +103,7 @@
 	mostSaid = 4096
 )
 
-// announced is what one run of an endpoint's process says of itself in answers. It is newer than any record that the endpoint has written, and the
+// announced is what one run of an endpoint's process reports of itself in answers. It is newer than any record that the endpoint has written, and the
 // store, another instance and a list of all endpoints tell records again and again. So it is kept beside the records, and it outlives them: an
 // endpoint whose record lags would go on getting work after it has announced that it leaves.
 type announced struct {
@@ -117,7 +117,7 @@
 	limits    limits
 }
 
-// Said takes what the endpoint says of itself in an answer. That it names no limit is a word too.
+// Said takes what the endpoint reports of itself in an answer. That it names no limit is a word too.
 func (s *Lease) Said(w Notice, a Answer) {
 	s.pool.mu.Lock()
 	defer s.pool.mu.Unlock()
@@ -127,7 +127,7 @@
 	s.pool.observeLimit(s, w.Limit, a)
 }
 
-// observe takes a word of an endpoint that this instance has heard itself. The caller holds mu.
+// observe takes a word of an endpoint that this instance has observed itself. The caller holds mu.
 func (l *Pool) observe(m *member, w Notice, a Answer) {
 	x := l.saidBy(m.Endpoint)
 	if x == nil {
@@ -338,7 +338,7 @@
 	l.eachReported(len(told), l.applyPeersLeaving)
 }
 
-// eachReported lets each endpoint take what other instances have told, if that is anything. The caller holds mu.
+// eachReported lets each endpoint take what other instances have reported, if that is anything. The caller holds mu.
 func (l *Pool) eachReported(told int, take func(*member)) {
 	if told == 0 {
 		return
--- a/internal/pool/notice_test.go
+++ b/internal/pool/notice_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 )
 
-// words is a pool of one endpoint, and what the pool tells of words.
+// words is a pool of one endpoint, and what the pool reports words.
 type words struct {
 	*Pool
 	clock *testClock
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -202,7 +202,7 @@
 	return sound, open
 }
 
-// keptFirst reports why the first endpoint in the order of a request's affinity gets no work. It tells of the last judgement.
+// keptFirst reports why the first endpoint in the order of a request's affinity gets no work. It reports the last judgement.
 func (l *Pool) keptFirst(q Query) Kept {
 	if !l.keeping || q.Affinity == "" {
 		return KeptNot
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -14,7 +14,7 @@
 	"github.com/ledgemount/ledgemount/internal/slowstart"
 )
 
-// Endpoint is what an endpoint says of itself.
+// Endpoint is what an endpoint reports of itself.
 type Endpoint struct {
 	ID       string `cbor:"1,keyasint"`
 	Service  string `cbor:"2,keyasint"`
@@ -39,7 +39,7 @@
 // Outdated reports whether a word of an endpoint comes from a process that ended before the one that started at by.
 func (e Endpoint) Outdated(by Endpoint) bool { return e.Born > 0 && by.Born > e.Born }
 
-// Tells reports whether what an endpoint says of itself now is news to an instance that knows the earlier word. That it is a little less cold
+// Tells reports whether what an endpoint reports of itself now is news to an instance that knows the earlier word. That it is a little less cold
 // than before is not.
 func (e Endpoint) Tells(now Endpoint) bool {
 	if (e.Cold > 0) != (now.Cold > 0) || now.Cold > e.Cold {
@@ -86,7 +86,7 @@
 	harm       flow          // of this instance's prompts: see Load
 	ended      flow          // this instance's requests that ended well or badly
 	failed     flow          // those that ended badly
-	others     Load          // what other instances have there, as last told
+	others     Load          // what other instances have there, as last reported
 	asked      time.Time     // since when it owes an answer without a break; zero: it owes none
 	pausedTil  time.Time
 	pause      time.Duration // the last one; 0: it has answered well since
@@ -97,7 +97,7 @@
 	errorsAt   time.Time
 	busyTil    time.Time
 	recordAt   time.Time  // when its record last came
-	announced  *announced // what it says of itself in answers; nil: nothing
+	announced  *announced // what it reports of itself in answers; nil: nothing
 	hash       uint64     // of the ID
 	run        uint32     // see Loads
 	warming    warming
@@ -171,10 +171,10 @@
 // OnGone sets what is called with the address of an endpoint that is not there any more.
 func OnGone(f func(addr string)) Option { return func(l *Pool) { l.gone = f } }
 
-// OnNotice sets what is told of endpoints' words that were taken. It is called while the pool is locked, so it must not call the pool.
+// OnNotice sets what is notified of endpoints' words that were taken. It is called while the pool is locked, so it must not call the pool.
 func OnNotice(f func(NoticeTaken)) Option { return func(l *Pool) { l.onNotice = f } }
 
-// OnNoticeEnded sets what is told of endpoints' words that do not count any more. It is called as that of OnHeard is.
+// OnNoticeEnded sets what is notified of endpoints' words that do not count any more. It is called as that of OnHeard is.
 func OnNoticeEnded(f func(NoticeEnded)) Option { return func(l *Pool) { l.onNoticeEnded = f } }
 
 // WithChooser lets a Chooser pick among sound endpoints, and keeps in mind which endpoint saw which blocks of prompts lately.
@@ -222,7 +222,7 @@
 	return came, went
 }
 
-// Put takes what an endpoint says of itself now; true if it is new or its state has changed.
+// Put takes what an endpoint reports of itself now; true if it is new or its state has changed.
 func (l *Pool) Put(e Endpoint) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/quarantine/memory.go
+++ b/internal/quarantine/memory.go
@@ -32,7 +32,7 @@
 const (
 	// sameEnd is how far apart two instances may see one end. An endpoint that has ended is back after a second or more.
 	sameEnd = time.Second
-	// clockSlack is by how much moments told by other instances may be off: the time that a message takes.
+	// clockSlack is by how much moments reported by other instances may be off: the time that a message takes.
 	clockSlack = 20 * time.Millisecond
 
 	// DefaultLife is how long a request is kept back after its last end, before it is tried again once. Endpoints with a fault in their
@@ -97,7 +97,7 @@
 	return true
 }
 
-// Decision says what becomes of a request that comes.
+// Decision reports what becomes of a request that comes.
 type Decision int
 
 // The decisions.
@@ -107,7 +107,7 @@
 	Refuse                 // it ended several endpoints
 )
 
-// Change tells that a request is kept back from now on, or not any more.
+// Change reports that a request is kept back from now on, or not any more.
 type Change struct {
 	Digest   Digest
 	Customer string
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -22,7 +22,7 @@
 const storeKey = "quarantine"
 
 const (
-	pushLimit = 250 * time.Millisecond // of one message that tells of an end
+	pushLimit = 250 * time.Millisecond // of one message that reports an end
 	pushRest  = 50 * time.Millisecond  // between such messages: ends come in bursts
 	callLimit = 900 * time.Millisecond // of one call to the store
 	lookEvery = time.Second            // at the store, by an instance that others cannot tell; and between tries to write
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -60,10 +60,10 @@
 // WithRandom replaces the source of numbers from 0 up to 1.
 func WithRandom(f func() float64) Option { return func(c *Core) { c.random = f } }
 
-// WithEnded sets what is told of each request that has ended.
+// WithEnded sets what is notified of each request that has ended.
 func WithEnded(f func(Outcome)) Option { return func(c *Core) { c.ended = f } }
 
-// WithLateEnd sets what is told of an endpoint's end that was seen late.
+// WithLateEnd sets what is notified of an endpoint's end that was seen late.
 func WithLateEnd(f func(LateEnd)) Option { return func(c *Core) { c.late = f } }
 
 // WithQuarantine replaces the memory of requests that end endpoints, which is the instance's own where nothing else is set.
@@ -138,7 +138,7 @@
 	return err
 }
 
-// ErrBroken says that an answer ended before it was whole.
+// ErrBroken reports that an answer ended before it was whole.
 var ErrBroken = errors.New("the answer was broken off")
 
 // job is one request on its way.
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -19,7 +19,7 @@
 const (
 	resultDone      result = iota // the caller has a whole answer
 	resultUnsent                  // the endpoint could not be reached: nothing was sent
-	resultNotRun                  // the endpoint says that it did not run the request
+	resultNotRun                  // the endpoint reports that it did not run the request
 	resultFailed                  // the endpoint answered that it failed; the answer is kept
 	resultBroken                  // the request may have run; its answer is lost or broken off
 	resultLeft                    // the caller left, or does not take the answer
--- a/internal/relay/endings.go
+++ b/internal/relay/endings.go
@@ -111,7 +111,7 @@
 	}
 }
 
-// LateEnd tells that an endpoint was seen to have ended only after the request that broke off there had been told of.
+// LateEnd reports that an endpoint was seen to have ended only after the request that broke off there had been told of.
 type LateEnd struct {
 	Digest   string // of the request
 	Endpoint string
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -66,10 +66,10 @@
 	After    string // the last event that was passed on; empty: none
 }
 
-// Reading is what an endpoint's answer says of itself.
+// Reading is what an endpoint's answer reports of itself.
 type Reading struct {
 	Genuine bool // it answers this request, and an endpoint has signed it
-	NotRun  bool // the endpoint says that it did not run the request
+	NotRun  bool // the endpoint reports that it did not run the request
 	Moved   bool // it comes from another endpoint than the one meant
 	Word    pool.Notice
 }
@@ -118,7 +118,7 @@
 	Digest string
 }
 
-// Lateness says what of an answer came later than its route wants it.
+// Lateness reports what of an answer came later than its route wants it.
 type Lateness string
 
 // What may be late. An answer whose first event is late is not judged by its pauses.
--- a/internal/relay/truth_test.go
+++ b/internal/relay/truth_test.go
@@ -11,7 +11,7 @@
 	"github.com/ledgemount/ledgemount/internal/verdict"
 )
 
-// promises are the statuses that say that a request has not run and never will.
+// promises are the statuses that report that a request has not run and never will.
 var promises = map[int]bool{
 	http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true, http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true,
 }
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -27,7 +27,7 @@
 	Remaining  time.Duration
 }
 
-// Worth tells whether another attempt is allowed, but for the retry budget: another endpoint may do better, nothing runs
+// Worth reports whether another attempt is allowed, but for the retry budget: another endpoint may do better, nothing runs
 // twice that may not, nothing contradicts what the caller has seen, and there is time left.
 func Worth(f Failure) bool {
 	if f.Attempt >= mostAttempts || f.Delivered || f.Remaining <= firstPause {
--- a/internal/rollout/cache.go
+++ b/internal/rollout/cache.go
@@ -97,7 +97,7 @@
 	}
 }
 
-// gapped tells whether a number between after and the events is missing.
+// gapped reports whether a number between after and the events is missing.
 func gapped(after int64, events []wire.CacheEvent) bool {
 	for _, e := range events {
 		if e.Seq != after+1 {
--- a/internal/rollout/feed.go
+++ b/internal/rollout/feed.go
@@ -39,7 +39,7 @@
 	Data    []byte `cbor:"2,keyasint"` // the document's JSON as it stands in the store
 }
 
-// Listener is told of every newer document.
+// Listener is notified of every newer document.
 type Listener func(doc *declare.Document)
 
 // Feed holds the newest accepted document that this instance has heard of. It never goes back.
@@ -199,7 +199,7 @@
 	return false
 }
 
-// Heard is told of heartbeats: a peer with a newer version is asked for it.
+// Heard is notified of heartbeats: a peer with a newer version is asked for it.
 func (f *Feed) Heard(_ context.Context, b member.Beat) {
 	if b.Config <= f.Version() {
 		return
--- a/internal/rollout/orders.go
+++ b/internal/rollout/orders.go
@@ -72,7 +72,7 @@
 	}
 }
 
-// isHome tells whether this instance is the one of an endpoint's zone that speaks to the endpoint for all. Two that both
+// isHome reports whether this instance is the one of an endpoint's zone that speaks to the endpoint for all. Two that both
 // think so do no harm.
 func isHome(m members, endpoint, zone string) bool {
 	self := m.Self()
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -12,7 +12,7 @@
 	"github.com/ledgemount/ledgemount/internal/slowstart"
 )
 
-// Kind says what may be repeated of a request.
+// Kind reports what may be repeated of a request.
 type Kind int
 
 // The kinds. The zero value is the cautious one.
@@ -33,7 +33,7 @@
 	Weight  int
 }
 
-// Route says how requests of a host and path prefix are served.
+// Route reports how requests of a host and path prefix are served.
 type Route struct {
 	Name        string
 	Host        string
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -79,10 +79,10 @@
 	return RoleWriter
 }
 
-// storeCalls is the event of the line that tells of calls to the store.
+// storeCalls is the event of the line that reports calls to the store.
 const storeCalls = "store_calls"
 
-// meshSent is the event of the line that tells of bytes sent to other instances.
+// meshSent is the event of the line that reports bytes sent to other instances.
 const meshSent = "mesh_sent"
 
 // callLogEvery bounds the lines that tell of calls.
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -92,7 +92,7 @@
 	m.total.RecordDuration(o.Total)
 }
 
-// ended logs and counts a request that has ended: one line that says what was decided and on what.
+// ended logs and counts a request that has ended: one line that reports what was decided and on what.
 func (r *Router) ended(o relay.Outcome) {
 	r.metrics.record(&o)
 	if o.Code == "" {
@@ -159,7 +159,7 @@
 	m.metrics.Scope().Gauge("limits_lent_per_second").Update(perSecond)
 }
 
-// noticeTaken counts what an endpoint says of itself in an answer.
+// noticeTaken counts what an endpoint reports of itself in an answer.
 func (m *meters) noticeTaken(h pool.NoticeTaken) {
 	m.metrics.Scope().Tagged(map[string]string{"word": h.Word.Name()}).Counter("endpoint_words_total").Inc(1)
 }
--- a/internal/router/explain.go
+++ b/internal/router/explain.go
@@ -12,7 +12,7 @@
 	"github.com/rotisserie/eris"
 )
 
-// Line is one line of an instance's log that tells of a request.
+// Line is one line of an instance's log that reports a request.
 type Line struct {
 	Event     string        `json:"event"`
 	Time      string        `json:"time"`
@@ -60,7 +60,7 @@
 // longestLine is the longest line of a log that is read, in bytes.
 const longestLine = 1 << 20
 
-// requestEnded is the event of the line that tells of a request's end.
+// requestEnded is the event of the line that reports a request's end.
 const requestEnded = "request_ended"
 
 // EachEnded hands the lines about requests that have ended to f, those that hold a text. What stands before a line's JSON, as a time
--- a/internal/router/restored.go
+++ b/internal/router/restored.go
@@ -7,7 +7,7 @@
 	"github.com/ledgemount/ledgemount/internal/external"
 )
 
-// restoredShown is how long lines of requests say that the store was restored.
+// restoredShown is how long lines of requests report that the store was restored.
 const restoredShown = time.Minute
 
 // restorations knows when the store was last restored, as far as this instance has learnt of it.
@@ -34,14 +34,14 @@
 	return 0
 }
 
-// followEpochs tells of what becomes known of the store's epoch.
+// followEpochs reports what becomes known of the store's epoch.
 func (r *Router) followEpochs(epochs *external.Epochs) {
 	r.restored.now = r.boot.Now
 	epochs.OnRestored(r.storeRestored)
 	epochs.OnEarlier(r.epochIgnored)
 }
 
-// storeRestored tells that the store was restored from an older copy. It is called while the Epochs is locked.
+// storeRestored reports that the store was restored from an older copy. It is called while the Epochs is locked.
 func (r *Router) storeRestored(x external.Restoration) {
 	r.restored.note()
 	r.metrics.restored(x)
@@ -50,7 +50,7 @@
 		Msg("the store was restored from an older copy: what was written since is lost there")
 }
 
-// epochIgnored tells that an answer names an epoch that is over, or none any more. It is called while the Epochs is locked.
+// epochIgnored reports that an answer names an epoch that is over, or none any more. It is called while the Epochs is locked.
 func (r *Router) epochIgnored(epoch, known int64) {
 	r.metrics.metrics.Scope().Counter("store_epochs_ignored_total").Inc(1)
 	r.log.Warn().Str("event", "store_epoch_ignored").Int64("epoch", epoch).Int64("known", known).
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -180,7 +180,7 @@
 	}
 }
 
-// storeRests tells that the store wants no calls for a while.
+// storeRests reports that the store wants no calls for a while.
 func (r *Router) storeRests(after time.Duration) {
 	r.metrics.metrics.Scope().Counter("store_rests_total").Inc(1)
 	r.log.Info().Str("event", "store_rests").Dur("rest", after).Msg("the store has asked for rest, and is not called for so long")
@@ -255,7 +255,7 @@
 	}
 }
 
-// logPressure tells that the instance begins or ends to send callers away.
+// logPressure reports that the instance begins or ends to send callers away.
 func (r *Router) logPressure(away bool) {
 	if away {
 		r.log.Warn().Str("event", "link_crowded").Msg("connections come up slowly: callers are sent to other instances")
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -133,7 +133,7 @@
 	return &s, nil
 }
 
-// Check says what is wrong with settings, with the path of every field.
+// Check reports what is wrong with settings, with the path of every field.
 func Check(s *Settings) error { return validate.Check(*s).OrNil() }
 
 // Read reads a settings file.
--- a/internal/router/start.go
+++ b/internal/router/start.go
@@ -87,7 +87,7 @@
 	s.log.Info().Str("event", "start_measured").Dict("steps_ms", steps).Msg("times from the start of the process to each step")
 }
 
-// startWatch is the service that sees the steps that nothing tells of.
+// startWatch is the service that sees the steps that nothing reports.
 type startWatch struct {
 	line  *startLine
 	steps map[Step]func() bool
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -79,7 +79,7 @@
 	Orphan  time.Duration `json:"orphan" validate:"min=6s,max=10m"`  // a missing instance's request is settled after this time
 }
 
-// Log says what is logged.
+// Log reports what is logged.
 type Log struct {
 	Level string `json:"level" validate:"oneof=debug info warn error"`
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -40,7 +40,7 @@
 	bytesPerToken = 4
 )
 
-// Words are what an engine says of itself in its answers.
+// Words are what an engine reports of itself in its answers.
 type Words struct {
 	Leaving bool   // in all answers: it takes no new work, and will end
 	Rest    string // in answers that turn a request away: for how long it wants no more; empty: it does not say
@@ -136,7 +136,7 @@
 	return out
 }
 
-// Say sets what the engine says of itself in its answers from now on.
+// Say sets what the engine reports of itself in its answers from now on.
 func (e *Engine) Say(w Words) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -91,7 +91,7 @@
 	return s.end || s.halt || s.aborted
 }
 
-// broken tells whether nothing more may be sent.
+// broken reports whether nothing more may be sent.
 func (s *stream) broken() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -68,7 +68,7 @@
 	s.on[f] = on
 }
 
-// On tells whether a fault is on.
+// On reports whether a fault is on.
 func (s *Switches[T]) On(f T) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -56,12 +56,12 @@
 	return func(o *options) { o.pool = append(o.pool, pool.WithZoneView(others, share)) }
 }
 
-// OnNotice sets what is told of the words of endpoints that were taken.
+// OnNotice sets what is notified of the words of endpoints that were taken.
 func OnNotice(f func(pool.NoticeTaken)) Option {
 	return func(o *options) { o.pool = append(o.pool, pool.OnNotice(f)) }
 }
 
-// OnNoticeEnded sets what is told of the words that do not count any more.
+// OnNoticeEnded sets what is notified of the words that do not count any more.
 func OnNoticeEnded(f func(pool.NoticeEnded)) Option {
 	return func(o *options) { o.pool = append(o.pool, pool.OnNoticeEnded(f)) }
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -21,7 +21,7 @@
 	closes bool // the endpoint ends the connection with this answer
 }
 
-// errFraming says that an answer's length is not to be trusted.
+// errFraming reports that an answer's length is not to be trusted.
 var errFraming = errors.New("the answer's framing is not valid")
 
 // send writes the request. A long body goes out beside the reading of the answer, which may come early.
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -121,7 +121,7 @@
 // WithField names the path of the input field at fault.
 func WithField(path string) Option { return func(e *Error) { e.field = path } }
 
-// WithRetryAfter says when asking again makes sense.
+// WithRetryAfter reports when asking again makes sense.
 func WithRetryAfter(d time.Duration) Option { return func(e *Error) { e.retryAfter = d } }
 
 // WithCause keeps the error that led to this one.
