fix: the line of a restored store names no lost revisions where none is known

An instance that learnt of a restoration from another one, without a number of the new epoch, logged all revisions it had known as lost (revisions_back). It says 0 now; the case in TestEpochs fails before.

--- a/internal/external/epoch.go
+++ b/internal/external/epoch.go
@@ -59,8 +59,13 @@
 	Age           time.Duration // of the copy when this instance learnt of it, at least; 0: not known
 }
 
-// Back is how many revisions the store is known to have lost.
-func (r Restoration) Back() int64 { return max(0, r.Known-r.Number) }
+// Back is how many revisions the store is known to have lost; 0 where no number of the new epoch was named.
+func (r Restoration) Back() int64 {
+	if r.Number == 0 {
+		return 0
+	}
+	return max(0, r.Known-r.Number)
+}
 
 // Epochs knows the store's epoch, as the latest of those that its answers and other instances have named. It never falls.
 type Epochs struct {
--- a/internal/external/epoch_test.go
+++ b/internal/external/epoch_test.go
@@ -49,6 +49,7 @@
 			So(e.Restored(), ShouldBeTrue)
 			So(restored, ShouldResemble, []external.Restoration{{Before: 3, Epoch: 5, Known: 105, Number: 102, Age: 2 * time.Second}})
 			So(restored[0].Back(), ShouldEqual, 3)
+			So(external.Restoration{Known: 105}.Back(), ShouldEqual, 0)
 		})
 
 		Convey("never falls: what names an earlier one, or none any more, is not believed, and told once", func() {
