fix: claims do not wait for another claim's call for a lease

Cause: Claims held its lock while it called the store for a lease, so every claim, and every rejection during a back-off, waited for that call (3 s at most) whatever its own deadline was. Found by the replay of interleavings, which stood still at it. Change: one call for a lease at a time behind a semaphore; a claim stops waiting when its own time is over.

--- a/internal/once/claims.go
+++ b/internal/once/claims.go
@@ -8,6 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/verdict"
@@ -37,6 +38,9 @@
 	self  string
 	now   func() time.Time
 
+	// leaseSem admits one call for a lease at a time. A claim stops waiting for it when its context ends.
+	leaseSem *semaphore.Weighted
+
 	mu       sync.Mutex
 	lease    int64
 	leasedAt time.Time
@@ -45,7 +49,7 @@
 
 // NewClaims returns the claims of an instance.
 func NewClaims(store external.Store, self string, now func() time.Time) *Claims {
-	return &Claims{store: store, self: self, now: now}
+	return &Claims{store: store, self: self, now: now, leaseSem: semaphore.NewWeighted(1)}
 }
 
 // Acquire claims a request for a run. Its errors have the verdict NotRun, except for CodeClaimTaken: another run of
@@ -148,17 +152,30 @@
 	}
 }
 
-// leaseFor returns a lease that outlasts a claim.
+// leaseFor returns a lease that outlasts a claim. Claims that arrive while one is created share it.
 func (c *Claims) leaseFor(ctx context.Context) (int64, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.lease != 0 && c.now().Sub(c.leasedAt) < leaseReuseWindow {
-		return c.lease, nil
+	if lease, ok := c.cachedLease(); ok {
+		return lease, nil
+	}
+	if err := c.leaseSem.Acquire(ctx, 1); err != nil {
+		return 0, eris.Wrap(err, "waiting for a lease")
+	}
+	defer c.leaseSem.Release(1)
+	if lease, ok := c.cachedLease(); ok {
+		return lease, nil
 	}
 	lease, err := c.store.Lease(ctx, claimTTL+leaseReuseWindow)
 	if err != nil {
 		return 0, err
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.lease, c.leasedAt = lease, c.now()
 	return lease, nil
 }
+
+func (c *Claims) cachedLease() (lease int64, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lease, c.lease != 0 && c.now().Sub(c.leasedAt) < leaseReuseWindow
+}
