fix: a holder no longer takes another holder's reclaim for its own; settlements come from the owner only

Cause: two instances that reclaimed one dead holder at once, both with lost responses, read the page back. A reclaim without open reservations left no trace of who had done it, so both found theirs applied and both reported the dead holder's charges as billed. A settlement of a former owner could close the reservation of the one that had taken it over, and a take-over that found no reservation made a new one. Change: the successor gets a grant with its sequence number even if it is empty, and is the only one to take the reclaim for its own; grants that are empty are closed like the others. Settle checks the owner. A take-over of nothing answers Absent. Charges name their run and holder.

--- a/internal/bench/budget.go
+++ b/internal/bench/budget.go
@@ -52,7 +52,7 @@
 }
 
 func settle(ctx context.Context, h *budget.Holder, request string, i int) error {
-	return h.Settle(ctx, budget.SettleReq{Request: request, Budget: budgetID(i), Run: request, Holder: h.ID(), Tokens: 200})
+	return h.Settle(ctx, benchClient, budget.SettleReq{Request: request, Budget: budgetID(i), Run: request, Holder: h.ID(), Tokens: 200})
 }
 
 // MeasureBudget measures reservations, settlements and memory of a holder.
--- a/internal/bench/store.go
+++ b/internal/bench/store.go
@@ -149,7 +149,7 @@
 		}
 		return err
 	}
-	return h.Settle(ctx, budget.SettleReq{Request: req, Budget: id, Run: req, Holder: h.ID(), Tokens: tokensPerRequest})
+	return h.Settle(ctx, client.IncarnationID(), budget.SettleReq{Request: req, Budget: id, Run: req, Holder: h.ID(), Tokens: tokensPerRequest})
 }
 
 // totalCalls adds up the calls for all purposes.
--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -27,6 +27,7 @@
 	budget   string
 	customer string
 	granted  int64 // total granted, less what was returned
+	onRow    bool  // the row has a grant of this holder, which may be empty
 	settled  int64 // total spent
 	stored   int64 // the part of settled whose charges are in the journal
 	reserved int64
@@ -47,6 +48,7 @@
 
 type doneMark struct {
 	tokens int64
+	owner  string // serving instance
 	place  Place
 	at     time.Time
 }
@@ -106,7 +108,7 @@
 	a.settled += used
 	a.recordUse(used, now)
 	if r.keyed && used > 0 { // a request that used nothing may be reserved again
-		a.done[r.request] = doneMark{tokens: used, place: r.place, at: now}
+		a.done[r.request] = doneMark{tokens: used, owner: r.owner, place: r.place, at: now}
 	}
 	return used
 }
--- a/internal/budget/holder.go
+++ b/internal/budget/holder.go
@@ -220,8 +220,8 @@
 	mesh.Handle(r, KindUpdate, func(_ context.Context, from mesh.Peer, req UpdateReq) (mesh.Empty, error) {
 		return mesh.Empty{}, h.Update(from.IncarnationID(), req)
 	})
-	mesh.Handle(r, KindSettle, func(ctx context.Context, _ mesh.Peer, req SettleReq) (mesh.Empty, error) {
-		return mesh.Empty{}, h.Settle(ctx, req)
+	mesh.Handle(r, KindSettle, func(ctx context.Context, from mesh.Peer, req SettleReq) (mesh.Empty, error) {
+		return mesh.Empty{}, h.Settle(ctx, from.IncarnationID(), req)
 	})
 	mesh.Handle(r, KindSync, func(_ context.Context, from mesh.Peer, req SyncReq) (SyncResp, error) {
 		return h.Sync(from.IncarnationID(), req), nil
@@ -314,6 +314,9 @@
 	if resp, ok := h.existingResponse(a, client, req); ok {
 		return resp, nil, nil
 	}
+	if req.Takeover {
+		return ReserveResp{Outcome: Absent, Holder: h.holder}, nil, nil
+	}
 	if a.available() >= req.Tokens && a.customer != "" {
 		a.reserve(&reservation{
 			request: req.Request, customer: req.Customer, owner: client, place: req.Place,
@@ -407,8 +410,9 @@
 	return verdict.New(verdict.NotRun, verdict.CodeConflict, "the reservation is not open for this instance")
 }
 
-// Settle closes a reservation. A repeated settlement, or one for another run, has no effect.
-func (h *Holder) Settle(ctx context.Context, req SettleReq) error {
+// Settle closes a reservation. A repeated settlement, one for another run, or one by another client than the owner has no
+// effect.
+func (h *Holder) Settle(ctx context.Context, client string, req SettleReq) error {
 	if err := h.hook(ctx, step.Settle); err != nil {
 		return err
 	}
@@ -425,7 +429,7 @@
 		return nil
 	}
 	r, ok := a.open[req.Request]
-	if !ok || r.place.Run != req.Run {
+	if !ok || r.place.Run != req.Run || r.owner != client {
 		return nil
 	}
 	h.closeReservation(a, r, req.Tokens)
@@ -439,7 +443,7 @@
 	if used == 0 {
 		return
 	}
-	h.book.Charge(ledger.Charge{Request: r.request, Budget: a.budget, Tokens: used}, a.settled)
+	h.book.Charge(ledger.Charge{Request: r.request, Budget: a.budget, Tokens: used, Run: r.place.Run, Holder: h.holder}, a.settled)
 	if h.journal.dirtySince.IsZero() {
 		h.journal.dirtySince = now
 	}
@@ -470,6 +474,34 @@
 	return resp
 }
 
+// KeyedReservation is a keyed request that a holder knows: it has an open reservation or was settled recently.
+type KeyedReservation struct {
+	Request  string
+	Customer string
+	Owner    string // incarnation ID of the serving instance
+	Place    Place
+	Settled  bool
+	Charged  int64 // tokens, once settled
+}
+
+// KeyedReservations returns the keyed requests that this holder knows.
+func (h *Holder) KeyedReservations() []KeyedReservation {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []KeyedReservation
+	for _, a := range h.accounts {
+		for _, r := range a.open {
+			if r.keyed {
+				out = append(out, KeyedReservation{Request: r.request, Customer: r.customer, Owner: r.owner, Place: r.place})
+			}
+		}
+		for request, m := range a.done {
+			out = append(out, KeyedReservation{Request: request, Customer: a.customer, Owner: m.owner, Place: m.place, Settled: true, Charged: m.tokens})
+		}
+	}
+	return out
+}
+
 func (h *Holder) isOpen(request string) bool {
 	for _, a := range h.accounts {
 		if _, ok := a.open[request]; ok {
--- a/internal/budget/holder_test.go
+++ b/internal/budget/holder_test.go
@@ -68,15 +68,27 @@
 	Convey("Given a holder", t, func() {
 		h, store := newTestHolder(t)
 		Convey("a reservation that was abandoned before it arrived is rejected, since no client would settle it", func() {
-			So(h.Settle(ctx, SettleReq{Request: "r", Budget: "budget", Run: "run-r"}), ShouldBeNil)
+			So(h.Settle(ctx, clientID, SettleReq{Request: "r", Budget: "budget", Run: "run-r"}), ShouldBeNil)
 			So(verdict.Of(reserve(h, "r", 10)), ShouldEqual, verdict.NotRun)
 			So(h.OpenCount(), ShouldEqual, 0)
 		})
 		Convey("a request that was settled as not run can be reserved again", func() {
 			So(reserve(h, "r", 10), ShouldBeNil)
-			So(h.Settle(ctx, SettleReq{Request: "r", Budget: "budget", Run: "run-r", Holder: h.ID()}), ShouldBeNil)
+			So(h.Settle(ctx, clientID, SettleReq{Request: "r", Budget: "budget", Run: "run-r", Holder: h.ID()}), ShouldBeNil)
 			So(reserve(h, "r", 10), ShouldBeNil)
 		})
+		Convey("a settlement by another instance than the owner has no effect", func() {
+			So(reserve(h, "r", 10), ShouldBeNil)
+			So(h.Settle(ctx, "c~x", SettleReq{Request: "r", Budget: "budget", Run: "run-r", Holder: h.ID()}), ShouldBeNil)
+			So(h.OpenCount(), ShouldEqual, 1)
+		})
+		Convey("a take-over makes no reservation where there is none", func() {
+			So(reserve(h, "r", 10), ShouldBeNil)
+			resp, err := h.Reserve(ctx, clientID, ReserveReq{Request: "lost", Budget: "budget", Customer: "c", Tokens: 10, Place: Place{Run: "run"}, Takeover: true})
+			So(err, ShouldBeNil)
+			So(resp.Outcome, ShouldEqual, Absent)
+			So(h.OpenCount(), ShouldEqual, 1)
+		})
 		Convey("another customer's budget is reported as unknown", func() {
 			_, err := h.Reserve(ctx, clientID, ReserveReq{Request: "r", Budget: "budget", Customer: "thief", Tokens: 1, Place: Place{Run: "x"}})
 			So(verdict.From(err).Code(), ShouldEqual, verdict.CodeBudgetUnknown)
@@ -94,7 +106,7 @@
 		})
 		Convey("a clean stop leaves the spent tokens and no grant in the store", func() {
 			So(reserve(h, "r", 100), ShouldBeNil)
-			So(h.Settle(ctx, SettleReq{Request: "r", Budget: "budget", Run: "run-r", Holder: h.ID(), Tokens: 60}), ShouldBeNil)
+			So(h.Settle(ctx, clientID, SettleReq{Request: "r", Budget: "budget", Run: "run-r", Holder: h.ID(), Tokens: 60}), ShouldBeNil)
 			So(h.Stop(ctx), ShouldBeNil)
 			v, err := Inspect(ctx, store, "budget")
 			So(err, ShouldBeNil)
--- a/internal/budget/increase.go
+++ b/internal/budget/increase.go
@@ -328,7 +328,7 @@
 		return 0, Grant{}, errFenced
 	}
 	g, ok := row.Grants[holder]
-	if !ok && a.granted > 0 {
+	if !ok && a.onRow {
 		return 0, Grant{}, errFenced
 	}
 	if g.Seq >= seq {
@@ -364,7 +364,7 @@
 	if h.holder != holder {
 		return errFenced
 	}
-	inc.a.granted = inc.grant.Granted
+	inc.a.granted, inc.a.onRow = inc.grant.Granted, true
 	inc.a.customer = inc.customer
 	h.book.PageWritten(inc.a.budget, inc.grant.Settled)
 	return nil
--- a/internal/budget/messages.go
+++ b/internal/budget/messages.go
@@ -38,6 +38,7 @@
 	Granted  Outcome = iota // the tokens are reserved for this serving instance
 	Existing                // another serving instance has the request open
 	Settled                 // the request has been billed already
+	Absent                  // a take-over found no reservation of the request
 )
 
 // ReserveResp is the response to a ReserveReq.
--- a/internal/budget/reclaim_move.go
+++ b/internal/budget/reclaim_move.go
@@ -257,8 +257,8 @@
 		if _, still := row.Grants[m.dead]; still {
 			return false
 		}
-		if m.totals.openTokens > 0 && row.Grants[m.holder].Seq != m.seq {
-			return false
+		if row.Grants[m.holder].Seq != m.seq {
+			return false // another holder has moved it
 		}
 	}
 	return true
@@ -277,9 +277,7 @@
 		if a.customer == "" {
 			a.customer = m.customer
 		}
-		if m.totals.openTokens > 0 {
-			a.granted = m.grant.Granted
-		}
+		a.granted, a.onRow = m.grant.Granted, true
 		for _, r := range m.totals.openReports {
 			a.reserve(&reservation{
 				request: r.Request, customer: r.Customer, owner: r.Owner, place: r.Place, tokens: r.Tokens, keyed: r.Keyed, since: now,
@@ -288,7 +286,7 @@
 		for _, r := range append(m.totals.recordedCharges, m.totals.newCharges...) {
 			h.inheritedSettled[r.Request] = r.Owner
 			if r.Keyed {
-				a.done[r.Request] = doneMark{tokens: r.Tokens, place: r.Place, at: now}
+				a.done[r.Request] = doneMark{tokens: r.Tokens, owner: r.Owner, place: r.Place, at: now}
 			}
 		}
 		h.stats.Reclaims++
@@ -300,7 +298,7 @@
 func (h *Holder) notifyBilled(moves []move) {
 	for _, m := range moves {
 		for _, r := range m.totals.newCharges {
-			h.billed(ledger.Charge{Request: r.Request, Budget: m.budget, Tokens: r.Tokens})
+			h.billed(ledger.Charge{Request: r.Request, Budget: m.budget, Tokens: r.Tokens, Run: r.Place.Run, Holder: m.holder})
 		}
 	}
 }
--- a/internal/budget/row.go
+++ b/internal/budget/row.go
@@ -143,7 +143,8 @@
 }
 
 // Reclaim ends a dead holder's grant: settled tokens are spent, open tokens become part of the successor's grant, and
-// the rest is free again.
+// the rest is free again. The successor gets a grant even if there are no open tokens: its Seq shows which of several
+// holders that tried has reclaimed the grant.
 func (r *Row) Reclaim(dead, successor string, settled, open int64, seq uint64) error {
 	g, ok := r.Grants[dead]
 	if !ok {
@@ -154,9 +155,6 @@
 	}
 	r.Closed += settled
 	delete(r.Grants, dead)
-	if open == 0 {
-		return nil
-	}
 	s := r.Grants[successor]
 	r.Grants[successor] = Grant{Granted: s.Granted + open, Settled: s.Settled, Seq: seq}
 	return nil
--- a/internal/budget/tick.go
+++ b/internal/budget/tick.go
@@ -90,7 +90,7 @@
 		if len(out) == idlePerTick {
 			break
 		}
-		if a.granted > 0 && a.busy == nil && len(a.open) == 0 && now.Sub(a.lastUse) >= h.times.Idle {
+		if a.onRow && a.busy == nil && len(a.open) == 0 && now.Sub(a.lastUse) >= h.times.Idle {
 			out = append(out, a)
 		}
 	}
@@ -115,10 +115,10 @@
 	defer h.mu.Unlock()
 	close(a.busy)
 	a.busy = nil
-	if err != nil || h.holder != holder {
+	if (err != nil && !errors.Is(err, ErrNoGrant)) || h.holder != holder {
 		return err
 	}
-	a.granted, a.settled, a.stored = 0, 0, 0
+	a.granted, a.settled, a.stored, a.onRow = 0, 0, 0, false
 	if len(a.done) == 0 {
 		h.dropAccount(a)
 	}
@@ -185,7 +185,7 @@
 	h.mu.Lock()
 	var granted []*account
 	for _, a := range h.accounts {
-		if a.granted > 0 {
+		if a.onRow {
 			granted = append(granted, a)
 		}
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -17,9 +17,11 @@
 
 // Charge is the bill for one request. A request is charged once.
 type Charge struct {
-	Request string `cbor:"1,keyasint" json:"request"`
-	Budget  string `cbor:"2,keyasint" json:"budget"`
-	Tokens  int64  `cbor:"3,keyasint" json:"tokens"`
+	Request string `json:"request"`
+	Budget  string `json:"budget"`
+	Tokens  int64  `json:"tokens"`
+	Run     string `json:"run"`    // the run at the endpoint that is billed
+	Holder  string `json:"holder"` // the holder that made the charge durable
 }
 
 // Journal is a holder's value in the store. It also serves as the holder's heartbeat.
