test: TestLimits runs in fake time, TestRefused closes its listener when the connection is established

Cause: TestLimits had a clock of its own, but calls with timeouts in real time; beside load a call returned while its handler still read the clock, which is a data race, and an exchange was lost. TestRefused depended on its goroutine being run within 50 ms. Change: TestLimits runs in a synctest bubble; TestRefused closes the listener in the function that wraps the new connection. Bounds as before.

--- a/internal/load/limits_test.go
+++ b/internal/load/limits_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -121,7 +122,8 @@
 }
 
 // TestLimits checks that the requests of all instances together stay within the limit of an endpoint, whose shares are
-// claimed and granted with the load exchange.
+// claimed and granted with the load exchange. In a synctest bubble no call reaches its timeout only because the machine is
+// busy.
 func TestLimits(t *testing.T) {
 	for _, instances := range []int{3, 6, 30, 300} {
 		for _, c := range []struct {
@@ -131,7 +133,9 @@
 			name := fmt.Sprintf("%d instances, %s", instances, c.name)
 			t.Run(name, func(t *testing.T) {
 				t.Parallel()
-				Convey(name+": they stay within a limit of 4 requests per second and use it", t, func() { testLimits(t, name, instances, c.callers) })
+				synctest.Test(t, func(t *testing.T) {
+					Convey(name+": they stay within a limit of 4 requests per second and use it", t, func() { testLimits(t, name, instances, c.callers) })
+				})
 			})
 		}
 	}
--- a/internal/upstream/refused_test.go
+++ b/internal/upstream/refused_test.go
@@ -11,9 +11,15 @@
 func TestRefused(t *testing.T) {
 	Convey("Connections to an address are refused once its process has exited, and not before", t, func() {
 		ctx := context.Background()
-		c := New()
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
+		exits := false // as soon as a connection is established
+		c := New(WithWrap(func(cn net.Conn) net.Conn {
+			if exits {
+				_ = l.Close()
+			}
+			return cn
+		}))
 		addr := l.Addr().String()
 		So(c.Refused(ctx, addr), ShouldBeFalse)
 		So(c.RefusedSoon(ctx, addr), ShouldBeFalse)
@@ -25,13 +31,7 @@
 		})
 
 		Convey("also if the process still accepts a connection while it exits", func() {
-			go func() {
-				cn, err := l.Accept()
-				_ = l.Close()
-				if err == nil {
-					_ = cn.Close()
-				}
-			}()
+			exits = true
 			So(c.RefusedSoon(ctx, addr), ShouldBeTrue)
 		})
 
