test: the interleavings' list of instances is guarded

Cause: an instance that adopts a configuration looks up its zone to pass it on. In TestInterleavings the handler of such a message could still run while the test appended the replacement to the list of instances that the lookup reads. Change: instances are added and listed under the fleet's lock.

--- a/internal/matrix/fleet_test.go
+++ b/internal/matrix/fleet_test.go
@@ -102,7 +102,7 @@
 	}
 	f.deposit()
 	for _, id := range []string{"a1", "a2", "b1", "b2"} {
-		f.nodes = append(f.nodes, f.newNode(id, "zone-"+id[:1]))
+		f.addNode(f.newNode(id, "zone-"+id[:1]))
 	}
 	for _, n := range f.nodes {
 		if err := n.feed.Read(t.Context()); err != nil {
@@ -123,11 +123,24 @@
 		if err := n.feed.Read(ctx); err != nil {
 			f.t.Error(err)
 		}
-		f.nodes = append(f.nodes, n)
+		f.addNode(n)
 	}
 	f.warmUp(ctx)
 }
 
+func (f *testFleet) addNode(n *node) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nodes = append(f.nodes, n)
+}
+
+// allNodes returns the nodes that exist now. Instances look at the fleet while a test adds nodes to it.
+func (f *testFleet) allNodes() []*node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes
+}
+
 func (f *testFleet) anyAliveIn(zone string) bool {
 	for _, n := range f.nodes {
 		if n.peer.Zone == zone && !n.isCrashed() {
--- a/internal/matrix/interleaving_test.go
+++ b/internal/matrix/interleaving_test.go
@@ -112,14 +112,14 @@
 		f.wrapStore = func(next http.RoundTripper) http.RoundTripper { return delayedTransport{x, next} }
 	})
 	x.fleet.setOnStep(func(*node, step.Step) { x.delay(context.Background()) })
-	x.replacer = x.fleet.newNode("a3", "zone-a")
-	if err := x.replacer.feed.Read(t.Context()); err != nil {
+	replacer := x.fleet.newNode("a3", "zone-a")
+	if err := replacer.feed.Read(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	x.fleet.nodes = append(x.fleet.nodes, x.replacer)
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.ready = true
+	x.replacer, x.ready = replacer, true
+	x.fleet.addNode(replacer)
 	return x
 }
 
--- a/internal/matrix/node_test.go
+++ b/internal/matrix/node_test.go
@@ -169,7 +169,7 @@
 
 func (m members) peers(include func(*node) bool) []mesh.Peer {
 	var out []mesh.Peer
-	for _, o := range m.n.fleet.nodes {
+	for _, o := range m.n.fleet.allNodes() {
 		if o == m.n || include(o) {
 			out = append(out, o.peer)
 		}
@@ -189,7 +189,7 @@
 
 func (m members) Find(incarnationID string) (mesh.Peer, bool) {
 	id, _ := mesh.SplitIncarnationID(incarnationID)
-	for _, o := range m.n.fleet.nodes {
+	for _, o := range m.n.fleet.allNodes() {
 		if o.peer.ID == id {
 			return o.peer, true
 		}
@@ -198,7 +198,7 @@
 }
 
 func (m members) Alive(incarnationID string) bool {
-	for _, o := range m.n.fleet.nodes {
+	for _, o := range m.n.fleet.allNodes() {
 		if o.peer.IncarnationID() == incarnationID {
 			return o == m.n || m.n.fleet.appearsAlive(m.n, o)
 		}
