fix: the claim of a registrar ends when it leaves the fleet, also directly after it was made

Cause: an instance drops a registrar's claim once that registrar has left its view, but only if a tick had seen the registrar in view since the claim. A registrar that claimed keys and was lost before the next tick kept its claim for 30 s, and its successor's keys counted as disputed: calls with such keys were refused for as long. TestRegistrarChange shows it whenever an instance ticks before the registrar collects. Change: a claim of a registrar that is in view when it arrives counts as seen.

--- a/internal/once/collect.go
+++ b/internal/once/collect.go
@@ -66,8 +66,8 @@
 // pruneClaims drops the claims of registrars that have left the fleet. The caller holds the lock.
 func (k *Keys) pruneClaims(fleet []mesh.Peer) {
 	for id, c := range k.claims {
-		switch known := slices.ContainsFunc(fleet, func(p mesh.Peer) bool { return p.IncarnationID() == c.registrar.IncarnationID() }); {
-		case known:
+		switch {
+		case includes(fleet, c.registrar):
 			c.inFleet = true
 			k.claims[id] = c
 		case c.inFleet, k.now().Sub(c.at) > keyClaimTimeout:
@@ -76,6 +76,11 @@
 	}
 }
 
+// includes reports whether an incarnation of an instance is among those of a list.
+func includes(fleet []mesh.Peer, p mesh.Peer) bool {
+	return slices.ContainsFunc(fleet, func(x mesh.Peer) bool { return x.IncarnationID() == p.IncarnationID() })
+}
+
 // collection is the state of a registrar's collection of records. The lock of Keys guards it.
 type collection struct {
 	zone  *zoneList // the zone's instances as last seen
@@ -242,7 +247,7 @@
 // handleCollect accepts the sender's claim, and returns the records of the keys that it covers: those of requests that
 // this instance serves, those that it stores as registrar itself, and those of reservations at its holder.
 func (k *Keys) handleCollect(from mesh.Peer, req CollectReq) CollectResp {
-	claim := keyClaim{registrar: from, zone: req.Zone, at: k.now()}
+	claim := keyClaim{registrar: from, zone: req.Zone, at: k.now(), inFleet: includes(k.members.Fleet(), from)}
 	k.mu.Lock()
 	if from.IncarnationID() != k.members.Self().IncarnationID() {
 		k.claims[from.ID] = claim
--- a/internal/once/keys_test.go
+++ b/internal/once/keys_test.go
@@ -228,3 +228,26 @@
 		So(won, ShouldBeFalse)
 	})
 }
+
+func TestClaimEnds(t *testing.T) {
+	ctx := context.Background()
+	Convey("The claim of a registrar that leaves the fleet ends with the next tick, even if there was none in between", t, func() {
+		f := newKeysFleet("a", "b")
+		b := f.keys["b"]
+		b.claims = make(map[string]keyClaim)
+		b.handleCollect(peer("a"), CollectReq{Zone: peers("a", "b")})
+		f.see("b", "b")
+		b.Tick(ctx)
+		So(b.claims, ShouldBeEmpty)
+	})
+	Convey("The claim of a registrar that is not in view yet counts until it may have been in view", t, func() {
+		f := newKeysFleet("a", "b")
+		b := f.keys["b"]
+		b.handleCollect(peer("c"), CollectReq{Zone: peers("b", "c")})
+		b.Tick(ctx)
+		So(b.claims, ShouldContainKey, "c")
+		f.clock.Advance(keyClaimTimeout + time.Second)
+		b.Tick(ctx)
+		So(b.claims, ShouldNotContainKey, "c")
+	})
+}
