--- a/internal/external/fenced.go
+++ b/internal/external/fenced.go
@@ -67,6 +67,15 @@
 	return entries, at, nil
 }
 
+// ReadPage implements KV.
+func (f *Fenced) ReadPage(ctx context.Context, prefix, after string) (Page, error) {
+	page, err := f.next.ReadPage(ctx, prefix, after)
+	if err = f.observe(page.At, err); err != nil {
+		return Page{}, err
+	}
+	return page, nil
+}
+
 // Changes implements KV. The changes since a revision of another epoch are unknown: it returns ErrHistoryGone.
 func (f *Fenced) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Change, int64, error) {
 	if after != 0 && EpochOf(after) != f.epochs.Current() {
--- a/internal/external/kv.go
+++ b/internal/external/kv.go
@@ -65,12 +65,22 @@
 	return on
 }
 
+// Page is the part of a list that a store sends in one response.
+type Page struct {
+	Entries []Entry
+	At      int64 // the store's revision
+	More    bool  // further entries follow the last one
+}
+
 // KV is a store with conditional writes of several keys and a history of changes.
 type KV interface {
 	// Read reads a key; an absent key has revision 0 and no error. The second value is the store's revision.
 	Read(ctx context.Context, key string) (Entry, int64, error)
 	// ReadAll reads every key with a prefix. The second value is a revision from which Changes misses nothing.
 	ReadAll(ctx context.Context, prefix string) ([]Entry, int64, error)
+	// ReadPage reads the first entries with a prefix whose keys follow after. The pages of a list are not a snapshot: a
+	// change since the first page's revision may be missing.
+	ReadPage(ctx context.Context, prefix, after string) (Page, error)
 	// Changes returns the changes under a prefix after a revision. If there are none, it waits up to wait for one. The
 	// second value is the revision from which to continue.
 	Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Change, int64, error)
--- a/internal/external/memkv/memkv.go
+++ b/internal/external/memkv/memkv.go
@@ -20,6 +20,7 @@
 	revision int64
 	floor    int64 // history up to this revision was dropped
 	calls    int
+	pageSize int           // maximum number of entries in a page; 0: no limit
 	epoch    int64         // 0: the store names no epoch
 	written  []timedChange // every change since the start, regardless of dropped history
 
@@ -51,6 +52,9 @@
 // SetDelayWrites delays writes until ReleaseWrites is called. They get no response.
 func (s *Store) SetDelayWrites(on bool) { s.set(func() { s.delayWrites = on }) }
 
+// SetPageSize limits the number of entries in a page; 0: no limit.
+func (s *Store) SetPageSize(n int) { s.set(func() { s.pageSize = n }) }
+
 // SetEpoch makes the store name its epoch, which rises with each restoration.
 func (s *Store) SetEpoch(n int64) { s.set(func() { s.epoch = n }) }
 
@@ -236,14 +240,33 @@
 	if err := s.enter(ctx); err != nil {
 		return nil, 0, err
 	}
+	return s.list(prefix, ""), s.revision, nil
+}
+
+// ReadPage implements external.KV.
+func (s *Store) ReadPage(ctx context.Context, prefix, after string) (external.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter(ctx); err != nil {
+		return external.Page{}, err
+	}
+	page := external.Page{Entries: s.list(prefix, after), At: s.revision}
+	if s.pageSize > 0 && len(page.Entries) > s.pageSize {
+		page.Entries, page.More = page.Entries[:s.pageSize], true
+	}
+	return page, nil
+}
+
+// list returns the entries with a prefix whose keys follow after, in the order of their keys. The caller holds mu.
+func (s *Store) list(prefix, after string) []external.Entry {
 	var out []external.Entry
 	for key, e := range s.entries {
-		if strings.HasPrefix(key, prefix) {
+		if strings.HasPrefix(key, prefix) && key > after {
 			out = append(out, e)
 		}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
-	return out, s.revision, nil
+	return out
 }
 
 // Changes implements external.KV. It does not wait.
--- a/internal/external/memkv/versioned.go
+++ b/internal/external/memkv/versioned.go
@@ -53,6 +53,17 @@
 	return entries, external.Revision(epoch, at), v.wrapErr(epoch, err)
 }
 
+// ReadPage implements external.KV.
+func (v versioned) ReadPage(ctx context.Context, prefix, after string) (external.Page, error) {
+	epoch := v.store.Epoch()
+	page, err := v.store.ReadPage(ctx, prefix, after)
+	for i, e := range page.Entries {
+		page.Entries[i] = v.withEpoch(epoch, e)
+	}
+	page.At = external.Revision(epoch, page.At)
+	return page, v.wrapErr(epoch, err)
+}
+
 // Changes implements external.KV.
 func (v versioned) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]external.Change, int64, error) {
 	epoch := v.store.Epoch()
--- a/internal/external/observed.go
+++ b/internal/external/observed.go
@@ -87,6 +87,15 @@
 	return entries, at, err
 }
 
+// ReadPage implements KV.
+func (o *Observed) ReadPage(ctx context.Context, prefix, after string) (page Page, err error) {
+	err = o.call(ctx, "page", func() error {
+		page, err = o.next.ReadPage(ctx, prefix, after)
+		return err
+	})
+	return page, err
+}
+
 // Changes implements KV.
 func (o *Observed) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (changes []Change, at int64, err error) {
 	err = o.call(ctx, "changes", func() error {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -255,9 +255,9 @@
 }
 
 // Snapshot implements follow.Source.
-func (s *Source) Snapshot(ctx context.Context, known follow.Cursor) (follow.Update, error) {
+func (s *Source) Snapshot(ctx context.Context, known follow.Cursor, from follow.Part) (follow.Update, error) {
 	if s.slowStore.Swap(false) {
-		return s.store.Snapshot(ctx, known)
+		return s.store.Snapshot(ctx, known, from)
 	}
 	s.awaitDiscovery(ctx)
 	u, err := s.fetchAll(ctx)
@@ -267,7 +267,7 @@
 	if errors.Is(err, errLeadersStale) && s.backoff.active(s.now()) {
 		return follow.Update{}, err
 	}
-	u, err = s.store.Snapshot(ctx, known)
+	u, err = s.store.Snapshot(ctx, known, from)
 	s.backoff.recordResult(s.now(), err)
 	return u, err
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -28,7 +28,7 @@
 	calls      int
 }
 
-func (s *scriptedSource) Snapshot(context.Context, follow.Cursor) (follow.Update, error) {
+func (s *scriptedSource) Snapshot(context.Context, follow.Cursor, follow.Part) (follow.Update, error) {
 	s.calls++
 	return s.update, s.err
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -41,12 +41,21 @@
 	Complete    bool               // Endpoints holds all endpoints, although only changes were requested
 	FromPeer    bool               // the update comes from another instance, which follows the store
 	Age         time.Duration      // time since that instance received a response from the store
+	Partial     bool               // further parts of the snapshot follow, from Next
+	Next        Part
+}
+
+// Part is the position from which a snapshot that is read in several calls continues. The zero value is its beginning.
+type Part struct {
+	At    int64  // the revision of the snapshot's first read
+	After string // the last key that was read
 }
 
 // Source reads the store and decodes its records.
 type Source interface {
-	// Snapshot reads everything. A snapshot of another instance is accepted only if it is at least as recent as known.
-	Snapshot(ctx context.Context, known Cursor) (Update, error)
+	// Snapshot reads everything, or a part of it. A snapshot of another instance is accepted only if it is at least as
+	// recent as known. On external.ErrHistoryGone the caller must start again from the zero Part.
+	Snapshot(ctx context.Context, known Cursor, from Part) (Update, error)
 	// Changes reads what has changed since a cursor. On external.ErrHistoryGone the caller must read a snapshot. Without
 	// fleetRecords, the result omits the records that the fleet itself writes.
 	Changes(ctx context.Context, since Cursor, fleetRecords bool) (Update, error)
@@ -105,6 +114,7 @@
 	lastFromPeer   bool      // the last response came from another instance
 	storeLost      bool
 	restoration    restoration
+	partial        partialSnapshot
 }
 
 // Option changes a Follower.
@@ -269,24 +279,6 @@
 	return nil
 }
 
-// snapshot reads everything. Its timeout is longer than that of a call for changes, because a snapshot is larger.
-func (f *Follower) snapshot(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(external.WithDuty(ctx, external.DutyConfig), snapshotTimeoutFactor*f.times.Call+f.times.PeerCall)
-	defer cancel()
-	calledAt := f.now()
-	u, err := f.source.Snapshot(ctx, f.since)
-	if err != nil {
-		return eris.Wrap(err, "reading the configuration and the endpoints")
-	}
-	f.lastChange, f.historySuspect, f.lastFromPeer = f.now(), false, u.FromPeer
-	f.apply(u, true)
-	f.noteContact(calledAt, u)
-	return nil
-}
-
-// snapshotTimeoutFactor multiplies the timeout of a call for a snapshot.
-const snapshotTimeoutFactor = 2
-
 // apply brings the configuration, the pool and the history up to date. complete reports that u holds all endpoints.
 func (f *Follower) apply(u Update, complete bool) {
 	f.logRejected(u.Bad)
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -22,7 +22,7 @@
 	duringChanges      func() // runs within a call for changes, if it is set
 }
 
-func (s *scriptedSource) Snapshot(context.Context, Cursor) (Update, error) {
+func (s *scriptedSource) Snapshot(context.Context, Cursor, Part) (Update, error) {
 	s.snapshots++
 	return s.snapshot, s.err
 }
