feat: large zones have relays between their leader and the other instances

Cause: a zone's leader answered each instance of its zone three times a second with news and twice with loads; at 227 instances its link and processor grow with the zone. Each instance read the records of all instances every 5 s, and while it knew no leader each one read all endpoints from the store, 984 times 3 MB at once. Only the leaders read the records of all instances, and pass them on as a roster; records lie under their zone, so that an instance that starts reads those of its zone first. Whole lists are read from the store by the first of a zone, and by the others later, by rank. Until an instance knows all records it has no share of divided resources. TestDiscovered: a large fleet counts as discovered only once others had time to start, since the records of an instance's zone alone do not tell the size of the fleet.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -1,6 +1,6 @@
-// Package feed lets an instance follow the configuration and the endpoints through the leader of its availability zone.
-// The instance reads the store itself if it can reach no leader, or if no leader has received a recent response from
-// the store.
+// Package feed lets an instance follow the configuration, the endpoints and the other instances through its parents in
+// the tree of its availability zone: a relay, or the leader. The instance reads the store itself if it can reach no
+// parent, or if no parent has data that the store has confirmed recently.
 package feed
 
 import (
@@ -31,6 +31,8 @@
 const (
 	peerCallTimeout    = 450 * time.Millisecond  // of one request to a leader
 	peerCallsTimeout   = 500 * time.Millisecond  // of all such requests in a step: the store call needs time too
+	fullCallTimeout    = 1500 * time.Millisecond // of a request for everything in a zone with relays: its lists are long
+	maxRelayAge        = 2100 * time.Millisecond // as maxLeaderAge, in a zone with relays
 	maxLeaderAge       = 1300 * time.Millisecond // a leader of the own zone whose data is older than this is skipped
 	maxFleetLeaderAge  = 800 * time.Millisecond  // likewise, for the instances that a zone's leader asks
 	discoveryTimeout   = 1500 * time.Millisecond // for the other instances to be discovered after the start
@@ -48,7 +50,10 @@
 type updateRequest struct {
 	At       int64 `cbor:"1,keyasint"`
 	ConfigAt int64 `cbor:"2,keyasint"`
-	Epoch    int64 `cbor:"3,keyasint,omitempty"` // the store's epoch; the other fields are revision numbers within it
+	Epoch    int64 `cbor:"3,keyasint,omitempty"` // the store's epoch; At and ConfigAt are revision numbers within it
+	// Roster is the version of the requester's roster. It is requested if WantRoster is set.
+	Roster     uint64 `cbor:"4,keyasint,omitempty"`
+	WantRoster bool   `cbor:"5,keyasint,omitempty"`
 }
 
 // newRequest makes the request of an instance that has followed the store up to a cursor. If the cursor is of an
@@ -97,6 +102,10 @@
 	OperatorAt int64    `cbor:"10,keyasint,omitempty"`
 	Evacuated  []string `cbor:"11,keyasint,omitempty"`
 	Epoch      int64    `cbor:"12,keyasint,omitempty"` // of the store; At, ConfigAt and OperatorAt are numbers within it
+	// Roster is the version of the roster of instances, 0 if there is none; RosterData holds it unless the requester has
+	// that version.
+	Roster     uint64 `cbor:"13,keyasint,omitempty"`
+	RosterData []byte `cbor:"14,keyasint,omitempty"`
 }
 
 // Follower returns the changes that it has followed. follow.Follower implements it.
@@ -104,14 +113,15 @@
 	UpdateSince(since follow.Cursor) (follow.Update, bool)
 }
 
-// Serve answers the update requests of other instances from the data of a follower.
-func Serve(router *mesh.Router, f Follower, epochs *external.Epochs) {
-	s := &server{follower: f, epochs: epochs}
+// Serve answers the update requests of other instances from the data of a follower and a directory.
+func Serve(router *mesh.Router, f Follower, dir *peers.Directory, epochs *external.Epochs) {
+	s := &server{follower: f, dir: dir, epochs: epochs}
 	mesh.Handle(router, KindUpdate, s.handleUpdate)
 }
 
 type server struct {
 	follower Follower
+	dir      *peers.Directory
 	epochs   *external.Epochs
 
 	mu     sync.Mutex
@@ -127,6 +137,16 @@
 }
 
 func (s *server) handleUpdate(_ context.Context, _ mesh.Peer, req updateRequest) (updateReply, error) {
+	reply, err := s.update(req)
+	if err != nil || !req.WantRoster {
+		return reply, err
+	}
+	reply.Roster, reply.RosterData, err = s.dir.Roster(req.Roster)
+	return reply, err
+}
+
+// update answers a request without the roster.
+func (s *server) update(req updateRequest) (updateReply, error) {
 	if req.Epoch > 0 && s.epochs.Observe(req.Epoch, 0) != nil {
 		req.At = 0 // the requester follows an earlier epoch and needs everything
 	}
@@ -136,7 +156,11 @@
 	if !ok || external.EpochOf(u.At) < present {
 		return updateReply{}, nil
 	}
-	if u.Age > maxLeaderAge {
+	maxAge := maxLeaderAge
+	if s.dir.HasRelays() {
+		maxAge = maxRelayAge
+	}
+	if u.Age > maxAge {
 		return updateReply{Known: true, AgeMs: u.Age.Milliseconds()}, nil // too old for any requester
 	}
 	epoch := external.EpochOf(u.At)
@@ -232,6 +256,7 @@
 	// that call, so the next snapshot is read from the store without asking the leaders again.
 	slowStore atomic.Bool
 	backoff   storeBackoff
+	heardAt   time.Time // when a parent last sent data, or the source was created; used by the follower only
 }
 
 var _ follow.Source = (*Source)(nil)
@@ -251,6 +276,7 @@
 	for _, opt := range opts {
 		opt(s)
 	}
+	s.heardAt = s.now()
 	return s
 }
 
@@ -264,7 +290,10 @@
 	if err == nil && u.At >= known.At {
 		return u, nil // an older snapshot would undo newer changes, such as a drain, and these are not sent again
 	}
-	if errors.Is(err, errLeadersStale) && s.backoff.active(s.now()) {
+	if !s.mayReadStore(err) {
+		if err == nil {
+			err = errLeadersStale
+		}
 		return follow.Update{}, err
 	}
 	u, err = s.store.Snapshot(ctx, known, from)
@@ -272,6 +301,15 @@
 	return u, err
 }
 
+// mayReadStore reports whether to read the store after the parents have sent nothing for the given reason.
+func (s *Source) mayReadStore(reason error) bool {
+	now := s.now()
+	if errors.Is(reason, errLeadersStale) && s.backoff.active(now) {
+		return false
+	}
+	return s.dir.ReadsStore(now.Sub(s.heardAt))
+}
+
 // awaitDiscovery waits until the other instances have been discovered, for discoveryTimeout at most. Without this wait,
 // each instance of a large fleet would start with its own calls to the store.
 func (s *Source) awaitDiscovery(ctx context.Context) {
@@ -310,7 +348,7 @@
 	if err == nil {
 		return u, nil
 	}
-	if errors.Is(err, errLeadersStale) && s.backoff.active(s.now()) {
+	if !s.mayReadStore(err) {
 		return follow.Update{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.call)
@@ -330,16 +368,21 @@
 
 // fetch asks the leaders in turn until one has recent data.
 func (s *Source) fetch(ctx context.Context, since follow.Cursor) (follow.Update, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerCallsTimeout)
+	call, calls := s.timeouts(since)
+	ctx, cancel := context.WithTimeout(ctx, calls)
 	defer cancel()
-	leaders, maxAge := s.dir.Leaders(), maxLeaderAge
-	if len(leaders) == 0 {
+	leaders, maxAge := s.dir.Parents(), maxLeaderAge
+	switch {
+	case len(leaders) == 0:
 		leaders, maxAge = s.dir.FleetLeaders(), maxFleetLeaderAge
+	case s.dir.HasRelays():
+		maxAge = maxRelayAge
 	}
 	failure := errNoLeader
 	for _, p := range leaders {
-		u, err := s.fetchFrom(ctx, p, since, maxAge)
+		u, err := s.fetchFrom(ctx, p, since, maxAge, call)
 		if err == nil {
+			s.heardAt = s.now()
 			return u, nil
 		}
 		if errors.Is(err, errLeadersStarting) || errors.Is(err, errLeadersStale) {
@@ -349,10 +392,30 @@
 	return follow.Update{}, failure
 }
 
-func (s *Source) fetchFrom(ctx context.Context, p mesh.Peer, since follow.Cursor, maxAge time.Duration) (follow.Update, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
+// timeouts returns the timeouts of one request for the changes since a cursor, and of all requests in a step.
+func (s *Source) timeouts(since follow.Cursor) (call, calls time.Duration) {
+	if since.At == 0 && s.dir.HasRelays() {
+		return fullCallTimeout, fullCallTimeout
+	}
+	return peerCallTimeout, peerCallsTimeout
+}
+
+// request makes the request for the changes since a cursor. In a zone with relays it also requests the roster.
+func (s *Source) request(since follow.Cursor) updateRequest {
+	req := newRequest(since, s.epochs.Current())
+	if s.dir.HasRelays() {
+		req.Roster, req.WantRoster = s.dir.RosterVersion(), true
+	}
+	return req
+}
+
+func (s *Source) fetchFrom(ctx context.Context, p mesh.Peer, since follow.Cursor, maxAge, timeout time.Duration) (follow.Update, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	reply, err := peers.Call[updateRequest, updateReply](ctx, s.dir, p, KindUpdate, newRequest(since, s.epochs.Current()))
+	reply, err := peers.Call[updateRequest, updateReply](ctx, s.dir, p, KindUpdate, s.request(since))
+	if err == nil {
+		err = s.dir.ApplyRoster(reply.Roster, reply.RosterData)
+	}
 	age := time.Duration(reply.AgeMs) * time.Millisecond
 	switch {
 	case err != nil:
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -74,7 +74,7 @@
 		n := &node{dir: x.Dir, store: &scriptedSource{}, pool: pool.New("a"), epochs: external.NewEpochs()}
 		n.source = NewSource(n.dir, n.store, WithNow(now), WithEpochs(n.epochs))
 		n.follower = follow.New(n.source, n.pool, follow.WithNow(now), follow.WithFleetRecords(func() bool { return false }))
-		Serve(x.Router, n.follower, n.epochs)
+		Serve(x.Router, n.follower, n.dir, n.epochs)
 		nodes = append(nodes, n)
 	}
 	f.lead, f.member = nodes[0], nodes[1]
@@ -287,7 +287,7 @@
 		f := newFixture(ctx)
 		f.lead.store.update = follow.Update{Config: config(3), ConfigAt: 7, At: 9, Events: 1, Endpoints: []pool.Endpoint{endpoint("e-1")}}
 		So(f.lead.follower.Step(ctx), ShouldBeNil)
-		s := &server{follower: f.lead.follower, epochs: external.NewEpochs()}
+		s := &server{follower: f.lead.follower, dir: f.lead.dir, epochs: external.NewEpochs()}
 		first, err := s.handleUpdate(ctx, mesh.Peer{}, updateRequest{})
 		So(err, ShouldBeNil)
 		f.lead.store.update = follow.Update{At: 12, ConfigAt: 7, Events: 1, Endpoints: []pool.Endpoint{endpoint("e-2")}}
--- a/internal/fleettime/fleettime.go
+++ b/internal/fleettime/fleettime.go
@@ -3,7 +3,7 @@
 // A machine's own time of day may step by seconds, and its steady clock starts again after a loss of power. The time on
 // which most clocks of a fleet agree does not step while fewer than seven in ten of them step. It therefore tells how
 // much time has passed across a loss of power. One instance is the coordinator: the others report their clocks to it,
-// and it replies with the bounds.
+// some of them through relays, and it replies with the bounds.
 package fleettime
 
 import (
@@ -28,11 +28,13 @@
 	minClockShare       = 0.6                    // likewise, as a share of the coordinator's group of instances
 	trimShare           = 0.3                    // share of the clocks below the lower bound, and likewise above the upper one
 	readingLifetime     = 5 * time.Second        // how long a clock's reading counts
+	maxForwarded        = 128                    // clocks in a report besides the sender's
 )
 
-// clockReport is the time of day of the sender's clock.
+// clockReport is the time of day of the sender's clock, and of the clocks that were reported to the sender.
 type clockReport struct {
-	WallMs int64 `cbor:"1,keyasint"`
+	WallMs  int64   `cbor:"1,keyasint"`
+	AheadMs []int64 `cbor:"2,keyasint,omitempty"` // how far those clocks are ahead of the sender's
 }
 
 // boundsReply bounds the fleet's time. 0: not known yet.
@@ -64,7 +66,7 @@
 	wall   func() time.Time
 
 	mu       sync.Mutex
-	readings map[string]reading // by instance
+	readings map[string][]reading // by instance that reported them; the first one is of its own clock
 	known    bool
 	low      reading
 	high     reading
@@ -83,7 +85,7 @@
 func New(dir *peers.Directory, self string, router *mesh.Router, opts ...Option) *Clock {
 	start := time.Now()
 	c := &Clock{
-		dir: dir, self: self, readings: make(map[string]reading), wall: time.Now,
+		dir: dir, self: self, readings: make(map[string][]reading), wall: time.Now,
 		steady: func() time.Duration { return time.Since(start) },
 	}
 	for _, opt := range opts {
@@ -145,7 +147,7 @@
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	start := c.steady()
-	reply, err := peers.Call[clockReport, boundsReply](ctx, c.dir, coordinator, KindReport, clockReport{WallMs: c.wall().UnixMilli()})
+	reply, err := peers.Call[clockReport, boundsReply](ctx, c.dir, coordinator, KindReport, c.report())
 	if err != nil {
 		return false
 	}
@@ -157,29 +159,64 @@
 	return true
 }
 
-// handleReport records another instance's clock and replies with the bounds.
+// report returns this instance's clock and those that were reported to it.
+func (c *Clock) report() clockReport {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	steady, wall := c.steady(), c.wall()
+	r := clockReport{WallMs: wall.UnixMilli()}
+	for id, list := range c.readings {
+		if id == c.self || steady-list[0].steady > readingLifetime {
+			continue
+		}
+		for _, x := range list {
+			r.AheadMs = append(r.AheadMs, x.at(steady).Sub(wall).Milliseconds())
+		}
+	}
+	r.AheadMs = r.AheadMs[:min(len(r.AheadMs), maxForwarded)]
+	return r
+}
+
+// handleReport records other instances' clocks and replies with the bounds. A relay replies with those that it has
+// received itself: it knows only a part of the clocks.
 func (c *Clock) handleReport(_ context.Context, from mesh.Peer, report clockReport) (boundsReply, error) {
+	relay := c.dir.IsRelay()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.readings[from.ID] = reading{wall: time.UnixMilli(report.WallMs), steady: c.steady()}
-	b, ok := c.bounds()
+	c.record(from.ID, report)
+	b, ok := Bounds{Low: c.low.at(c.steady()), High: c.high.at(c.steady())}, c.known
+	if !relay {
+		b, ok = c.bounds()
+	}
 	if !ok {
 		return boundsReply{}, nil
 	}
 	return boundsReply{LowMs: b.Low.UnixMilli(), HighMs: b.High.UnixMilli()}, nil
 }
 
+// record stores the clocks of a report. The caller holds mu.
+func (c *Clock) record(from string, report clockReport) {
+	wall, steady := time.UnixMilli(report.WallMs), c.steady()
+	list := []reading{{wall: wall, steady: steady}}
+	for _, ms := range report.AheadMs[:min(len(report.AheadMs), maxForwarded)] {
+		list = append(list, reading{wall: wall.Add(time.Duration(ms) * time.Millisecond), steady: steady})
+	}
+	c.readings[from] = list
+}
+
 // bounds computes the times between which most clocks lie. The caller holds mu.
 func (c *Clock) bounds() (Bounds, bool) {
 	steady := c.steady()
-	c.readings[c.self] = reading{wall: c.wall(), steady: steady}
+	c.readings[c.self] = []reading{{wall: c.wall(), steady: steady}}
 	times := make([]time.Time, 0, len(c.readings))
-	for id, r := range c.readings {
-		if steady-r.steady > readingLifetime {
+	for id, list := range c.readings {
+		if steady-list[0].steady > readingLifetime {
 			delete(c.readings, id)
 			continue
 		}
-		times = append(times, r.at(steady))
+		for _, r := range list {
+			times = append(times, r.at(steady))
+		}
 	}
 	if float64(len(times)) < max(minClocks, minClockShare*float64(c.dir.GroupSize())) {
 		return Bounds{}, false
--- a/internal/fleettime/fleettime_test.go
+++ b/internal/fleettime/fleettime_test.go
@@ -96,3 +96,22 @@
 		})
 	})
 }
+
+func TestRelayedClocks(t *testing.T) {
+	ctx := context.Background()
+	Convey("In a zone with relays, all instances know the time on which most clocks agree", t, func() {
+		f := newFixture(ctx, 100)
+		for i := range 20 {
+			f.offsets[fmt.Sprintf("i-%d", 80+i)] = time.Hour
+		}
+		f.sync(ctx)
+		f.sync(ctx)
+		for _, c := range f.clocks {
+			b, known := c.Now()
+			So(known, ShouldBeTrue)
+			So(b.Low, ShouldEqual, f.now)
+			So(b.High, ShouldEqual, f.now)
+		}
+		So(len(f.clocks[0].readings), ShouldBeLessThan, 10)
+	})
+}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -1,8 +1,9 @@
 // Package load exchanges the load of endpoints among the instances of a fleet.
 //
 // An instance observes only its own requests, which in a large fleet are a small part of what runs at an endpoint. Each
-// instance reports its load to one other instance (the leader of its availability zone in a large fleet) and receives
-// the load of all others in response. Zone leaders exchange the sums of their availability zones. The figures are
+// instance reports its load to one other instance (its parent in the tree of its availability zone, in a large fleet)
+// and receives the load of all others in response. A parent reports the sum of its subtree. Zone leaders exchange the
+// sums of their availability zones. The figures are
 // hints: the pool can pick endpoints without them, and figures that are too old count as unknown.
 package load
 
@@ -90,6 +91,7 @@
 	mu      sync.Mutex
 	members map[string]received // by instance that reports to this one
 	zones   map[string]received // by other availability zone, if this instance exchanges sums with them
+	above   received            // what the last parent reported: all but this instance's subtree
 	summary summary
 
 	allocator    *limit.Allocator
@@ -148,7 +150,7 @@
 		x.applyOthers(x.reportExcept(""))
 		return
 	}
-	mine := pack(x.localReport(), x.now())
+	mine := pack(x.subtreeReport(), x.now())
 	for _, p := range coordinators {
 		requestedAt := x.now()
 		mine.Piggyback, mine.Claims = x.piggyback.Payload(p.ID), x.claimsFor(p.ID)
@@ -156,7 +158,8 @@
 		if err == nil {
 			x.piggyback.Receive(p.ID, others.Piggyback)
 			x.acceptGrants(others.Grants, requestedAt)
-			x.applyOthers(others.unpack(x.now()))
+			x.recordAbove(others)
+			x.applyOthers(x.reportExcept(""))
 			return
 		}
 	}
@@ -180,7 +183,7 @@
 	if !x.dir.Large() {
 		return
 	}
-	mine := pack(x.zoneReport(), x.now())
+	mine := pack(x.subtreeReport(), x.now())
 	leader, ok := x.fleetLeader()
 	var wg sync.WaitGroup
 	for _, p := range x.dir.OtherZoneLeaders() {
@@ -231,7 +234,7 @@
 	sum.Add(x.pool.Loads())
 	add := func(r report) { sum.Add(r.loads) }
 	x.eachCurrent(x.members, "", add)
-	x.eachCurrent(x.zones, "", add)
+	x.eachCurrentBeyond(add)
 	included := make(map[string][]line, len(x.members))
 	for id, r := range x.members {
 		included[id] = r.digest.Lines
@@ -250,14 +253,14 @@
 	}
 	add(report{leaving: x.pool.Leaving(), limits: x.pool.Limits()})
 	x.eachCurrent(x.members, except, add)
-	x.eachCurrent(x.zones, "", add)
+	x.eachCurrentBeyond(add)
 	return out
 }
 
 // handleZone stores the sum of another availability zone and responds with the sum of this instance's zone.
 func (x *Exchange) handleZone(_ context.Context, from mesh.Peer, d digest) (digest, error) {
 	x.record(x.zones, from.Zone, d)
-	return x.reply(from, d, pack(x.zoneReport(), x.now())), nil
+	return x.reply(from, d, pack(x.subtreeReport(), x.now())), nil
 }
 
 // reply handles the piggybacked data of a received digest. It adds the piggybacked data for the sender, and the rates
@@ -274,8 +277,15 @@
 	list[key] = received{digest: d, report: d.unpack(x.now()), at: x.now()}
 }
 
-// zoneReport sums the reports of this instance and of those that report to it.
-func (x *Exchange) zoneReport() report {
+// recordAbove stores what a parent has reported.
+func (x *Exchange) recordAbove(d digest) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.above = received{digest: d, report: d.unpack(x.now()), at: x.now()}
+}
+
+// subtreeReport sums the reports of this instance and of those that report to it.
+func (x *Exchange) subtreeReport() report {
 	out := newReport()
 	out.add(x.localReport())
 	x.mu.Lock()
@@ -290,10 +300,20 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.eachCurrent(x.members, except, out.add)
-	x.eachCurrent(x.zones, "", out.add)
+	x.eachCurrentBeyond(out.add)
 	return out
 }
 
+// eachCurrentBeyond calls visit with the recent reports from outside this instance's subtree: those of the parent, or of
+// the other zones. The caller holds mu.
+func (x *Exchange) eachCurrentBeyond(visit func(report)) {
+	if x.now().Sub(x.above.at) <= reportLifetime {
+		visit(x.above.report)
+		return
+	}
+	x.eachCurrent(x.zones, "", visit)
+}
+
 // eachCurrent calls visit with the recent reports of all but one instance, and drops outdated reports. The caller
 // holds mu.
 func (x *Exchange) eachCurrent(list map[string]received, except string, visit func(report)) {
--- a/internal/member/rendezvous.go
+++ b/internal/member/rendezvous.go
@@ -9,7 +9,7 @@
 )
 
 // score is the weight of a peer for a key in rendezvous hashing.
-func score(key, id string) uint64 {
+func Weight(key, id string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(key)
@@ -22,7 +22,7 @@
 func Rank(key string, peers []mesh.Peer) []mesh.Peer {
 	out := append([]mesh.Peer(nil), peers...)
 	sort.Slice(out, func(i, j int) bool {
-		a, b := score(key, out[i].ID), score(key, out[j].ID)
+		a, b := Weight(key, out[i].ID), Weight(key, out[j].ID)
 		if a != b {
 			return a > b
 		}
@@ -42,7 +42,7 @@
 			excluded, sawExcluded = p, true
 			continue
 		}
-		if s := score(key, p.ID); !found || s > bestScore || (s == bestScore && p.ID < best.ID) {
+		if s := Weight(key, p.ID); !found || s > bestScore || (s == bestScore && p.ID < best.ID) {
 			best, bestScore, found = p, s, true
 		}
 	}
--- a/internal/peers/directory.go
+++ b/internal/peers/directory.go
@@ -5,6 +5,9 @@
 // more than that. In a large fleet the instances of a zone are ranked, and each asks the first one that it can reach
 // before it asks the store itself. The number of store calls then grows with the number of zones, not of instances. The
 // rank is a hint and guarantees nothing: two instances may both act as leader, at the cost of efficiency only.
+//
+// A zone that is too large for one leader has relays between its leader and the others: see Parents. Only the leaders of
+// such a zone read the records of all instances; the others receive them as a Roster.
 package peers
 
 import (
@@ -88,10 +91,14 @@
 
 	mu         sync.Mutex
 	startedAt  time.Time
+	whole      bool // the records of all zones are known
+	roster     roster
 	restarted  bool // the store held a record of an earlier process of this instance
 	records    map[string]Record
 	zones      map[string][]Record // by zone, ranked
+	rank       int                 // of this instance in its zone, from 0
 	zoneAhead  []Record            // instances of the own zone that rank before this one, best first
+	parents    []Record            // instances of the own zone that this one asks, best first
 	fleetAhead []Record            // likewise, of all zones
 	position   int                 // of this instance among all, ordered by ID
 	suspects   map[string]*suspicion
@@ -158,7 +165,7 @@
 	d.mu.Unlock()
 	for afterRestoration := false; ctx.Err() == nil; afterRestoration = d.sleep(ctx) {
 		if !afterRestoration {
-			d.tryReadRecords(ctx)
+			d.updateRecords(ctx)
 		}
 		if err := d.syncRecord(ctx); err != nil {
 			d.log.Debug().Str("event", "peer_unwritten").Err(err).Msg("own record not written")
@@ -190,7 +197,7 @@
 	switch {
 	case known == 0, d.isLarge() && !d.linked():
 		return
-	case known < d.largeFleet && !d.restarted && age < d.times.Settle:
+	case !d.restarted && age < d.times.Settle:
 		return
 	}
 	close(d.discovered)
@@ -224,7 +231,7 @@
 	if err != nil {
 		return eris.Wrap(err, "encoding the instance's record")
 	}
-	return d.commit(ctx, external.Commit{Put: []external.Entry{{Key: d.recordKey(), Data: raw}}})
+	return d.commit(ctx, external.Commit{Put: []external.Entry{{Key: d.recordKey(), Data: raw}}, Drop: []string{d.oldRecordKey()}})
 }
 
 func (d *Directory) isLeaving() bool {
@@ -241,7 +248,7 @@
 	d.mu.Lock()
 	d.leaving = true
 	d.mu.Unlock()
-	return d.commit(ctx, external.Commit{Drop: []string{d.recordKey()}})
+	return d.commit(ctx, external.Commit{Drop: []string{d.recordKey(), d.oldRecordKey()}})
 }
 
 func (d *Directory) commit(ctx context.Context, c external.Commit) error {
@@ -251,55 +258,14 @@
 	return eris.Wrap(err, "writing the instance's record")
 }
 
-func (d *Directory) recordKey() string { return d.prefix + recordsPrefix + d.self.Peer.ID }
+// zonePrefix is the prefix of the records of the own zone.
+func (d *Directory) zonePrefix() string { return d.prefix + recordsPrefix + d.self.Peer.Zone + "/" }
 
-// tryReadRecords reads all records. If that fails, the last known records remain.
-func (d *Directory) tryReadRecords(ctx context.Context) {
-	if err := d.readRecords(ctx); err != nil {
-		d.log.Debug().Str("event", "peers_unread").Err(err).Msg("instances' records not read")
-	}
-}
-
-// readRecords reads all records. The store may serve them from a copy some seconds old.
-func (d *Directory) readRecords(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(external.WithDuty(external.WithStale(ctx), external.DutyMembers), d.times.Call)
-	defer cancel()
-	entries, _, err := d.store.ReadAll(ctx, d.prefix+recordsPrefix)
-	if err != nil {
-		return eris.Wrap(err, "reading the instances' records")
-	}
-	records := make(map[string]Record, len(entries)+1)
-	for _, e := range entries {
-		var r Record
-		if err := cbor.Unmarshal(e.Data, &r); err != nil || r.Peer.ID == "" {
-			d.log.Warn().Str("event", "record_rejected").Str("key", e.Key).Err(err).Msg("instance's record cannot be decoded")
-			continue
-		}
-		records[r.Peer.ID] = r
-	}
-	if before, ok := records[d.self.Peer.ID]; ok && before.Peer.Incarnation != d.self.Peer.Incarnation {
-		d.mu.Lock()
-		d.restarted = true
-		d.mu.Unlock()
-	}
-	records[d.self.Peer.ID] = d.self
-	if d.keepsMissing() {
-		d.addMissing(records)
-	}
-	d.setRecords(records)
-	return nil
-}
+func (d *Directory) recordKey() string { return d.zonePrefix() + d.self.Peer.ID }
 
-// addMissing adds the known records that the given ones lack.
-func (d *Directory) addMissing(records map[string]Record) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for id, r := range d.records {
-		if _, listed := records[id]; !listed {
-			records[id] = r
-		}
-	}
-}
+// oldRecordKey is the key under which builds of generation 6 and before store the record. They read the records of all
+// keys, so each instance has only one of the two.
+func (d *Directory) oldRecordKey() string { return d.prefix + recordsPrefix + d.self.Peer.ID }
 
 // connect opens the links once other instances are known.
 func (d *Directory) connect(ctx context.Context) {
@@ -343,14 +309,17 @@
 	if d.self.Peer.Addr == "" {
 		return true
 	}
+	relays := d.HasRelays()
 	d.mu.Lock()
-	age, known := d.now().Sub(d.startedAt), len(d.records)
+	age, known, whole := d.now().Sub(d.startedAt), len(d.records), d.whole
 	d.mu.Unlock()
 	switch {
 	case known == 0:
 		return false
 	case age > maxSettleFactor*d.times.Settle:
 		return true
+	case !whole && !relays:
+		return false // its zone may turn out to be larger
 	case known < d.largeFleet:
 		return known > startingFleetSize || age > d.times.Settle
 	}
--- a/internal/peers/leaders.go
+++ b/internal/peers/leaders.go
@@ -27,9 +27,7 @@
 	if !d.linked() || !d.isLarge() {
 		return nil
 	}
-	out := d.reachable(d.zoneAhead)
-	d.logLeader(out)
-	return out
+	return d.reachable(d.zoneAhead)
 }
 
 // FleetLeaders returns the instances that a zone's leader asks for work that one instance of a large fleet does for
@@ -56,7 +54,7 @@
 const maxFleetLeaders = 2
 
 // Coordinators returns the instances that hold the state on which all agree, best first. If there are none, this
-// instance holds it. In a large fleet they are the zone's leaders.
+// instance holds it. In a large fleet they are its parents.
 func (d *Directory) Coordinators() []mesh.Peer {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -64,7 +62,7 @@
 	case !d.linked():
 		return nil
 	case d.isLarge():
-		return d.reachable(d.zoneAhead)
+		return d.live(d.parents)
 	}
 	return d.reachable(d.fleetAhead)
 }
@@ -94,7 +92,7 @@
 }
 
 // NotifyTargets returns the instances to notify of a change that concerns the whole fleet. In a small fleet these are
-// all others. In a large one it is the first reachable leader of the own zone. If this instance leads the zone, they are
+// all others. In a large one it is the first reachable parent. If this instance leads the zone, they are
 // the leaders of the other zones.
 func (d *Directory) NotifyTargets() []mesh.Peer {
 	d.mu.Lock()
@@ -111,8 +109,8 @@
 		}
 		return out
 	}
-	if ahead := d.reachable(d.zoneAhead); len(ahead) > 0 {
-		return ahead[:1]
+	if parents := d.live(d.parents); len(parents) > 0 {
+		return parents[:1]
 	}
 	return d.otherZoneLeaders()
 }
@@ -149,8 +147,13 @@
 
 // reachable returns those of the first maxLeaders of a list that are not suspected. The caller holds mu.
 func (d *Directory) reachable(list []Record) []mesh.Peer {
-	out := make([]mesh.Peer, 0, maxLeaders)
-	for _, r := range list[:min(len(list), maxLeaders)] {
+	return d.live(list[:min(len(list), maxLeaders)])
+}
+
+// live returns those of a list that are not suspected. The caller holds mu.
+func (d *Directory) live(list []Record) []mesh.Peer {
+	out := make([]mesh.Peer, 0, len(list))
+	for _, r := range list {
 		if !d.suspected(r.Peer.ID) {
 			out = append(out, r.Peer)
 		}
@@ -158,7 +161,7 @@
 	return out
 }
 
-// logLeader logs the zone's leader if it has changed. The caller holds mu.
+// logLeader logs which instance this one follows if it has changed. The caller holds mu.
 func (d *Directory) logLeader(leaders []mesh.Peer) {
 	leader := d.self.Peer.ID
 	if len(leaders) > 0 {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -243,6 +243,8 @@
 			So(last.readRecords(ctx), ShouldBeNil)
 			So(isDiscovered(last), ShouldBeFalse)
 			last.connect(ctx)
+			So(isDiscovered(last), ShouldBeFalse)
+			f.at = f.at.Add(last.times.Settle) // more of its zone may be starting
 			So(isDiscovered(last), ShouldBeTrue)
 		})
 
--- a/internal/peers/peerstest/peerstest.go
+++ b/internal/peers/peerstest/peerstest.go
@@ -29,12 +29,13 @@
 // Fleet makes the instances of a fleet, ranked in the order of the list, and runs them until they have discovered each
 // other. They use the links of net and share the clock now. large is the minimum number of instances of a large fleet.
 func Fleet(ctx context.Context, net *meshtest.Net, now func() time.Time, large int, list []mesh.Peer) ([]Instance, error) {
-	store := memkv.New()
+	store, times := memkv.New(), peers.DefaultTimes()
+	times.Settle = 0 // the clock may stand still
 	out := make([]Instance, 0, len(list))
 	for i, self := range list {
 		r := mesh.NewRouter()
 		d := peers.New(store, "p/", peers.Record{Peer: self, Capacity: float64(len(list) - i)}, r,
-			peers.WithLargeFleet(large), peers.WithNow(now), peers.WithCaller(net.Join(self, r)))
+			peers.WithLargeFleet(large), peers.WithTimes(times), peers.WithNow(now), peers.WithCaller(net.Join(self, r)))
 		out = append(out, Instance{Self: self, Router: r, Dir: d})
 	}
 	for range maxRounds {
@@ -43,6 +44,9 @@
 			if err := run(ctx, x.Dir); err != nil {
 				return nil, err
 			}
+			if err := sendRoster(out[0].Dir, x.Dir); err != nil {
+				return nil, err
+			}
 			known = known && x.Dir.Size() == len(list)
 		}
 		if known {
@@ -52,6 +56,15 @@
 	return nil, eris.New("the instances did not discover each other")
 }
 
+// sendRoster gives an instance the leader's roster, as it receives it from its parents.
+func sendRoster(leader, d *peers.Directory) error {
+	version, raw, err := leader.Roster(d.RosterVersion())
+	if err != nil || !d.HasRelays() {
+		return err
+	}
+	return d.ApplyRoster(version, raw)
+}
+
 // run runs a directory for a short time, in which it writes its record, reads the existing ones and opens its links.
 func run(ctx context.Context, d *peers.Directory) error {
 	ctx, cancel := context.WithTimeout(ctx, runTime)
--- a/internal/peers/rank.go
+++ b/internal/peers/rank.go
@@ -37,8 +37,11 @@
 	return s != nil && d.now().Before(s.until)
 }
 
-// setRecords replaces the known records.
-func (d *Directory) setRecords(records map[string]Record) {
+// setRecords replaces the known records. whole reports whether they include those of all zones.
+func (d *Directory) setRecords(records map[string]Record, whole bool) {
+	if d.sameRecords(records, whole) {
+		return
+	}
 	zones := make(map[string][]Record)
 	for _, r := range records {
 		zones[r.Peer.Zone] = append(zones[r.Peer.Zone], r)
@@ -48,10 +51,16 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.records, d.zones = records, zones
+	d.records, d.zones, d.whole = records, zones, whole
+	d.roster.raw = nil
 	d.position, _ = slices.BinarySearch(slices.Sorted(maps.Keys(records)), d.self.Peer.ID)
-	d.zoneAhead = d.aheadOfSelf(zones[d.self.Peer.Zone])
-	d.fleetAhead = d.aheadOfSelf(rank(fleetRankKey, slices.Collect(maps.Values(records))))
+	zone := zones[d.self.Peer.Zone]
+	d.zoneAhead = d.aheadOfSelf(zone)
+	d.rank = len(d.zoneAhead)
+	d.parents, d.fleetAhead = parentsOf(zone, d.rank), nil
+	if !d.isLarge() {
+		d.fleetAhead = d.aheadOfSelf(rank(fleetRankKey, slices.Collect(maps.Values(records))))
+	}
 	for id := range d.suspects {
 		if _, known := records[id]; !known {
 			delete(d.suspects, id)
@@ -59,14 +68,26 @@
 	}
 }
 
-// IsDiscovered reports whether the channel of Discovered is closed.
+// sameRecords reports whether the given records are the known ones.
+func (d *Directory) sameRecords(records map[string]Record, whole bool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return whole == d.whole && len(d.records) > 0 && maps.Equal(records, d.records)
+}
+
+// IsDiscovered reports whether the channel of Discovered is closed and the records of all zones are known.
 func (d *Directory) IsDiscovered() bool {
+	if d.self.Peer.Addr == "" {
+		return true
+	}
 	select {
 	case <-d.discovered:
-		return true
 	default:
 		return false
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.whole
 }
 
 // Position returns this instance's position among all instances, ordered by ID, and their number.
@@ -78,19 +99,28 @@
 
 // Owns reports whether this instance is one of the first in the order of all instances for a key, by rendezvous
 // hashing. Instances with different records may compute a different order, so callers must tolerate that. A standalone
-// instance owns all keys.
+// instance owns all keys; one that does not know the records of all zones owns none.
 func (d *Directory) Owns(key string, first int) bool {
 	if d.self.Peer.Addr == "" {
 		return true
 	}
 	d.mu.Lock()
-	list := make([]mesh.Peer, 0, len(d.records))
-	for _, r := range d.records {
-		list = append(list, r.Peer)
+	defer d.mu.Unlock()
+	if !d.whole {
+		return false
+	}
+	own, ahead := member.Weight(key, d.self.Peer.ID), 0
+	for id := range d.records {
+		if id == d.self.Peer.ID {
+			continue
+		}
+		if w := member.Weight(key, id); w > own || (w == own && id < d.self.Peer.ID) {
+			if ahead++; ahead >= first {
+				return false
+			}
+		}
 	}
-	d.mu.Unlock()
-	ranked := member.Rank(key, list)
-	return slices.ContainsFunc(ranked[:min(first, len(ranked))], func(p mesh.Peer) bool { return p.ID == d.self.Peer.ID })
+	return first > 0
 }
 
 // EvenShare returns this instance's share of a resource that is divided evenly among all instances, from 0 to 1. It is
--- a/internal/peers/restore_test.go
+++ b/internal/peers/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -47,7 +48,7 @@
 	So(err, ShouldBeNil)
 	out := make([]string, 0, len(entries))
 	for _, e := range entries {
-		out = append(out, e.Key[len("p/peers/"):])
+		out = append(out, strings.TrimPrefix(e.Key, "p/peers/a/"))
 	}
 	return out
 }
--- a/internal/quarantine/replicator.go
+++ b/internal/quarantine/replicator.go
@@ -252,13 +252,13 @@
 	for _, rep := range u.Records[:min(len(u.Records), maxReports)] {
 		advanced = r.tracker.merge(rep, from, 0, sameCrashWindow) || advanced
 	}
-	if advanced && r.dir.Large() && r.dir.Leads() {
+	if advanced && r.dir.Large() && (r.dir.Leads() || r.dir.IsRelay()) {
 		r.Wake()
 	}
 }
 
 // push sends recent changes at once. In a small fleet, it sends them to all instances. In a large fleet, it sends them
-// to the leader of the availability zone, or, if this instance is the leader, to the leaders of the other zones. If one
+// towards the leader of the availability zone, or, if this instance is the leader, to the leaders of the other zones. If one
 // of the receivers cannot be reached, the records are written to the store.
 func (r *Replicator) push(ctx context.Context) {
 	var g sync.WaitGroup
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -146,7 +146,7 @@
 		follow.WithLogger(r.log), follow.WithNow(r.bootClock.Now), follow.OnRejected(r.metrics.recordRejected),
 		follow.OnTable(r.updateBudgets), follow.OnTable(r.updateServices),
 		follow.OnEntry(r.observeEntry), follow.OnPolled(r.escrow.StoreAnswered), follow.WithFleetRecords(func() bool { return !r.peers.Large() }))
-	feed.Serve(meshRouter, r.follow, platform.Epochs)
+	feed.Serve(meshRouter, r.follow, r.peers, platform.Epochs)
 }
 
 // newSharing creates the components through which instances exchange the load of endpoints, and quarantined requests.
