feat: holders of large zones that hold no pool have no rows in the budget pages

Cause: each of 984 instances joined all budget pages and submitted its part of each customer's account about once a second, although it meets a customer once in minutes. Change: in a zone with relays, holders without a pool are dormant: they borrow each request's tokens from the zone's pools (one more for each 50 instances), which count the demand, and submit one part a page after their start that settles rows of earlier processes. A refused loan says whether the budget is exhausted. The share that a pool requests before anything is measured is divided by the size of the fleet.

--- a/internal/escrow/account.go
+++ b/internal/escrow/account.go
@@ -29,6 +29,7 @@
 	othersDemand    int64            // mean demand of the other holders
 	exhaustedAt     time.Time        // when a refresh or loan last brought too little
 	exhaustedTokens int64            // tokens that were requested then
+	lenderExhausted bool             // that loan was refused because the budget is exhausted
 	confirmed       issuedRow        // last row that the store is known to have
 	unconfirmed     []issuedRow      // written with unknown outcome, may be older than confirmed
 	prepaid         int64            // as last configured; Unlimited: no limit
--- a/internal/escrow/borrow.go
+++ b/internal/escrow/borrow.go
@@ -31,7 +31,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, h.times.LoanTimeout)
 	defer cancel()
-	result := h.fleet.Borrow(ctx, Loan{Holder: h.id, Number: number, Customer: customer, MaxTokens: maxTokens, Rank: rank})
+	result := h.fleet.Borrow(ctx, Loan{Holder: h.id, Number: number, Customer: customer, MaxTokens: maxTokens, Rank: rank, Dormant: h.isDormant()})
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, lender := range result.Unconfirmed {
@@ -39,7 +39,7 @@
 	}
 	a := h.accounts[customer]
 	if result.Lender == "" {
-		a.exhaustedAt, a.exhaustedTokens = h.now(), maxTokens
+		a.exhaustedAt, a.exhaustedTokens, a.lenderExhausted = h.now(), maxTokens, result.Exhausted
 		return nil, result.RetryAfter
 	}
 	h.countDemand(a, maxTokens)
--- a/internal/escrow/fleet.go
+++ b/internal/escrow/fleet.go
@@ -31,6 +31,11 @@
 	Role(customer string) Role
 	// ZoneSize returns the number of holders in this holder's zone.
 	ZoneSize() int
+	// Size returns the number of holders in the fleet, as far as they are known.
+	Size() int
+	// Sparse reports whether this holder's zone is so large that only the holders of its pools hold tokens, and this
+	// holder holds no pool.
+	Sparse() bool
 	// Borrow reserves a part of another holder's grant.
 	Borrow(ctx context.Context, l Loan) LoanResult
 	// Return ends loans that one holder has given.
@@ -52,6 +57,7 @@
 	Lender      string        // the holder that gave the loan; empty: none
 	Unconfirmed []string      // holders that may have given it, but did not answer
 	RetryAfter  time.Duration // the earliest time at which a holder that refused may have enough; 0: unknown
+	Exhausted   bool          // a pool of the zone reports that the budget is exhausted
 }
 
 // ErrNotDelivered reports that no leader has accepted a submission, so none of its rows will be written.
@@ -78,6 +84,9 @@
 	Rows   map[string]Need `cbor:"3,keyasint,omitempty"` // by customer
 	// Start is the report of this process's start. It is set until the rows of earlier processes are settled.
 	Start Report `cbor:"4,keyasint,omitempty"`
+	// Dormant marks the part of a holder that holds no tokens. It adds no row, and only settles those of the holder's
+	// earlier processes.
+	Dormant bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Receipt is the response to a Submission.
@@ -98,6 +107,7 @@
 	// Unsettled is set if rows of the node's earlier holders are left.
 	Unsettled bool  `cbor:"7,keyasint,omitempty"`
 	Epoch     int64 `cbor:"8,keyasint,omitempty"` // of the store, at the page's write; 0: it has none
+	Dormant   bool  `cbor:"9,keyasint,omitempty"` // the part was a dormant holder's, and was taken as one
 }
 
 // AccountReceipt is the state of one customer's account for a holder.
@@ -121,6 +131,8 @@
 	MaxTokens int64  `cbor:"4,keyasint"`
 	Rank      int    `cbor:"5,keyasint,omitempty"`
 	HeldOnly  bool   `cbor:"6,keyasint,omitempty"` // the lending holder does not refresh its grant for the loan
+	// Dormant is set if the requesting holder reports no demand of its own, so that the lending holder counts it.
+	Dormant bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Repayment ends loans of one lending holder with what was used of each.
--- a/internal/escrow/group.go
+++ b/internal/escrow/group.go
@@ -80,7 +80,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.now()
-	if !s.Relayed {
+	if !s.Relayed && len(s.DemandRates) > 0 {
 		h.zoneDemand[s.Holder] = reportedDemand{rates: s.DemandRates, at: now}
 	}
 	out := make([]*pendingPart, 0, len(s.Parts))
@@ -89,7 +89,7 @@
 			continue
 		}
 		p := &pendingPart{
-			holder: s.Holder, part: part, arrived: now, relayed: s.Relayed, urgent: part.Report.Count == 1 || (s.Relayed && part.urgent()),
+			holder: s.Holder, part: part, arrived: now, relayed: s.Relayed, urgent: (part.Report.Count == 1 && !part.Dormant) || (s.Relayed && part.urgent()),
 			done: make(chan struct{}),
 		}
 		page := h.pages[part.Page]
@@ -173,6 +173,9 @@
 // applyPart applies one part to a page. It skips a part that does not directly follow the holder's row in the page. The
 // caller holds mu.
 func (h *Holder) applyPart(x *pendingPart, g *granter) PartReceipt {
+	if x.part.Dormant {
+		return x.settleDormant(g)
+	}
 	targets := make(map[string]int64, len(x.part.Rows))
 	if g.page.isNextPart(x.holder, x.part.Report) {
 		h.grantPart(x, g, targets)
@@ -249,6 +252,7 @@
 
 // reserveLoan reserves tokens for a loan from what this holder has, or from what a refresh brings.
 func (h *Holder) reserveLoan(ctx context.Context, l Loan) (*Reservation, error) {
+	h.countLoanDemand(l)
 	var r *Reservation
 	var err error
 	if l.HeldOnly || h.isFollower() {
@@ -261,8 +265,11 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	after := retryLater
-	if a := h.accounts[l.Customer]; a != nil {
+	after, a := retryLater, h.accounts[l.Customer]
+	if err := h.exhausted(a, l.MaxTokens); err != nil && l.Dormant {
+		return nil, err
+	}
+	if a != nil {
 		after = h.retryAfter(a, l.MaxTokens)
 	}
 	return nil, verdict.New(verdict.NotRun, verdict.CodeBudgetUnavailable, "nothing to lend", verdict.WithRetryAfter(after), verdict.WithCause(err))
--- a/internal/escrow/holder.go
+++ b/internal/escrow/holder.go
@@ -107,6 +107,9 @@
 	unreachableSince map[string]time.Time       // since when repayments to a holder have failed; only Repayments uses it
 
 	wakeups chan struct{}
+
+	active           bool // this holder has had rows, or is about to: see isDormant
+	readyWithoutRows bool // it was dormant when it became ready
 }
 
 // pageState is the holder's state of one page.
@@ -129,6 +132,8 @@
 	verifiedAt  time.Time        // when the copy was known to be the newest
 	selfWritten bool             // this holder has written the copy
 	reported    map[string]int64 // spent, by customer, as last written
+	// settledEarlier is set if this holder is dormant and the rows of the node's earlier processes are settled.
+	settledEarlier bool
 }
 
 // Option changes a Holder.
@@ -256,10 +261,13 @@
 	return time.Duration(max(1, min(h.holderCount/holdersPerInterval, maxIntervalFactor)))
 }
 
-// Ready reports whether the holder has joined all pages and has accounts.
+// Ready reports whether the holder has accounts, and has joined all pages unless it is dormant.
 func (h *Holder) Ready() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.readyWithoutRows {
+		return true
+	}
 	for _, p := range h.pages {
 		if !p.joined {
 			return false
--- a/internal/escrow/leave.go
+++ b/internal/escrow/leave.go
@@ -12,6 +12,9 @@
 
 // Leave returns everything unspent and removes the holder from every page. It retries until ctx ends.
 func (h *Holder) Leave(ctx context.Context) error {
+	if h.isDormant() {
+		return nil
+	}
 	ctx = external.WithFinalCall(ctx)
 	for _, p := range h.pages {
 		for {
--- a/internal/escrow/need.go
+++ b/internal/escrow/need.go
@@ -69,7 +69,7 @@
 	remaining := float64(max(0, a.remaining))
 	switch {
 	case role == RolePool:
-		return int64(remaining * h.policy.PoolStartShare * min(1, float64(h.fleet.ZoneSize())/float64(holders)))
+		return int64(remaining * h.policy.PoolStartShare * min(1, float64(h.fleet.ZoneSize())/float64(max(holders, h.fleet.Size()))))
 	case a.othersDemand > 0 && role == RoleStandalone:
 		return a.othersDemand
 	}
--- a/internal/escrow/property_test.go
+++ b/internal/escrow/property_test.go
@@ -98,6 +98,8 @@
 }
 func (f *simFleet) Relays() bool  { return f.node.leadsZone && f.node.link != linkNone }
 func (f *simFleet) ZoneSize() int { return propertyNodes }
+func (f *simFleet) Size() int     { return propertyNodes }
+func (f *simFleet) Sparse() bool  { return f.node != f.world.nodes[0] && f.node.sparse }
 func (f *simFleet) Role(string) Role {
 	if f.node == f.world.nodes[0] {
 		return RolePool
@@ -184,6 +186,7 @@
 	hasFleetTime bool // the fleet's time is known
 	leadsZone    bool // it leads a zone of its own
 	inLedZone    bool // it belongs to that zone
+	sparse       bool // only other holders of its zone hold tokens
 	holder       *Holder
 	reservations []*simReservation
 	starts       int
@@ -259,6 +262,11 @@
 // refresh makes one round of refreshes, like the holder's loop.
 func (w *world) refresh(n *simNode) {
 	n.holder.startRound()
+	if n.holder.isDormant() {
+		n.holder.beDormant(context.Background())
+		return
+	}
+	n.holder.activate()
 	switch {
 	case n.holder.isFollower():
 		n.holder.submit(context.Background(), true)
@@ -384,6 +392,7 @@
 		n.link = rapid.IntRange(linkNone, linkModes-1).Draw(t, "link")
 		n.hasFleetTime = rapid.Bool().Draw(t, "timed")
 		n.role = rapid.SampledFrom([]Role{RoleStandalone, RolePooled}).Draw(t, "role")
+		n.sparse = rapid.Bool().Draw(t, "sparse")
 	case 18:
 		n.holder.repayAll(context.Background())
 	case 19:
@@ -456,7 +465,7 @@
 	w.store.RestoreTo(rapid.Int64Range(max(0, number-maxRollback), number).Draw(t, "restored to"))
 	first := reach[rapid.IntRange(0, len(reach)-1).Draw(t, "first")]
 	link, leadsZone := first.link, first.leadsZone
-	first.link, first.leadsZone = linkNone, false
+	first.link, first.leadsZone, first.sparse = linkNone, false, false
 	for range 3 { // the first write may run into the new epoch
 		w.refresh(first)
 	}
--- a/internal/escrow/refresh.go
+++ b/internal/escrow/refresh.go
@@ -33,6 +33,11 @@
 	if h.fleet != nil && !h.Ready() && !h.fleet.Settled() {
 		return
 	}
+	if h.isDormant() {
+		h.beDormant(ctx)
+		return
+	}
+	h.activate()
 	follower, relay := h.isFollower(), h.isRelay()
 	switch {
 	case follower:
@@ -87,9 +92,12 @@
 // waitBounds returns the longest and the shortest time until the next round. A holder that has not joined all its pages
 // cannot serve, so it tries again soon. The time is random, since many holders may start at once after a fault.
 func (h *Holder) waitBounds() (longest, shortest time.Duration) {
-	follower := h.isFollower()
+	follower, dormant := h.isFollower(), h.isDormant()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if dormant && h.readyWithoutRows {
+		return h.times.SubmitInterval, h.times.SubmitInterval
+	}
 	shortest = h.times.MinGap * h.fleetSizeFactor()
 	for _, p := range h.pages {
 		if !p.joined && len(h.accounts) > 0 {
--- a/internal/escrow/remote/remote.go
+++ b/internal/escrow/remote/remote.go
@@ -74,6 +74,12 @@
 	return escrow.RoleStandalone
 }
 
+// Size implements escrow.Fleet.
+func (f *Fleet) Size() int { return f.dir.Size() }
+
+// Sparse implements escrow.Fleet.
+func (f *Fleet) Sparse() bool { return f.dir.HasRelays() && f.dir.Pooled() }
+
 // ZoneSize implements escrow.Fleet.
 func (f *Fleet) ZoneSize() int { return f.dir.ZoneSize() }
 
@@ -111,6 +117,7 @@
 			out.Unconfirmed = append(out.Unconfirmed, p.Addr)
 		default:
 			out.RetryAfter = minNonZero(out.RetryAfter, verdict.From(err).RetryAfter())
+			out.Exhausted = out.Exhausted || verdict.From(err).Code() == verdict.CodeBudgetExhausted
 		}
 		if ctx.Err() != nil {
 			break
--- a/internal/escrow/reserve.go
+++ b/internal/escrow/reserve.go
@@ -202,6 +202,9 @@
 	if a.unspent() < maxTokens && h.storeAnswering() {
 		return verdict.New(verdict.NotRun, verdict.CodeBudgetExhausted, a.exhaustedDetail(), verdict.WithRetryAfter(retryLater))
 	}
+	if a.lenderExhausted {
+		return verdict.New(verdict.NotRun, verdict.CodeBudgetExhausted, a.exhaustedDetail(), verdict.WithRetryAfter(retryLater))
+	}
 	if errors.Is(why, errHeldForFirstRanks) {
 		return refuseBudget("what is left here is kept for the customer's first ranks in a cut", retryLater)
 	}
--- a/internal/peers/lenders.go
+++ b/internal/peers/lenders.go
@@ -7,10 +7,23 @@
 
 const (
 	minPoolZoneSize = 4 // from this size on, a zone's tokens are pooled at a few of its instances
-	poolHolders     = 2 // number of instances that hold a zone's pools; customers are spread over them
+	minPoolHolders  = 2 // number of instances that hold a zone's pools, at least; customers are spread over them
 	maxLenders      = 4 // in a large fleet, the maximum number of instances from which one loan is requested
+
+	instancesPerPoolHolder = 50 // one instance more holds pools for each so many of a zone
 )
 
+// poolHolders returns the number of instances that hold the pools of a zone of n instances.
+func poolHolders(n int) int { return max(minPoolHolders, n/instancesPerPoolHolder) }
+
+// Pooled reports whether the own zone pools all customers' tokens, and this instance holds none of the pools.
+func (d *Directory) Pooled() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := len(d.zones[d.self.Peer.Zone])
+	return d.pooling && n >= minPoolZoneSize && d.isLarge() && d.rank >= poolHolders(n)
+}
+
 // Pool reports whether the own zone pools a customer's tokens, and whether this instance holds that pool.
 func (d *Directory) Pool(customer string) (pooled, here bool) {
 	d.mu.Lock()
@@ -27,7 +40,7 @@
 func (d *Directory) tokenHolders(customer string, zone []Record) []mesh.Peer {
 	n := len(zone)
 	if n >= minPoolZoneSize && d.isLarge() {
-		n = poolHolders
+		n = poolHolders(n)
 	}
 	list := make([]mesh.Peer, 0, n)
 	for _, r := range zone[:n] {
@@ -47,7 +60,7 @@
 	if !d.linked() {
 		return nil
 	}
-	limit, nearLimit, perFarZone := maxLenders, poolHolders, 1
+	limit, nearLimit, perFarZone := maxLenders, minPoolHolders, 1
 	if !d.isLarge() {
 		limit, nearLimit, perFarZone = len(d.records), len(d.records), len(d.records)
 	}
