fix: an instance that does not know the size of its fleet reads no whole list

Cause: an instance that starts knew its own record only, took its zone for a small one, and after 1.5 s read the endpoints from the store: in a trial 984 instances at once, which filled the store's link, so that the records that would have told the size did not arrive either (of 984 reads of the first page none arrived in time).

--- a/internal/peers/tree.go
+++ b/internal/peers/tree.go
@@ -80,20 +80,16 @@
 )
 
 // ReadsStore reports whether this instance may read whole lists from the store after it has received nothing from its
-// parents for a time. An instance that knows no record may not: a store that does not answer such a small call answers
-// no large one either.
+// parents for a time. An instance that does not know yet how large its fleet is may not: if all instances did so when
+// they start, the store's link would be full, and they would not find each other.
 func (d *Directory) ReadsStore(without time.Duration) bool {
 	if d.self.Peer.Addr == "" {
 		return true
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	zone := len(d.zones[d.self.Peer.Zone])
-	if zone == 0 {
-		return false
-	}
-	if relayCount(zone) == 0 {
-		return true
+	if relayCount(len(d.zones[d.self.Peer.Zone])) == 0 {
+		return d.whole
 	}
 	return without >= time.Duration(min(d.rank, maxLeaders))*leaderReadDelay+time.Duration(d.rank)*rankReadDelay
 }
--- a/internal/quarantine/replicator.go
+++ b/internal/quarantine/replicator.go
@@ -117,14 +117,17 @@
 
 // Run implements kernel.Service.
 func (r *Replicator) Run(ctx context.Context) error {
-	r.loadAtStart(ctx)
 	poll := time.NewTicker(pollInterval)
 	defer poll.Stop()
+	discovered := r.dir.Discovered()
 	saved := false // since the last poll: an instance writes at most twice a second, however many endpoints crash
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-discovered:
+			discovered = nil
+			r.loadAtStart(ctx)
 		case <-r.wake:
 			r.push(ctx)
 			if !saved {
@@ -166,15 +169,9 @@
 	}
 }
 
-// loadAtStart reads the store once, as soon as the fleet has been discovered, or after pollInterval. In a large fleet
-// only leaders do so, and the other instances receive the records from them.
+// loadAtStart reads the store once, when the fleet has been discovered. In a large fleet only leaders do so, and the
+// other instances receive the records from them.
 func (r *Replicator) loadAtStart(ctx context.Context) {
-	select {
-	case <-r.dir.Discovered():
-	case <-time.After(pollInterval):
-	case <-ctx.Done():
-		return
-	}
 	if !r.dir.Large() || r.dir.Leads() {
 		r.load(ctx)
 	}
