fix: an instance that starts reads its zone's records again before those of all zones

Change: all records are read only after a read of the own zone's records that others had time to write. Log lines about endpoints are bounded for one update; 50 instances wrote 159,000 while the endpoints started.

--- a/internal/fleettime/fleettime.go
+++ b/internal/fleettime/fleettime.go
@@ -197,8 +197,10 @@
 // record stores the clocks of a report. The caller holds mu.
 func (c *Clock) record(from string, report clockReport) {
 	wall, steady := time.UnixMilli(report.WallMs), c.steady()
-	list := []reading{{wall: wall, steady: steady}}
-	for _, ms := range report.AheadMs[:min(len(report.AheadMs), maxForwarded)] {
+	ahead := report.AheadMs[:min(len(report.AheadMs), maxForwarded)]
+	list := make([]reading, 0, 1+len(ahead))
+	list = append(list, reading{wall: wall, steady: steady})
+	for _, ms := range ahead {
 		list = append(list, reading{wall: wall.Add(time.Duration(ms) * time.Millisecond), steady: steady})
 	}
 	c.readings[from] = list
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -361,18 +361,31 @@
 	}
 }
 
+// maxEndpointLines is the maximum number of log lines about endpoints of one update.
+const maxEndpointLines = 20
+
 func (f *Follower) applyEndpoints(u Update) {
+	changes := 0
 	for _, e := range u.Endpoints {
-		if f.pool.Put(e) {
+		if !f.pool.Put(e) {
+			continue
+		}
+		if changes++; changes <= maxEndpointLines {
 			f.log.Info().Str("event", "endpoint_seen").Str("endpoint", e.ID).Str("service", e.Service).Str("address", e.Addr).
 				Bool("draining", e.Draining).Int64("revision", u.At).Msg("endpoint added or changed")
 		}
 	}
 	for _, id := range u.Removed {
-		if f.pool.Remove(id) {
+		if !f.pool.Remove(id) {
+			continue
+		}
+		if changes++; changes <= maxEndpointLines {
 			f.log.Info().Str("event", "endpoint_gone").Str("endpoint", id).Int64("revision", u.At).Msg("endpoint's record removed")
 		}
 	}
+	if changes > maxEndpointLines {
+		f.log.Info().Str("event", "endpoints_changed").Int("more", changes-maxEndpointLines).Int64("revision", u.At).Msg("more endpoints were added, changed or removed")
+	}
 }
 
 func (f *Follower) logEndpoints(event string, added, removed int, at int64) {
--- a/internal/member/rendezvous.go
+++ b/internal/member/rendezvous.go
@@ -8,7 +8,7 @@
 	"github.com/ledgemount/ledgemount/internal/mesh"
 )
 
-// score is the weight of a peer for a key in rendezvous hashing.
+// Weight is the weight of a peer for a key in rendezvous hashing.
 func Weight(key, id string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
--- a/internal/peers/directory.go
+++ b/internal/peers/directory.go
@@ -91,6 +91,7 @@
 
 	mu         sync.Mutex
 	startedAt  time.Time
+	zoneKnown  bool // the records of the own zone were read when the others had had time to start
 	whole      bool // the records of all zones are known
 	roster     roster
 	restarted  bool // the store held a record of an earlier process of this instance
--- a/internal/peers/read.go
+++ b/internal/peers/read.go
@@ -22,21 +22,19 @@
 // rosterLifetime is how long after the last contact with a parent that has the roster an instance reads no records.
 const rosterLifetime = 15 * time.Second
 
-// scope returns which records to read now. An instance that has just started reads those of its zone, which tell how
-// large the fleet may be, and then those of all zones once the others have had time to start too. In a zone with relays
-// only the leaders read all.
+// scope returns which records to read now. An instance that has just started reads those of its zone until the others
+// have had time to start too. They tell how large the fleet may be: in a zone with relays only the leaders read those of
+// all zones.
 func (d *Directory) scope() scope {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now, zone := d.now(), len(d.zones[d.self.Peer.Zone])
+	relays := relayCount(len(d.zones[d.self.Peer.Zone]))
 	switch {
-	case zone == 0:
+	case !d.zoneKnown:
 		return scopeZone
-	case relayCount(zone) == 0 && !d.whole && !d.restarted && now.Sub(d.startedAt) < d.times.Settle:
-		return scopeZone
-	case relayCount(zone) == 0, d.rank < maxLeaders:
+	case relays == 0, d.rank < maxLeaders:
 		return scopeFleet
-	case !d.roster.heardAt.IsZero() && now.Sub(d.roster.heardAt) < rosterLifetime:
+	case !d.roster.heardAt.IsZero() && d.now().Sub(d.roster.heardAt) < rosterLifetime:
 		return scopeNone
 	}
 	return scopeZone
@@ -46,8 +44,8 @@
 func (d *Directory) updateRecords(ctx context.Context) {
 	first := d.scope()
 	err := d.read(ctx, first)
-	if err == nil && first == scopeZone && d.hasRestarted() && d.scope() == scopeFleet {
-		err = d.read(ctx, scopeFleet) // the others are running already
+	if err == nil && first == scopeZone && d.scope() == scopeFleet {
+		err = d.read(ctx, scopeFleet)
 	}
 	if err != nil {
 		d.log.Debug().Str("event", "peers_unread").Err(err).Msg("instances' records not read")
@@ -56,12 +54,13 @@
 
 func (d *Directory) read(ctx context.Context, which scope) error {
 	switch which {
-	case scopeNone:
-		return nil
 	case scopeZone:
 		return d.readZone(ctx)
+	case scopeFleet:
+		return d.readRecords(ctx)
+	case scopeNone:
 	}
-	return d.readRecords(ctx)
+	return nil
 }
 
 // readRecords reads all records.
@@ -76,6 +75,7 @@
 
 // readZone reads the records of the own zone. Those of the others remain.
 func (d *Directory) readZone(ctx context.Context) error {
+	calledAt := d.now()
 	records, err := d.list(ctx, d.zonePrefix())
 	if err != nil {
 		return err
@@ -87,6 +87,8 @@
 		}
 	}
 	whole := d.whole
+	// After a restart the others are running already.
+	d.zoneKnown = d.zoneKnown || d.restarted || calledAt.Sub(d.startedAt) >= d.times.Settle
 	d.mu.Unlock()
 	d.setRecords(records, whole)
 	return nil
@@ -124,12 +126,6 @@
 	return records, nil
 }
 
-func (d *Directory) hasRestarted() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.restarted
-}
-
 // addMissing adds the known records that the given ones lack.
 func (d *Directory) addMissing(records map[string]Record) {
 	d.mu.Lock()
--- a/internal/peers/tree_test.go
+++ b/internal/peers/tree_test.go
@@ -200,12 +200,37 @@
 		f.dirs[last].updateRecords(ctx)
 		So(f.stores[last].entries, ShouldEqual, 20)
 		So(f.dirs[last].Settled(), ShouldBeFalse)
+		So(f.dirs[last].ReadsStore(time.Minute), ShouldBeFalse)
 		f.at = f.at.Add(f.dirs[last].times.Settle)
 		f.dirs[last].updateRecords(ctx)
 		So(f.dirs[last].Size(), ShouldEqual, 80)
 	})
 }
 
+// TestStart counts the entries that the instances read if none has a record when they first read.
+func TestStart(t *testing.T) {
+	ctx := context.Background()
+	Convey("Instances of zones with relays that start at once do not all read the records of all zones", t, func() {
+		const zones, size = 3, 100
+		f := newLargeZones(zones, size)
+		for _, d := range f.dirs {
+			d.setRecords(map[string]Record{d.self.Peer.ID: d.self}, false) // as after a read of an empty store
+		}
+		f.at = f.at.Add(f.dirs[0].times.Settle)
+		for _, d := range f.dirs {
+			d.updateRecords(ctx)
+		}
+		whole := 0
+		for _, s := range f.stores {
+			So(s.entries, ShouldBeLessThanOrEqualTo, size+zones*size)
+			if s.entries > size {
+				whole++
+			}
+		}
+		So(whole, ShouldEqual, zones*maxLeaders)
+	})
+}
+
 func isClosed(c <-chan struct{}) bool {
 	select {
 	case <-c:
