perf: many changed endpoints are sent packed, and packed once for all that ask for them

Change: 32 changes and more are packed, once for all requesters with the same cursor, for requesters that can unpack.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -43,6 +43,9 @@
 	listCacheTime      = 500 * time.Millisecond  // reuse of an encoded endpoint list: after a fault many ask at once
 )
 
+// minPacked is the number of changed endpoints from which they are sent packed.
+const minPacked = 32
+
 // maxUnpackedBytes limits the decompressed size of a configuration or an endpoint list.
 const maxUnpackedBytes = 64 << 20
 
@@ -54,6 +57,7 @@
 	// Roster is the version of the requester's roster. It is requested if WantRoster is set.
 	Roster     uint64 `cbor:"4,keyasint,omitempty"`
 	WantRoster bool   `cbor:"5,keyasint,omitempty"`
+	Unpacks    bool   `cbor:"6,keyasint,omitempty"` // the requester can decode updateReply.Packed
 }
 
 // newRequest makes the request of an instance that has followed the store up to a cursor. If the cursor is of an
@@ -106,6 +110,7 @@
 	// that version.
 	Roster     uint64 `cbor:"13,keyasint,omitempty"`
 	RosterData []byte `cbor:"14,keyasint,omitempty"`
+	Packed     []byte `cbor:"15,keyasint,omitempty"` // packed []pool.Endpoint: many that have changed, in place of Endpoints
 }
 
 // Follower returns the changes that it has followed. follow.Follower implements it.
@@ -127,6 +132,9 @@
 	mu     sync.Mutex
 	config encoded // keyed by its version
 	all    encoded // all endpoints, keyed by the store's revision
+	// changed holds encoded changes by the revision since which they were requested. They reach up to changedAt.
+	changed   map[int64][]byte
+	changedAt int64
 }
 
 // encoded is a value that is encoded once for many instances.
@@ -177,12 +185,36 @@
 		}
 		reply.At = external.NumberOf(at)
 	}
+	if req.Unpacks && len(reply.Endpoints) >= minPacked {
+		if reply.Packed, err = s.packedChanges(u, since.At); err != nil {
+			return updateReply{}, err
+		}
+		reply.Endpoints = nil
+	}
 	if u.Config != nil {
 		reply.Config, err = s.encodedConfig(u.Config)
 	}
 	return reply, err
 }
 
+// packedChanges returns the encoded changes of an update since a revision. Requesters that are up to date ask for the
+// same changes, which are encoded once for all of them.
+func (s *server) packedChanges(u follow.Update, since int64) ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.changed == nil || s.changedAt != u.At {
+		s.changed, s.changedAt = make(map[int64][]byte), u.At
+	}
+	if data := s.changed[since]; data != nil {
+		return data, nil
+	}
+	data, err := pack(u.Endpoints)
+	if err == nil {
+		s.changed[since] = data
+	}
+	return data, err
+}
+
 // encodedEndpoints returns an encoded list of all endpoints and its revision. The list is shared by all requests within
 // listCacheTime. Requesters ask for the changes since that revision next. The list is rebuilt if it is older than what
 // the requester has already seen.
@@ -403,6 +435,7 @@
 // request makes the request for the changes since a cursor. In a zone with relays it also requests the roster.
 func (s *Source) request(since follow.Cursor) updateRequest {
 	req := newRequest(since, s.epochs.Current())
+	req.Unpacks = true
 	if s.dir.HasRelays() {
 		req.Roster, req.WantRoster = s.dir.RosterVersion(), true
 	}
@@ -435,8 +468,11 @@
 		At: external.Revision(reply.Epoch, reply.At), ConfigAt: external.Revision(reply.Epoch, reply.ConfigAt), Complete: reply.Complete, Endpoints: reply.Endpoints, Removed: reply.Removed,
 		Events: 1, FromPeer: true, Age: age, OperatorAt: operator, Evacuated: &evacuation.Set{At: operator, Zones: reply.Evacuated},
 	}
-	if len(reply.All) > 0 {
-		if u.Endpoints, err = unpack[[]pool.Endpoint](reply.All); err != nil {
+	for _, packed := range [][]byte{reply.All, reply.Packed} {
+		if len(packed) == 0 {
+			continue
+		}
+		if u.Endpoints, err = unpack[[]pool.Endpoint](packed); err != nil {
 			return follow.Update{}, err
 		}
 	}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -283,6 +284,32 @@
 		So(f.member.follower.Table().Version(), ShouldEqual, 4)
 	})
 
+	Convey("Many changes are sent packed, are encoded once, and arrive whole", t, func() {
+		f := newFixture(ctx)
+		f.lead.store.update = follow.Update{Config: config(3), ConfigAt: 7, At: 9, Events: 1, Endpoints: []pool.Endpoint{endpoint("e-0")}}
+		So(f.lead.follower.Step(ctx), ShouldBeNil)
+		So(f.member.follower.Step(ctx), ShouldBeNil)
+		const changes = 1000
+		update := follow.Update{At: 12, ConfigAt: 7, Events: changes}
+		for i := range changes {
+			update.Endpoints = append(update.Endpoints, endpoint(fmt.Sprintf("e-%d", i)))
+		}
+		f.lead.store.update = update
+		So(f.lead.follower.Step(ctx), ShouldBeNil)
+		s := &server{follower: f.lead.follower, dir: f.lead.dir, epochs: external.NewEpochs()}
+		first, err := s.handleUpdate(ctx, mesh.Peer{}, updateRequest{At: 9, Unpacks: true})
+		So(err, ShouldBeNil)
+		second, err := s.handleUpdate(ctx, mesh.Peer{}, updateRequest{At: 9, Unpacks: true})
+		So(err, ShouldBeNil)
+		So(&second.Packed[0], ShouldEqual, &first.Packed[0])
+		So(len(first.Packed), ShouldBeLessThan, 30*changes)
+		older, err := s.handleUpdate(ctx, mesh.Peer{}, updateRequest{At: 9})
+		So(err, ShouldBeNil)
+		So(older.Endpoints, ShouldHaveLength, changes-1)
+		So(f.member.follower.Step(ctx), ShouldBeNil)
+		So(f.member.pool.Len(), ShouldEqual, changes)
+	})
+
 	Convey("A list of all endpoints is encoded once for many requesters, which receive the changes since then next", t, func() {
 		f := newFixture(ctx)
 		f.lead.store.update = follow.Update{Config: config(3), ConfigAt: 7, At: 9, Events: 1, Endpoints: []pool.Endpoint{endpoint("e-1")}}
