--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -66,6 +66,7 @@
 // Roles of instances.
 const (
 	RoleMember Role = "member" // has no tasks for others, or the fleet is small
+	RoleRelay  Role = "relay"  // passes on what its zone's leader has to a part of the zone
 	RoleLeader Role = "leader" // leads its availability zone
 	RoleWriter Role = "writer" // a leader that also watches the store and writes budgets for the leaders of other zones
 )
@@ -73,6 +74,8 @@
 // role returns this instance's role according to its own view of the fleet.
 func (r *Router) role() Role {
 	switch {
+	case r.peers.Large() && r.peers.IsRelay() && !r.peers.Leads():
+		return RoleRelay
 	case !r.peers.Large() || !r.peers.Leads():
 		return RoleMember
 	case len(r.peers.FleetLeaders()) > 0:
