fix: pools of sparse zones get what a loan lacks while the request waits; a quiet history is checked by one page

Change: (1) holders of pools in zones with relays pass their rows to the writer themselves, as urgent where a request waits, and a loan to a dormant holder waits for them for most of its time.

--- a/internal/escrow/dormant.go
+++ b/internal/escrow/dormant.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/ledgemount/ledgemount/internal/verdict"
 )
@@ -82,6 +83,15 @@
 	}
 }
 
+// loanWait returns how long a loan waits for a refresh. A dormant holder can hardly get the tokens elsewhere, so nearly
+// all of its time is used.
+func (h *Holder) loanWait(l Loan) time.Duration {
+	if l.Dormant {
+		return h.times.LoanTimeout * 5 / 6
+	}
+	return h.times.ReserveWait
+}
+
 // exhausted returns the error of a rejected loan if the budget is exhausted, else nil. The caller holds mu.
 func (h *Holder) exhausted(a *account, maxTokens int64) error {
 	if a == nil || a.prepaid < 0 || a.unspent() >= maxTokens || !h.storeAnswering() {
--- a/internal/escrow/fleet.go
+++ b/internal/escrow/fleet.go
@@ -22,7 +22,7 @@
 	Leads() bool
 	// LeadersUnreachable reports whether this holder writes its own rows only because the leaders cannot be reached.
 	LeadersUnreachable() bool
-	// Relays reports whether this holder leads its zone, and the leader of another zone writes for this zone too.
+	// Relays reports whether this holder leads its zone, or holds pools of a sparse one, and another leader writes for it.
 	Relays() bool
 	// Submit passes rows to the leader. A holder that relays passes its zone's rows to the leader of another zone.
 	// After ErrNotDelivered none of them will be written; after any other error they may be.
@@ -73,7 +73,7 @@
 	DemandRates map[string]float64 `cbor:"3,keyasint,omitempty"` // demand at this holder in tokens per second, by customer
 	// Zone has submissions of one part each, which a zone's leader relays for the zone's other holders.
 	Zone    []Submission `cbor:"4,keyasint,omitempty"`
-	Relayed bool         `cbor:"5,keyasint,omitempty"` // it comes from the leader of another zone
+	Relayed bool         `cbor:"5,keyasint,omitempty"` // it comes from a holder that relays
 }
 
 // Part is a Submission's part for one page. It is written only if its Report.Count directly follows the holder's last
--- a/internal/escrow/group.go
+++ b/internal/escrow/group.go
@@ -258,7 +258,7 @@
 	if l.HeldOnly || h.isFollower() {
 		r, _, err = h.tryReserve(l.Customer, l.MaxTokens, l.Rank, true)
 	} else {
-		r, err = h.reserveWithRefresh(ctx, l.Customer, l.MaxTokens, l.Rank, true)
+		r, err = h.reserveWithRefresh(ctx, l.Customer, l.MaxTokens, l.Rank, waitForRefresh{forLoan: true, limit: h.loanWait(l)})
 	}
 	if r != nil && r.holder != nil {
 		return r, nil
--- a/internal/escrow/remote/remote.go
+++ b/internal/escrow/remote/remote.go
@@ -53,14 +53,25 @@
 // Large implements escrow.Fleet.
 func (f *Fleet) Large() bool { return f.dir.Large() }
 
-// Leads implements escrow.Fleet.
-func (f *Fleet) Leads() bool { return f.dir.Leads() }
+// Leads implements escrow.Fleet. The holders of pools in a zone with relays pass their rows to the writer themselves: no
+// other holder of the zone has rows, and a request waits for theirs.
+func (f *Fleet) Leads() bool { return f.dir.Leads() || f.poolsForRelays() }
+
+func (f *Fleet) poolsForRelays() bool { return f.dir.HasRelays() && !f.dir.Pooled() }
 
 // LeadersUnreachable implements escrow.Fleet.
 func (f *Fleet) LeadersUnreachable() bool { return f.dir.LeadersUnreachable() }
 
 // Relays implements escrow.Fleet.
-func (f *Fleet) Relays() bool { return f.dir.Leads() && len(f.dir.FleetLeaders()) > 0 }
+func (f *Fleet) Relays() bool { return f.Leads() && len(f.writers()) > 0 }
+
+// writers returns the holders to which a holder that leads passes rows.
+func (f *Fleet) writers() []mesh.Peer {
+	if list := f.dir.FleetLeaders(); len(list) > 0 || !f.poolsForRelays() {
+		return list
+	}
+	return f.dir.Leaders()
+}
 
 // Role implements escrow.Fleet.
 func (f *Fleet) Role(customer string) escrow.Role {
@@ -88,7 +99,7 @@
 func (f *Fleet) Submit(ctx context.Context, s escrow.Submission) (escrow.Receipt, error) {
 	leaders := f.dir.Leaders()
 	if s.Relayed {
-		leaders = f.dir.FleetLeaders()
+		leaders = f.writers()
 	}
 	for _, p := range leaders {
 		r, err := peers.Call[escrow.Submission, escrow.Receipt](ctx, f.dir, p, KindSubmit, s)
--- a/internal/escrow/reserve.go
+++ b/internal/escrow/reserve.go
@@ -84,7 +84,7 @@
 		}
 	}
 	if err == nil && !h.isFollower() {
-		if r, err := h.reserveWithRefresh(ctx, customer, maxTokens, rank, false); r != nil || ctx.Err() != nil {
+		if r, err := h.reserveWithRefresh(ctx, customer, maxTokens, rank, waitForRefresh{limit: h.times.ReserveWait}); r != nil || ctx.Err() != nil {
 			return r, err
 		}
 	}
@@ -95,11 +95,17 @@
 	return nil, h.refuse(customer, maxTokens, err, max(retryAfter, lastRetry))
 }
 
+// waitForRefresh is how a reservation waits for a refresh.
+type waitForRefresh struct {
+	limit   time.Duration
+	forLoan bool // the reservation is for a request at another holder
+}
+
 // reserveWithRefresh reserves from this holder's own grant, and waits for a refresh if the grant is too small.
-func (h *Holder) reserveWithRefresh(ctx context.Context, customer string, maxTokens int64, rank int, forLoan bool) (*Reservation, error) {
+func (h *Holder) reserveWithRefresh(ctx context.Context, customer string, maxTokens int64, rank int, wait waitForRefresh) (*Reservation, error) {
 	var end <-chan time.Time
 	for {
-		r, changed, err := h.tryReserve(customer, maxTokens, rank, forLoan)
+		r, changed, err := h.tryReserve(customer, maxTokens, rank, wait.forLoan)
 		if r != nil || err != nil {
 			return r, err
 		}
@@ -107,7 +113,7 @@
 			if !h.refreshMayHelp(customer, maxTokens) {
 				return nil, errGrantTooSmall
 			}
-			t := time.NewTimer(h.times.ReserveWait)
+			t := time.NewTimer(wait.limit)
 			defer t.Stop()
 			end = t.C
 			h.addWaiting(customer, maxTokens)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -43,6 +43,7 @@
 	Age         time.Duration      // time since that instance received a response from the store
 	Partial     bool               // further parts of the snapshot follow, from Next
 	Next        Part
+	Newest      int64 // the highest revision of a record in a snapshot, or in a part of one
 }
 
 // Part is the position from which a snapshot that is read in several calls continues. The zero value is its beginning.
@@ -109,6 +110,7 @@
 	answered       time.Time
 	contact        time.Time // see LastContact
 	lastChange     time.Time // time of the last response that reported any change
+	lastChangeAt   int64     // the revision up to which that response reached
 	historySuspect bool      // responses have reported no change for Times.Silence
 	failed         int       // consecutive failed calls for changes
 	lastFromPeer   bool      // the last response came from another instance
@@ -274,6 +276,9 @@
 	}
 	f.historySuspect = now.Sub(f.lastChange) >= f.times.Silence
 	f.apply(u, u.Complete)
+	if u.Events > 0 {
+		f.lastChangeAt = f.since.At
+	}
 	f.noteContact(calledAt, u)
 	f.onPolled(fleetRecords && !u.FromPeer)
 	return nil
--- a/internal/follow/partial.go
+++ b/internal/follow/partial.go
@@ -70,6 +70,11 @@
 	case u.FromPeer:
 		f.partial = partialSnapshot{} // another instance has sent all of it
 	}
+	if f.agreesWithHistory(u) {
+		f.lastChange, f.historySuspect, f.lastFromPeer = f.now(), false, false
+		f.noteContact(calledAt, u)
+		return nil
+	}
 	f.partial.add(u, calledAt)
 	if f.partial.begun() {
 		f.applyEarly(u)
@@ -80,10 +85,19 @@
 	return nil
 }
 
+// agreesWithHistory reports whether the first part of a long snapshot, which is read because no change was reported for
+// some time, has no record that was written since the last one that was. The rest of the snapshot is not needed then:
+// had changes been withheld, some of the many endpoints in this part would have written theirs.
+func (f *Follower) agreesWithHistory(u Update) bool {
+	return f.historySuspect && !f.partial.begun() && !u.FromPeer && u.Partial && external.EpochOf(u.At) == external.EpochOf(f.since.At) &&
+		u.Newest <= f.lastChangeAt
+}
+
 // applySnapshot applies a complete snapshot that was begun at startedAt.
 func (f *Follower) applySnapshot(u Update, startedAt time.Time) {
 	f.lastChange, f.historySuspect, f.lastFromPeer = f.now(), false, u.FromPeer
 	f.apply(u, true)
+	f.lastChangeAt = u.At
 	f.noteContact(startedAt, u)
 }
 
