--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -43,6 +43,7 @@
 	Age         time.Duration      // time since that instance received a response from the store
 	Partial     bool               // further parts of the snapshot follow, from Next
 	Next        Part
+	Interrupted error // why the changes do not reach up to the store's revision; the next read continues after them
 	Newest      int64 // the highest revision of a record in a snapshot, or in a part of one
 }
 
@@ -268,6 +269,9 @@
 		f.failed++
 		return eris.Wrap(err, "reading what has changed")
 	}
+	if u.Interrupted != nil {
+		f.log.Debug().Str("event", "changes_interrupted").Err(u.Interrupted).Int64("revision", u.At).Msg("the store has further changes")
+	}
 	f.failed = 0
 	f.lastFromPeer = u.FromPeer
 	now := f.now()
--- a/internal/peers/directory.go
+++ b/internal/peers/directory.go
@@ -264,7 +264,7 @@
 
 func (d *Directory) recordKey() string { return d.zonePrefix() + d.self.Peer.ID }
 
-// oldRecordKey is the key under which builds of generation 6 and before store the record. They read the records of all
+// oldRecordKey is the key under which builds of generation 5 and before store the record. They read the records of all
 // keys, so each instance has only one of the two.
 func (d *Directory) oldRecordKey() string { return d.prefix + recordsPrefix + d.self.Peer.ID }
 
--- a/internal/peers/leaders.go
+++ b/internal/peers/leaders.go
@@ -170,6 +170,6 @@
 	if leader == d.leader {
 		return
 	}
-	d.log.Info().Str("event", "leader_changed").Str("leader", leader).Str("before", d.leader).Msg("zone's leader changed")
+	d.log.Info().Str("event", "leader_changed").Str("leader", leader).Str("before", d.leader).Msg("this instance follows another one")
 	d.leader = leader
 }
