fix: an instance that has read everything again sends on only what has changed

Change: the difference to the known list is a change like others, within an epoch of the store. Measured: TestUpdatesAfterReread: 2 of 1,001 endpoints are sent, before: all.

--- a/internal/follow/history.go
+++ b/internal/follow/history.go
@@ -95,19 +95,32 @@
 	return changed, h.evacuated.Zones()
 }
 
-// replace replaces the state by a list of all endpoints. The caller holds mu.
+// replace replaces the state by a list of all endpoints. Those that follow this instance receive the difference, unless
+// the list is of another epoch or the first one. The caller holds mu.
 func (h *history) replace(list []pool.Endpoint, at Cursor, asOf time.Time) {
-	before := h.endpoints
+	continues := h.cursor.At > 0 && external.EpochOf(h.cursor.At) == external.EpochOf(at.At)
+	before, diff := h.endpoints, batch{at: at.At}
 	h.endpoints = make(map[string]pool.Endpoint, len(list))
 	for _, e := range list {
+		if known, found := before[e.ID]; !found || known.ChangedBy(e) {
+			diff.endpoints = append(diff.endpoints, e)
+		}
 		h.endpoints[e.ID] = e
 		delete(before, e.ID)
 		delete(h.removed, e.ID)
 	}
 	for id := range before {
+		diff.removed = append(diff.removed, id)
 		h.removed.add(id, asOf)
 	}
-	h.cursor, h.oldest, h.batches = at, at.At, nil
+	h.cursor = at
+	if !continues {
+		h.oldest, h.batches = at.At, nil
+		return
+	}
+	if len(diff.endpoints)+len(diff.removed) > 0 {
+		h.push(diff)
+	}
 }
 
 func (h *history) push(b batch) {
--- a/internal/follow/partial_test.go
+++ b/internal/follow/partial_test.go
@@ -134,3 +134,39 @@
 		}
 	})
 }
+
+// TestUpdatesAfterReread counts the endpoints that are sent on after everything was read again.
+func TestUpdatesAfterReread(t *testing.T) {
+	Convey("After everything was read again, only the difference is sent to those that follow this instance", t, func() {
+		list := func(n int) []pool.Endpoint {
+			out := make([]pool.Endpoint, 0, n)
+			for i := range n {
+				out = append(out, pool.Endpoint{ID: fmt.Sprint(i), Service: "s", Addr: "1:1"})
+			}
+			return out
+		}
+		src := &scriptedSource{snapshot: Update{At: 10, Config: &route.Config{Version: 5}, Endpoints: list(1000)}}
+		f := New(src, pool.New("z"))
+		So(f.Step(context.Background()), ShouldBeNil)
+		follower := f.since
+
+		src.snapshot.At, src.snapshot.Endpoints = 20, list(1001)[1:]
+		f.historySuspect = true
+		So(f.Step(context.Background()), ShouldBeNil)
+		u, ok := f.UpdateSince(follower)
+		So(ok, ShouldBeTrue)
+		So(u.Complete, ShouldBeFalse)
+		So(u.Endpoints, ShouldHaveLength, 1)
+		So(u.Removed, ShouldResemble, []string{"0"})
+		So(u.At, ShouldEqual, 20)
+
+		Convey("but all of it to those that follow an earlier epoch of the store", func() {
+			src.snapshot.At = external.Revision(2, 3)
+			f.historySuspect = true
+			So(f.Step(context.Background()), ShouldBeNil)
+			u, ok := f.UpdateSince(follower)
+			So(ok, ShouldBeTrue)
+			So(u.Complete, ShouldBeTrue)
+		})
+	})
+}
