--- a/internal/escrow/dormant.go
+++ b/internal/escrow/dormant.go
@@ -32,8 +32,8 @@
 	h.active = true
 }
 
-// beDormant makes the holder ready without rows, and settles those of its earlier processes through the leader.
-func (h *Holder) beDormant(ctx context.Context) {
+// refreshDormant makes a dormant holder ready, and settles those of its earlier processes through the leader.
+func (h *Holder) refreshDormant(ctx context.Context) {
 	h.mu.Lock()
 	h.readyWithoutRows = len(h.accounts) > 0
 	s := Submission{Holder: h.id}
--- a/internal/escrow/property_test.go
+++ b/internal/escrow/property_test.go
@@ -263,7 +263,7 @@
 func (w *world) refresh(n *simNode) {
 	n.holder.startRound()
 	if n.holder.isDormant() {
-		n.holder.beDormant(context.Background())
+		n.holder.refreshDormant(context.Background())
 		return
 	}
 	n.holder.activate()
--- a/internal/escrow/refresh.go
+++ b/internal/escrow/refresh.go
@@ -34,7 +34,7 @@
 		return
 	}
 	if h.isDormant() {
-		h.beDormant(ctx)
+		h.refreshDormant(ctx)
 		return
 	}
 	h.activate()
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -234,7 +234,7 @@
 	sum.Add(x.pool.Loads())
 	add := func(r report) { sum.Add(r.loads) }
 	x.eachCurrent(x.members, "", add)
-	x.eachCurrentBeyond(add)
+	x.eachCurrentOutside(add)
 	included := make(map[string][]line, len(x.members))
 	for id, r := range x.members {
 		included[id] = r.digest.Lines
@@ -253,7 +253,7 @@
 	}
 	add(report{leaving: x.pool.Leaving(), limits: x.pool.Limits()})
 	x.eachCurrent(x.members, except, add)
-	x.eachCurrentBeyond(add)
+	x.eachCurrentOutside(add)
 	return out
 }
 
@@ -300,13 +300,13 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.eachCurrent(x.members, except, out.add)
-	x.eachCurrentBeyond(out.add)
+	x.eachCurrentOutside(out.add)
 	return out
 }
 
-// eachCurrentBeyond calls visit with the recent reports from outside this instance's subtree: those of the parent, or of
+// eachCurrentOutside calls visit with the recent reports from outside this instance's subtree: those of the parent, or of
 // the other zones. The caller holds mu.
-func (x *Exchange) eachCurrentBeyond(visit func(report)) {
+func (x *Exchange) eachCurrentOutside(visit func(report)) {
 	if x.now().Sub(x.above.at) <= reportLifetime {
 		visit(x.above.report)
 		return
