--- a/internal/feed/tree_test.go
+++ b/internal/feed/tree_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -34,7 +35,10 @@
 	return s.update(), nil
 }
 
-func TestTree(t *testing.T) {
+// TestTree runs in fake time, so that no call takes longer because the machine is busy.
+func TestTree(t *testing.T) { synctest.Test(t, testTree) }
+
+func testTree(t *testing.T) {
 	ctx := context.Background()
 	Convey("Instances of zones with relays that start at once", t, func() {
 		const zones, size, endpoints = 2, 70, 2000
--- a/internal/fleettime/fleettime_test.go
+++ b/internal/fleettime/fleettime_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -97,7 +98,10 @@
 	})
 }
 
-func TestRelayedClocks(t *testing.T) {
+// TestRelayedClocks runs in fake time, so that no call takes longer because the machine is busy.
+func TestRelayedClocks(t *testing.T) { synctest.Test(t, testRelayedClocks) }
+
+func testRelayedClocks(t *testing.T) {
 	ctx := context.Background()
 	Convey("In a zone with relays, all instances know the time on which most clocks agree", t, func() {
 		f := newFixture(ctx, 100)
--- a/internal/load/tree_test.go
+++ b/internal/load/tree_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -52,7 +53,10 @@
 	}
 }
 
-func TestTree(t *testing.T) {
+// TestTree runs in fake time, so that no call takes longer because the machine is busy.
+func TestTree(t *testing.T) { synctest.Test(t, testTree) }
+
+func testTree(t *testing.T) {
 	ctx := context.Background()
 	Convey("In zones with relays, each instance knows the load of all others, and counts no one twice", t, func() {
 		const instances = 150
