fix: a part that a process left behind does not settle the rows of the next process of its node

Cause: a holder's first part settles the rows of all other holders of its node as those of earlier processes. A part that a leader still held when the process had ended, and the next one had got rows from another writer, settled the rows of the running process at their ceiling and took them off the page: what that process went on to spend of its grant was granted again to others. Dormant holders, which submit such a part at each start, had the fault too. Change: a part is skipped if the page lacks its holder and another holder of the node has reported after the part was made, by the steady clock of the same boot.

With it, from the same reading: a list of instances that cannot be decoded no longer hides the rest of an update; a reading of everything that a restoration of the store asks for is not cut short by a quiet history; one package packs values in place of two copies; names: list of instances, NeedsNoRows.

--- a/internal/escrow/dormant.go
+++ b/internal/escrow/dormant.go
@@ -22,7 +22,7 @@
 	h.mu.Lock()
 	active := h.active
 	h.mu.Unlock()
-	return !active && h.fleet.Sparse()
+	return !active && h.fleet.NeedsNoRows()
 }
 
 // activate records that this holder is about to have rows.
@@ -65,7 +65,10 @@
 
 // settleDormant applies a dormant holder's part to a page.
 func (x *pendingPart) settleDormant(g *granter) PartReceipt {
-	x.settlements = g.settlePredecessors(x.holder, x.part.Start)
+	x.settlements = nil
+	if !g.page.hasSuccessor(x.holder, x.part.Report) {
+		x.settlements = g.settlePredecessors(x.holder, x.part.Start)
+	}
 	return PartReceipt{
 		Page: x.part.Page, Dormant: true, Unsettled: g.unsettled(x.holder, x.part.Report.Node), Holders: len(g.page.Holders), Epoch: g.page.Epoch,
 	}
@@ -83,11 +86,13 @@
 	}
 }
 
-// loanWait returns how long a loan waits for a refresh. A dormant holder can hardly get the tokens elsewhere, so nearly
-// all of its time is used.
+// maxLoanWait is the share of DormantLoanTimeout for which a loan waits for a refresh. The rest is for its messages.
+const maxLoanWait = 0.8
+
+// loanWait returns how long a loan waits for a refresh. A dormant holder can hardly get the tokens elsewhere.
 func (h *Holder) loanWait(l Loan) time.Duration {
 	if l.Dormant {
-		return h.times.DormantLoanTimeout * 5 / 6
+		return time.Duration(maxLoanWait * float64(h.times.DormantLoanTimeout))
 	}
 	return h.times.ReserveWait
 }
--- a/internal/escrow/dormant_test.go
+++ b/internal/escrow/dormant_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -87,6 +88,35 @@
 	})
 }
 
+// TestLateFirstPart writes the first part of a process after the node's next process has got rows.
+func TestLateFirstPart(t *testing.T) {
+	const north = "north"
+	Convey("The first part of a process that arrives after the next process of its node has rows changes nothing", t, func() {
+		for _, isDormant := range []bool{true, false} {
+			w, pool, node := sparseWorld()
+			node.sparse, node.role = false, RoleStandalone
+			h := node.holder
+			late := h.submission(true)
+			for i := range late.Parts {
+				if late.Parts[i].Dormant = isDormant; isDormant {
+					late.Parts[i].Rows = nil
+				}
+			}
+			w.elapsed += 500 * time.Millisecond
+			w.start(node)
+			w.refresh(node)
+			before := w.page(north).Accounts[north].Rows[node.holder.id]
+			So(before.Granted, ShouldBeGreaterThan, 0)
+			pool.holder.enqueue(late)
+			w.useTokens(pool, north, 10)
+			w.refresh(pool)
+			So(w.page(north).Accounts[north].Rows[node.holder.id], ShouldResemble, before)
+			So(w.page(north).Accounts[north].Settled, ShouldEqual, 0)
+			So(w.page(north).Holders, ShouldNotContainKey, h.id)
+		}
+	})
+}
+
 // TestRowsByFleetSize counts the rows of a page as holders without tokens are added.
 func TestRowsByFleetSize(t *testing.T) {
 	Convey("The holders on a page do not grow with those that hold no tokens", t, func() {
--- a/internal/escrow/fleet.go
+++ b/internal/escrow/fleet.go
@@ -22,7 +22,7 @@
 	Leads() bool
 	// LeadersUnreachable reports whether this holder writes its own rows only because the leaders cannot be reached.
 	LeadersUnreachable() bool
-	// Relays reports whether this holder leads its zone, or holds pools of a sparse one, and another leader writes for it.
+	// Relays reports whether this holder leads its zone, or holds pools in a zone with relays, and another leader writes for it.
 	Relays() bool
 	// Submit passes rows to the leader. A holder that relays passes its zone's rows to the leader of another zone.
 	// After ErrNotDelivered none of them will be written; after any other error they may be.
@@ -33,9 +33,9 @@
 	ZoneSize() int
 	// Size returns the number of holders in the fleet, as far as they are known.
 	Size() int
-	// Sparse reports whether this holder's zone is so large that only the holders of its pools hold tokens, and this
+	// NeedsNoRows reports whether this holder's zone is so large that only the holders of its pools hold tokens, and this
 	// holder holds no pool.
-	Sparse() bool
+	NeedsNoRows() bool
 	// Borrow reserves a part of another holder's grant.
 	Borrow(ctx context.Context, l Loan) LoanResult
 	// Return ends loans that one holder has given.
--- a/internal/escrow/group.go
+++ b/internal/escrow/group.go
@@ -170,14 +170,14 @@
 	}
 }
 
-// applyPart applies one part to a page. It skips a part that does not directly follow the holder's row in the page. The
-// caller holds mu.
+// applyPart applies one part to a page. It skips a part that does not directly follow the holder's row in the page, and
+// one of a process that has ended. The caller holds mu.
 func (h *Holder) applyPart(x *pendingPart, g *granter) PartReceipt {
 	if x.part.Dormant {
 		return x.settleDormant(g)
 	}
 	targets := make(map[string]int64, len(x.part.Rows))
-	if g.page.isNextPart(x.holder, x.part.Report) {
+	if g.page.isNextPart(x.holder, x.part.Report) && !g.page.hasSuccessor(x.holder, x.part.Report) {
 		h.grantPart(x, g, targets)
 	}
 	return h.receipt(x, g, targets)
--- a/internal/escrow/page.go
+++ b/internal/escrow/page.go
@@ -198,6 +198,21 @@
 	return start.FleetTimePending && start.FleetTime == 0 && r.FleetTime != 0 && !sameBoot(r, start)
 }
 
+// hasSuccessor reports whether a part is of a process that has ended: the page lacks its holder, and another holder of the
+// node has reported after the part was made, by the steady clock of the same boot. Such a part arrives late. The rows of
+// the other holder are not those of an earlier process, and must not be settled.
+func (p *Page) hasSuccessor(holder string, part Report) bool {
+	if _, present := p.Holders[holder]; present {
+		return false
+	}
+	for _, r := range p.Holders {
+		if r.Node == part.Node && r.Boot == part.Boot && r.Clock > part.Clock {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *Page) settlePredecessor(id string, start Report) Settlement {
 	s, stale := Settlement{Holder: id}, p.stale(id)
 	s.Age, s.AgeKnown = ageOf(p.Holders[id], start)
--- a/internal/escrow/property_test.go
+++ b/internal/escrow/property_test.go
@@ -96,10 +96,10 @@
 func (f *simFleet) Leads() bool {
 	return f.node == f.world.nodes[0] || f.node.link == linkNone || f.node.leadsZone
 }
-func (f *simFleet) Relays() bool  { return f.node.leadsZone && f.node.link != linkNone }
-func (f *simFleet) ZoneSize() int { return propertyNodes }
-func (f *simFleet) Size() int     { return propertyNodes }
-func (f *simFleet) Sparse() bool  { return f.node != f.world.nodes[0] && f.node.sparse }
+func (f *simFleet) Relays() bool      { return f.node.leadsZone && f.node.link != linkNone }
+func (f *simFleet) ZoneSize() int     { return propertyNodes }
+func (f *simFleet) Size() int         { return propertyNodes }
+func (f *simFleet) NeedsNoRows() bool { return f.node != f.world.nodes[0] && f.node.sparse }
 func (f *simFleet) Role(string) Role {
 	if f.node == f.world.nodes[0] {
 		return RolePool
--- a/internal/escrow/remote/remote.go
+++ b/internal/escrow/remote/remote.go
@@ -88,8 +88,8 @@
 // Size implements escrow.Fleet.
 func (f *Fleet) Size() int { return f.dir.Size() }
 
-// Sparse implements escrow.Fleet.
-func (f *Fleet) Sparse() bool { return f.dir.HasRelays() && f.dir.Pooled() }
+// NeedsNoRows implements escrow.Fleet.
+func (f *Fleet) NeedsNoRows() bool { return f.dir.HasRelays() && f.dir.Pooled() }
 
 // ZoneSize implements escrow.Fleet.
 func (f *Fleet) ZoneSize() int { return f.dir.ZoneSize() }
--- a/internal/escrow/remote/remote_test.go
+++ b/internal/escrow/remote/remote_test.go
@@ -40,7 +40,7 @@
 		Convey("only the holders of pools have rows, which they pass to the first zone's leader themselves", func() {
 			for i, f := range list {
 				holdsPool := i/zones < holders
-				So(f.Sparse(), ShouldEqual, !holdsPool)
+				So(f.NeedsNoRows(), ShouldEqual, !holdsPool)
 				So(f.Leads(), ShouldEqual, holdsPool)
 				So(f.Relays(), ShouldEqual, holdsPool && i > 0)
 				if holdsPool && i > 0 {
@@ -53,7 +53,7 @@
 	Convey("In smaller zones all holders may have rows, and the leaders pass them on", t, func() {
 		const zones, size = 2, 20
 		for i, f := range newFleets(ctx, zones, size) {
-			So(f.Sparse(), ShouldBeFalse)
+			So(f.NeedsNoRows(), ShouldBeFalse)
 			So(f.Leads(), ShouldEqual, i < zones)
 			So(f.Relays(), ShouldEqual, i == 1)
 		}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -14,6 +14,7 @@
 	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/follow"
 	"github.com/ledgemount/ledgemount/internal/mesh"
+	"github.com/ledgemount/ledgemount/internal/packed"
 	"github.com/ledgemount/ledgemount/internal/peers"
 	"github.com/ledgemount/ledgemount/internal/pool"
 	"github.com/ledgemount/ledgemount/internal/route"
@@ -45,10 +46,10 @@
 	At       int64 `cbor:"1,keyasint"`
 	ConfigAt int64 `cbor:"2,keyasint"`
 	Epoch    int64 `cbor:"3,keyasint,omitempty"` // the store's epoch; At and ConfigAt are revision numbers within it
-	// Roster is the version of the requester's roster. It is requested if WantRoster is set.
-	Roster     uint64 `cbor:"4,keyasint,omitempty"`
-	WantRoster bool   `cbor:"5,keyasint,omitempty"`
-	Unpacks    bool   `cbor:"6,keyasint,omitempty"` // the requester can decode updateReply.Packed
+	// PeersVersion is the version of the requester's list of instances. The list is requested if WantPeers is set.
+	PeersVersion uint64 `cbor:"4,keyasint,omitempty"`
+	WantPeers    bool   `cbor:"5,keyasint,omitempty"`
+	Unpacks      bool   `cbor:"6,keyasint,omitempty"` // the requester can decode updateReply.Packed
 }
 
 // newRequest makes the request of an instance that has followed the store up to a cursor. If the cursor is of an
@@ -97,11 +98,11 @@
 	OperatorAt int64    `cbor:"10,keyasint,omitempty"`
 	Evacuated  []string `cbor:"11,keyasint,omitempty"`
 	Epoch      int64    `cbor:"12,keyasint,omitempty"` // of the store; At, ConfigAt and OperatorAt are numbers within it
-	// Roster is the version of the roster of instances, 0 if there is none; RosterData holds it unless the requester has
-	// that version.
-	Roster     uint64 `cbor:"13,keyasint,omitempty"`
-	RosterData []byte `cbor:"14,keyasint,omitempty"`
-	Packed     []byte `cbor:"15,keyasint,omitempty"` // packed []pool.Endpoint: many that have changed, in place of Endpoints
+	// PeersVersion is the version of the list of instances, 0 if there is none. Peers has the list, unless the requester
+	// has that version.
+	PeersVersion uint64 `cbor:"13,keyasint,omitempty"`
+	Peers        []byte `cbor:"14,keyasint,omitempty"`
+	Packed       []byte `cbor:"15,keyasint,omitempty"` // packed []pool.Endpoint: many that have changed, in place of Endpoints
 }
 
 // Source is a follow.Source that asks the zone's leaders before the store. A zone's leader first asks the instance that
@@ -114,9 +115,9 @@
 	call   time.Duration // timeout of a call for changes to the store
 	// slowStore reports that the store's last response did not arrive completely in time. No leader had recent data before
 	// that call, so the next snapshot is read from the store without asking the leaders again.
-	slowStore atomic.Bool
-	backoff   storeBackoff
-	heardAt   time.Time // when a parent last sent data, or the source was created; used by the follower only
+	slowStore  atomic.Bool
+	backoff    storeBackoff
+	receivedAt time.Time // when a parent last sent data, or the source was created; used by the follower only
 }
 
 var _ follow.Source = (*Source)(nil)
@@ -136,7 +137,7 @@
 	for _, opt := range opts {
 		opt(s)
 	}
-	s.heardAt = s.now()
+	s.receivedAt = s.now()
 	return s
 }
 
@@ -167,7 +168,7 @@
 	if errors.Is(reason, errLeadersStale) && s.backoff.active(now) {
 		return false
 	}
-	return s.dir.ReadsStore(now.Sub(s.heardAt))
+	return s.dir.ReadsStore(now.Sub(s.receivedAt))
 }
 
 // awaitDiscovery waits until the other instances have been discovered, for discoveryTimeout at most. Without this wait,
@@ -242,7 +243,7 @@
 	for _, p := range leaders {
 		u, err := s.fetchFrom(ctx, p, since, maxAge, call)
 		if err == nil {
-			s.heardAt = s.now()
+			s.receivedAt = s.now()
 			return u, nil
 		}
 		if errors.Is(err, errLeadersStarting) || errors.Is(err, errLeadersStale) {
@@ -260,12 +261,12 @@
 	return peerCallTimeout, peerCallsTimeout
 }
 
-// request makes the request for the changes since a cursor. In a zone with relays it also requests the roster.
+// request makes the request for the changes since a cursor. In a zone with relays it also requests the list of instances.
 func (s *Source) request(since follow.Cursor) updateRequest {
 	req := newRequest(since, s.epochs.Current())
 	req.Unpacks = true
 	if s.dir.HasRelays() {
-		req.Roster, req.WantRoster = s.dir.RosterVersion(), true
+		req.PeersVersion, req.WantPeers = s.dir.ListVersion(), true
 	}
 	return req
 }
@@ -275,7 +276,7 @@
 	defer cancel()
 	reply, err := peers.Call[updateRequest, updateReply](ctx, s.dir, p, KindUpdate, s.request(since))
 	if err == nil {
-		err = s.dir.ApplyRoster(reply.Roster, reply.RosterData)
+		s.dir.ApplyList(reply.PeersVersion, reply.Peers)
 	}
 	age := time.Duration(reply.AgeMs) * time.Millisecond
 	switch {
@@ -296,16 +297,16 @@
 		At: external.Revision(reply.Epoch, reply.At), ConfigAt: external.Revision(reply.Epoch, reply.ConfigAt), Complete: reply.Complete, Endpoints: reply.Endpoints, Removed: reply.Removed,
 		Events: 1, FromPeer: true, Age: age, OperatorAt: operator, Evacuated: &evacuation.Set{At: operator, Zones: reply.Evacuated},
 	}
-	for _, packed := range [][]byte{reply.All, reply.Packed} {
-		if len(packed) == 0 {
+	for _, data := range [][]byte{reply.All, reply.Packed} {
+		if len(data) == 0 {
 			continue
 		}
-		if u.Endpoints, err = unpack[[]pool.Endpoint](packed); err != nil {
+		if u.Endpoints, err = packed.Decode[[]pool.Endpoint](data); err != nil {
 			return follow.Update{}, err
 		}
 	}
 	if len(reply.Config) > 0 {
-		u.Config, err = unpack[*route.Config](reply.Config)
+		u.Config, err = packed.Decode[*route.Config](reply.Config)
 	}
 	return u, err
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -14,6 +14,7 @@
 	"github.com/ledgemount/ledgemount/internal/follow"
 	"github.com/ledgemount/ledgemount/internal/mesh"
 	"github.com/ledgemount/ledgemount/internal/mesh/meshtest"
+	"github.com/ledgemount/ledgemount/internal/packed"
 	"github.com/ledgemount/ledgemount/internal/peers"
 	"github.com/ledgemount/ledgemount/internal/peers/peerstest"
 	"github.com/ledgemount/ledgemount/internal/pool"
@@ -345,7 +346,7 @@
 	})
 
 	Convey("A corrupt encoded configuration is an error", t, func() {
-		_, err := unpack[*route.Config]([]byte("torn"))
+		_, err := packed.Decode[*route.Config]([]byte("torn"))
 		So(err, ShouldNotBeNil)
 	})
 }
--- a/internal/feed/fuzz_test.go
+++ b/internal/feed/fuzz_test.go
@@ -5,17 +5,18 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/ledgemount/ledgemount/internal/packed"
 	"github.com/ledgemount/ledgemount/internal/pool"
 	"github.com/ledgemount/ledgemount/internal/route"
 )
 
 // FuzzNews checks that no update reply makes the process panic or decompress without bound.
 func FuzzNews(f *testing.F) {
-	all, err := pack([]pool.Endpoint{endpoint("e-1")})
+	all, err := packed.Encode([]pool.Endpoint{endpoint("e-1")})
 	if err != nil {
 		f.Fatal(err)
 	}
-	conf, err := pack(config(3))
+	conf, err := packed.Encode(config(3))
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -30,11 +31,11 @@
 		if cbor.Unmarshal(raw, &reply) != nil {
 			reply.All, reply.Config = raw, raw
 		}
-		list, err := unpack[[]pool.Endpoint](reply.All)
+		list, err := packed.Decode[[]pool.Endpoint](reply.All)
 		if err == nil {
 			pool.New("a").Replace(list)
 		}
-		if c, err := unpack[*route.Config](reply.Config); err == nil && c != nil {
+		if c, err := packed.Decode[*route.Config](reply.Config); err == nil && c != nil {
 			_, _ = route.Compile(*c)
 		}
 	})
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -8,6 +8,7 @@
 	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/follow"
 	"github.com/ledgemount/ledgemount/internal/mesh"
+	"github.com/ledgemount/ledgemount/internal/packed"
 	"github.com/ledgemount/ledgemount/internal/peers"
 	"github.com/ledgemount/ledgemount/internal/route"
 )
@@ -45,14 +46,14 @@
 
 func (s *server) handleUpdate(_ context.Context, _ mesh.Peer, req updateRequest) (updateReply, error) {
 	reply, err := s.update(req)
-	if err != nil || !req.WantRoster {
+	if err != nil || !req.WantPeers {
 		return reply, err
 	}
-	reply.Roster, reply.RosterData, err = s.dir.Roster(req.Roster)
+	reply.PeersVersion, reply.Peers, err = s.dir.List(req.PeersVersion)
 	return reply, err
 }
 
-// update answers a request without the roster.
+// update answers a request without the list of instances.
 func (s *server) update(req updateRequest) (updateReply, error) {
 	if req.Epoch > 0 && s.epochs.Observe(req.Epoch, 0) != nil {
 		req.At = 0 // the requester follows an earlier epoch and needs everything
@@ -107,7 +108,7 @@
 	if data := s.changed[since]; data != nil {
 		return data, nil
 	}
-	data, err := pack(u.Endpoints)
+	data, err := packed.Encode(u.Endpoints)
 	if err == nil {
 		s.changed[since] = data
 	}
@@ -141,7 +142,7 @@
 
 // newEncoded encodes a value that has the given version or revision.
 func newEncoded(v any, version int64) (encoded, error) {
-	data, err := pack(v)
+	data, err := packed.Encode(v)
 	if err != nil {
 		return encoded{}, err
 	}
--- a/internal/follow/partial.go
+++ b/internal/follow/partial.go
@@ -85,11 +85,11 @@
 	return nil
 }
 
-// agreesWithHistory reports whether the first part of a long snapshot, which is read because no change was reported for
-// some time, has no record that was written since the last one that was. The rest of the snapshot is not needed then:
-// had changes been withheld, some of the many endpoints in this part would have written theirs.
+// agreesWithHistory reports whether the rest of a long snapshot is not needed. The snapshot is read because the store has
+// reported no change for some time. If it had withheld changes, some of the many endpoints in the first part would have
+// records that are newer than the last reported change.
 func (f *Follower) agreesWithHistory(u Update) bool {
-	return f.historySuspect && !f.partial.begun() && !u.FromPeer && u.Partial && external.EpochOf(u.At) == external.EpochOf(f.since.At) &&
+	return f.historySuspect && !f.restoration.rereadDue(f.now()) && !f.partial.begun() && !u.FromPeer && u.Partial && external.EpochOf(u.At) == external.EpochOf(f.since.At) &&
 		u.Newest <= f.lastChangeAt
 }
 
--- a/internal/once/keys.go
+++ b/internal/once/keys.go
@@ -134,7 +134,7 @@
 	return func(k *Keys) { k.tick, k.settleTime = tick, settleTime }
 }
 
-// WithReservations sets the source of the keyed reservations that the holder of this instance has. They are told to the
+// WithReservations sets the source of the keyed reservations that the holder of this instance has. They are sent to the
 // registrars of their keys, which may have lost the records together with the serving instances.
 func WithReservations(f func() []budget.KeyedReservation) KeysOption {
 	return func(k *Keys) { k.reservations = f }
@@ -303,17 +303,10 @@
 }
 
 // inFleet reports whether an incarnation of an instance is in the fleet.
-func (k *Keys) inFleet(p mesh.Peer) bool {
-	for _, q := range k.members.Fleet() {
-		if q.IncarnationID() == p.IncarnationID() {
-			return true
-		}
-	}
-	return false
-}
+func (k *Keys) inFleet(p mesh.Peer) bool { return includes(k.members.Fleet(), p) }
 
 // Update reports to the registrar where a request runs, or how it ended. It returns false if another instance has taken
-// the request over. The record is told to a new registrar before the present one has responded, because that one may
+// the request over. The record is sent to a new registrar before the present one has responded, because that one may
 // fail after it has accepted the update.
 func (k *Keys) Update(ctx context.Context, customer string, rec Record) (bool, error) {
 	k.trackOwned(rec, customer, "")
--- a/internal/once/registrar.go
+++ b/internal/once/registrar.go
@@ -77,7 +77,7 @@
 	}
 }
 
-// merge stores a record that another instance has told. Unlike an update by the owner, the record of a billed run
+// merge stores a record that another instance has sent. Unlike an update by the owner, the record of a billed run
 // replaces one of later term that is not billed, since a registrar has accepted it before. The caller holds the lock.
 func (k *Keys) merge(kind mesh.Kind, rec Record) {
 	h, ok := k.records[rec.Request]
--- a/internal/peers/directory.go
+++ b/internal/peers/directory.go
@@ -7,7 +7,7 @@
 // rank is a hint and guarantees nothing: two instances may both act as leader, at the cost of efficiency only.
 //
 // A zone that is too large for one leader has relays between its leader and the others: see Parents. Only the leaders of
-// such a zone read the records of all instances; the others receive them as a Roster.
+// such a zone read the records of all instances; the others receive a list of them.
 package peers
 
 import (
@@ -93,7 +93,7 @@
 	startedAt  time.Time
 	zoneKnown  bool // the records of the own zone were read when the others had had time to start
 	whole      bool // the records of all zones are known
-	roster     roster
+	list       peerList
 	restarted  bool // the store held a record of an earlier process of this instance
 	records    map[string]Record
 	zones      map[string][]Record // by zone, ranked
--- a/internal/peers/peerstest/peerstest.go
+++ b/internal/peers/peerstest/peerstest.go
@@ -44,7 +44,7 @@
 			if err := run(ctx, x.Dir); err != nil {
 				return nil, err
 			}
-			if err := sendRoster(out[0].Dir, x.Dir); err != nil {
+			if err := sendList(out[0].Dir, x.Dir); err != nil {
 				return nil, err
 			}
 			known = known && x.Dir.Size() == len(list)
@@ -56,13 +56,14 @@
 	return nil, eris.New("the instances did not discover each other")
 }
 
-// sendRoster gives an instance the leader's roster, as it receives it from its parents.
-func sendRoster(leader, d *peers.Directory) error {
-	version, raw, err := leader.Roster(d.RosterVersion())
+// sendList gives an instance the leader's list of instances, as it receives it from its parents.
+func sendList(leader, d *peers.Directory) error {
+	version, raw, err := leader.List(d.ListVersion())
 	if err != nil || !d.HasRelays() {
 		return err
 	}
-	return d.ApplyRoster(version, raw)
+	d.ApplyList(version, raw)
+	return nil
 }
 
 // run runs a directory for a short time, in which it writes its record, reads the existing ones and opens its links.
--- a/internal/peers/rank.go
+++ b/internal/peers/rank.go
@@ -52,7 +52,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.records, d.zones, d.whole = records, zones, whole
-	d.roster.raw = nil
+	d.list.raw = nil
 	d.position, _ = slices.BinarySearch(slices.Sorted(maps.Keys(records)), d.self.Peer.ID)
 	zone := zones[d.self.Peer.Zone]
 	d.zoneAhead = d.aheadOfSelf(zone)
--- a/internal/peers/read.go
+++ b/internal/peers/read.go
@@ -19,8 +19,8 @@
 	scopeFleet              // all
 )
 
-// rosterLifetime is how long after the last contact with a parent that has the roster an instance reads no records.
-const rosterLifetime = 15 * time.Second
+// listLifetime is how long after the last contact with a parent that has the list of instances this one reads no records.
+const listLifetime = 15 * time.Second
 
 // scope returns which records to read now. An instance that has just started reads those of its zone until the others
 // have had time to start too. They tell how large the fleet may be: in a zone with relays only the leaders read those of
@@ -34,7 +34,7 @@
 		return scopeZone
 	case relays == 0, d.rank < maxLeaders:
 		return scopeFleet
-	case !d.roster.heardAt.IsZero() && d.now().Sub(d.roster.heardAt) < rosterLifetime:
+	case !d.list.receivedAt.IsZero() && d.now().Sub(d.list.receivedAt) < listLifetime:
 		return scopeNone
 	}
 	return scopeZone
@@ -65,7 +65,7 @@
 
 // readRecords reads all records.
 func (d *Directory) readRecords(ctx context.Context) error {
-	records, err := d.list(ctx, d.prefix+recordsPrefix)
+	records, err := d.readPrefix(ctx, d.prefix+recordsPrefix)
 	if err != nil {
 		return err
 	}
@@ -76,7 +76,7 @@
 // readZone reads the records of the own zone. Those of the others remain.
 func (d *Directory) readZone(ctx context.Context) error {
 	calledAt := d.now()
-	records, err := d.list(ctx, d.zonePrefix())
+	records, err := d.readPrefix(ctx, d.zonePrefix())
 	if err != nil {
 		return err
 	}
@@ -94,9 +94,9 @@
 	return nil
 }
 
-// list reads the records under a prefix, and adds this instance's own one. The store may serve them from a copy some
+// readPrefix reads the records under a prefix, and adds this instance's own one. The store may serve them from a copy some
 // seconds old.
-func (d *Directory) list(ctx context.Context, prefix string) (map[string]Record, error) {
+func (d *Directory) readPrefix(ctx context.Context, prefix string) (map[string]Record, error) {
 	ctx, cancel := context.WithTimeout(external.WithDuty(external.WithStale(ctx), external.DutyMembers), d.times.Call)
 	defer cancel()
 	entries, _, err := d.store.ReadAll(ctx, prefix)
--- a/internal/peers/tree_test.go
+++ b/internal/peers/tree_test.go
@@ -97,7 +97,7 @@
 	return f
 }
 
-// round makes each instance read the records that are due, and sends the roster down the trees.
+// round makes each instance read the records that are due, and sends the list of instances down the trees.
 func (f *largeZones) round(ctx context.Context) {
 	for _, d := range f.dirs {
 		d.updateRecords(ctx)
@@ -107,9 +107,9 @@
 		if parents := d.Parents(); len(parents) > 0 {
 			for _, p := range f.dirs {
 				if p.self.Peer.ID == parents[0].ID {
-					version, raw, err := p.Roster(d.RosterVersion())
+					version, raw, err := p.List(d.ListVersion())
 					So(err, ShouldBeNil)
-					So(d.ApplyRoster(version, raw), ShouldBeNil)
+					d.ApplyList(version, raw)
 				}
 			}
 		}
@@ -153,7 +153,7 @@
 		Convey("an instance that hears of no parent reads the records of its zone only", func() {
 			last := len(f.dirs) - 1
 			f.stores[last].entries = 0
-			f.at = f.at.Add(rosterLifetime)
+			f.at = f.at.Add(listLifetime)
 			f.dirs[last].updateRecords(ctx)
 			So(f.stores[last].entries, ShouldEqual, size)
 			So(f.dirs[last].Size(), ShouldEqual, zones*size)
@@ -246,17 +246,17 @@
 	return raw
 }
 
-func TestRoster(t *testing.T) {
-	Convey("A roster", t, func() {
+func TestList(t *testing.T) {
+	Convey("A list of instances", t, func() {
 		ctx := context.Background()
 		f := newFleet(3, 2)
 		f.exchangeRecords(ctx)
 		leader := f.dirs[0]
-		version, raw, err := leader.Roster(0)
+		version, raw, err := leader.List(0)
 		So(err, ShouldBeNil)
 
 		Convey("is sent once to those that have it", func() {
-			_, again, err := leader.Roster(version)
+			_, again, err := leader.List(version)
 			So(err, ShouldBeNil)
 			So(again, ShouldBeNil)
 		})
@@ -264,19 +264,20 @@
 		Convey("is encoded again after a change, but not for each of many", func() {
 			f.store.Put("p/peers/a/i-9", mustEncode(Record{Peer: mesh.Peer{ID: "i-9", Zone: "a"}}))
 			So(leader.readRecords(ctx), ShouldBeNil)
-			_, soon, err := leader.Roster(version)
+			_, soon, err := leader.List(version)
 			So(err, ShouldBeNil)
 			So(soon, ShouldBeNil)
-			f.at = f.at.Add(rosterInterval)
-			next, later, err := leader.Roster(version)
+			f.at = f.at.Add(listInterval)
+			next, later, err := leader.List(version)
 			So(err, ShouldBeNil)
 			So(next, ShouldNotEqual, version)
 			So(later, ShouldNotBeNil)
 		})
 
 		Convey("that cannot be decoded changes nothing", func() {
-			So(f.dirs[1].ApplyRoster(7, raw[:len(raw)/2]), ShouldNotBeNil)
+			f.dirs[1].ApplyList(7, raw[:len(raw)/2])
 			So(f.dirs[1].Size(), ShouldEqual, 3)
+			So(f.dirs[1].ListVersion(), ShouldEqual, 0)
 		})
 	})
 }
