feat: a request's line says how connections to endpoints failed

The lines of an incident could not tell an endpoint that has exited (refused), a crowded link (no answer) and a lost path apart: each attempt said only 'unreachable'. Attempts now have 'dial': refused, reset, timeout or other, 'explain' prints it, and relay_dial_failures_total counts it by cause. No decision changes.

--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -164,6 +164,7 @@
 	tried        map[string]bool
 	attempts     int
 	failedDials  int
+	dialFailure  upstream.DialFailure // of the attempt in progress
 	availability pool.Availability // availability of endpoints as last queried
 	mayHaveRun   bool              // an endpoint may have run the request
 	headerSent   bool              // the response header has been sent to the caller
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -199,6 +199,7 @@
 func (j *job) try(ctx context.Context, lease *pool.Lease) (result, *failedResponse) {
 	began := j.core.now()
 	events := j.events
+	j.dialFailure = ""
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	wd := j.watch(lease, cancel)
@@ -213,7 +214,7 @@
 	lease.Done(poolEnd(res))
 	j.outcome.Endpoints = append(j.outcome.Endpoints, AttemptOutcome{
 		Endpoint: lease.Endpoint().ID, Reason: string(lease.Reason()), SkipReason: string(lease.Exclusion()), Result: resultNames[res], At: began.Sub(j.req.Arrived),
-		ProcessExited: res == resultBroken && !wd.stalled() && j.recordExit(lease, began, j.events > events),
+		DialFailure: j.dialFailure, ProcessExited: res == resultBroken && !wd.stalled() && j.recordExit(lease, began, j.events > events),
 	})
 	return res, failure
 }
@@ -264,6 +265,7 @@
 	case errors.Is(err, upstream.ErrWithdrawn):
 		return resultWithdrawn, nil
 	case errors.Is(err, upstream.ErrNotSent):
+		j.dialFailure = upstream.DialFailureOf(err)
 		return resultUnsent, nil
 	}
 	j.attempts++
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -140,6 +140,7 @@
 	Reason        string // why the endpoint was picked
 	SkipReason    string // why the endpoint that is first by affinity was excluded; empty: it was not
 	Result        string
+	DialFailure   upstream.DialFailure // how the connection attempt failed; empty: it did not
 	At            time.Duration // since the request arrived
 	ProcessExited bool          // the attempt was interrupted, and the endpoint's process had exited
 }
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -83,6 +83,9 @@
 	}
 	m.metrics.Scope().Tagged(map[string]string{"reason": reason, "kind": o.Kind}).Counter("relay_requests_total").Inc(1)
 	for _, attempt := range o.Endpoints {
+		if attempt.DialFailure != "" {
+			m.metrics.Scope().Tagged(map[string]string{"cause": string(attempt.DialFailure)}).Counter("relay_dial_failures_total").Inc(1)
+		}
 		if attempt.SkipReason != "" {
 			m.metrics.Scope().Tagged(map[string]string{"cause": attempt.SkipReason}).Counter("relay_kept_off_total").Inc(1)
 		}
@@ -130,15 +133,18 @@
 	e.Msg("a request has ended")
 }
 
-// attemptList writes the attempts of a request into a log line. The field "end" is the result of the attempt. "ended"
-// states that the endpoint's process has exited, and "kept_off" is the reason why the first endpoint by affinity
-// was excluded.
+// attemptList writes the attempts of a request into a log line. The field "end" is the result of the attempt. "dial"
+// states how the connection attempt failed, "ended" that the endpoint's process has exited, and "kept_off" why the first
+// endpoint by affinity was excluded.
 type attemptList []relay.AttemptOutcome
 
 // MarshalZerologArray implements zerolog.LogArrayMarshaler.
 func (s attemptList) MarshalZerologArray(a *zerolog.Array) {
 	for _, x := range s {
 		d := zerolog.Dict().Str("endpoint", x.Endpoint).Str("reason", x.Reason).Str("end", x.Result).Int64("at_ms", x.At.Milliseconds())
+		if x.DialFailure != "" {
+			d = d.Str("dial", string(x.DialFailure))
+		}
 		if x.ProcessExited {
 			d = d.Bool("ended", true)
 		}
--- a/internal/router/explain.go
+++ b/internal/router/explain.go
@@ -54,6 +54,7 @@
 	Reason     string `json:"reason"` // why the endpoint was picked
 	End        string `json:"end"`
 	AtMs       int64  `json:"at_ms"`
+	Dial       string `json:"dial"`     // how the connection attempt failed; empty: it did not
 	SkipReason string `json:"kept_off"` // why the endpoint that is first by affinity was excluded; empty: it was not
 }
 
@@ -145,12 +146,19 @@
 		_, _ = fmt.Fprintf(&b, "  the store was restored from an older copy %d ms before: grants are raised again once all instances have stated theirs\n", l.Restored)
 	}
 	for i, e := range l.Endpoints {
-		_, _ = fmt.Fprintf(&b, "  attempt %d: endpoint %s by %s, %d ms in: %s%s\n", i+1, e.Endpoint, e.Reason, e.AtMs, e.End, e.skipNote())
+		_, _ = fmt.Fprintf(&b, "  attempt %d: endpoint %s by %s, %d ms in: %s%s\n", i+1, e.Endpoint, e.Reason, e.AtMs, e.endNote(), e.skipNote())
 	}
 	_, _ = fmt.Fprintf(&b, "  %s; %d tokens billed\n", l.outcome(), l.Used)
 	return b.String()
 }
 
+func (e AttemptLine) endNote() string {
+	if e.Dial == "" {
+		return e.End
+	}
+	return e.End + " (connection: " + e.Dial + ")"
+}
+
 func (e AttemptLine) skipNote() string {
 	if e.SkipReason == "" {
 		return ""
