--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -165,9 +165,9 @@
 	attempts     int
 	failedDials  int
 	dialFailure  upstream.DialFailure // of the attempt in progress
-	availability pool.Availability // availability of endpoints as last queried
-	mayHaveRun   bool              // an endpoint may have run the request
-	headerSent   bool              // the response header has been sent to the caller
+	availability pool.Availability    // availability of endpoints as last queried
+	mayHaveRun   bool                 // an endpoint may have run the request
+	headerSent   bool                 // the response header has been sent to the caller
 	events       int64
 	lastEventAt  time.Time // when the last event was received
 	// billInFull is set if the caller received a response that is not a stream, whose tokens cannot be counted.
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -141,8 +141,8 @@
 	SkipReason    string // why the endpoint that is first by affinity was excluded; empty: it was not
 	Result        string
 	DialFailure   upstream.DialFailure // how the connection attempt failed; empty: it did not
-	At            time.Duration // since the request arrived
-	ProcessExited bool          // the attempt was interrupted, and the endpoint's process had exited
+	At            time.Duration        // since the request arrived
+	ProcessExited bool                 // the attempt was interrupted, and the endpoint's process had exited
 }
 
 // Validate checks the fields that every request must have. The error is a verdict.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -46,10 +46,20 @@
 	Source  follow.Source
 	Dialect relay.Dialect
 	Parser  edge.Parser
+	// Dial establishes connections to endpoints; nil: plain TCP.
+	Dial upstream.DialFunc
 	// Clock determines the age of data from outside the process; nil: the machine's boot-time clock.
 	Clock *boottime.Clock
 }
 
+// clientOptions returns the platform's options for the client of endpoints.
+func (p *Platform) clientOptions() []upstream.Option {
+	if p.Dial == nil {
+		return nil
+	}
+	return []upstream.Option{upstream.WithDial(p.Dial)}
+}
+
 // Router is an instance of the fleet.
 type Router struct {
 	settings      *Settings
@@ -110,7 +120,7 @@
 	r.pressure = pressure.New(
 		pressure.WithPolicy(settings.pressurePolicy()), pressure.OnChange(r.logPressure), pressure.WithLink(settings.Instance.LinkMbps), pressure.WithNow(now),
 	)
-	r.client = upstream.New(upstream.WithWrap(r.pressure.Conn), upstream.WithNow(now))
+	r.client = upstream.New(append(platform.clientOptions(), upstream.WithWrap(r.pressure.Conn), upstream.WithNow(now))...)
 	self := peers.Record{
 		Peer:     mesh.Peer{ID: settings.Instance.ID, Zone: settings.Instance.Zone, Addr: settings.Peers.Listen, Incarnation: id},
 		Capacity: settings.Instance.LinkMbps,
--- a/internal/upstream/refused.go
+++ b/internal/upstream/refused.go
@@ -71,9 +71,7 @@
 
 // probe tries to establish one new connection. The connection is nil unless the result is probeConnected.
 func (c *Client) probe(ctx context.Context, addr string) (*conn, probeResult) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	nc, err := c.dialer.DialContext(ctx, "tcp", addr)
+	nc, err := c.connect(ctx, addr, probeTimeout)
 	switch {
 	case err == nil:
 		return c.newConn(nc, addr), probeConnected
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -65,9 +65,13 @@
 	keepAliveInterval = time.Second // idle time before the first keep-alive probe, and between probes
 )
 
+// DialFunc establishes a TCP connection to an address.
+type DialFunc func(ctx context.Context, addr string) (net.Conn, error)
+
 // Client sends requests to endpoints and keeps idle connections for reuse.
 type Client struct {
-	dialer      net.Dialer
+	dial        DialFunc
+	dialTimeout time.Duration
 	maxIdle     int
 	idleTimeout time.Duration
 	now         func() time.Time
@@ -82,7 +86,10 @@
 type Option func(*Client)
 
 // WithDialTimeout sets the timeout for establishing a connection.
-func WithDialTimeout(d time.Duration) Option { return func(c *Client) { c.dialer.Timeout = d } }
+func WithDialTimeout(d time.Duration) Option { return func(c *Client) { c.dialTimeout = d } }
+
+// WithDial replaces the function that establishes connections.
+func WithDial(f DialFunc) Option { return func(c *Client) { c.dial = f } }
 
 // WithMaxIdle sets the maximum number of idle connections per address.
 func WithMaxIdle(n int) Option { return func(c *Client) { c.maxIdle = n } }
@@ -99,10 +106,8 @@
 // New returns a client without connections.
 func New(opts ...Option) *Client {
 	c := &Client{
-		dialer: net.Dialer{
-			Timeout: DefaultDialTimeout, Control: setUserTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: int(silenceTimeout / keepAliveInterval)},
-		},
+		dial:        dialTCP,
+		dialTimeout: DefaultDialTimeout,
 		maxIdle:     DefaultMaxIdle,
 		idleTimeout: DefaultIdleTimeout,
 		now:         time.Now,
@@ -115,6 +120,22 @@
 	return c
 }
 
+// dialTCP establishes a connection that the kernel closes if its peer has vanished.
+func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{
+		Control:         setUserTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: int(silenceTimeout / keepAliveInterval)},
+	}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// connect establishes a connection to an address within a timeout.
+func (c *Client) connect(ctx context.Context, addr string, timeout time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return c.dial(ctx, addr)
+}
+
 // conn is a connection to an endpoint. It carries one exchange at a time.
 type conn struct {
 	net.Conn
@@ -162,7 +183,7 @@
 		_ = cn.Close()
 	}
 	started := c.now()
-	nc, err := c.dialer.DialContext(ctx, "tcp", addr)
+	nc, err := c.connect(ctx, addr, c.dialTimeout)
 	if onDial != nil {
 		onDial(c.now().Sub(started))
 	}
