feat: tunnels between instances: a peer connects to a destination, bytes pass in both directions

An instance that has lost its path to an endpoint can have another one connect to it. One QUIC stream a tunnel, over the same mutually authenticated links; the destination's end of data, a reset, and an early response to an unread body arrive as what they are. Nothing uses it yet.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -105,11 +105,12 @@
 	mu      sync.RWMutex
 	calls   map[Kind]handler
 	streams map[Kind]streamHandler
+	tunnels map[Kind]tunnelHandler
 }
 
 // NewRouter returns a Router without handlers.
 func NewRouter() *Router {
-	return &Router{calls: make(map[Kind]handler), streams: make(map[Kind]streamHandler)}
+	return &Router{calls: make(map[Kind]handler), streams: make(map[Kind]streamHandler), tunnels: make(map[Kind]tunnelHandler)}
 }
 
 // Handle registers the typed handler of a kind of message.
--- a/internal/mesh/transport.go
+++ b/internal/mesh/transport.go
@@ -244,6 +244,10 @@
 		st.CancelWrite(0)
 		return
 	}
+	if t.router.hasTunnel(req.Kind) {
+		t.serveTunnel(ctx, st, req)
+		return
+	}
 	if t.router.hasStream(req.Kind) {
 		err := t.router.DispatchStream(ctx, req.From, req.Kind, req.Body, func(b []byte) error {
 			return t.write(st, req.Kind, reply{Body: b})
@@ -266,7 +270,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	st, err := t.open(ctx, addr, kind, body)
+	st, err := t.openOneWay(ctx, addr, kind, body)
 	if err != nil {
 		return nil, err
 	}
@@ -288,7 +292,7 @@
 	if addr == t.self.Addr {
 		return t.router.DispatchStream(ctx, t.self, kind, body, each)
 	}
-	st, err := t.open(ctx, addr, kind, body)
+	st, err := t.openOneWay(ctx, addr, kind, body)
 	if err != nil {
 		return err
 	}
@@ -309,6 +313,7 @@
 	}
 }
 
+// open opens a stream to a peer and sends a message.
 func (t *Transport) open(ctx context.Context, addr string, kind Kind, body []byte) (*quic.Stream, error) {
 	if !t.allowAddr(addr) {
 		return nil, eris.Wrapf(ErrUnreachable, "%s to %s", kind, addr)
@@ -326,10 +331,18 @@
 		t.dropConn(addr, conn)
 		return nil, eris.Wrapf(ErrNoReply, "%s to %s: %v", kind, addr, err)
 	}
-	_ = st.Close()
 	return st, nil
 }
 
+// openOneWay opens a stream on which nothing but the message is sent.
+func (t *Transport) openOneWay(ctx context.Context, addr string, kind Kind, body []byte) (*quic.Stream, error) {
+	st, err := t.open(ctx, addr, kind, body)
+	if err == nil {
+		_ = st.Close()
+	}
+	return st, err
+}
+
 // conn returns a connection to addr. Concurrent callers share one dial.
 func (t *Transport) conn(ctx context.Context, addr string) (*quic.Conn, error) {
 	t.mu.Lock()
--- /dev/null
+++ b/internal/mesh/tunnel_test.go
@@ -0,0 +1,103 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ledgemount/ledgemount/internal/verdict"
+)
+
+// tunnelTest is a tunnel whose destination is the test itself.
+type tunnelTest struct {
+	near net.Conn
+	far  *net.TCPConn // as the destination sees it
+}
+
+func newTunnelTest(t *testing.T) *tunnelTest {
+	ca, err := NewAuthority()
+	if err != nil {
+		t.Fatal(err)
+	}
+	destination, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = destination.Close() })
+	r := NewRouter()
+	HandleTunnel(r, "connect", func(_ context.Context, _ Peer, req text) (net.Conn, error) { return net.Dial("tcp", req.S) })
+	HandleTunnel(r, "refuse", func(context.Context, Peer, text) (net.Conn, error) {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "full")
+	})
+	server, client := listen(t, ca, "server", r), listen(t, ca, "client", NewRouter())
+	near, err := Tunnel(context.Background(), client, server.Self().Addr, "connect", text{S: destination.Addr().String()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	far, err := destination.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = Tunnel(context.Background(), client, server.Self().Addr, "refuse", text{})
+	if verdict.From(err).Code() != verdict.CodeOverloaded {
+		t.Fatalf("the refusal arrived as %v", err)
+	}
+	return &tunnelTest{near: near, far: far.(*net.TCPConn)}
+}
+
+func TestTunnel(t *testing.T) {
+	read := func(c net.Conn) (string, error) {
+		_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		b, err := io.ReadAll(c)
+		return string(b), err
+	}
+	Convey("Bytes pass in both directions, and the destination's end of data arrives after them", t, func() {
+		x := newTunnelTest(t)
+		_, err := io.WriteString(x.near, "question")
+		So(err, ShouldBeNil)
+		buf := make([]byte, len("question"))
+		_, err = io.ReadFull(x.far, buf)
+		So(err, ShouldBeNil)
+		So(string(buf), ShouldEqual, "question")
+		_, err = io.WriteString(x.far, "answer")
+		So(err, ShouldBeNil)
+		So(x.far.Close(), ShouldBeNil)
+		got, err := read(x.near)
+		So(err, ShouldBeNil)
+		So(got, ShouldEqual, "answer")
+	})
+	Convey("A reset by the destination does not look like the end of its data", t, func() {
+		x := newTunnelTest(t)
+		_, err := io.WriteString(x.far, "half")
+		So(err, ShouldBeNil)
+		So(x.far.SetLinger(0), ShouldBeNil)
+		So(x.far.Close(), ShouldBeNil)
+		_, err = read(x.near)
+		So(errors.Is(err, io.ErrUnexpectedEOF), ShouldBeTrue)
+	})
+	Convey("If the near end is closed, the connection to the destination is closed", t, func() {
+		x := newTunnelTest(t)
+		So(x.near.Close(), ShouldBeNil)
+		_, err := read(x.far)
+		var timeout net.Error
+		So(errors.As(err, &timeout) && timeout.Timeout(), ShouldBeFalse)
+	})
+	Convey("A destination that reads no more can still send its response", t, func() {
+		x := newTunnelTest(t)
+		_, err := io.WriteString(x.far, "early answer")
+		So(err, ShouldBeNil)
+		So(x.far.CloseRead(), ShouldBeNil)
+		for range 4 {
+			_, err = x.near.Write(make([]byte, 64<<10))
+			So(err, ShouldBeNil)
+		}
+		So(x.far.CloseWrite(), ShouldBeNil)
+		got, _ := read(x.near)
+		So(got, ShouldEqual, "early answer")
+	})
+}
