fix: an instance that has lost endpoints connects to them through other instances

Cause: each instance connects to endpoints itself, and judges each endpoint alone. A lost path looked like endpoints that exited (a refused connection: an innocent request was quarantined on all six instances within 0.26 s) or like congestion of the instance's own link (connections without an answer: 429, and not ready for 20 s after the cut). Nothing asked whether others reach these endpoints.

Now an endpoint that cannot be reached is probed beside three others, and another instance is asked to connect to it. If most of the probed endpoints are out of reach, this holds for all of the service until those are reached again. Key, budget, retries, deadline and record stay with the instance that the caller reached. If nobody can forward, requests are refused at once. An exit counts only if another instance is refused too. Connections that get no answer count as congestion only if no instance answers either.

--- a/internal/mesh/transport.go
+++ b/internal/mesh/transport.go
@@ -67,15 +67,17 @@
 	sent    atomic.Int64
 	traffic func(kind Kind, bytes int)
 
-	mu     sync.Mutex
-	conns  map[string]*peerConn
-	closed bool
+	mu      sync.Mutex
+	conns   map[string]*peerConn // for calls and streams
+	tunnels map[string]*peerConn // for tunnels, which a call that gets no reply must not interrupt
+	closed  bool
 }
 
 type peerConn struct {
 	ready chan struct{}
 	conn  *quic.Conn
 	err   error
+	open  int // tunnels
 }
 
 // Option configures a Transport.
@@ -117,6 +119,7 @@
 		ctx:       ctx,
 		cancel:    cancel,
 		conns:     make(map[string]*peerConn),
+		tunnels:   make(map[string]*peerConn),
 
 		traffic: func(Kind, int) {},
 	}
@@ -185,12 +188,14 @@
 	defer t.mu.Unlock()
 	t.closed = true
 	var out []*quic.Conn
-	for _, pc := range t.conns {
-		if pc.conn != nil {
-			out = append(out, pc.conn)
+	for _, conns := range []map[string]*peerConn{t.conns, t.tunnels} {
+		for _, pc := range conns {
+			if pc.conn != nil {
+				out = append(out, pc.conn)
+			}
 		}
+		clear(conns)
 	}
-	t.conns = make(map[string]*peerConn)
 	return out
 }
 
@@ -313,22 +318,22 @@
 	}
 }
 
-// open opens a stream to a peer and sends a message.
-func (t *Transport) open(ctx context.Context, addr string, kind Kind, body []byte) (*quic.Stream, error) {
+// open opens a stream to a peer on one of the given connections and sends a message.
+func (t *Transport) open(ctx context.Context, conns map[string]*peerConn, addr string, kind Kind, body []byte) (*quic.Stream, error) {
 	if !t.allowAddr(addr) {
 		return nil, eris.Wrapf(ErrUnreachable, "%s to %s", kind, addr)
 	}
-	conn, err := t.conn(ctx, addr)
+	conn, err := t.conn(ctx, conns, addr)
 	if err != nil {
 		return nil, eris.Wrapf(ErrUnreachable, "%s to %s: %v", kind, addr, err)
 	}
 	st, err := conn.OpenStreamSync(ctx)
 	if err != nil {
-		t.dropConn(addr, conn)
+		t.dropConn(conns, addr, conn)
 		return nil, eris.Wrapf(ErrUnreachable, "%s to %s: %v", kind, addr, err)
 	}
 	if err := t.write(st, kind, request{Version: Version, Kind: kind, From: t.self, Body: body}); err != nil {
-		t.dropConn(addr, conn)
+		t.dropConn(conns, addr, conn)
 		return nil, eris.Wrapf(ErrNoReply, "%s to %s: %v", kind, addr, err)
 	}
 	return st, nil
@@ -336,28 +341,28 @@
 
 // openOneWay opens a stream on which nothing but the message is sent.
 func (t *Transport) openOneWay(ctx context.Context, addr string, kind Kind, body []byte) (*quic.Stream, error) {
-	st, err := t.open(ctx, addr, kind, body)
+	st, err := t.open(ctx, t.conns, addr, kind, body)
 	if err == nil {
 		_ = st.Close()
 	}
 	return st, err
 }
 
-// conn returns a connection to addr. Concurrent callers share one dial.
-func (t *Transport) conn(ctx context.Context, addr string) (*quic.Conn, error) {
+// conn returns the connection to addr among conns, and establishes it if there is none. Concurrent callers share one dial.
+func (t *Transport) conn(ctx context.Context, conns map[string]*peerConn, addr string) (*quic.Conn, error) {
 	t.mu.Lock()
 	if t.closed {
 		t.mu.Unlock()
 		return nil, context.Canceled
 	}
-	pc, ok := t.conns[addr]
+	pc, ok := conns[addr]
 	if ok && pc.conn != nil && pc.conn.Context().Err() != nil {
 		ok = false
 	}
 	if !ok {
 		pc = &peerConn{ready: make(chan struct{})}
-		t.conns[addr] = pc
-		t.wg.Go(func() { t.dial(addr, pc) })
+		conns[addr] = pc
+		t.wg.Go(func() { t.dial(conns, addr, pc) })
 	}
 	t.mu.Unlock()
 	select {
@@ -370,7 +375,7 @@
 	}
 }
 
-func (t *Transport) dial(addr string, pc *peerConn) {
+func (t *Transport) dial(conns map[string]*peerConn, addr string, pc *peerConn) {
 	ctx, cancel := context.WithTimeout(t.ctx, dialTimeout)
 	defer cancel()
 	udpAddr, err := net.ResolveUDPAddr("udp", addr)
@@ -380,14 +385,14 @@
 	}
 	t.mu.Lock()
 	pc.conn, pc.err = conn, err
-	if err != nil && t.conns[addr] == pc {
-		delete(t.conns, addr)
+	if err != nil && conns[addr] == pc {
+		delete(conns, addr)
 	}
 	t.mu.Unlock()
 	close(pc.ready)
 }
 
-// Forget closes the connection to an address, so that the next call dials anew. After a long outage of the link, this is
+// Forget closes the connection for calls to an address, so that the next call dials anew. After a long outage of the link, this is
 // faster than waiting until the connection recovers.
 func (t *Transport) Forget(addr string) {
 	t.mu.Lock()
@@ -402,11 +407,11 @@
 	}
 }
 
-func (t *Transport) dropConn(addr string, conn *quic.Conn) {
+func (t *Transport) dropConn(conns map[string]*peerConn, addr string, conn *quic.Conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if pc, ok := t.conns[addr]; ok && pc.conn == conn {
-		delete(t.conns, addr)
+	if pc, ok := conns[addr]; ok && pc.conn == conn {
+		delete(conns, addr)
 	}
 }
 
--- a/internal/mesh/transport_test.go
+++ b/internal/mesh/transport_test.go
@@ -78,7 +78,7 @@
 		So(got, ShouldResemble, []string{"a", "b", "c"})
 	})
 	Convey("An unknown message, as a later build may send, is refused as not run, and the connection stays open", t, func() {
-		conn, err := client.conn(ctx, server.Self().Addr)
+		conn, err := client.conn(ctx, client.conns, server.Self().Addr)
 		So(err, ShouldBeNil)
 		for range 3 {
 			_, err := Call[text, text](ctx, client, server.Self().Addr, "nonsense", text{})
@@ -87,7 +87,7 @@
 			So(err, ShouldBeNil)
 			So(out.S, ShouldEqual, "client still here")
 		}
-		same, err := client.conn(ctx, server.Self().Addr)
+		same, err := client.conn(ctx, client.conns, server.Self().Addr)
 		So(err, ShouldBeNil)
 		So(same, ShouldEqual, conn)
 	})
--- a/internal/mesh/tunnel.go
+++ b/internal/mesh/tunnel.go
@@ -68,17 +68,18 @@
 func (t *Transport) Tunnel(ctx context.Context, addr string, kind Kind, body []byte) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	st, err := t.open(ctx, addr, kind, body)
+	st, err := t.open(ctx, t.tunnels, addr, kind, body)
 	if err != nil {
 		return nil, err
 	}
-	c := &tunnelConn{Stream: st, local: t.udp.Conn.LocalAddr(), remote: tunnelAddr(addr)}
+	c := &tunnelConn{Stream: st, local: t.udp.Conn.LocalAddr(), remote: tunnelAddr(addr), release: t.countTunnel(addr)}
 	stop := context.AfterFunc(ctx, func() { st.CancelRead(0) })
 	var out reply
 	err = readFrame(st, &out)
 	switch {
 	case !stop() || err != nil:
 		_ = c.Close()
+		t.closeUnusedTunnels(addr)
 		return nil, eris.Wrapf(ErrNoReply, "%s to %s: %v", kind, addr, err)
 	case out.Err != nil:
 		_ = c.Close()
@@ -87,6 +88,36 @@
 	return c, nil
 }
 
+// countTunnel counts an open tunnel through a peer. The returned function ends the count.
+func (t *Transport) countTunnel(addr string) (release func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	pc := t.tunnels[addr]
+	if pc == nil {
+		return func() {}
+	}
+	pc.open++
+	return sync.OnceFunc(func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		pc.open--
+	})
+}
+
+// closeUnusedTunnels closes the connection for tunnels through a peer that has not replied, unless it carries any. The
+// peer may have restarted, and would not reply on this connection.
+func (t *Transport) closeUnusedTunnels(addr string) {
+	t.mu.Lock()
+	pc := t.tunnels[addr]
+	if pc == nil || pc.open > 0 || pc.conn == nil {
+		t.mu.Unlock()
+		return
+	}
+	delete(t.tunnels, addr)
+	t.mu.Unlock()
+	_ = pc.conn.CloseWithError(closeNormally, "no reply")
+}
+
 // serveTunnel establishes the far end of a tunnel and copies bytes until one end is closed.
 func (t *Transport) serveTunnel(ctx context.Context, st *quic.Stream, req request) {
 	c, err := t.router.DispatchTunnel(ctx, req.From, req.Kind, req.Body)
@@ -149,12 +180,14 @@
 type tunnelConn struct {
 	*quic.Stream
 	local, remote net.Addr
+	release       func()
 }
 
 // Close implements net.Conn. The far end is closed even if not all written bytes have been sent.
 func (c *tunnelConn) Close() error {
 	c.CancelWrite(0)
 	c.CancelRead(0)
+	c.release()
 	return nil
 }
 
--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -54,6 +54,7 @@
 func (l *Lease) Received() {
 	l.pool.mu.Lock()
 	l.member.receivedAt = l.pool.now()
+	l.member.activity.receivedAt = l.member.receivedAt
 	l.pool.markReached(l.member)
 	l.pool.mu.Unlock()
 }
@@ -94,14 +95,15 @@
 
 // The ways in which a use ends.
 const (
-	EndGood        End = iota // a complete response
-	EndFailed                 // a response that reports a failure of the endpoint
-	EndBroken                 // no response, a truncated one, or one that cannot be trusted
-	EndUnreachable            // no connection was established
-	EndBusy                   // the endpoint rejected it for lack of capacity
-	EndMoved                  // another endpoint has the address
-	EndNeutral                // no conclusion about the endpoint: the caller left, or the deadline passed
-	EndUnsent                 // nothing was sent: the endpoint no longer accepted it
+	EndGood         End = iota // a complete response
+	EndFailed                  // a response that reports a failure of the endpoint
+	EndBroken                  // no response, a truncated one, or one that cannot be trusted
+	EndUnreachable             // no connection was established
+	EndRemoteFailed            // another instance that has a path to it established no connection either
+	EndBusy                    // the endpoint rejected it for lack of capacity
+	EndMoved                   // another endpoint has the address
+	EndNeutral                 // no conclusion about the endpoint: the caller left, or the deadline passed
+	EndUnsent                  // nothing was sent: the endpoint no longer accepted it
 )
 
 // Accepted records that the endpoint runs the request. This enlarges the endpoint's window, if it has one.
@@ -125,6 +127,7 @@
 	}
 	l.ended = true
 	m := l.member
+	m.activity.open--
 	if m.open--; m.open == 0 {
 		delete(p.removedInUse, m)
 	}
@@ -145,6 +148,9 @@
 		l.returnPermit()
 		p.markUnreachable(m, now)
 		p.recordFailure(m, now)
+	case EndRemoteFailed:
+		l.returnPermit()
+		p.recordFailure(m, now)
 	case EndBusy:
 		m.busyUntil = now.Add(busyPause)
 		if p.policy.BusyDecrease > 0 && m.noticeExclusion(now) == NotExcluded {
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -84,6 +84,7 @@
 	}
 	m.responseTimeout = max(m.responseTimeout, timeout)
 	m.open++
+	m.activity.began(now)
 	if q.Prompt > 0 {
 		m.interference.add(now, stallProbability(p.readingTime(q), q.gap()))
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -99,6 +99,7 @@
 	busyUntil       time.Time
 	recordAt        time.Time  // when its record last arrived
 	announced       *announced // its announcements in responses; nil: none
+	activity        *activity  // of its service
 	hash            uint64     // of the ID
 	runKey          uint32     // see Loads
 	warming         warming
@@ -144,6 +145,7 @@
 	owners       Owners
 	coldBounds   slowstart.Bounds
 	connections  map[string]*connections // by service
+	activities   map[string]*activity    // by service
 	regions      map[string]string       // by availability zone
 	random       func(n int) int         // returns a number from 0 up to n, not including n
 
@@ -202,6 +204,7 @@
 		zones: make(map[string]*zoneHealth), onRemoved: func(string) {}, onNotice: func(NoticeTaken) {}, onNoticeEnded: func(NoticeEnded) {},
 		announced: make(map[string]*announced), removedInUse: make(map[*member]bool), zoneLoad: func(string) int { return 0 }, zoneInstances: func() int { return 1 },
 		speeds: make(map[string]*speed), owners: singleInstance{}, random: rand.IntN, demand: make(map[string]flow),
+		activities: make(map[string]*activity),
 	}
 	for _, opt := range opts {
 		opt(p)
@@ -255,7 +258,7 @@
 	if m != nil {
 		p.remove(e.ID)
 	}
-	m = &member{Endpoint: e, receivedAt: p.now(), recordAt: p.now(), hash: xxhash.Sum64String(e.ID), runKey: runKey(e)}
+	m = &member{Endpoint: e, receivedAt: p.now(), recordAt: p.now(), hash: xxhash.Sum64String(e.ID), runKey: runKey(e), activity: p.activityOf(e.Service)}
 	p.markCold(m, p.now(), e.Cold)
 	m.peerLoad = p.peerLoads[m.key()]
 	m.announced = p.reconcileRecord(e)
--- /dev/null
+++ b/internal/reach/connect.go
@@ -0,0 +1,201 @@
+package reach
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/ledgemount/ledgemount/internal/mesh"
+	"github.com/ledgemount/ledgemount/internal/pool"
+	"github.com/ledgemount/ledgemount/internal/verdict"
+)
+
+// KindConnect is the message that has an instance connect to an endpoint.
+const KindConnect mesh.Kind = "reach.connect"
+
+// ConnectRequest names the endpoint to connect to. The receiver uses its own record of the endpoint.
+type ConnectRequest struct {
+	Service  string `cbor:"1,keyasint"`
+	Endpoint string `cbor:"2,keyasint"`
+}
+
+// Errors of connections through other instances. Nothing was sent to the endpoint.
+var (
+	ErrNoForwarder = errors.New("no instance forwards connections to the endpoints")
+	// ErrEndpoint reports that an instance that reaches endpoints of the service did not reach this one.
+	ErrEndpoint = errors.New("the endpoint is not reached through another instance either")
+)
+
+const (
+	forwardTimeout  = 600 * time.Millisecond // for a connection through another instance
+	searchCount     = 8                      // instances that are asked if many endpoints cannot be reached
+	confirmCount    = 2                      // instances that are asked otherwise
+	maxForwardTries = 3                      // instances that one connection is attempted through
+)
+
+func randomInt(n int) int { return rand.IntN(n) }
+
+// Reached reports whether another instance reaches an endpoint. known is false if none could tell.
+func (m *Monitor) Reached(name, endpoint string) (reached, known bool) {
+	m.mu.Lock()
+	s := m.services[name]
+	m.mu.Unlock()
+	e, ok := m.endpoints.Lookup(endpoint)
+	if s == nil || !ok {
+		return false, false
+	}
+	var c Change
+	reached = m.confirm(s, []pool.Endpoint{e}, true, &c)
+	return reached, reached || c.Denied > 0
+}
+
+// Connect establishes a connection to an endpoint through another instance, and returns that instance's ID.
+func (m *Monitor) Connect(ctx context.Context, name, endpoint string) (conn net.Conn, via string, err error) {
+	for range maxForwardTries {
+		s, f := m.pickForwarder(name)
+		if f == nil {
+			m.CheckSoon(name)
+			break
+		}
+		began := m.now()
+		conn, err := m.connectThrough(ctx, f.peer, ConnectRequest{Service: name, Endpoint: endpoint})
+		if err == nil {
+			m.reportDelay(m.now().Sub(began))
+			return &forwardedConn{Conn: conn, release: sync.OnceFunc(func() { m.release(f) })}, f.peer.ID, nil
+		}
+		m.release(f)
+		if ctx.Err() != nil {
+			return nil, f.peer.ID, eris.Wrapf(ctx.Err(), "connecting through %s", f.peer.ID)
+		}
+		if pause := pauseAfter(err); pause > 0 {
+			m.avoid(s, f, pause)
+			continue
+		}
+		return nil, f.peer.ID, eris.Wrapf(errors.Join(ErrEndpoint, err), "connecting through %s", f.peer.ID)
+	}
+	return nil, "", eris.Wrapf(ErrNoForwarder, "connecting to an endpoint of %s", name)
+}
+
+func (m *Monitor) connectThrough(ctx context.Context, to mesh.Peer, req ConnectRequest) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	return m.peers.Tunnel(ctx, to, req)
+}
+
+// pauseAfter returns for how long an instance is not used after it has failed to establish a connection; 0: the endpoint
+// is at fault.
+func pauseAfter(err error) time.Duration {
+	if errors.Is(err, mesh.ErrUnreachable) || errors.Is(err, mesh.ErrNoReply) {
+		return silentPause
+	}
+	switch verdict.From(err).Code() {
+	case verdict.CodeNoEndpoint:
+		return 0
+	case verdict.CodeOverloaded:
+		return busyPause
+	default:
+		return failedPause
+	}
+}
+
+// pickForwarder picks an instance and counts a connection through it.
+func (m *Monitor) pickForwarder(name string) (*service, *forwarder) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.services[name]
+	if s == nil {
+		return nil, nil
+	}
+	f := s.forwarders.pick(m.now())
+	if f != nil {
+		f.open++
+	}
+	return s, f
+}
+
+func (m *Monitor) release(f *forwarder) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	f.open--
+}
+
+func (m *Monitor) avoid(s *service, f *forwarder, pause time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s.forwarders.avoid(f, m.now(), pause)
+}
+
+func (m *Monitor) usableForwarders(s *service) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return s.forwarders.usable(m.now())
+}
+
+// confirm asks other instances to connect to endpoints that this one did not reach, and keeps those that can as
+// forwarders. It records the result in c and reports whether an endpoint was reached. It returns at the first one; the
+// other instances are recorded when they respond. many states whether many instances are asked.
+func (m *Monitor) confirm(s *service, unreached []pool.Endpoint, many bool, c *Change) bool {
+	n := confirmCount
+	if many {
+		n = searchCount
+	}
+	list := m.peers.Forwarders(n)
+	type answer struct {
+		endpoint string
+		err      error
+	}
+	answers := make(chan answer, len(list))
+	first := m.random(len(unreached))
+	for i, p := range list {
+		e := unreached[(first+i)%len(unreached)]
+		m.wg.Go(func() {
+			answers <- answer{e.ID, m.try(s, p, ConnectRequest{Service: e.Service, Endpoint: e.ID})}
+		})
+	}
+	c.Asked = len(list)
+	for range list {
+		a := <-answers
+		if a.err == nil || (!errors.Is(a.err, mesh.ErrUnreachable) && !errors.Is(a.err, mesh.ErrNoReply)) {
+			c.Answered++
+		}
+		if a.err != nil && pauseAfter(a.err) == 0 {
+			c.Denied++
+		}
+		if a.err == nil {
+			c.Confirmed = append(c.Confirmed, a.endpoint)
+			return true
+		}
+	}
+	return false
+}
+
+// try asks an instance to connect to an endpoint, and records it as a forwarder if it can.
+func (m *Monitor) try(s *service, p mesh.Peer, req ConnectRequest) error {
+	began := m.now()
+	conn, err := m.connectThrough(m.ctx, p, req)
+	if err != nil {
+		return err
+	}
+	m.reportDelay(m.now().Sub(began))
+	m.mu.Lock()
+	s.forwarders.add(p, m.now())
+	m.mu.Unlock()
+	return conn.Close()
+}
+
+// forwardedConn is a connection through another instance.
+type forwardedConn struct {
+	net.Conn
+	release func()
+}
+
+// Close implements net.Conn.
+func (c *forwardedConn) Close() error {
+	c.release()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/reach/forwarders.go
@@ -0,0 +1,87 @@
+package reach
+
+import (
+	"time"
+
+	"github.com/ledgemount/ledgemount/internal/mesh"
+)
+
+// forwarder is another instance through which endpoints of a service were reached.
+type forwarder struct {
+	peer       mesh.Peer
+	open       int       // connections through it
+	avoidUntil time.Time // it could not establish one
+}
+
+// forwarders are the instances through which the endpoints of one service are reached.
+type forwarders struct{ byID map[string]*forwarder }
+
+// maxForwarders bounds how many instances are kept. Connections are spread over them.
+const maxForwarders = 4
+
+// Pauses in the use of a forwarder.
+const (
+	busyPause   = 300 * time.Millisecond // it carries as many connections as it accepts
+	failedPause = 3 * time.Second        // it has no path either, or does not forward
+	silentPause = 600 * time.Millisecond // it did not respond in time
+)
+
+// add records that an instance has established a connection.
+func (f *forwarders) add(p mesh.Peer, now time.Time) {
+	if f.byID == nil {
+		f.byID = make(map[string]*forwarder)
+	}
+	if known := f.byID[p.ID]; known != nil {
+		known.peer, known.avoidUntil = p, time.Time{}
+		return
+	}
+	if len(f.byID) >= maxForwarders {
+		f.dropAvoided(now)
+	}
+	if len(f.byID) < maxForwarders {
+		f.byID[p.ID] = &forwarder{peer: p}
+	}
+}
+
+// dropAvoided drops the instances that are not usable now.
+func (f *forwarders) dropAvoided(now time.Time) {
+	for id, x := range f.byID {
+		if now.Before(x.avoidUntil) {
+			delete(f.byID, id)
+		}
+	}
+}
+
+// pick returns the usable instance with the fewest connections; nil if there is none.
+func (f *forwarders) pick(now time.Time) *forwarder {
+	var best *forwarder
+	for _, x := range f.byID {
+		if now.Before(x.avoidUntil) {
+			continue
+		}
+		if best == nil || x.open < best.open {
+			best = x
+		}
+	}
+	return best
+}
+
+// usable returns how many instances may be used now.
+func (f *forwarders) usable(now time.Time) int {
+	n := 0
+	for _, x := range f.byID {
+		if !now.Before(x.avoidUntil) {
+			n++
+		}
+	}
+	return n
+}
+
+// avoid pauses the use of an instance. One that does not forward and carries no connections is dropped, so that others can
+// take its place.
+func (f *forwarders) avoid(x *forwarder, now time.Time, pause time.Duration) {
+	x.avoidUntil = now.Add(pause)
+	if pause >= failedPause && x.open == 0 {
+		delete(f.byID, x.peer.ID)
+	}
+}
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -39,7 +39,8 @@
 	now           func() time.Time
 	random        func() float64
 	onOutcome     func(Outcome)
-	onDial        func(zone string, took time.Duration)
+	onDial        func(zone string, took time.Duration, err error)
+	paths         Paths
 	congested     func() bool
 	stateFresh    func() bool
 	stallTimeout  time.Duration
@@ -72,11 +73,14 @@
 func WithQuarantine(t *quarantine.Tracker) Option { return func(c *Core) { c.suspects = t } }
 
 // OnDial sets the function that is called for each new connection to an endpoint. It receives the endpoint's
-// availability zone, and the time that the connection took to be established or to fail.
-func OnDial(f func(zone string, took time.Duration)) Option {
+// availability zone, and the time until the connection was established or failed.
+func OnDial(f func(zone string, took time.Duration, err error)) Option {
 	return func(c *Core) { c.onDial = f }
 }
 
+// WithPaths sets how endpoints are reached that this instance has lost its own path to. By default, they are not.
+func WithPaths(p Paths) Option { return func(c *Core) { c.paths = p } }
+
 // WithCongested sets the function that reports whether this instance's network link is so congested that other
 // instances should serve its requests.
 func WithCongested(f func() bool) Option { return func(c *Core) { c.congested = f } }
@@ -107,7 +111,7 @@
 // New returns a Core.
 func New(deps Deps, opts ...Option) *Core {
 	c := &Core{
-		Deps: deps, now: time.Now, random: rand.Float64, onOutcome: func(Outcome) {}, onDial: func(string, time.Duration) {},
+		Deps: deps, now: time.Now, random: rand.Float64, onOutcome: func(Outcome) {}, onDial: func(string, time.Duration, error) {}, paths: directPaths{},
 		onDelayedExit: func(DelayedExit) {}, suspects: quarantine.New(),
 		congested: func() bool { return false }, stateFresh: func() bool { return true }, stallTimeout: defaultStallTimeout, maxBody: defaultMaxBody,
 	}
@@ -165,6 +169,7 @@
 	attempts     int
 	failedDials  int
 	dialFailure  upstream.DialFailure // of the attempt in progress
+	via          string               // the instance that the attempt in progress is forwarded through; empty: none
 	availability pool.Availability    // availability of endpoints as last queried
 	mayHaveRun   bool                 // an endpoint may have run the request
 	headerSent   bool                 // the response header has been sent to the caller
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -17,13 +17,15 @@
 type result int
 
 const (
-	resultDone       result = iota // the caller has received a complete response
-	resultUnsent                   // the endpoint could not be reached, so nothing was sent
-	resultNotRun                   // the endpoint reports that it did not run the request
-	resultFailed                   // the endpoint responded with a server error, and the response is stored
-	resultBroken                   // the request may have run; its response is lost or incomplete
-	resultCallerLeft               // the caller disconnected, or does not accept the response
-	resultWithdrawn                // nothing was sent, because the endpoint no longer accepts the request
+	resultDone         result = iota // the caller has received a complete response
+	resultUnsent                     // the endpoint could not be reached, so nothing was sent
+	resultRemoteUnsent               // another instance, which has a path to endpoints, could not reach it either
+	resultNoPath                     // this instance has lost its path to all endpoints; nothing was sent
+	resultNotRun                     // the endpoint reports that it did not run the request
+	resultFailed                     // the endpoint responded with a server error, and the response is stored
+	resultBroken                     // the request may have run; its response is lost or incomplete
+	resultCallerLeft                 // the caller disconnected, or does not accept the response
+	resultWithdrawn                  // nothing was sent, because the endpoint no longer accepts the request
 )
 
 // failedResponse is a response with a server error. The caller gets it if no other attempt succeeds.
@@ -40,6 +42,9 @@
 		if j.quarantinedMeanwhile() {
 			return j.giveUpQuarantined(ctx, failure)
 		}
+		if j.pathLost() {
+			return j.giveUp(ctx, failure, resultUnsent)
+		}
 		lease := j.pick()
 		if lease == nil {
 			return j.giveUp(ctx, failure, resultUnsent)
@@ -53,11 +58,15 @@
 			continue
 		case resultFailed:
 			failure = response
-		case resultUnsent:
+		case resultUnsent, resultRemoteUnsent, resultNoPath:
+			if res == resultNoPath {
+				delete(j.tried, lease.Endpoint().ID) // it may be reached through another instance
+			}
 			j.failedDials++
-			if j.failedDials < maxDials && ctx.Err() == nil {
+			if j.failedDials < maxDials && ctx.Err() == nil && !j.pathLost() {
 				continue
 			}
+			res = resultUnsent
 		case resultNotRun, resultBroken, resultCallerLeft:
 		}
 		if !j.shouldRetry(ctx, res) {
@@ -108,6 +117,8 @@
 		return refuse(verdict.CodeEndpointRefused, "the endpoints have as much as they bear", retryAfterShort)
 	case j.availability.Limited:
 		return refuse(verdict.CodeEndpointLimit, "the endpoints have had as many requests as they say that they take", j.nextRetry())
+	case j.pathLost():
+		return refuse(verdict.CodeNoEndpoint, "this instance reaches no endpoint, neither itself nor through another instance", retryAfterLong)
 	case backoff <= 0:
 		return refuse(verdict.CodeNoEndpoint, "no endpoint takes work or can be reached", retryAfterLong)
 	}
@@ -135,7 +146,7 @@
 		if !j.route.Repeatable() || (res == resultBroken && j.onlyCallerMayRetry()) {
 			return false
 		}
-	case resultDone, resultUnsent, resultCallerLeft, resultWithdrawn:
+	case resultDone, resultUnsent, resultRemoteUnsent, resultNoPath, resultCallerLeft, resultWithdrawn:
 		return false
 	}
 	if remaining, ok := j.remaining(); ok && remaining < minRemaining {
@@ -199,7 +210,7 @@
 func (j *job) try(ctx context.Context, lease *pool.Lease) (result, *failedResponse) {
 	began := j.core.now()
 	events := j.events
-	j.dialFailure = ""
+	j.dialFailure, j.via = "", ""
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	wd := j.watch(lease, cancel)
@@ -214,13 +225,13 @@
 	lease.Done(poolEnd(res))
 	j.outcome.Endpoints = append(j.outcome.Endpoints, AttemptOutcome{
 		Endpoint: lease.Endpoint().ID, Reason: string(lease.Reason()), SkipReason: string(lease.Exclusion()), Result: resultNames[res], At: began.Sub(j.req.Arrived),
-		DialFailure: j.dialFailure, ProcessExited: res == resultBroken && !wd.stalled() && j.recordExit(lease, began, j.events > events),
+		DialFailure: j.dialFailure, Via: j.via, ProcessExited: res == resultBroken && !wd.stalled() && j.recordExit(lease, began, j.events > events),
 	})
 	return res, failure
 }
 
 var resultNames = map[result]string{
-	resultDone: "done", resultUnsent: "unreachable", resultNotRun: "not-run", resultFailed: "failed", resultBroken: "broken",
+	resultDone: "done", resultUnsent: "unreachable", resultRemoteUnsent: "unreachable-forwarded", resultNoPath: "no-path", resultNotRun: "not-run", resultFailed: "failed", resultBroken: "broken",
 	resultCallerLeft: "left", resultWithdrawn: "withdrawn",
 }
 
@@ -232,6 +243,10 @@
 		return pool.EndFailed
 	case resultUnsent:
 		return pool.EndUnreachable
+	case resultRemoteUnsent:
+		return pool.EndRemoteFailed
+	case resultNoPath:
+		return pool.EndUnsent
 	case resultBroken:
 		return pool.EndBroken
 	case resultNotRun:
@@ -258,15 +273,15 @@
 	}
 	outbound := j.core.Dialect.Outbound(j.req, a)
 	sent := j.core.now()
-	outbound.OnDial = func(took time.Duration) { j.core.onDial(e.Zone, took) }
+	outbound.OnDial = func(took time.Duration, err error) { j.core.onDial(e.Zone, took, err) }
 	outbound.ShouldSend = lease.StillValid
+	j.setPath(outbound, e)
 	res, err := j.core.Client.Do(ctx, e.Addr, outbound)
 	switch {
 	case errors.Is(err, upstream.ErrWithdrawn):
 		return resultWithdrawn, nil
 	case errors.Is(err, upstream.ErrNotSent):
-		j.dialFailure = upstream.DialFailureOf(err)
-		return resultUnsent, nil
+		return j.unsentResult(ctx, e, outbound, err), nil
 	}
 	j.attempts++
 	if err != nil {
--- a/internal/relay/exits.go
+++ b/internal/relay/exits.go
@@ -20,8 +20,8 @@
 type exitProber struct{ inFlight singleflight.Group }
 
 // probe calls f once for all concurrent calls of the same kind and address.
-func (p *exitProber) probe(kind, addr string, f func(context.Context, string) bool) bool {
-	exited, _, _ := p.inFlight.Do(kind+addr, func() (any, error) { return f(context.Background(), addr), nil })
+func (p *exitProber) probe(kind, addr string, f func(context.Context) bool) bool {
+	exited, _, _ := p.inFlight.Do(kind+addr, func() (any, error) { return f(context.Background()), nil })
 	return exited.(bool) //nolint:forcetypeassert // the function above returns nothing else
 }
 
@@ -36,12 +36,12 @@
 		return true
 	case pool.ProcessRunning:
 	}
-	addr := lease.Endpoint().Addr
-	if j.core.exits.probe("now ", addr, j.core.Client.Refused) {
+	e, c := lease.Endpoint(), j.core
+	if c.exits.probe("now ", e.Addr, func(ctx context.Context) bool { return c.refuses(ctx, e, c.Client.Refused) }) {
 		return true
 	}
 	go func() {
-		if j.core.exits.probe("soon ", addr, j.core.Client.RefusedSoon) {
+		if c.exits.probe("soon ", e.Addr, func(ctx context.Context) bool { return c.refuses(ctx, e, c.Client.RefusedSoon) }) {
 			onDelayed()
 		}
 	}()
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -141,6 +141,7 @@
 	SkipReason    string // why the endpoint that is first by affinity was excluded; empty: it was not
 	Result        string
 	DialFailure   upstream.DialFailure // how the connection attempt failed; empty: it did not
+	Via           string               // the instance that the connection was forwarded through; empty: none
 	At            time.Duration        // since the request arrived
 	ProcessExited bool                 // the attempt was interrupted, and the endpoint's process had exited
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -114,6 +114,7 @@
 type watchdog struct {
 	lease          *pool.Lease
 	now            func() time.Time
+	pathLost       func() bool   // this instance has lost the path that the attempt uses
 	firstTimeout   time.Duration // maximum silence before the first event
 	laterTimeout   time.Duration // maximum silence after the first event
 	started        time.Time     // when the attempt started
@@ -130,7 +131,7 @@
 func (j *job) watch(lease *pool.Lease, cancel func()) *watchdog {
 	w := &watchdog{
 		lease: lease, now: j.core.now, firstTimeout: max(j.core.stallTimeout, lease.ResponseTimeout()), laterTimeout: max(j.core.stallTimeout, stallGapFactor*j.route.Gap),
-		started: j.core.now(),
+		started: j.core.now(), pathLost: j.directPathLost(lease.Endpoint()),
 	}
 	if !j.route.Repeatable() || j.attempts+1 >= j.route.MaxAttempts {
 		return w
@@ -157,7 +158,7 @@
 func (w *watchdog) noteFirstEvent() { w.firstEventSeen.Store(true) }
 
 // check cancels the attempt if the endpoint has been silent for too long, towards this request and towards all other
-// requests of this instance.
+// requests of this instance. The others do not count if their connections take another path.
 func (w *watchdog) check(cancel func()) {
 	timeout := w.timeout()
 	w.mu.Lock()
@@ -166,7 +167,7 @@
 		return
 	}
 	silence := w.now().Sub(w.started) - time.Duration(w.lastReceived.Load())
-	if silence >= timeout && w.lease.Silent() {
+	if silence >= timeout && (w.lease.Silent() || w.pathLost()) {
 		w.expired.Store(true)
 		cancel()
 		return
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -16,6 +16,7 @@
 	"github.com/ledgemount/ledgemount/internal/observe"
 	"github.com/ledgemount/ledgemount/internal/pool"
 	"github.com/ledgemount/ledgemount/internal/quarantine"
+	"github.com/ledgemount/ledgemount/internal/reach"
 	"github.com/ledgemount/ledgemount/internal/relay"
 )
 
@@ -134,8 +135,8 @@
 }
 
 // attemptList writes the attempts of a request into a log line. The field "end" is the result of the attempt. "dial"
-// states how the connection attempt failed, "ended" that the endpoint's process has exited, and "kept_off" why the first
-// endpoint by affinity was excluded.
+// states how the connection attempt failed, "via" through which instance the connection was forwarded, "ended" that the
+// endpoint's process has exited, and "kept_off" why the first endpoint by affinity was excluded.
 type attemptList []relay.AttemptOutcome
 
 // MarshalZerologArray implements zerolog.LogArrayMarshaler.
@@ -145,6 +146,9 @@
 		if x.DialFailure != "" {
 			d = d.Str("dial", string(x.DialFailure))
 		}
+		if x.Via != "" {
+			d = d.Str("via", x.Via)
+		}
 		if x.ProcessExited {
 			d = d.Bool("ended", true)
 		}
@@ -171,6 +175,21 @@
 	m.metrics.Scope().Gauge("limits_lent_per_second").Update(perSecond)
 }
 
+// recordPath counts a change in how the endpoints of a service are reached.
+func (m *meters) recordPath(c reach.Change) {
+	m.metrics.Scope().Tagged(map[string]string{"from": c.From.String(), "to": c.To.String()}).Counter("path_changes_total").Inc(1)
+}
+
+// recordForwardRefused counts a connection that another instance asked for in vain.
+func (m *meters) recordForwardRefused(reason string) {
+	m.metrics.Scope().Tagged(map[string]string{"reason": reason}).Counter("forwards_refused_total").Inc(1)
+}
+
+// recordForwarded records the number of connections that are carried for other instances.
+func (m *meters) recordForwarded(open int) {
+	m.metrics.Scope().Gauge("forwarded_connections").Update(float64(open))
+}
+
 // recordNotice counts a notice that an endpoint sent in a response.
 func (m *meters) recordNotice(n pool.NoticeTaken) {
 	m.metrics.Scope().Tagged(map[string]string{"word": n.Notice.Name()}).Counter("endpoint_words_total").Inc(1)
--- a/internal/router/explain.go
+++ b/internal/router/explain.go
@@ -55,6 +55,7 @@
 	End        string `json:"end"`
 	AtMs       int64  `json:"at_ms"`
 	Dial       string `json:"dial"`     // how the connection attempt failed; empty: it did not
+	Via        string `json:"via"`      // the instance that forwarded the connection; empty: none
 	SkipReason string `json:"kept_off"` // why the endpoint that is first by affinity was excluded; empty: it was not
 }
 
@@ -153,10 +154,14 @@
 }
 
 func (e AttemptLine) endNote() string {
-	if e.Dial == "" {
-		return e.End
+	note := e.End
+	if e.Dial != "" {
+		note += " (connection: " + e.Dial + ")"
 	}
-	return e.End + " (connection: " + e.Dial + ")"
+	if e.Via != "" {
+		note += " (through " + e.Via + ")"
+	}
+	return note
 }
 
 func (e AttemptLine) skipNote() string {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -28,6 +28,7 @@
 	"github.com/ledgemount/ledgemount/internal/pool"
 	"github.com/ledgemount/ledgemount/internal/pressure"
 	"github.com/ledgemount/ledgemount/internal/quarantine"
+	"github.com/ledgemount/ledgemount/internal/reach"
 	"github.com/ledgemount/ledgemount/internal/relay"
 	"github.com/ledgemount/ledgemount/internal/retry"
 	"github.com/ledgemount/ledgemount/internal/route"
@@ -72,6 +73,8 @@
 	bootClock     *boottime.Clock
 	resumeGuard   resumeGuard
 	load          *load.Exchange
+	reach         *reach.Monitor
+	forwarder     *reach.Server
 	replicator    *quarantine.Replicator
 	follow        *follow.Follower
 	escrow        *escrow.Holder
@@ -103,6 +106,7 @@
 	r.newEscrow(platform, meshRouter, id)
 	r.newFollower(platform, meshRouter)
 	r.newSharing(platform, meshRouter)
+	r.newReach(meshRouter)
 	r.newCore(platform)
 	r.resumeGuard = resumeGuard{clock: r.bootClock, lastContact: r.follow.LastContact}
 	r.bootClock.OnResume(r.onResume)
@@ -176,7 +180,7 @@
 	r.core = relay.New(relay.Deps{
 		Table: r.follow.Table, Pool: r.pool, Budgets: r.escrow, Retries: retries, Client: r.client, Dialect: platform.Dialect,
 	}, append(r.settings.relayOptions(), relay.WithNow(r.bootClock.Now), relay.OnOutcome(r.logRequest), relay.OnDelayedExit(r.logDelayedExit),
-		relay.WithQuarantine(r.suspects), relay.WithStateFresh(r.resumeGuard.stateFresh), relay.OnDial(r.recordDial), relay.WithCongested(r.pressure.Congested))...)
+		relay.WithQuarantine(r.suspects), relay.WithStateFresh(r.resumeGuard.stateFresh), relay.OnDial(r.recordDial), relay.WithPaths(r.reach), relay.WithCongested(r.pressure.Congested))...)
 }
 
 // fleetSize returns the number of instances among which fleet-wide limits are divided. Right after its start, an instance
@@ -218,7 +222,7 @@
 	if !r.settings.disabled(Loads) {
 		list = append(list, r.load)
 	}
-	list = append(list, r.replicator, r.follow, r.escrow, r.escrow.Repayments(), &sweeper{client: r.client}, &callLog{counts: r.metrics.calls, sent: r.metrics.sent, role: r.role, log: r.log}, r.startWatch(), r.callers, r.probes)
+	list = append(list, r.reach, r.replicator, r.follow, r.escrow, r.escrow.Repayments(), &sweeper{client: r.client}, &callLog{counts: r.metrics.calls, sent: r.metrics.sent, role: r.role, log: r.log}, r.startWatch(), r.callers, r.probes)
 	if r.metricsServer != nil {
 		list = append(list, r.metricsServer)
 	}
@@ -261,9 +265,10 @@
 }
 
 // recordDial passes the connection times of endpoints in the same availability zone to the monitor of this instance's
-// link. Connections to other zones may be slow for other reasons.
-func (r *Router) recordDial(zone string, took time.Duration) {
-	if zone == r.settings.Instance.Zone {
+// link. Connections to other zones may be slow for other reasons. A connection that was not established in time says
+// nothing about the link before the path has been checked; see newReach.
+func (r *Router) recordDial(zone string, took time.Duration, err error) {
+	if zone == r.settings.Instance.Zone && upstream.DialFailureOf(err) != upstream.DialTimeout {
 		r.pressure.ObserveDial(took)
 	}
 }
@@ -309,12 +314,14 @@
 	r.log.Info().Str("event", "instance_stopping").Msg("planned stop")
 	r.probes.setNotReady()
 	r.callers.Leave()
+	r.forwarder.Leave()
 	r.escrow.ReduceDemand()
 	errPeers := r.leavePeers()
 	time.Sleep(time.Duration(float64(r.settings.Stop.Within) * lingerShare))
 	drainCtx, cancelDrain := context.WithDeadline(context.Background(), started.Add(r.settings.Stop.Within-escrowReturnTime-exitMargin))
 	defer cancelDrain()
 	err := r.callers.Stop(drainCtx)
+	r.forwarder.Drain(drainCtx)
 	returnCtx, cancelReturn := context.WithDeadline(context.Background(), started.Add(r.settings.Stop.Within-exitMargin))
 	defer cancelReturn()
 	errEscrow := r.escrow.Leave(returnCtx)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -81,9 +81,10 @@
 }
 
 // finish ends the exchange after a complete response. It keeps the connection for reuse, unless the request has not been
-// sent completely, the endpoint closes the connection, or more data than the response has arrived.
+// sent completely, the connection carries one exchange only, the endpoint closes it, or more data than the response has
+// arrived.
 func (x *exchange) finish() {
-	if !x.sent.Load() || x.closeAfter || x.conn.br.Buffered() > 0 {
+	if !x.sent.Load() || x.closeAfter || x.conn.single || x.conn.br.Buffered() > 0 {
 		x.abort()
 		return
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -26,9 +26,12 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// OnDial is called if a new connection is needed, with the time that it took to be established or to fail. It may be
-	// nil.
-	OnDial func(took time.Duration)
+	// OnDial is called if the client establishes a new connection, with the time until it was established or failed. It
+	// may be nil.
+	OnDial func(took time.Duration, err error)
+	// Connect establishes the connection in place of the client's own function. The connection is used for this request
+	// only. It may be nil.
+	Connect func(ctx context.Context) (net.Conn, error)
 	// ShouldSend is called once a connection is available. If it returns false, nothing is sent. It may be nil.
 	ShouldSend func() bool
 }
@@ -142,13 +145,14 @@
 	addr    string
 	br      *bufio.Reader
 	expires time.Time // from then on, it must not be reused
+	single  bool      // it carries one exchange only
 }
 
 // Do sends a request and returns as soon as it has read the header of the response. The exchange ends with ctx, even in
 // the middle of the body. An error that matches ErrNotSent guarantees that nothing was sent; after any other error, the
 // request may have run.
 func (c *Client) Do(ctx context.Context, addr string, req *Request) (*Response, error) {
-	cn, err := c.acquire(ctx, addr, req.OnDial)
+	cn, err := c.acquire(ctx, addr, req)
 	if err != nil {
 		return nil, err
 	}
@@ -171,7 +175,16 @@
 }
 
 // acquire returns a usable idle connection to an address, or else a new one.
-func (c *Client) acquire(ctx context.Context, addr string, onDial func(time.Duration)) (*conn, error) {
+func (c *Client) acquire(ctx context.Context, addr string, req *Request) (*conn, error) {
+	if req.Connect != nil {
+		nc, err := req.Connect(ctx)
+		if err != nil {
+			return nil, eris.Wrapf(errors.Join(ErrNotSent, err), "connecting to %s", addr)
+		}
+		cn := c.newConn(nc, addr)
+		cn.single = true
+		return cn, nil
+	}
 	for {
 		cn := c.pop(addr)
 		if cn == nil {
@@ -184,8 +197,8 @@
 	}
 	started := c.now()
 	nc, err := c.connect(ctx, addr, c.dialTimeout)
-	if onDial != nil {
-		onDial(c.now().Sub(started))
+	if req.OnDial != nil {
+		req.OnDial(c.now().Sub(started), err)
 	}
 	if err != nil {
 		return nil, eris.Wrapf(errors.Join(ErrNotSent, err), "connecting to %s", addr)
@@ -193,6 +206,25 @@
 	return c.newConn(nc, addr), nil
 }
 
+// Connect establishes a connection to an address that the client does not reuse.
+func (c *Client) Connect(ctx context.Context, addr string) (net.Conn, error) {
+	nc, err := c.connect(ctx, addr, c.dialTimeout)
+	if err != nil {
+		return nil, eris.Wrapf(err, "connecting to %s", addr)
+	}
+	return c.wrap(nc), nil
+}
+
+// Probe establishes a connection to an address within a timeout, and keeps it for the next request.
+func (c *Client) Probe(ctx context.Context, addr string, timeout time.Duration) error {
+	nc, err := c.connect(ctx, addr, timeout)
+	if err != nil {
+		return eris.Wrapf(err, "connecting to %s", addr)
+	}
+	c.put(c.newConn(nc, addr), nil)
+	return nil
+}
+
 // newConn wraps an established network connection for exchanges.
 func (c *Client) newConn(nc net.Conn, addr string) *conn {
 	nc = c.wrap(nc)
