fix: a second of silence of all endpoints does not send every request to a second one

An endpoint that sends nothing for 0.7 s was given up, although all others of its service were silent at the same moment: the request went to a second silent endpoint, its prompt was read twice, and retries of the shared budget were spent.

--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -59,11 +59,25 @@
 	l.pool.mu.Unlock()
 }
 
-// Silent reports whether the endpoint has sent nothing to this instance for longer than the response timeout.
+// Silent reports whether the endpoint has sent nothing to this instance for longer than the response timeout, while
+// other endpoints of the service have. If all of them are silent at the same time, another one would be no better, so
+// the endpoint counts as silent only after a longer time.
 func (l *Lease) Silent() bool {
 	l.pool.mu.RLock()
 	defer l.pool.mu.RUnlock()
-	return l.pool.silent(l.member, l.pool.now())
+	now := l.pool.now()
+	return l.pool.silent(l.member, now) && !l.pool.serviceSilent(l.member, now)
+}
+
+// maxServiceSilence is how long all endpoints of a service may be silent at the same time. It is shorter than the pause
+// after which callers give up a stream.
+const maxServiceSilence = 1800 * time.Millisecond
+
+// serviceSilent reports whether several endpoints of a service owe responses and none has sent anything for longer than
+// the response timeout, but not yet for maxServiceSilence. The caller holds mu.
+func (p *Pool) serviceSilent(m *member, now time.Time) bool {
+	quiet := m.activity.quietFor(now)
+	return m.activity.open > m.open && quiet > p.policy.MinResponseTimeout && quiet < maxServiceSilence
 }
 
 // ProcessState is the last known state of the picked endpoint's process.
