fix: tunnels end 3 s after the last sign of the instance in between

Requests that another instance forwards waited for up to 10 s, the idle time of connections for calls, if that instance lost power; a direct connection ends after 3 s. Connections for tunnels are now apart, have an idle time of 3 s, and are closed 5 s after their last tunnel. The end of the instance in between is no end of the response (test).

--- a/internal/mesh/transport.go
+++ b/internal/mesh/transport.go
@@ -27,6 +27,9 @@
 	dialTimeout    = 500 * time.Millisecond
 	callTimeout    = 2 * time.Second
 	keepAlive      = 3 * time.Second
+	tunnelIdle     = 3 * time.Second // without a sign of the peer, after which tunnels through it end
+	tunnelAlive    = time.Second     // between signs of life on a connection for tunnels
+	tunnelLinger   = 5 * time.Second // after which an unused connection for tunnels is closed
 	maxStreams     = 4096
 	callsPerSecond = 20000 // calls per second that a peer may make on a connection
 	callBurst      = 20000
@@ -68,11 +71,21 @@
 	traffic func(kind Kind, bytes int)
 
 	mu      sync.Mutex
-	conns   map[string]*peerConn // for calls and streams
-	tunnels map[string]*peerConn // for tunnels, which a call that gets no reply must not interrupt
+	conns   connSet // for calls and streams
+	tunnels connSet // for tunnels, which a call that gets no reply must not interrupt
 	closed  bool
 }
 
+// connSet holds the connections for one use, by address.
+type connSet struct {
+	byAddr map[string]*peerConn
+	config func() *quic.Config
+}
+
+func newConnSet(config func() *quic.Config) connSet {
+	return connSet{byAddr: make(map[string]*peerConn), config: config}
+}
+
 type peerConn struct {
 	ready chan struct{}
 	conn  *quic.Conn
@@ -118,8 +131,8 @@
 		udp:       &quic.Transport{Conn: sock},
 		ctx:       ctx,
 		cancel:    cancel,
-		conns:     make(map[string]*peerConn),
-		tunnels:   make(map[string]*peerConn),
+		conns:     newConnSet(quicConfig),
+		tunnels:   newConnSet(tunnelConfig),
 
 		traffic: func(Kind, int) {},
 	}
@@ -146,6 +159,14 @@
 	}
 }
 
+// tunnelConfig returns the configuration of connections for tunnels. The requests that they carry cannot wait as long as
+// calls, which have timeouts of their own.
+func tunnelConfig() *quic.Config {
+	c := quicConfig()
+	c.MaxIdleTimeout, c.KeepAlivePeriod = tunnelIdle, tunnelAlive
+	return c
+}
+
 // Name implements kernel.Service.
 func (t *Transport) Name() string { return ServiceName }
 
@@ -188,13 +209,13 @@
 	defer t.mu.Unlock()
 	t.closed = true
 	var out []*quic.Conn
-	for _, conns := range []map[string]*peerConn{t.conns, t.tunnels} {
-		for _, pc := range conns {
+	for _, conns := range []connSet{t.conns, t.tunnels} {
+		for _, pc := range conns.byAddr {
 			if pc.conn != nil {
 				out = append(out, pc.conn)
 			}
 		}
-		clear(conns)
+		clear(conns.byAddr)
 	}
 	return out
 }
@@ -319,7 +340,7 @@
 }
 
 // open opens a stream to a peer on one of the given connections and sends a message.
-func (t *Transport) open(ctx context.Context, conns map[string]*peerConn, addr string, kind Kind, body []byte) (*quic.Stream, error) {
+func (t *Transport) open(ctx context.Context, conns connSet, addr string, kind Kind, body []byte) (*quic.Stream, error) {
 	if !t.allowAddr(addr) {
 		return nil, eris.Wrapf(ErrUnreachable, "%s to %s", kind, addr)
 	}
@@ -349,19 +370,19 @@
 }
 
 // conn returns the connection to addr among conns, and establishes it if there is none. Concurrent callers share one dial.
-func (t *Transport) conn(ctx context.Context, conns map[string]*peerConn, addr string) (*quic.Conn, error) {
+func (t *Transport) conn(ctx context.Context, conns connSet, addr string) (*quic.Conn, error) {
 	t.mu.Lock()
 	if t.closed {
 		t.mu.Unlock()
 		return nil, context.Canceled
 	}
-	pc, ok := conns[addr]
+	pc, ok := conns.byAddr[addr]
 	if ok && pc.conn != nil && pc.conn.Context().Err() != nil {
 		ok = false
 	}
 	if !ok {
 		pc = &peerConn{ready: make(chan struct{})}
-		conns[addr] = pc
+		conns.byAddr[addr] = pc
 		t.wg.Go(func() { t.dial(conns, addr, pc) })
 	}
 	t.mu.Unlock()
@@ -375,18 +396,18 @@
 	}
 }
 
-func (t *Transport) dial(conns map[string]*peerConn, addr string, pc *peerConn) {
+func (t *Transport) dial(conns connSet, addr string, pc *peerConn) {
 	ctx, cancel := context.WithTimeout(t.ctx, dialTimeout)
 	defer cancel()
 	udpAddr, err := net.ResolveUDPAddr("udp", addr)
 	var conn *quic.Conn
 	if err == nil {
-		conn, err = t.udp.Dial(ctx, udpAddr, t.tls, quicConfig())
+		conn, err = t.udp.Dial(ctx, udpAddr, t.tls, conns.config())
 	}
 	t.mu.Lock()
 	pc.conn, pc.err = conn, err
-	if err != nil && conns[addr] == pc {
-		delete(conns, addr)
+	if err != nil && conns.byAddr[addr] == pc {
+		delete(conns.byAddr, addr)
 	}
 	t.mu.Unlock()
 	close(pc.ready)
@@ -397,9 +418,9 @@
 func (t *Transport) Forget(addr string) {
 	t.mu.Lock()
 	var conn *quic.Conn
-	if pc, ok := t.conns[addr]; ok {
+	if pc, ok := t.conns.byAddr[addr]; ok {
 		conn = pc.conn
-		delete(t.conns, addr)
+		delete(t.conns.byAddr, addr)
 	}
 	t.mu.Unlock()
 	if conn != nil {
@@ -407,11 +428,11 @@
 	}
 }
 
-func (t *Transport) dropConn(conns map[string]*peerConn, addr string, conn *quic.Conn) {
+func (t *Transport) dropConn(conns connSet, addr string, conn *quic.Conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if pc, ok := conns[addr]; ok && pc.conn == conn {
-		delete(conns, addr)
+	if pc, ok := conns.byAddr[addr]; ok && pc.conn == conn {
+		delete(conns.byAddr, addr)
 	}
 }
 
--- a/internal/mesh/tunnel.go
+++ b/internal/mesh/tunnel.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/quic-go/quic-go"
@@ -79,7 +80,7 @@
 	switch {
 	case !stop() || err != nil:
 		_ = c.Close()
-		t.closeUnusedTunnels(addr)
+		t.dropTunnels(addr)
 		return nil, eris.Wrapf(ErrNoReply, "%s to %s: %v", kind, addr, err)
 	case out.Err != nil:
 		_ = c.Close()
@@ -92,7 +93,7 @@
 func (t *Transport) countTunnel(addr string) (release func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	pc := t.tunnels[addr]
+	pc := t.tunnels.byAddr[addr]
 	if pc == nil {
 		return func() {}
 	}
@@ -100,22 +101,36 @@
 	return sync.OnceFunc(func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		pc.open--
+		if pc.open--; pc.open == 0 && !t.closed {
+			time.AfterFunc(tunnelLinger, func() { t.closeUnusedTunnels(addr, pc) })
+		}
 	})
 }
 
-// closeUnusedTunnels closes the connection for tunnels through a peer that has not replied, unless it carries any. The
-// peer may have restarted, and would not reply on this connection.
-func (t *Transport) closeUnusedTunnels(addr string) {
+// closeUnusedTunnels closes a connection for tunnels, unless it carries any.
+func (t *Transport) closeUnusedTunnels(addr string, pc *peerConn) {
 	t.mu.Lock()
-	pc := t.tunnels[addr]
-	if pc == nil || pc.open > 0 || pc.conn == nil {
+	conn := pc.conn
+	if pc.open > 0 || conn == nil {
 		t.mu.Unlock()
 		return
 	}
-	delete(t.tunnels, addr)
+	if t.tunnels.byAddr[addr] == pc {
+		delete(t.tunnels.byAddr, addr)
+	}
 	t.mu.Unlock()
-	_ = pc.conn.CloseWithError(closeNormally, "no reply")
+	_ = conn.CloseWithError(closeNormally, "unused")
+}
+
+// dropTunnels closes the connection for tunnels through a peer that has not replied, unless it carries any. The peer may
+// have restarted, and would not reply on this connection.
+func (t *Transport) dropTunnels(addr string) {
+	t.mu.Lock()
+	pc := t.tunnels.byAddr[addr]
+	t.mu.Unlock()
+	if pc != nil {
+		t.closeUnusedTunnels(addr, pc)
+	}
 }
 
 // serveTunnel establishes the far end of a tunnel and copies bytes until one end is closed.
--- a/internal/mesh/tunnel_test.go
+++ b/internal/mesh/tunnel_test.go
@@ -17,6 +17,7 @@
 type tunnelTest struct {
 	near net.Conn
 	far  *net.TCPConn // as the destination sees it
+	peer *Transport   // in between
 }
 
 func newTunnelTest(t *testing.T) *tunnelTest {
@@ -47,7 +48,7 @@
 	if verdict.From(err).Code() != verdict.CodeOverloaded {
 		t.Fatalf("the refusal arrived as %v", err)
 	}
-	return &tunnelTest{near: near, far: far.(*net.TCPConn)}
+	return &tunnelTest{near: near, far: far.(*net.TCPConn), peer: server}
 }
 
 func TestTunnel(t *testing.T) {
@@ -80,6 +81,14 @@
 		_, err = read(x.near)
 		So(errors.Is(err, io.ErrUnexpectedEOF), ShouldBeTrue)
 	})
+	Convey("Nor does the end of the instance in between", t, func() {
+		x := newTunnelTest(t)
+		_, err := io.WriteString(x.far, "half")
+		So(err, ShouldBeNil)
+		So(x.peer.Close(), ShouldBeNil)
+		_, err = read(x.near)
+		So(err, ShouldNotBeNil)
+	})
 	Convey("If the near end is closed, the connection to the destination is closed", t, func() {
 		x := newTunnelTest(t)
 		So(x.near.Close(), ShouldBeNil)
