--- a/internal/mesh/tunnel.go
+++ b/internal/mesh/tunnel.go
@@ -80,7 +80,7 @@
 	switch {
 	case !stop() || err != nil:
 		_ = c.Close()
-		t.dropTunnels(addr)
+		t.renewTunnels(addr)
 		return nil, eris.Wrapf(ErrNoReply, "%s to %s: %v", kind, addr, err)
 	case out.Err != nil:
 		_ = c.Close()
@@ -122,11 +122,12 @@
 	_ = conn.CloseWithError(closeNormally, "unused")
 }
 
-// dropTunnels closes the connection for tunnels through a peer that has not replied, unless it carries any. The peer may
-// have restarted, and would not reply on this connection.
-func (t *Transport) dropTunnels(addr string) {
+// renewTunnels makes further tunnels through a peer that has not replied use a new connection, since the peer may have
+// restarted and would not reply on the present one. Tunnels on that one continue.
+func (t *Transport) renewTunnels(addr string) {
 	t.mu.Lock()
 	pc := t.tunnels.byAddr[addr]
+	delete(t.tunnels.byAddr, addr)
 	t.mu.Unlock()
 	if pc != nil {
 		t.closeUnusedTunnels(addr, pc)
--- a/internal/mesh/tunnel_test.go
+++ b/internal/mesh/tunnel_test.go
@@ -110,3 +110,38 @@
 		So(got, ShouldEqual, "early answer")
 	})
 }
+
+func TestTunnelsAfterRestart(t *testing.T) {
+	Convey("While tunnels through a restarted instance are still open, new ones do not wait for their end", t, func() {
+		ca, err := NewAuthority()
+		So(err, ShouldBeNil)
+		r := NewRouter()
+		HandleTunnel(r, "connect", func(context.Context, Peer, text) (net.Conn, error) {
+			c, _ := net.Pipe()
+			return c, nil
+		})
+		old, client := listen(t, ca, "server", r), listen(t, ca, "client", NewRouter())
+		addr := old.Self().Addr
+		_, err = Tunnel(context.Background(), client, addr, "connect", text{})
+		So(err, ShouldBeNil)
+		_ = old.udp.Conn.Close() // as if the process was killed: the client is not notified
+
+		cert, key, err := ca.Issue("server")
+		So(err, ShouldBeNil)
+		cfg, err := TLS(ca.PEM(), cert, key)
+		So(err, ShouldBeNil)
+		restarted, err := Listen(Peer{ID: "server", Zone: "z", Addr: addr}, cfg, r)
+		So(err, ShouldBeNil)
+		defer func() { _ = restarted.Close() }()
+		connected := false
+		for range 3 {
+			ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+			_, err = Tunnel(ctx, client, addr, "connect", text{})
+			cancel()
+			if connected = err == nil; connected {
+				break
+			}
+		}
+		So(connected, ShouldBeTrue)
+	})
+}
