fix: an instance that forwards is given up neither for one endpoint that is down nor for a small bound

While five of six instances were cut and endpoints were down without an answer, 200 to 250 requests in 6 s were refused for want of an instance that forwards: each endpoint that did not answer took the forwarder's dial and a check of its own path, longer than the origin waits, and the origin paused it; and one instance carried at most 256 connections, as many as the five need. After a timed-out dial the forwarder answers without waiting for a check; one missing reply is no reason for a pause, two in a row are; one instance carries up to 512 connections: 512 tunnels take 4.1 MB at both ends together, 1,024 take 7.1 MB, and 512 of at least 3,075 descriptors.

An instance that reaches no endpoint of any service, not even through others, is not ready; one that others connect is. Log lines say which instance did not forward, and why.

--- a/internal/pool/path.go
+++ b/internal/pool/path.go
@@ -89,6 +89,19 @@
 	return out
 }
 
+// Services returns the names of the services that have endpoints.
+func (p *Pool) Services() []string {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	out := make([]string, 0, len(p.services))
+	for name, members := range p.services {
+		if len(members) > 0 {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // Endpoints returns all endpoints of a service.
 func (p *Pool) Endpoints(service string) []Endpoint {
 	p.mu.RLock()
--- a/internal/reach/connect.go
+++ b/internal/reach/connect.go
@@ -66,6 +66,7 @@
 		conn, err := m.connectThrough(ctx, f.peer, ConnectRequest{Service: name, Endpoint: endpoint})
 		if err == nil {
 			m.reportDelay(m.now().Sub(began))
+			m.succeeded(f)
 			return &forwardedConn{Conn: conn, release: sync.OnceFunc(func() { m.release(f) })}, f.peer.ID, nil
 		}
 		m.release(f)
@@ -74,6 +75,7 @@
 		}
 		if pause := pauseAfter(err); pause > 0 {
 			m.avoid(s, f, pause)
+			m.onAvoided(Avoided{Service: name, Instance: f.peer.ID, Pause: pause, Cause: err})
 			continue
 		}
 		return nil, f.peer.ID, eris.Wrapf(errors.Join(ErrEndpoint, err), "connecting through %s", f.peer.ID)
@@ -124,6 +126,12 @@
 	f.open--
 }
 
+func (m *Monitor) succeeded(f *forwarder) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	f.failures = 0
+}
+
 func (m *Monitor) avoid(s *service, f *forwarder, pause time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/reach/forwarders.go
+++ b/internal/reach/forwarders.go
@@ -1,6 +1,7 @@
 package reach
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/ledgemount/ledgemount/internal/mesh"
@@ -10,6 +11,7 @@
 type forwarder struct {
 	peer       mesh.Peer
 	open       int       // connections through it
+	failures   int       // consecutive ones without a response
 	avoidUntil time.Time // it could not establish one
 }
 
@@ -23,16 +25,20 @@
 const (
 	busyPause   = 300 * time.Millisecond // it carries as many connections as it accepts
 	failedPause = 3 * time.Second        // it has no path either, or does not forward
-	silentPause = 600 * time.Millisecond // it did not respond in time
+	silentPause = 600 * time.Millisecond // it did not respond in time, several times in a row
 )
 
+// maxSilences is the number of consecutive connections without a response after which an instance is paused. One may be
+// due to the endpoint.
+const maxSilences = 2
+
 // add records that an instance has established a connection.
 func (f *forwarders) add(p mesh.Peer, now time.Time) {
 	if f.byID == nil {
 		f.byID = make(map[string]*forwarder)
 	}
 	if known := f.byID[p.ID]; known != nil {
-		known.peer, known.avoidUntil = p, time.Time{}
+		known.peer, known.failures, known.avoidUntil = p, 0, time.Time{}
 		return
 	}
 	if len(f.byID) >= maxForwarders {
@@ -52,14 +58,14 @@
 	}
 }
 
-// pick returns the usable instance with the fewest connections; nil if there is none.
+// pick returns the usable instance with the fewest failures and connections; nil if there is none.
 func (f *forwarders) pick(now time.Time) *forwarder {
 	var best *forwarder
 	for _, x := range f.byID {
 		if now.Before(x.avoidUntil) {
 			continue
 		}
-		if best == nil || x.open < best.open {
+		if best == nil || cmp.Or(cmp.Compare(x.failures, best.failures), cmp.Compare(x.open, best.open)) < 0 {
 			best = x
 		}
 	}
@@ -80,6 +86,12 @@
 // avoid pauses the use of an instance. One that does not forward and carries no connections is dropped, so that others can
 // take its place.
 func (f *forwarders) avoid(x *forwarder, now time.Time, pause time.Duration) {
+	if pause == silentPause {
+		if x.failures++; x.failures < maxSilences {
+			return
+		}
+		x.failures = 0
+	}
 	x.avoidUntil = now.Add(pause)
 	if pause >= failedPause && x.open == 0 {
 		delete(f.byID, x.peer.ID)
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -77,6 +77,14 @@
 	Lasted    time.Duration // how long the previous state lasted
 }
 
+// Avoided reports that an instance did not forward a connection and is not used for a while.
+type Avoided struct {
+	Service  string
+	Instance string
+	Pause    time.Duration
+	Cause    error
+}
+
 const (
 	tickInterval   = 200 * time.Millisecond // between probes of lost paths
 	quietTimeout   = 300 * time.Millisecond // silence of all endpoints of a service after which the path is checked
@@ -97,6 +105,7 @@
 	random    func(n int) int
 	onChange  func(Change)
 	onDelay   func(time.Duration)
+	onAvoided func(Avoided)
 
 	ctx    context.Context //nolint:containedctx // ends checks on Close
 	cancel context.CancelFunc
@@ -139,6 +148,9 @@
 // OnChange sets the function that is called with each change of a service's state.
 func OnChange(f func(Change)) Option { return func(m *Monitor) { m.onChange = f } }
 
+// OnAvoided sets the function that is called when an instance did not forward a connection.
+func OnAvoided(f func(Avoided)) Option { return func(m *Monitor) { m.onAvoided = f } }
+
 // OnDelay sets the function that receives the time that other instances took to respond beyond what a direct connection
 // may take, or for which they did not respond. It tells a congested link of this instance from a lost path.
 func OnDelay(f func(time.Duration)) Option { return func(m *Monitor) { m.onDelay = f } }
@@ -147,7 +159,7 @@
 func New(endpoints Endpoints, client Client, peers Peers, opts ...Option) *Monitor {
 	m := &Monitor{
 		endpoints: endpoints, client: client, peers: peers, now: time.Now, random: randomInt,
-		onChange: func(Change) {}, onDelay: func(time.Duration) {}, services: make(map[string]*service),
+		onChange: func(Change) {}, onDelay: func(time.Duration) {}, onAvoided: func(Avoided) {}, services: make(map[string]*service),
 	}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	for _, opt := range opts {
@@ -209,6 +221,17 @@
 // ServiceState returns how this instance reaches most endpoints of a service.
 func (m *Monitor) ServiceState(name string) State { return m.State(name, "") }
 
+// AllLost reports whether this instance reaches no endpoint of any of the given services, neither itself nor through
+// another instance. It is false if there are none.
+func (m *Monitor) AllLost(services []string) bool {
+	for _, name := range services {
+		if m.ServiceState(name) != Lost {
+			return false
+		}
+	}
+	return len(services) > 0
+}
+
 // Verify checks the paths to a service's endpoints after one of them could not be reached. It returns how that one is
 // reached now. It waits for other instances only if this one does not reach others either.
 func (m *Monitor) Verify(ctx context.Context, name, endpoint string) State {
--- a/internal/reach/server.go
+++ b/internal/reach/server.go
@@ -14,7 +14,7 @@
 )
 
 // DefaultMaxForwarded is how many connections of other instances one instance carries at most.
-const DefaultMaxForwarded = 256
+const DefaultMaxForwarded = 512
 
 // drainPoll is the interval at which Drain checks for open connections.
 const drainPoll = 20 * time.Millisecond
@@ -120,7 +120,7 @@
 	conn, err := s.connector.Connect(ctx, e.Addr)
 	if err != nil {
 		s.count(-1)
-		if s.monitor.Failing(ctx, req.Service, req.Endpoint) {
+		if s.pathLost(ctx, req, err) {
 			return nil, refuse(verdict.CodeUnavailable, "this instance has lost its path to the endpoints")
 		}
 		return nil, refuse(verdict.CodeNoEndpoint, "the endpoint cannot be reached: "+string(upstream.DialFailureOf(err)))
@@ -128,6 +128,16 @@
 	return &forwardedConn{Conn: conn, release: sync.OnceFunc(func() { s.count(-1) })}, nil
 }
 
+// pathLost reports whether a connection failed because this instance has lost its own path. After a timeout, there is no
+// time left to wait for the result of a check.
+func (s *Server) pathLost(ctx context.Context, req ConnectRequest, err error) bool {
+	if upstream.DialFailureOf(err) == upstream.DialTimeout {
+		s.monitor.CheckSoon(req.Service)
+		return false
+	}
+	return s.monitor.Failing(ctx, req.Service, req.Endpoint)
+}
+
 // count changes the number of carried connections and returns it.
 func (s *Server) count(delta int64) int64 {
 	n := s.open.Add(delta)
--- a/internal/router/reach.go
+++ b/internal/router/reach.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -16,7 +17,8 @@
 // they are long too, the link is congested.
 func (r *Router) newReach(meshRouter *mesh.Router) {
 	fleet := forwardingPeers{directory: r.peers, regions: r.settings.Instance.Regions, zone: r.settings.Instance.Zone}
-	r.reach = reach.New(r.pool, r.client, fleet, reach.WithNow(r.bootClock.Now), reach.OnChange(r.logPath), reach.OnDelay(r.pressure.ObserveDial))
+	r.reach = reach.New(r.pool, r.client, fleet, reach.WithNow(r.bootClock.Now), reach.OnChange(r.logPath), reach.OnDelay(r.pressure.ObserveDial),
+		reach.OnAvoided(logAvoided(r.log)))
 	r.forwarder = reach.Serve(meshRouter, r.reach, r.pool, r.client,
 		reach.WithBusy(r.pressure.Diverting), reach.OnRefused(r.metrics.recordForwardRefused), reach.OnOpen(r.metrics.recordForwarded))
 }
@@ -38,6 +40,18 @@
 	return peers.Tunnel(ctx, p.directory, to, reach.KindConnect, req)
 }
 
+// maxAvoidedLines bounds the log lines about instances that did not forward in a second.
+const maxAvoidedLines = 5
+
+// logAvoided returns a function that logs instances that did not forward a connection.
+func logAvoided(log zerolog.Logger) func(reach.Avoided) {
+	lines := log.Sample(&zerolog.BurstSampler{Burst: maxAvoidedLines, Period: time.Second})
+	return func(a reach.Avoided) {
+		lines.Warn().Str("event", "forwarder_avoided").Str("service", a.Service).Str("peer", a.Instance).Dur("pause", a.Pause).AnErr("cause", a.Cause).
+			Msg("an instance did not forward a connection")
+	}
+}
+
 // logPath logs and records that this instance now reaches the endpoints of a service in another way.
 func (r *Router) logPath(c reach.Change) {
 	r.metrics.recordPath(c)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -284,9 +284,9 @@
 
 // ready reports whether the instance accepts callers. The configuration and endpoints must be known, the escrow must be
 // ready, and the network link must not be congested. After a suspension of the machine, current data must have been
-// received.
+// received. An instance that other instances connect to endpoints is ready; one that reaches none at all is not.
 func (r *Router) ready() bool {
-	return !r.pressure.Diverting() && r.resumeGuard.stateFresh() && r.follow.Table() != nil && r.escrow.Ready() && r.pool.Len() > 0
+	return !r.reach.AllLost(r.pool.Services()) && !r.pressure.Diverting() && r.resumeGuard.stateFresh() && r.follow.Table() != nil && r.escrow.Ready() && r.pool.Len() > 0
 }
 
 // Run runs the router until ctx ends. It performs no planned stop; see Stop.
