--- a/internal/bench/testbed.go
+++ b/internal/bench/testbed.go
@@ -42,7 +42,8 @@
 	callersURL string
 }
 
-func startTestbed() (*testbed, error) {
+// startTestbed starts a testbed. opts are options of the instance that serves callers.
+func startTestbed(opts ...instance.Option) (*testbed, error) {
 	tb := &testbed{engine: engine.New(benchModel, engine.WithTimes(benchFirstToken, benchPerToken), engine.WithCapacity(100_000), engine.WithoutLog()), kv: kv.New()}
 	var urls []string
 	l := list.New()
@@ -59,8 +60,11 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, id := range []string{"bench-1", "bench-2"} {
-		in, err := startInstance(ca, id, urls[1], urls[2])
+	for i, id := range []string{"bench-1", "bench-2"} {
+		if i > 0 {
+			opts = nil
+		}
+		in, err := startInstance(ca, id, urls[1], urls[2], opts...)
 		if err != nil {
 			return nil, err
 		}
@@ -77,7 +81,7 @@
 	return tb, tb.applyConfig()
 }
 
-func startInstance(ca *mesh.Authority, id, store, list string) (*instance.Instance, error) {
+func startInstance(ca *mesh.Authority, id, store, list string, opts ...instance.Option) (*instance.Instance, error) {
 	cert, key, err := ca.Issue(id)
 	if err != nil {
 		return nil, err
@@ -88,7 +92,7 @@
 	set.Operators.Keys = map[string]string{"bench": declare.HashKey(benchOperator)}
 	set.Mesh.CA, set.Mesh.Cert, set.Mesh.Key = string(ca.PEM()), string(cert), string(key)
 	set.Platform.StoreURL, set.Platform.InstancesURL = store, list
-	return instance.New(&set)
+	return instance.New(&set, opts...)
 }
 
 // applyConfig plans and confirms the testbed's configuration.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -28,10 +28,12 @@
 	"github.com/ledgemount/ledgemount/internal/once"
 	"github.com/ledgemount/ledgemount/internal/operator"
 	"github.com/ledgemount/ledgemount/internal/pool"
+	"github.com/ledgemount/ledgemount/internal/reach"
 	"github.com/ledgemount/ledgemount/internal/rollout"
 	"github.com/ledgemount/ledgemount/internal/settings"
 	"github.com/ledgemount/ledgemount/internal/step"
 	"github.com/ledgemount/ledgemount/internal/targets"
+	"github.com/ledgemount/ledgemount/internal/upstream"
 )
 
 // Instance is the set of services that one process runs.
@@ -51,6 +53,8 @@
 	keys      *once.Keys
 	targets   *targets.Targets
 	driver    *endpoint.Driver
+	dialer    *reach.Dialer  // nil: the transport to endpoints is not the instance's own
+	paths     *reach.Monitor // nil: the same
 	gateway   *gateway.Gateway
 	planner   *intent.Service
 	cache     *rollout.Cache
@@ -71,6 +75,7 @@
 	meshFrom     mesh.PeerFilter
 	transport    http.RoundTripper
 	endpoints    http.RoundTripper
+	dial         upstream.DialFunc
 	adjustTimes  func(*budget.Times)
 	heartbeat    time.Duration
 	listInterval time.Duration
@@ -107,6 +112,11 @@
 	return func(in *Instance) { in.opts.endpoints = t }
 }
 
+// WithEndpointDial replaces the function that establishes connections to endpoints.
+func WithEndpointDial(f upstream.DialFunc) Option {
+	return func(in *Instance) { in.opts.dial = f }
+}
+
 // WithIntervals sets the intervals of heartbeats, of reading the platform's list of instances, and of polling the store for
 // the configuration in case updates are missed.
 func WithIntervals(heartbeat, listInterval, configPoll time.Duration) Option {
@@ -163,6 +173,7 @@
 		in.buildPlatform,
 		in.buildMesh,
 		in.buildMembers,
+		in.buildPaths,
 		in.buildBudget,
 		in.buildKeys,
 		in.buildGateway,
@@ -173,10 +184,11 @@
 
 // services returns the services of the instance in the order in which they start.
 func (in *Instance) services() []kernel.Service {
-	return []kernel.Service{
-		in.transport,
-		in.view,
-		in.feed,
+	list := []kernel.Service{in.transport, in.view, in.feed}
+	if in.paths != nil {
+		list = append(list, in.paths)
+	}
+	return append(list,
 		in.holder,
 		in.client,
 		in.keys,
@@ -186,7 +198,7 @@
 		in.gateway,
 		in.callers,
 		in.operators,
-	}
+	)
 }
 
 func (in *Instance) buildPlatform() error {
@@ -198,9 +210,10 @@
 	in.store = external.NewMeter(etcdstore.New(in.set.Platform.StoreURL, opts...))
 	in.metrics = observe.NewMetrics(in.set.Instance.ID, in.set.Instance.Zone)
 	in.recorder = burn.NewRecorder(time.Now)
-	in.driver = endpoint.NewDriver()
 	if in.opts.endpoints != nil {
 		in.driver = endpoint.NewDriverWith(in.opts.endpoints)
+	} else {
+		in.driver = in.newDriver()
 	}
 	return nil
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -109,7 +109,7 @@
 // New returns a client without connections.
 func New(opts ...Option) *Client {
 	c := &Client{
-		dial:        dialTCP,
+		dial:        Dial,
 		dialTimeout: DefaultDialTimeout,
 		maxIdle:     DefaultMaxIdle,
 		idleTimeout: DefaultIdleTimeout,
@@ -123,8 +123,8 @@
 	return c
 }
 
-// dialTCP establishes a connection that the kernel closes if its peer has vanished.
-func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+// Dial establishes a TCP connection that the kernel closes if its peer has vanished.
+func Dial(ctx context.Context, addr string) (net.Conn, error) {
 	d := net.Dialer{
 		Control:         setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: int(silenceTimeout / keepAliveInterval)},
