fix: an endpoint that a forwarder does not know pauses neither it nor counts as crashed

Its answer now fails the one connection. A request for a service that is lost altogether is refused before tokens are reserved.

--- a/internal/reach/connect.go
+++ b/internal/reach/connect.go
@@ -73,7 +73,7 @@
 		if ctx.Err() != nil {
 			return nil, f.peer.ID, eris.Wrapf(ctx.Err(), "connecting through %s", f.peer.ID)
 		}
-		if pause := pauseAfter(err); pause > 0 {
+		if pause := pauses[refusalOf(err)]; pause > 0 {
 			m.avoid(s, f, pause)
 			m.onAvoided(Avoided{Service: name, Instance: f.peer.ID, Pause: pause, Cause: err})
 			continue
@@ -89,22 +89,37 @@
 	return m.peers.Tunnel(ctx, to, req)
 }
 
-// pauseAfter returns for how long an instance is not used after it has failed to establish a connection; 0: the endpoint
-// is at fault.
-func pauseAfter(err error) time.Duration {
+// refusal is the reason why an instance did not establish a connection.
+type refusal int
+
+const (
+	refusedEndpoint refusal = iota // it reaches other endpoints of the service, but not this one
+	refusedUnknown                 // it knows no such endpoint that accepts work
+	refusedBusy                    // it carries as many connections as it accepts
+	refusedSilent                  // it did not respond
+	refusedOther                   // it has no path either, or does not forward
+)
+
+func refusalOf(err error) refusal {
 	if errors.Is(err, mesh.ErrUnreachable) || errors.Is(err, mesh.ErrNoReply) {
-		return silentPause
+		return refusedSilent
 	}
 	switch verdict.From(err).Code() {
 	case verdict.CodeNoEndpoint:
-		return 0
+		return refusedEndpoint
+	case verdict.CodeNotFound:
+		return refusedUnknown
 	case verdict.CodeOverloaded:
-		return busyPause
+		return refusedBusy
 	default:
-		return failedPause
+		return refusedOther
 	}
 }
 
+// pauses are the times for which an instance is not used after it has not established a connection. It is used further
+// if the endpoint is at fault.
+var pauses = map[refusal]time.Duration{refusedBusy: busyPause, refusedSilent: silentPause, refusedOther: failedPause}
+
 // pickForwarder picks an instance and counts a connection through it.
 func (m *Monitor) pickForwarder(name string) (*service, *forwarder) {
 	m.mu.Lock()
@@ -168,10 +183,10 @@
 	c.Asked = len(list)
 	for range list {
 		a := <-answers
-		if a.err == nil || (!errors.Is(a.err, mesh.ErrUnreachable) && !errors.Is(a.err, mesh.ErrNoReply)) {
+		if a.err == nil || refusalOf(a.err) != refusedSilent {
 			c.Answered++
 		}
-		if a.err != nil && pauseAfter(a.err) == 0 {
+		if a.err != nil && refusalOf(a.err) == refusedEndpoint {
 			c.Denied++
 		}
 		if a.err == nil {
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -101,7 +101,7 @@
 
 // checkEndpoints rejects a request that no endpoint accepts now, before tokens are reserved for it.
 func (j *job) checkEndpoints() error {
-	if j.availability = j.core.Pool.Availability(j.query()); j.availability.Open {
+	if j.availability = j.core.Pool.Availability(j.query()); j.availability.Open && !j.pathLost() {
 		return nil
 	}
 	return j.noEndpoint()
