--- a/internal/upstream/silence.go
+++ b/internal/upstream/silence.go
@@ -6,7 +6,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// setUserTimeout makes the kernel close a connection if sent data is not acknowledged within silenceTimeout.
+// setUserTimeout makes the kernel close a connection if sent data is not acknowledged within silenceTimeout. The option
+// also determines when keep-alive probes of an idle connection give up, whatever their count.
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
 	var optErr error
 	err := c.Control(func(fd uintptr) {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -222,5 +222,9 @@
 		So(option(unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT), ShouldEqual, silenceTimeout.Milliseconds())
 		So(option(unix.SOL_SOCKET, unix.SO_KEEPALIVE), ShouldEqual, 1)
 		So(option(unix.IPPROTO_TCP, unix.TCP_KEEPIDLE), ShouldEqual, keepAliveInterval.Seconds())
+		// TCP_USER_TIMEOUT ends the probes, whatever their count. A sound endpoint may be silent for a second.
+		probing := option(unix.IPPROTO_TCP, unix.TCP_KEEPINTVL) * option(unix.IPPROTO_TCP, unix.TCP_KEEPCNT)
+		So(probing, ShouldEqual, silenceTimeout.Seconds())
+		So(silenceTimeout, ShouldBeGreaterThan, 2*keepAliveInterval)
 	})
 }
