--- a/internal/mesh/tunnel_test.go
+++ b/internal/mesh/tunnel_test.go
@@ -124,7 +124,7 @@
 		addr := old.Self().Addr
 		_, err = Tunnel(context.Background(), client, addr, "connect", text{})
 		So(err, ShouldBeNil)
-		_ = old.udp.Conn.Close() // as if the process was killed: the client is not notified
+		_ = old.udp.Conn.Close() // like a killed process: the client is not notified
 
 		cert, key, err := ca.Issue("server")
 		So(err, ShouldBeNil)
--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -76,8 +76,8 @@
 // serviceSilent reports whether several endpoints of a service owe responses and none has sent anything for longer than
 // the response timeout, but not yet for maxServiceSilence. The caller holds mu.
 func (p *Pool) serviceSilent(m *member, now time.Time) bool {
-	quiet := m.activity.quietFor(now)
-	return m.activity.open > m.open && quiet > p.policy.MinResponseTimeout && quiet < maxServiceSilence
+	silence := m.activity.silentFor(now)
+	return m.activity.open > m.open && silence > p.policy.MinResponseTimeout && silence < maxServiceSilence
 }
 
 // ProcessState is the last known state of the picked endpoint's process.
--- a/internal/pool/path.go
+++ b/internal/pool/path.go
@@ -29,8 +29,8 @@
 	a.open++
 }
 
-// quietFor returns how long requests have been open without any data from an endpoint.
-func (a *activity) quietFor(now time.Time) time.Duration {
+// silentFor returns how long requests have been open without any data from an endpoint.
+func (a *activity) silentFor(now time.Time) time.Duration {
 	since := a.awaitingSince
 	if a.receivedAt.After(since) {
 		since = a.receivedAt
@@ -44,13 +44,13 @@
 
 // Stalled returns the services of which no endpoint has sent data for the given time, although several requests are
 // open.
-func (p *Pool) Stalled(quiet time.Duration) []string {
+func (p *Pool) Stalled(silence time.Duration) []string {
 	now := p.now()
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	var out []string
 	for service, a := range p.activities {
-		if a.open >= minStalledOpen && a.quietFor(now) >= quiet {
+		if a.open >= minStalledOpen && a.silentFor(now) >= silence {
 			out = append(out, service)
 		}
 	}
@@ -124,8 +124,8 @@
 	return m.Endpoint, true
 }
 
-// ResetPath clears what was concluded about endpoints from failures that were due to the path of this instance. Other
-// instances are told of these failures no longer.
+// ResetPath clears what was concluded about endpoints from failures that were due to the path of this instance. These
+// failures are no longer reported to other instances.
 func (p *Pool) ResetPath(ids []string) {
 	now := p.now()
 	p.mu.Lock()
--- a/internal/reach/connect.go
+++ b/internal/reach/connect.go
@@ -33,14 +33,14 @@
 
 const (
 	forwardTimeout  = 600 * time.Millisecond // for a connection through another instance
-	searchCount     = 8                      // instances that are asked if many endpoints cannot be reached
-	confirmCount    = 2                      // instances that are asked otherwise
+	searchCount     = 8                      // instances to try if many endpoints cannot be reached
+	confirmCount    = 2                      // instances to try otherwise
 	maxForwardTries = 3                      // instances that one connection is attempted through
 )
 
 func randomInt(n int) int { return rand.IntN(n) }
 
-// Reached reports whether another instance reaches an endpoint. known is false if none could tell.
+// Reached reports whether another instance reaches an endpoint. known is false if none gave a conclusive response.
 func (m *Monitor) Reached(name, endpoint string) (reached, known bool) {
 	m.mu.Lock()
 	s := m.services[name]
@@ -94,7 +94,7 @@
 
 const (
 	refusedEndpoint refusal = iota // it reaches other endpoints of the service, but not this one
-	refusedUnknown                 // it knows no such endpoint that accepts work
+	refusedUnknown                 // it has no record of such an endpoint that accepts work
 	refusedBusy                    // it carries as many connections as it accepts
 	refusedSilent                  // it did not respond
 	refusedOther                   // it has no path either, or does not forward
@@ -159,9 +159,9 @@
 	return s.forwarders.usable(m.now())
 }
 
-// confirm asks other instances to connect to endpoints that this one did not reach, and keeps those that can as
+// confirm has other instances connect to endpoints that this one did not reach, and keeps those that can as
 // forwarders. It records the result in c and reports whether an endpoint was reached. It returns at the first one; the
-// other instances are recorded when they respond. many states whether many instances are asked.
+// other instances are recorded when they respond. many states whether to try many instances.
 func (m *Monitor) confirm(s *service, unreached []pool.Endpoint, many bool, c *Change) bool {
 	n := confirmCount
 	if many {
@@ -197,7 +197,7 @@
 	return false
 }
 
-// try asks an instance to connect to an endpoint, and records it as a forwarder if it can.
+// try has an instance connect to an endpoint, and records it as a forwarder if it can.
 func (m *Monitor) try(s *service, p mesh.Peer, req ConnectRequest) error {
 	began := m.now()
 	conn, err := m.connectThrough(m.ctx, p, req)
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -1,8 +1,8 @@
 // Package reach determines which endpoints this instance has lost its path to although other instances reach them.
 // Connections to these endpoints are established through the other instances.
 //
-// An endpoint that cannot be reached may have exited, so another instance is asked to connect to it: if it can, the path
-// of this instance is at fault. If this instance reaches few of several endpoints of a service, and another instance
+// An endpoint that cannot be reached may have exited, so another instance tries to connect to it: if it can, the path of
+// this instance is at fault. If this instance reaches few of several endpoints of a service, and another instance
 // reaches one of the others, the path to all endpoints of the service counts as lost.
 package reach
 
@@ -22,7 +22,7 @@
 
 // The states.
 const (
-	Direct    State = iota // by connections of its own
+	Direct    State = iota // by direct connections
 	Forwarded              // through other instances
 	Lost                   // not at all
 )
@@ -35,7 +35,7 @@
 // Endpoints is the part of the pool that a Monitor uses.
 type Endpoints interface {
 	// Stalled returns the services whose endpoints have all been silent for a time although requests are open.
-	Stalled(quiet time.Duration) []string
+	Stalled(silence time.Duration) []string
 	// ReceivedSince reports whether an endpoint of a service has sent data since a moment.
 	ReceivedSince(service string, since time.Time) bool
 	// ProbeTargets returns endpoints by which to check the path to a service, without the one with the given ID.
@@ -70,7 +70,7 @@
 	From, To  State
 	Reached   int           // probed endpoints that this instance reached
 	Unreached int           // those that it did not reach
-	Asked     int           // other instances that were asked to connect to the latter
+	Asked     int           // other instances that tried to connect to the latter
 	Answered  int           // those that responded so far
 	Denied    int           // those of them that reach other endpoints of the service, but not these
 	Confirmed []string      // IDs of endpoints that this instance did not reach and another one did
@@ -87,7 +87,7 @@
 
 const (
 	tickInterval   = 200 * time.Millisecond // between probes of lost paths
-	quietTimeout   = 300 * time.Millisecond // silence of all endpoints of a service after which the path is checked
+	stallTimeout   = 300 * time.Millisecond // silence of all endpoints of a service after which the path is checked
 	probeTimeout   = 200 * time.Millisecond // for one connection; within a region it is established in some milliseconds
 	probeCount     = 4                      // endpoints that are probed in one check
 	verifyTimeout  = 300 * time.Millisecond // how long a request waits for other instances' confirmation
@@ -152,7 +152,7 @@
 func OnAvoided(f func(Avoided)) Option { return func(m *Monitor) { m.onAvoided = f } }
 
 // OnDelay sets the function that receives the time that other instances took to respond beyond what a direct connection
-// may take, or for which they did not respond. It tells a congested link of this instance from a lost path.
+// may take, or for which they did not respond. It distinguishes a congested link of this instance from a lost path.
 func OnDelay(f func(time.Duration)) Option { return func(m *Monitor) { m.onDelay = f } }
 
 // New returns a Monitor by which all paths are direct.
@@ -189,7 +189,7 @@
 
 // tick checks the paths that may be lost, and probes those that are.
 func (m *Monitor) tick() {
-	for _, name := range m.endpoints.Stalled(quietTimeout) {
+	for _, name := range m.endpoints.Stalled(stallTimeout) {
 		m.CheckSoon(name)
 	}
 	m.mu.Lock()
--- a/internal/reach/server.go
+++ b/internal/reach/server.go
@@ -30,8 +30,8 @@
 	Connect(ctx context.Context, addr string) (net.Conn, error)
 }
 
-// Server connects other instances to endpoints that they have lost their path to. It serves only endpoints that this
-// instance knows and reaches by connections of its own, so a connection is never forwarded twice.
+// Server connects other instances to endpoints that they have lost their path to. It serves only endpoints that are in
+// the directory of this instance and that it reaches directly, so a connection is never forwarded twice.
 type Server struct {
 	monitor   *Monitor
 	directory Directory
@@ -109,7 +109,7 @@
 	case s.monitor.State(req.Service, req.Endpoint) != Direct:
 		return nil, refuse(verdict.CodeUnavailable, "this instance has lost its path to the endpoints")
 	case !known || e.Service != req.Service:
-		return nil, refuse(verdict.CodeNotFound, "this instance knows no such endpoint that accepts work")
+		return nil, refuse(verdict.CodeNotFound, "this instance has no record of such an endpoint that accepts work")
 	case s.busy():
 		return nil, refuse(verdict.CodeOverloaded, "this instance has no capacity for others")
 	}
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -18,7 +18,7 @@
 	ServiceState(service string) reach.State
 	// Verify checks the paths after an endpoint could not be reached, and returns how it is reached now.
 	Verify(ctx context.Context, service, endpoint string) reach.State
-	// Reached reports whether another instance reaches an endpoint. known is false if none could tell.
+	// Reached reports whether another instance reaches an endpoint. known is false if no response was conclusive.
 	Reached(service, endpoint string) (reached, known bool)
 	// Connect establishes a connection through another instance, and returns that instance's ID.
 	Connect(ctx context.Context, service, endpoint string) (conn net.Conn, via string, err error)
@@ -75,8 +75,8 @@
 	return resultNoPath
 }
 
-// refuses reports whether an endpoint refuses connections, of this instance and of another one. If no other instance can
-// tell, it is enough that this one is refused and reaches other endpoints.
+// refuses reports whether an endpoint refuses connections, of this instance and of another one. If no other instance
+// gives a conclusive response, it is enough that this one is refused and reaches other endpoints.
 func (c *Core) refuses(ctx context.Context, e pool.Endpoint, probe func(context.Context, string) bool) bool {
 	if c.paths.State(e.Service, e.ID) != reach.Direct || !probe(ctx, e.Addr) {
 		return false
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -180,7 +180,7 @@
 	m.metrics.Scope().Tagged(map[string]string{"from": c.From.String(), "to": c.To.String()}).Counter("path_changes_total").Inc(1)
 }
 
-// recordForwardRefused counts a connection that another instance asked for in vain.
+// recordForwardRefused counts a connection that was not established for another instance.
 func (m *meters) recordForwardRefused(reason string) {
 	m.metrics.Scope().Tagged(map[string]string{"reason": reason}).Counter("forwards_refused_total").Inc(1)
 }
--- a/internal/router/reach.go
+++ b/internal/router/reach.go
@@ -23,7 +23,7 @@
 		reach.WithBusy(r.pressure.Diverting), reach.OnRefused(r.metrics.recordForwardRefused), reach.OnOpen(r.metrics.recordForwarded))
 }
 
-// forwardingPeers are the instances through which this one may reach endpoints: those of its own region.
+// forwardingPeers are the instances through which this one may reach endpoints: those in the same region.
 type forwardingPeers struct {
 	directory *peers.Directory
 	regions   map[string]string // by availability zone
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -265,8 +265,8 @@
 }
 
 // recordDial passes the connection times of endpoints in the same availability zone to the monitor of this instance's
-// link. Connections to other zones may be slow for other reasons. A connection that was not established in time says
-// nothing about the link before the path has been checked; see newReach.
+// link. Connections to other zones may be slow for other reasons. A connection that was not established in time does not
+// indicate congestion before the path has been checked; see newReach.
 func (r *Router) recordDial(zone string, took time.Duration, err error) {
 	if zone == r.settings.Instance.Zone && upstream.DialFailureOf(err) != upstream.DialTimeout {
 		r.pressure.ObserveDial(took)
