test: an update passes one level of the tree a step, which the tree's test now asks for in the worst order

TestTree was red once in 32 or more often: after three steps in which all instances ask at the same time, members of the second zone had not heard that an endpoint leaves. The trace: there are four levels (the instance that reads the store, the leader of the other zone, relays, members), and three steps sufficed only if some parent happened to ask before its children; all instances that were behind were of the second zone. The test now steps in that order: levels above the last must know one step earlier, all after four, calls to the store as before.

--- a/internal/feed/tree_test.go
+++ b/internal/feed/tree_test.go
@@ -15,6 +15,7 @@
 	"github.com/ledgemount/ledgemount/internal/follow"
 	"github.com/ledgemount/ledgemount/internal/mesh"
 	"github.com/ledgemount/ledgemount/internal/mesh/meshtest"
+	"github.com/ledgemount/ledgemount/internal/peers"
 	"github.com/ledgemount/ledgemount/internal/peers/peerstest"
 	"github.com/ledgemount/ledgemount/internal/pool"
 )
@@ -38,6 +39,23 @@
 // TestTree runs in fake time, so that no call takes longer because the machine is busy.
 func TestTree(t *testing.T) { synctest.Test(t, testTree) }
 
+// levels is the number of levels through which an update passes: the instance that reads the store, the leaders of other
+// zones, relays, and members.
+const levels = 4
+
+// levelOf returns the level of an instance, from 0.
+func levelOf(d *peers.Directory) int {
+	switch {
+	case d.Leads() && len(d.FleetLeaders()) == 0:
+		return 0
+	case d.Leads():
+		return 1
+	case d.IsRelay():
+		return 2
+	}
+	return 3
+}
+
 func testTree(t *testing.T) {
 	ctx := context.Background()
 	Convey("Instances of zones with relays that start at once", t, func() {
@@ -65,13 +83,22 @@
 			Serve(x.Router, f, x.Dir, epochs)
 			followers, pools = append(followers, f), append(pools, p)
 		}
-		step := func() {
+		stepOf := func(includes func(i int) bool) {
 			var wg sync.WaitGroup
-			for _, f := range followers {
-				wg.Go(func() { _ = f.Step(ctx) })
+			for i, f := range followers {
+				if includes(i) {
+					wg.Go(func() { _ = f.Step(ctx) })
+				}
 			}
 			wg.Wait()
 		}
+		step := func() { stepOf(func(int) bool { return true }) }
+		// stepUpwards lets each level ask before the one above it, so that an update passes one level only.
+		stepUpwards := func() {
+			for level := levels - 1; level >= 0; level-- {
+				stepOf(func(i int) bool { return levelOf(fleet[i].Dir) == level })
+			}
+		}
 		for range 3 { // the leaders, the relays, the others
 			step()
 		}
@@ -85,12 +112,18 @@
 			So(calls.Load(), ShouldBeLessThanOrEqualTo, 3*zones)
 		})
 
-		Convey("know after three more steps that an endpoint leaves, and only the leaders ask the store", func() {
+		Convey("know after a step for each level of the tree that an endpoint leaves, and only the leaders ask the store", func() {
 			before := calls.Load()
 			update = follow.Update{At: 12, ConfigAt: 7, Events: 1, Removed: []string{"e-7"}}
-			for range 3 {
-				step()
+			for range levels - 1 {
+				stepUpwards()
+			}
+			for i, f := range fleet {
+				if levelOf(f.Dir) < levels-1 && pools[i].Len() != endpoints-1 {
+					t.Errorf("instance %d has %d endpoints one step early", i, pools[i].Len())
+				}
 			}
+			stepUpwards()
 			for i, p := range pools {
 				if p.Len() != endpoints-1 {
 					t.Errorf("instance %d has %d endpoints", i, p.Len())
