fix: a forwarder that misses one endpoint is used for the others; its record is not changed while it is read

What can do it: an instance that has lost its path to one endpoint, as after that one's crash, answered that it has lost its path, and was not used for 3 s for any; with two instances to choose from that is all of them. It now refuses that one endpoint, the next instance is tried, and instances that are few each try several endpoints before a path counts as lost (TestForwarderWithPartOfThePath).

Found beside it by the race detector: the address of a forwarder was replaced while a connection through it was under way; a forwarder of another process is now another record.

--- a/internal/reach/connect.go
+++ b/internal/reach/connect.go
@@ -56,12 +56,13 @@
 
 // Connect establishes a connection to an endpoint through another instance, and returns that instance's ID.
 func (m *Monitor) Connect(ctx context.Context, name, endpoint string) (conn net.Conn, via string, err error) {
+	tried := make(map[string]bool, maxForwardTries)
 	for range maxForwardTries {
-		s, f := m.pickForwarder(name)
+		s, f := m.pickForwarder(name, tried)
 		if f == nil {
-			m.CheckSoon(name)
 			break
 		}
+		tried[f.peer.ID] = true
 		began := m.now()
 		conn, err := m.connectThrough(ctx, f.peer, ConnectRequest{Service: name, Endpoint: endpoint})
 		if err == nil {
@@ -73,12 +74,14 @@
 		if ctx.Err() != nil {
 			return nil, f.peer.ID, eris.Wrapf(ctx.Err(), "connecting through %s", f.peer.ID)
 		}
-		if pause := pauses[refusalOf(err)]; pause > 0 {
-			m.avoid(s, f, pause)
-			m.onAvoided(Avoided{Service: name, Instance: f.peer.ID, Pause: pause, Cause: err})
-			continue
+		switch reason := refusalOf(err); reason {
+		case refusedEndpoint:
+			return nil, f.peer.ID, eris.Wrapf(errors.Join(ErrEndpoint, err), "connecting through %s", f.peer.ID)
+		case refusedUnknown:
+		case refusedBusy, refusedSilent, refusedOther:
+			m.avoid(s, f, pauses[reason])
+			m.onAvoided(Avoided{Service: name, Instance: f.peer.ID, Pause: pauses[reason], Cause: err})
 		}
-		return nil, f.peer.ID, eris.Wrapf(errors.Join(ErrEndpoint, err), "connecting through %s", f.peer.ID)
 	}
 	return nil, "", eris.Wrapf(ErrNoForwarder, "connecting to an endpoint of %s", name)
 }
@@ -94,7 +97,7 @@
 
 const (
 	refusedEndpoint refusal = iota // it reaches other endpoints of the service, but not this one
-	refusedUnknown                 // it has no record of such an endpoint that accepts work
+	refusedUnknown                 // it has no record of the endpoint, or no path to it, but may reach others
 	refusedBusy                    // it carries as many connections as it accepts
 	refusedSilent                  // it did not respond
 	refusedOther                   // it has no path either, or does not forward
@@ -116,19 +119,19 @@
 	}
 }
 
-// pauses are the times for which an instance is not used after it has not established a connection. It is used further
-// if the endpoint is at fault.
+// pauses are the times for which an instance is not used after it has not established a connection for a reason of its
+// own.
 var pauses = map[refusal]time.Duration{refusedBusy: busyPause, refusedSilent: silentPause, refusedOther: failedPause}
 
-// pickForwarder picks an instance and counts a connection through it.
-func (m *Monitor) pickForwarder(name string) (*service, *forwarder) {
+// pickForwarder picks an instance that has not been tried, and counts a connection through it.
+func (m *Monitor) pickForwarder(name string, tried map[string]bool) (*service, *forwarder) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.services[name]
 	if s == nil {
 		return nil, nil
 	}
-	f := s.forwarders.pick(m.now())
+	f := s.forwarders.pick(m.now(), tried)
 	if f != nil {
 		f.open++
 	}
@@ -159,8 +162,8 @@
 	return s.forwarders.usable(m.now())
 }
 
-// confirm has other instances connect to endpoints that this one did not reach, and keeps those that can as
-// forwarders. It records the result in c and reports whether an endpoint was reached. It returns at the first one; the
+// confirm has other instances connect to endpoints that this one did not reach, and keeps those that can as forwarders. If
+// there are few of them, each tries several endpoints, because it may have lost its path to some. It records the result in c and reports whether an endpoint was reached. It returns at the first one; the
 // other instances are recorded when they respond. many states whether to try many instances.
 func (m *Monitor) confirm(s *service, unreached []pool.Endpoint, many bool, c *Change) bool {
 	n := confirmCount
@@ -172,16 +175,20 @@
 		endpoint string
 		err      error
 	}
-	answers := make(chan answer, len(list))
+	attempts := 0
+	if len(list) > 0 {
+		attempts = max(len(list), min(n, len(list)*len(unreached)))
+	}
+	answers := make(chan answer, attempts)
 	first := m.random(len(unreached))
-	for i, p := range list {
-		e := unreached[(first+i)%len(unreached)]
+	for i := range attempts {
+		p, e := list[i%len(list)], unreached[(first+i+i/len(list))%len(unreached)]
 		m.wg.Go(func() {
 			answers <- answer{e.ID, m.try(s, p, ConnectRequest{Service: e.Service, Endpoint: e.ID})}
 		})
 	}
-	c.Asked = len(list)
-	for range list {
+	c.Asked = attempts
+	for range attempts {
 		a := <-answers
 		if a.err == nil || refusalOf(a.err) != refusedSilent {
 			c.Answered++
--- a/internal/reach/forwarders.go
+++ b/internal/reach/forwarders.go
@@ -9,7 +9,7 @@
 
 // forwarder is another instance through which endpoints of a service were reached.
 type forwarder struct {
-	peer       mesh.Peer
+	peer       mesh.Peer // never changes
 	open       int       // connections through it
 	failures   int       // consecutive ones without a response
 	avoidUntil time.Time // it could not establish one
@@ -37,10 +37,11 @@
 	if f.byID == nil {
 		f.byID = make(map[string]*forwarder)
 	}
-	if known := f.byID[p.ID]; known != nil {
-		known.peer, known.failures, known.avoidUntil = p, 0, time.Time{}
+	if known := f.byID[p.ID]; known != nil && known.peer == p {
+		known.failures, known.avoidUntil = 0, time.Time{}
 		return
 	}
+	delete(f.byID, p.ID) // another process of the instance, possibly at another address
 	if len(f.byID) >= maxForwarders {
 		f.dropAvoided(now)
 	}
@@ -58,11 +59,11 @@
 	}
 }
 
-// pick returns the usable instance with the fewest failures and connections; nil if there is none.
-func (f *forwarders) pick(now time.Time) *forwarder {
+// pick returns the usable instance with the fewest failures and connections that has not been tried; nil if there is none.
+func (f *forwarders) pick(now time.Time, tried map[string]bool) *forwarder {
 	var best *forwarder
 	for _, x := range f.byID {
-		if now.Before(x.avoidUntil) {
+		if now.Before(x.avoidUntil) || tried[x.peer.ID] {
 			continue
 		}
 		if best == nil || cmp.Or(cmp.Compare(x.failures, best.failures), cmp.Compare(x.open, best.open)) < 0 {
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -70,8 +70,8 @@
 	From, To  State
 	Reached   int           // probed endpoints that this instance reached
 	Unreached int           // those that it did not reach
-	Asked     int           // other instances that tried to connect to the latter
-	Answered  int           // those that responded so far
+	Asked     int           // attempts of other instances to connect to the latter
+	Answered  int           // responses to them so far
 	Denied    int           // those of them that reach other endpoints of the service, but not these
 	Confirmed []string      // IDs of endpoints that this instance did not reach and another one did
 	Lasted    time.Duration // how long the previous state lasted
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -479,3 +479,29 @@
 		})
 	})
 }
+
+func TestForwarderWithPartOfThePath(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		Convey("The only instance that can forward is used although it has lost its path to one endpoint", t, func() {
+			w := newWorld(2, 2)
+			stop := w.run()
+			n, peer := w.nodes[0], w.nodes[1]
+			n.lose(everything)
+			peer.lose(func(id string) bool { return id == "engine-00" })
+			peer.monitor.Verify(t.Context(), testService, "engine-00")
+			peer.monitor.mu.Lock()
+			peer.monitor.services[testService].cut["engine-00"] = true
+			peer.monitor.mu.Unlock()
+			So(n.monitor.Verify(t.Context(), testService, "engine-00"), ShouldEqual, Forwarded)
+			for range 10 {
+				_, _, err := n.monitor.Connect(t.Context(), testService, "engine-00")
+				So(err, ShouldNotBeNil)
+				conn, _, err := n.monitor.Connect(t.Context(), testService, "engine-01")
+				So(err, ShouldBeNil)
+				So(conn.Close(), ShouldBeNil)
+				time.Sleep(300 * time.Millisecond)
+			}
+			stop()
+		})
+	})
+}
--- a/internal/reach/server.go
+++ b/internal/reach/server.go
@@ -106,8 +106,10 @@
 	switch {
 	case s.stopping.Load():
 		return nil, refuse(verdict.CodeStopping, "this instance is stopping")
-	case s.monitor.State(req.Service, req.Endpoint) != Direct:
+	case s.monitor.ServiceState(req.Service) != Direct:
 		return nil, refuse(verdict.CodeUnavailable, "this instance has lost its path to the endpoints")
+	case s.monitor.State(req.Service, req.Endpoint) != Direct:
+		return nil, refuse(verdict.CodeNotFound, "this instance has lost its path to this endpoint")
 	case !known || e.Service != req.Service:
 		return nil, refuse(verdict.CodeNotFound, "this instance has no record of such an endpoint that accepts work")
 	case s.busy():
