fix: a path counts as lost only if another instance has answered

If neither endpoints nor other instances answered, the path counted as lost and requests were refused at once, although that shows nothing but a congested or dead link, or a starved machine, whose probes time out as well. Now this is reported to the monitor of the link alone, and requests go on trying; 'lost' needs an answer of an instance that has no path either, or is refused by the endpoints.

--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -311,8 +311,10 @@
 	switch {
 	case c.failing && len(result.Confirmed) > 0:
 		result.To = Forwarded
-	case len(unreached) > 0 && len(reached) == 0 && !m.endpoints.ReceivedSince(name, began):
+	case len(reached) > 0 || m.endpoints.ReceivedSince(name, began):
+	case result.Answered > 0:
 		result.To = Lost
+	default:
 		m.reportSilence(result)
 	}
 	m.settle(name, s, unreached, result)
@@ -350,10 +352,10 @@
 // reportDelay reports how long a connection through another instance took.
 func (m *Monitor) reportDelay(took time.Duration) { m.onDelay(max(0, took-probeTimeout)) }
 
-// reportSilence reports that no other instance responded. If neither endpoints nor instances respond, the link of this
-// instance is congested or interrupted.
+// reportSilence reports that neither endpoints nor other instances responded. This does not show that the path to the
+// endpoints is lost: the link of this instance may be congested or interrupted.
 func (m *Monitor) reportSilence(c Change) {
-	if c.Answered > 0 || c.Asked == 0 {
+	if c.Asked == 0 {
 		return
 	}
 	for range c.Unreached {
--- a/internal/reach/return.go
+++ b/internal/reach/return.go
@@ -34,7 +34,7 @@
 	switch {
 	case len(unreached) == 0:
 		c.To = Direct
-	case m.usableForwarders(s) > 0 || m.confirm(s, targets, true, &c):
+	case m.usableForwarders(s) > 0 || m.confirm(s, targets, true, &c) || c.Answered == 0:
 		c.To = Forwarded
 	default:
 		c.To = Lost
