--- a/internal/mesh/transport.go
+++ b/internal/mesh/transport.go
@@ -413,8 +413,8 @@
 	close(pc.ready)
 }
 
-// Forget closes the connection for calls to an address, so that the next call dials anew. After a long outage of the link, this is
-// faster than waiting until the connection recovers.
+// Forget closes the connection for calls to an address, so that the next call dials anew. After a long outage of the
+// link, this is faster than waiting until the connection recovers.
 func (t *Transport) Forget(addr string) {
 	t.mu.Lock()
 	var conn *quic.Conn
--- a/internal/reach/connect.go
+++ b/internal/reach/connect.go
@@ -163,8 +163,9 @@
 }
 
 // confirm has other instances connect to endpoints that this one did not reach, and keeps those that can as forwarders. If
-// there are few of them, each tries several endpoints, because it may have lost its path to some. It records the result in c and reports whether an endpoint was reached. It returns at the first one; the
-// other instances are recorded when they respond. many states whether to try many instances.
+// there are few instances, each tries several endpoints, because it may have lost its path to some. many states whether
+// to try many instances. The result is recorded in c; confirm reports whether an endpoint was reached and returns at the
+// first one. Later responses still add forwarders.
 func (m *Monitor) confirm(s *service, unreached []pool.Endpoint, many bool, c *Change) bool {
 	n := confirmCount
 	if many {
