feat: what keeps a planned stop and a deferred settlement waiting is logged

Change: stop_unclean lists open reservations and holds; settlement_deferred is logged when a bill is put off; registrar_disputed names the claim that keeps a key's registrar from being used, its age, and whether the claimant is in the fleet.

--- a/internal/budget/holder.go
+++ b/internal/budget/holder.go
@@ -510,3 +510,34 @@
 	}
 	return false
 }
+
+// OpenReservation is an open reservation as logs show it.
+type OpenReservation struct {
+	Request string        `json:"request"`
+	Budget  string        `json:"budget"`
+	Owner   string        `json:"owner"` // incarnation ID of the serving instance
+	Run     string        `json:"run"`
+	Tokens  int64         `json:"tokens"`
+	Age     time.Duration `json:"age_ns"`
+	Missing bool          `json:"owner_missing"`
+}
+
+// OpenReservations returns up to limit open reservations, for logs.
+func (h *Holder) OpenReservations(limit int) []OpenReservation {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []OpenReservation
+	now := h.now()
+	for _, a := range h.accounts {
+		for _, r := range a.open {
+			if len(out) == limit {
+				return out
+			}
+			out = append(out, OpenReservation{
+				Request: r.request, Budget: a.budget, Owner: r.owner, Run: r.place.Run, Tokens: r.tokens, Age: now.Sub(r.since),
+				Missing: !r.orphanedAt.IsZero(),
+			})
+		}
+	}
+	return out
+}
--- a/internal/gateway/deferred.go
+++ b/internal/gateway/deferred.go
@@ -11,6 +11,8 @@
 }
 
 func (g *Gateway) deferSettlement(j *job, used int64) {
+	g.log.Info().Str("event", "settlement_deferred").Str("request", j.id).Str("run", j.hold.Place().Run).Int64("tokens", used).
+		Msg("the request's registrar cannot decide now whether to bill the run; it is asked again")
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.deferred = append(g.deferred, deferred{j: j, used: used})
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -407,14 +407,20 @@
 		err = in.waitFlushed(ctx)
 	}
 	if err != nil {
-		in.log.Warn().Str("event", "stop_unclean").Err(err).Msg("planned stop incomplete; the zone will reclaim the remaining escrow")
+		in.log.Warn().Str("event", "stop_unclean").Err(err).
+			Int("open_reservations", in.holder.OpenCount()).Interface("reservations", in.holder.OpenReservations(loggedAtStop)).
+			Int("open_holds", in.client.Open()).Interface("holds", in.client.OpenHolds(loggedAtStop)).
+			Msg("planned stop incomplete; the zone will reclaim the remaining escrow")
 	}
 	in.callers.shutdown(ctx)
 	in.operators.shutdown(ctx)
 	return in.kernel.Close()
 }
 
-const flushPollInterval = 20 * time.Millisecond
+const (
+	flushPollInterval = 20 * time.Millisecond
+	loggedAtStop      = 4 // reservations and holds that the log line of an incomplete stop lists
+)
 
 // waitFlushed waits until all charges for requests that this instance has served are in the store.
 func (in *Instance) waitFlushed(ctx context.Context) error {
--- a/internal/once/collect.go
+++ b/internal/once/collect.go
@@ -55,12 +55,19 @@
 // disputed reports whether another registrar than the given one of the same zone has claimed a request's key. The caller
 // holds the lock.
 func (k *Keys) disputed(request string, registrar mesh.Peer) bool {
+	_, disputed := k.competingClaim(request, registrar)
+	return disputed
+}
+
+// competingClaim returns the claim of another registrar of the same zone to a request's key, if there is one. The caller
+// holds the lock.
+func (k *Keys) competingClaim(request string, registrar mesh.Peer) (keyClaim, bool) {
 	for _, c := range k.claims {
 		if c.registrar.Zone == registrar.Zone && c.registrar.ID != registrar.ID && c.covers(request) {
-			return true
+			return c, true
 		}
 	}
-	return false
+	return keyClaim{}, false
 }
 
 // pruneClaims drops the claims of registrars that have left the fleet. The caller holds the lock.
--- a/internal/once/keys.go
+++ b/internal/once/keys.go
@@ -220,8 +220,19 @@
 		return p, false
 	}
 	k.mu.Lock()
-	defer k.mu.Unlock()
-	return p, !k.disputed(request, p)
+	claim, disputed := k.competingClaim(request, p)
+	k.mu.Unlock()
+	if disputed {
+		k.logDispute(request, p, claim)
+	}
+	return p, !disputed
+}
+
+// logDispute logs that a key's registrar cannot be used, because another instance has claimed the key.
+func (k *Keys) logDispute(request string, registrar mesh.Peer, claim keyClaim) {
+	k.log.Debug().Str("event", "registrar_disputed").Str("request", request).Str("registrar", registrar.IncarnationID()).
+		Str("claimant", claim.registrar.IncarnationID()).Dur("claim_age", k.now().Sub(claim.at)).Bool("claimant_in_fleet", k.inFleet(claim.registrar)).
+		Msg("the key's registrar is not used; another instance has claimed the key")
 }
 
 // viewedRegistrar returns the registrar of a request's key in this instance's view of the fleet.
