fix: the claim of a registrar that is leaving does not keep others from billing

Callers saw nothing; the operators' accounts lacked charges: in the demo with rolling-stop, calls that were answered whole had no charge, while their tokens stayed reserved ("unbilled: call 51 was answered whole", every budget's sum in order, settled false).

Cause: an instance that is stopping still asks the others for the records of its keys when its zone changes. An instance that has already seen it leave accepted the claim that comes with the question. The claim's registrar is not in the fleet and never will be, so the claim was kept for keyClaimTimeout, 30 s. Until then the instance uses no other registrar for these keys: it serves requests and cannot bill them. If its own planned stop falls into that time, the stop waits until its limit for the deferred bills and gives up; the reservations become orphans, and a plain service cannot tell what an orphan has used.

Change: claims of instances that are known to be leaving are not accepted and end with the next tick. That is when a claim ended before, if it had arrived in time; the next registrar collects from everyone it sees before it answers.

--- a/internal/matrix/node_test.go
+++ b/internal/matrix/node_test.go
@@ -208,6 +208,15 @@
 
 func (m members) Lost(incarnationID string) bool { return !m.Alive(incarnationID) }
 
+func (m members) Leaving(incarnationID string) bool {
+	for _, o := range m.n.fleet.allNodes() {
+		if o.peer.IncarnationID() == incarnationID {
+			return o.isLeaving()
+		}
+	}
+	return false
+}
+
 func (n *node) isLeaving() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -371,6 +371,18 @@
 	return s.peer, true
 }
 
+// Leaving reports whether a process is known to be stopping: it, or the platform's list, has announced that it leaves.
+func (v *View) Leaving(incarnationID string) bool {
+	id, inc := mesh.SplitIncarnationID(incarnationID)
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	if id == v.self.ID {
+		return v.leaving && inc == v.self.Incarnation
+	}
+	s, ok := v.peers[id]
+	return ok && s.leaving && (s.peer.Incarnation == "" || s.peer.Incarnation == inc)
+}
+
 // Lost reports whether a process is neither listed nor has sent a recent heartbeat, or was replaced by another process
 // of its instance.
 func (v *View) Lost(incarnationID string) bool {
--- a/internal/once/collect.go
+++ b/internal/once/collect.go
@@ -70,14 +70,14 @@
 	return keyClaim{}, false
 }
 
-// pruneClaims drops the claims of registrars that have left the fleet. The caller holds the lock.
+// pruneClaims drops the claims of registrars that have left the fleet or are leaving it. The caller holds the lock.
 func (k *Keys) pruneClaims(fleet []mesh.Peer) {
 	for id, c := range k.claims {
 		switch {
 		case includes(fleet, c.registrar):
 			c.inFleet = true
 			k.claims[id] = c
-		case c.inFleet, k.now().Sub(c.at) > keyClaimTimeout:
+		case c.inFleet, k.members.Leaving(c.registrar.IncarnationID()), k.now().Sub(c.at) > keyClaimTimeout:
 			delete(k.claims, id)
 		}
 	}
@@ -251,12 +251,13 @@
 	return true
 }
 
-// handleCollect accepts the sender's claim, and returns the records of the keys that it covers: those of requests that
+// handleCollect accepts the sender's claim, unless the sender is leaving and so is no longer a registrar in this
+// instance's view, and returns the records of the keys that it covers: those of requests that
 // this instance serves, those that it stores as registrar itself, and those of reservations at its holder.
 func (k *Keys) handleCollect(from mesh.Peer, req CollectReq) CollectResp {
 	claim := keyClaim{registrar: from, zone: req.Zone, at: k.now(), inFleet: includes(k.members.Fleet(), from)}
 	k.mu.Lock()
-	if from.IncarnationID() != k.members.Self().IncarnationID() {
+	if from.IncarnationID() != k.members.Self().IncarnationID() && !k.members.Leaving(from.IncarnationID()) {
 		k.claims[from.ID] = claim
 	}
 	k.mu.Unlock()
--- a/internal/once/keys.go
+++ b/internal/once/keys.go
@@ -83,7 +83,8 @@
 // Members is the part of the membership view that the registry uses.
 type Members interface {
 	Self() mesh.Peer
-	Fleet() []mesh.Peer
+	Fleet() []mesh.Peer // without the instances that are leaving, except this one
+	Leaving(incarnationID string) bool
 }
 
 // ZonesFunc lists the declared zones in which the records of a customer's keys may be stored.
--- a/internal/once/keys_test.go
+++ b/internal/once/keys_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -25,6 +26,7 @@
 	keys  map[string]*Keys
 
 	mu       sync.Mutex
+	leaving  map[string]bool // instances that have announced that they leave
 	views    map[string][]mesh.Peer
 	reserved map[string][]budget.KeyedReservation
 }
@@ -42,6 +44,12 @@
 	return v.f.views[v.self.ID]
 }
 
+func (v view) Leaving(incarnationID string) bool {
+	v.f.mu.Lock()
+	defer v.f.mu.Unlock()
+	return v.f.leaving[incarnationID]
+}
+
 func peer(id string) mesh.Peer {
 	return mesh.Peer{ID: id, Zone: "zone", Addr: id, Incarnation: "x"}
 }
@@ -57,7 +65,7 @@
 func newKeysFleet(ids ...string) *keysFleet {
 	f := &keysFleet{
 		clock: clock.New(), net: meshtest.New(), keys: make(map[string]*Keys), views: make(map[string][]mesh.Peer),
-		reserved: make(map[string][]budget.KeyedReservation),
+		reserved: make(map[string][]budget.KeyedReservation), leaving: make(map[string]bool),
 	}
 	for _, id := range ids {
 		f.start(id, ids...)
@@ -86,6 +94,18 @@
 	f.views[id] = peers(ids...)
 }
 
+// leave makes an instance leave the fleet: no other one sees it any more, and it still runs.
+func (f *keysFleet) leave(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaving[peer(id).IncarnationID()] = true
+	for viewer, seen := range f.views {
+		if viewer != id {
+			f.views[viewer] = slices.DeleteFunc(slices.Clone(seen), func(p mesh.Peer) bool { return p.ID == id })
+		}
+	}
+}
+
 func (f *keysFleet) crash(id string) {
 	f.net.SetDown(id, true)
 	delete(f.keys, id)
@@ -251,3 +271,37 @@
 		So(b.claims, ShouldNotContainKey, "c")
 	})
 }
+
+// TestBillWhileRegistrarLeaves guards against a request that was answered and never billed: a registrar that was stopping
+// asked an instance for its records after that instance had seen it leave. Its claim then kept the instance from using the
+// next registrar for keyClaimTimeout, longer than the instance's own planned stop lasted.
+func TestBillWhileRegistrarLeaves(t *testing.T) {
+	ctx := context.Background()
+	Convey("Given a request that is served while its registrar is stopping", t, func() {
+		f := newKeysFleet("a", "b", "c")
+		request := requestOf("b", peers("b", "c"), "a", peers("a", "b", "c"))
+		resp, err := f.keys["c"].Begin(ctx, customer, Record{Request: request, Owner: peer("c")})
+		So(err, ShouldBeNil)
+		f.leave("a")
+		claim := CollectReq{Zone: peers("a", "b", "c")}
+
+		Convey("a claim that arrives after the owner has seen the registrar leave does not keep it from billing", func() {
+			f.keys["c"].handleCollect(peer("a"), claim)
+			f.tick()
+			billed, err := f.keys["c"].Update(ctx, customer, billedRecord(request, "c", resp.Record.Place.Run))
+			So(err, ShouldBeNil)
+			So(billed, ShouldBeTrue)
+		})
+		Convey("a claim that arrives before that does not outlast it either", func() {
+			f.mu.Lock()
+			f.leaving[peer("a").IncarnationID()] = false
+			f.mu.Unlock()
+			f.keys["c"].handleCollect(peer("a"), claim)
+			f.leave("a")
+			f.tick()
+			billed, err := f.keys["c"].Update(ctx, customer, billedRecord(request, "c", resp.Record.Place.Run))
+			So(err, ShouldBeNil)
+			So(billed, ShouldBeTrue)
+		})
+	})
+}
