fix: a charge that a lost successor has billed is not billed again by the next one

Cause: when a holder is lost, its clients report their charges to the successor, and add the successor to the chain of holders that a report names. The successor closes the lost holder's grant with these charges. If it is lost too before a client has asked it (250 ms), the client reports the same charge with the chain [lost, successor]. The lost holder has no grant any more, so the next successor counts the charge for the first one's grant: it bills it a second time, or, if the grant is too small for both, refuses the whole take-over for ever and the escrow stays held.

Evidence: TestChargeAfterTwoReclaims, four orders of events.

Change: a client tells all successors the same until one confirms: an open reservation stays reported as open, a charge with the chain of its own holders only. Once a successor confirms a reservation, its chain starts there. A reservation that ends with nothing between the report and the confirmation is no longer dropped, which left it open at the successor.

--- a/internal/budget/client.go
+++ b/internal/budget/client.go
@@ -84,6 +84,8 @@
 	chain        []string
 	successors   []holderAt // successors that may have taken the reservation over, while unconfirmed
 	unconfirmed  bool       // reported to a successor that has not confirmed the take-over
+	reportedOpen bool       // while unconfirmed: the state that every successor is told
+	ownHolders   int        // while unconfirmed: the length of chain before the first of these successors
 	sending      bool
 	failingSince time.Time // when calls to the holder began to fail; zero while they succeed
 }
--- a/internal/budget/client_fence.go
+++ b/internal/budget/client_fence.go
@@ -24,23 +24,23 @@
 }
 
 // report builds a hold's report and assigns the hold to the successor. It returns false if there is nothing to
-// report. The caller holds the lock.
+// report. Several successors may collect reports, and a take-over uses those of the one that succeeds. So until one has
+// confirmed it, all of them get the same report, even if the hold is settled meanwhile. The caller holds the lock.
 func (c *Client) report(h *Hold, req FenceReq) (Report, bool) {
-	switch {
-	case h.state == stateHeld || h.state == stateRevoked:
-		h.state = stateRevoked
-		delete(c.holds, h)
-		return Report{}, false
-	case h.state >= stateSettled && h.used == 0:
-		delete(c.holds, h)
-		return Report{}, false
+	if !h.unconfirmed {
+		if h.mustNotRun() || h.chargesNothing() {
+			delete(c.holds, h)
+			return Report{}, false
+		}
+		h.reportedOpen, h.ownHolders = h.state == stateDispatched, len(h.chain)
 	}
 	r := Report{
-		Request: h.request, Budget: h.budget, Customer: h.customer, Tokens: h.tokens, Open: h.state == stateDispatched,
-		Keyed: h.keyed, Place: h.place, Owner: c.members.Self().IncarnationID(), Chain: append([]string(nil), h.chain...),
+		Request: h.request, Budget: h.budget, Customer: h.customer, Tokens: h.tokens, Open: h.reportedOpen,
+		Keyed: h.keyed, Place: h.place, Owner: c.members.Self().IncarnationID(), Chain: slices.Clone(h.chain),
 	}
 	if !r.Open {
-		r.Tokens = h.used
+		// The take-over of the grant that the charge belongs to counts it. A successor's grant does not contain it.
+		r.Tokens, r.Chain = h.used, r.Chain[:h.ownHolders]
 	}
 	if h.holder != req.Successor {
 		h.chain = append(h.chain, req.Successor)
@@ -51,3 +51,24 @@
 	}
 	return r, true
 }
+
+// mustNotRun revokes a hold that is not dispatched. It reports whether the hold is revoked.
+func (h *Hold) mustNotRun() bool {
+	if h.state == stateHeld {
+		h.state = stateRevoked
+	}
+	return h.state == stateRevoked
+}
+
+// chargesNothing reports whether the hold is settled with zero tokens.
+func (h *Hold) chargesNothing() bool { return h.state >= stateSettled && h.used == 0 }
+
+// awaitsConfirmation reports whether one of several successors may have the hold as an open reservation.
+func (h *Hold) awaitsConfirmation() bool { return h.unconfirmed && h.reportedOpen }
+
+// confirm records that a successor has taken over the open reservation. The caller holds the client's lock.
+func (h *Hold) confirm(at holderAt) {
+	h.holder, h.addr = at.holder, at.addr
+	h.chain = []string{at.holder}
+	h.unconfirmed, h.successors = false, nil
+}
--- a/internal/budget/client_sync.go
+++ b/internal/budget/client_sync.go
@@ -63,11 +63,10 @@
 	for h := range c.holds {
 		for _, at := range h.holdersToSync() {
 			w := get(at)
-			if h.state >= stateSettled {
-				w.req.Pending = append(w.req.Pending, h.request)
-			}
-			if h.unconfirmed {
+			if h.awaitsConfirmation() {
 				w.req.Unconfirmed = append(w.req.Unconfirmed, h.request)
+			} else {
+				w.req.Pending = append(w.req.Pending, h.request)
 			}
 		}
 	}
@@ -138,12 +137,13 @@
 		}
 		h.failingSince = time.Time{}
 		switch {
+		case h.awaitsConfirmation():
+			if known[h.request] {
+				h.confirm(at)
+			}
 		case flushed[h.request] && h.state >= stateSettled:
 			delete(c.holds, h)
 			c.toConfirm[at] = append(c.toConfirm[at], h.request)
-		case known[h.request] && h.unconfirmed:
-			h.holder, h.addr = at.holder, at.addr
-			h.unconfirmed, h.successors = false, nil
 		}
 	}
 }
--- a/internal/budget/property_test.go
+++ b/internal/budget/property_test.go
@@ -180,22 +180,24 @@
 		mem.open[r.Request] = r.Tokens
 		mem.reserved += r.Tokens
 	}
-	m.transferReports(dead, successor)
+	m.transferReports(dead, successor, rapid.Bool().Draw(t, "told"))
 	delete(m.holders, dead)
 	delete(m.journal, dead)
 	m.incarnations[dead[1]-'0']++
 }
 
-// transferReports models the clients: open reservations continue at the successor, and charges that the successor has
-// settled are dropped.
-func (m *model) transferReports(dead, successor string) {
+// transferReports models the clients: open reservations continue at the successor. Charges that the successor has settled
+// are dropped if it has told the clients so, and otherwise are reported again when the successor is lost.
+func (m *model) transferReports(dead, successor string, told bool) {
 	rest := m.reports[:0]
 	for _, r := range m.reports {
 		if currentHolder(r) == dead {
-			if !r.Open {
+			if !r.Open && told {
 				continue
 			}
-			r.Chain = append(append([]string(nil), r.Chain...), successor)
+			if r.Open {
+				r.Chain = append(append([]string(nil), r.Chain...), successor)
+			}
 		}
 		rest = append(rest, r)
 	}
--- a/internal/budget/reclaim_move.go
+++ b/internal/budget/reclaim_move.go
@@ -14,20 +14,25 @@
 type reportTotals struct {
 	settled         int64    // charges that are not in the journal
 	newCharges      []Report // the reports counted in settled
-	recordedCharges []Report // charges that are in the journal
+	recordedCharges []Report // charges that are in the journal, or that an earlier take-over has counted
 	openTokens      int64
 	openReports     []Report
 }
 
 // totalReports sums up the reports that belong to a dead holder's grant on a row. A report belongs to the oldest
-// holder of its chain that still has a grant on the row. Charges in the journal are already counted there.
+// holder of its chain that still has a grant on the row. Charges in the journal are already counted there. If none has a
+// grant, the take-over of the last one has counted the charge.
 func totalReports(row *Row, budget string, j *ledger.Journal, reports []Report) reportTotals {
 	var s reportTotals
 	for _, r := range reports {
-		if r.Budget != budget || grantOwner(row, r.Chain) != j.Holder {
+		if r.Budget != budget {
 			continue
 		}
+		owner := grantOwner(row, r.Chain)
 		switch {
+		case owner == "" && !r.Open:
+			s.recordedCharges = append(s.recordedCharges, r)
+		case owner != j.Holder:
 		case r.Open:
 			s.openTokens += r.Tokens
 			s.openReports = append(s.openReports, r)
--- /dev/null
+++ b/internal/budget/recovery_test.go
@@ -0,0 +1,228 @@
+package budget
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ledgemount/ledgemount/internal/ledger"
+	"github.com/ledgemount/ledgemount/internal/mesh"
+	"github.com/ledgemount/ledgemount/internal/mesh/meshtest"
+	"github.com/ledgemount/ledgemount/internal/standin/clock"
+	"github.com/ledgemount/ledgemount/internal/standin/memstore"
+)
+
+// zoneFleet is a zone of instances with the real Holder and Client, on a store and a network in memory.
+type zoneFleet struct {
+	t     *testing.T
+	clock *clock.Clock
+	store *memstore.Store
+	net   *meshtest.Net
+
+	mu      sync.Mutex
+	nodes   map[string]*zoneNode
+	order   []string
+	charges map[string][]ledger.Charge // that holders have reported, by request
+}
+
+// zoneNode is one instance of a zoneFleet.
+type zoneNode struct {
+	fleet  *zoneFleet
+	peer   mesh.Peer
+	holder *Holder
+	client *Client
+	gone   bool // crashed or stopped, and seen so by the others
+}
+
+// zoneView is an instance's view of a zoneFleet.
+type zoneView struct{ n *zoneNode }
+
+func (v zoneView) Self() mesh.Peer { return v.n.peer }
+
+func (v zoneView) Zone() []mesh.Peer {
+	f := v.n.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []mesh.Peer
+	for _, id := range f.order {
+		if n := f.nodes[id]; n == v.n || !n.gone {
+			out = append(out, n.peer)
+		}
+	}
+	return out
+}
+
+func (v zoneView) Fleet() []mesh.Peer { return v.Zone() }
+
+func (v zoneView) Find(incarnationID string) (mesh.Peer, bool) {
+	f := v.n.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range f.nodes {
+		if n.peer.IncarnationID() == incarnationID {
+			return n.peer, true
+		}
+	}
+	return mesh.Peer{}, false
+}
+
+func (v zoneView) Alive(incarnationID string) bool {
+	for _, p := range v.Zone() {
+		if p.IncarnationID() == incarnationID {
+			return true
+		}
+	}
+	return false
+}
+
+func (v zoneView) Lost(incarnationID string) bool { return !v.Alive(incarnationID) }
+
+const testBudgetName = "budget"
+
+var zoneTimes = Times{
+	Tick: time.Millisecond, Flush: time.Second, RefreshInterval: time.Hour, Horizon: time.Minute, Idle: time.Hour,
+	OrphanTimeout: 10 * time.Second, DeadTimeout: 4 * time.Second, IncreaseBackoff: 10 * time.Millisecond, DoneRetention: time.Hour,
+}
+
+// newZoneFleet makes a zone with the given instances, and a budget of deposit tokens.
+func newZoneFleet(t *testing.T, ids ...string) *zoneFleet {
+	t.Helper()
+	_, store := newTestHolder(t)
+	f := &zoneFleet{
+		t: t, clock: clock.New(), store: store, net: meshtest.New(), nodes: make(map[string]*zoneNode),
+		charges: make(map[string][]ledger.Charge),
+	}
+	for _, id := range ids {
+		f.start(id)
+	}
+	return f
+}
+
+func (f *zoneFleet) start(id string) *zoneNode {
+	n := &zoneNode{fleet: f, peer: mesh.Peer{ID: id, Zone: "z", Addr: id, Incarnation: "x"}}
+	router := mesh.NewRouter()
+	caller := f.net.Join(n.peer, router)
+	n.holder = NewHolder(f.store, zoneView{n}, caller, router, noopStopper{}, WithTimes(zoneTimes), WithClock(f.clock.Now),
+		WithLogger(zerolog.New(zerolog.NewTestWriter(f.t))), OnBilled(f.billed))
+	n.client = NewClient(f.store, zoneView{n}, caller, router, WithClientClock(f.clock.Now))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nodes[id] = n
+	f.order = append(f.order, id)
+	return n
+}
+
+func (f *zoneFleet) billed(c ledger.Charge) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.charges[c.Request] = append(f.charges[c.Request], c)
+}
+
+// crash ends an instance without any further work.
+func (n *zoneNode) crash() {
+	n.fleet.net.SetDown(n.peer.Addr, true)
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	n.gone = true
+}
+
+// serve reserves tokens at a holder for a request of this instance's client and dispatches the request.
+func (n *zoneNode) serve(holder *zoneNode, request string, tokens int64) *Hold {
+	params := ReserveParams{Request: request, Budget: testBudgetName, Customer: "c", Tokens: tokens, Place: Place{Run: "run-" + request}}
+	h, resp, err := n.client.reserveAt(n.fleet.t.Context(), holder.peer.Addr, params, false)
+	So(err, ShouldBeNil)
+	So(resp.Outcome, ShouldEqual, Granted)
+	So(h.Dispatch(), ShouldBeNil)
+	return h
+}
+
+// finish settles a hold and waits until its holder has the settlement.
+func (n *zoneNode) finish(h *Hold, used int64) {
+	h.Settle(used)
+	n.client.jobs.Wait()
+	n.client.mu.Lock()
+	defer n.client.mu.Unlock()
+	So(h.state, ShouldEqual, stateDelivered)
+}
+
+// reclaim makes an instance take over a holder that is gone.
+func (n *zoneNode) reclaim(dead string) error {
+	e, err := n.fleet.store.Get(n.fleet.t.Context(), ledger.Key("z", dead))
+	So(err, ShouldBeNil)
+	So(e.Revision, ShouldNotEqual, 0)
+	j, err := ledger.Decode(e.Data)
+	So(err, ShouldBeNil)
+	return n.holder.Reclaim(n.fleet.t.Context(), e, j)
+}
+
+// flush makes an instance write its charges to the store.
+func (f *zoneFleet) flush(n *zoneNode) {
+	f.clock.Advance(zoneTimes.Flush)
+	n.holder.Tick(f.t.Context())
+}
+
+// spent returns the tokens that the store counts as spent.
+func (f *zoneFleet) spent() int64 {
+	v, err := Inspect(f.t.Context(), f.store, testBudgetName)
+	So(err, ShouldBeNil)
+	return v.Spent
+}
+
+// TestChargeAfterTwoReclaims guards against a request that is billed twice: a charge that the first successor of a lost
+// holder has billed was billed again by the second one, if the first was lost before the client had asked it.
+func TestChargeAfterTwoReclaims(t *testing.T) {
+	Convey("Given two requests at a lost holder, one of which its successor has billed", t, func() {
+		f := newZoneFleet(t, "client", "home", "first", "second")
+		client, home, first, second := f.nodes["client"], f.nodes["home"], f.nodes["first"], f.nodes["second"]
+		running := client.serve(home, "running", 100)
+		client.finish(client.serve(home, "done", 100), 60)
+		home.crash()
+		So(first.reclaim(home.holder.ID()), ShouldBeNil)
+		So(f.charges["done"], ShouldHaveLength, 1)
+		So(f.spent(), ShouldEqual, 60)
+		settleAt := func(n *zoneNode) {
+			client.client.Tick(t.Context()) // the successor confirms the take-over
+			client.finish(running, 30)
+			f.flush(n)
+		}
+		check := func() {
+			So(f.charges["done"], ShouldHaveLength, 1)
+			So(f.charges["running"], ShouldHaveLength, 1)
+			So(f.spent(), ShouldEqual, 90)
+			client.client.Tick(t.Context())
+			So(client.client.Open(), ShouldEqual, 0)
+		}
+		Convey("each is billed once by the first successor", func() {
+			settleAt(first)
+			check()
+		})
+		Convey("each is billed once if the first successor is lost before the client has asked it", func() {
+			first.crash()
+			So(second.reclaim(first.holder.ID()), ShouldBeNil)
+			settleAt(second)
+			check()
+		})
+		Convey("each is billed once if the other request has ended meanwhile", func() {
+			running.Settle(30)
+			first.crash()
+			So(second.reclaim(first.holder.ID()), ShouldBeNil)
+			client.client.Tick(t.Context())
+			client.client.jobs.Wait()
+			client.client.Tick(t.Context()) // delivers the settlement
+			client.client.jobs.Wait()
+			f.flush(second)
+			check()
+		})
+		Convey("each is billed once if the first successor is lost with the settlement of the other request", func() {
+			client.client.Tick(t.Context())
+			running.Settle(30)
+			client.client.jobs.Wait()
+			first.crash()
+			So(second.reclaim(first.holder.ID()), ShouldBeNil)
+			check()
+		})
+	})
+}
