fix: a charge whose last write has an unknown outcome is still reported, once

What was seen: charges that are in the store and that no instance has reported ("unbilled: call 42 was answered whole", the sums in order), when the store loses a response as an instance stops or is fenced. No caller pays more or less.

Cause: a charge is reported by the process whose write stored it, after it has learned so. If the response is lost, Stop tried the write 12 times, then gave up with most of its time left. So nobody did.

Change: Stop repeats what is left until its time ends. A holder that has to end without an answer tells its clients which charges it has not reported and reports none later; the clients mark their copies, and the successor that closes the grant reports the marked ones. Two builds side by side: an older client refuses the message, an older successor passes over the mark.

--- a/internal/budget/client.go
+++ b/internal/budget/client.go
@@ -85,6 +85,7 @@
 	successors   []holderAt // successors that may have taken the reservation over, while unconfirmed
 	unconfirmed  bool       // reported to a successor that has not confirmed the take-over
 	reportedOpen bool       // while unconfirmed: the state that every successor is told
+	unreported   bool       // its holder has ended and does not report the charge
 	ownHolders   int        // while unconfirmed: the length of chain before the first of these successors
 	sending      bool
 	failingSince time.Time // when calls to the holder began to fail; zero while they succeed
@@ -144,6 +145,10 @@
 	mesh.Handle(router, KindFence, func(_ context.Context, _ mesh.Peer, req FenceReq) (FenceResp, error) {
 		return c.Fence(req), nil
 	})
+	mesh.Handle(router, KindUnreported, func(_ context.Context, _ mesh.Peer, req UnreportedReq) (mesh.Empty, error) {
+		c.markUnreported(req)
+		return mesh.Empty{}, nil
+	})
 	return c
 }
 
--- a/internal/budget/client_fence.go
+++ b/internal/budget/client_fence.go
@@ -37,6 +37,7 @@
 	r := Report{
 		Request: h.request, Budget: h.budget, Customer: h.customer, Tokens: h.tokens, Open: h.reportedOpen,
 		Keyed: h.keyed, Place: h.place, Owner: c.members.Self().IncarnationID(), Chain: slices.Clone(h.chain),
+		Unreported: h.unreported,
 	}
 	if !r.Open {
 		// The take-over of the grant that the charge belongs to counts it. A successor's grant does not contain it.
@@ -52,6 +53,21 @@
 	return r, true
 }
 
+// markUnreported marks the charges that a holder has not reported, for the reports to its successor.
+func (c *Client) markUnreported(req UnreportedReq) {
+	requests := make(map[string]bool, len(req.Requests))
+	for _, id := range req.Requests {
+		requests[id] = true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for h := range c.holds {
+		if requests[h.request] && slices.Contains(h.chain, req.Holder) {
+			h.unreported = true
+		}
+	}
+}
+
 // mustNotRun revokes a hold that is not dispatched. It reports whether the hold is revoked.
 func (h *Hold) mustNotRun() bool {
 	if h.state == stateHeld {
--- a/internal/budget/formats_test.go
+++ b/internal/budget/formats_test.go
@@ -19,4 +19,5 @@
 	formattest.Check[FenceResp](t, "fenced")
 	formattest.Check[RecallReq](t, "recall")
 	formattest.Check[RecallResp](t, "recalled")
+	formattest.Check[UnreportedReq](t, "unreported")
 }
--- a/internal/budget/holder.go
+++ b/internal/budget/holder.go
@@ -104,10 +104,12 @@
 	book             *ledger.Book
 	journal          journalState
 	closing          bool
-	fences           map[string]*fenceState // other holders of the zone, as observed by sweeps
-	inheritedSettled map[string]string      // clients of requests settled on behalf of reclaimed holders, by request
-	abandonedRuns    map[string]time.Time   // runs abandoned before their reservations arrived; kept across incarnations
-	releases         map[Release]bool       // releases that operators have confirmed
+	fences           map[string]*fenceState     // other holders of the zone, as observed by sweeps
+	inheritedSettled map[string]string          // clients of requests settled on behalf of reclaimed holders, by request
+	abandonedRuns    map[string]time.Time       // runs abandoned before their reservations arrived; kept across incarnations
+	releases         map[Release]bool           // releases that operators have confirmed
+	unreported       map[string][]ledger.Charge // pending charges of ended incarnations, whose journals may have them
+	handedOver       bool                       // this holder reports no charges any more
 	sweptAt          time.Time
 	stats            Stats
 }
@@ -160,6 +162,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Holder{
 		abandonedRuns: make(map[string]time.Time),
+		unreported:    make(map[string][]ledger.Charge),
 		journalSem:    semaphore.NewWeighted(1),
 		store:         store,
 		members:       members,
--- a/internal/budget/journal.go
+++ b/internal/budget/journal.go
@@ -42,6 +42,7 @@
 	if err := h.putJournal(ctx, w); err != nil {
 		if errors.Is(err, errFenced) {
 			h.abandonIncarnation(w.holder)
+			return errors.Join(err, h.reportStored(ctx))
 		}
 		return err
 	}
@@ -142,7 +143,7 @@
 	return listed
 }
 
-func sortedKeys(m map[string]bool) []string {
+func sortedKeys[V any](m map[string]V) []string {
 	out := make([]string, 0, len(m))
 	for k := range m {
 		out = append(out, k)
@@ -235,7 +236,7 @@
 	h.stats.Flushes++
 	h.mu.Unlock()
 	for _, c := range w.snap.Charges {
-		h.billed(c)
+		h.report(c)
 	}
 }
 
@@ -248,5 +249,6 @@
 	}
 	h.log.Warn().Str("event", "holder_fenced").Str("holder", holder).Msg("a successor took over this holder's escrow")
 	h.stats.Fenced++
+	h.keepUnreported()
 	h.reset()
 }
--- a/internal/budget/messages.go
+++ b/internal/budget/messages.go
@@ -10,6 +10,8 @@
 	KindSync    mesh.Kind = "budget.sync"
 	KindFence   mesh.Kind = "budget.fence"
 	KindRecall  mesh.Kind = "budget.recall"
+	// KindUnreported is sent by a holder that ends.
+	KindUnreported mesh.Kind = "budget.unreported"
 )
 
 // Place is where a request runs. Run is the id of the run at the endpoint.
@@ -121,6 +123,14 @@
 	Place    Place    `cbor:"7,keyasint"`
 	Owner    string   `cbor:"8,keyasint"`
 	Chain    []string `cbor:"9,keyasint"`
+	// Unreported means that the holder has ended and has not reported the charge, whether it is stored or not.
+	Unreported bool `cbor:"10,keyasint,omitempty"`
+}
+
+// UnreportedReq tells a client that a holder has ended and does not report the charges of some requests.
+type UnreportedReq struct {
+	Holder   string   `cbor:"1,keyasint"`
+	Requests []string `cbor:"2,keyasint"`
 }
 
 // FenceResp lists a client's reservations and charges at the fenced holder.
--- a/internal/budget/reclaim.go
+++ b/internal/budget/reclaim.go
@@ -47,6 +47,9 @@
 	if !due || !h.isReclaimer() {
 		return
 	}
+	if err := h.reportStored(ctx); err != nil {
+		h.log.Debug().Str("event", "charges_unresolved").Err(err).Msg("charges of an ended incarnation stay unreported for now")
+	}
 	if err := h.Sweep(ctx); err != nil {
 		h.log.Debug().Str("event", "sweep_failed").Err(err).Msg("sweep for dead holders failed")
 	}
--- a/internal/budget/reclaim_move.go
+++ b/internal/budget/reclaim_move.go
@@ -14,6 +14,7 @@
 type reportTotals struct {
 	settled         int64    // charges that are not in the journal
 	newCharges      []Report // the reports counted in settled
+	handedOver      []Report // charges in the journal that the dead holder has not reported
 	recordedCharges []Report // charges that are in the journal, or that an earlier take-over has counted
 	openTokens      int64
 	openReports     []Report
@@ -38,6 +39,9 @@
 			s.openReports = append(s.openReports, r)
 		case j.Charged(r.Request):
 			s.recordedCharges = append(s.recordedCharges, r)
+			if r.Unreported {
+				s.handedOver = append(s.handedOver, r)
+			}
 		default:
 			s.settled += r.Tokens
 			s.newCharges = append(s.newCharges, r)
@@ -269,8 +273,15 @@
 	return true
 }
 
-// adoptMoves adds the open reservations and settled requests of a dead holder to this holder's in-memory state.
+// adoptMoves adds the open reservations and settled requests of a dead holder to this holder's in-memory state, and
+// reports the charges that the moves have stored.
 func (h *Holder) adoptMoves(moves []move) {
+	h.recordMoves(moves)
+	h.log.Info().Str("event", "holder_reclaimed").Int("budgets", len(moves)).Msg("took over a dead holder's escrow")
+	h.notifyBilled(moves)
+}
+
+func (h *Holder) recordMoves(moves []move) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.now()
@@ -296,14 +307,12 @@
 		}
 		h.stats.Reclaims++
 	}
-	h.log.Info().Str("event", "holder_reclaimed").Int("budgets", len(moves)).Msg("took over a dead holder's escrow")
-	h.notifyBilled(moves)
 }
 
 func (h *Holder) notifyBilled(moves []move) {
 	for _, m := range moves {
-		for _, r := range m.totals.newCharges {
-			h.billed(ledger.Charge{Request: r.Request, Budget: m.budget, Tokens: r.Tokens, Run: r.Place.Run, Holder: m.holder})
+		for _, r := range append(m.totals.handedOver, m.totals.newCharges...) {
+			h.report(ledger.Charge{Request: r.Request, Budget: m.budget, Tokens: r.Tokens, Run: r.Place.Run, Holder: m.holder})
 		}
 	}
 }
--- a/internal/budget/recovery_test.go
+++ b/internal/budget/recovery_test.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"context"
 	"sync"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/rs/zerolog"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/ledger"
 	"github.com/ledgemount/ledgemount/internal/mesh"
 	"github.com/ledgemount/ledgemount/internal/mesh/meshtest"
@@ -32,6 +34,7 @@
 type zoneNode struct {
 	fleet  *zoneFleet
 	peer   mesh.Peer
+	store  *faultyStore
 	holder *Holder
 	client *Client
 	gone   bool // crashed or stopped, and seen so by the others
@@ -80,6 +83,85 @@
 
 func (v zoneView) Lost(incarnationID string) bool { return !v.Alive(incarnationID) }
 
+// faultyStore is an instance's access to the store.
+type faultyStore struct {
+	external.Store
+
+	mu       sync.Mutex
+	loseNext string // the response to the next write of a key with this prefix is lost, and the store is away from then on
+	away     bool
+	refused  int // calls while the store was away
+}
+
+// loseResponse makes the next write of a key with a prefix take effect without a response; all later calls fail.
+func (s *faultyStore) loseResponse(prefix string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loseNext = prefix
+}
+
+func (s *faultyStore) setAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+}
+
+// isAway reports whether a call fails now.
+func (s *faultyStore) isAway() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		s.refused++
+	}
+	return s.away
+}
+
+// refusedCalls returns the number of calls that have failed.
+func (s *faultyStore) refusedCalls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refused
+}
+
+// Get implements external.Store.
+func (s *faultyStore) Get(ctx context.Context, key string) (external.Entry, error) {
+	if s.isAway() {
+		return external.Entry{}, external.ErrUnavailable
+	}
+	return s.Store.Get(ctx, key)
+}
+
+// List implements external.Store.
+func (s *faultyStore) List(ctx context.Context, prefix string) ([]external.Entry, error) {
+	if s.isAway() {
+		return nil, external.ErrUnavailable
+	}
+	return s.Store.List(ctx, prefix)
+}
+
+// Put implements external.Store.
+func (s *faultyStore) Put(ctx context.Context, key string, data []byte, rev, lease int64) (int64, error) {
+	if s.isAway() {
+		return 0, external.ErrAmbiguous
+	}
+	rev, err := s.Store.Put(ctx, key, data, rev, lease)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.loseNext != "" && len(key) >= len(s.loseNext) && key[:len(s.loseNext)] == s.loseNext {
+		s.loseNext, s.away = "", true
+		return 0, external.ErrAmbiguous
+	}
+	return rev, err
+}
+
+// Delete implements external.Store.
+func (s *faultyStore) Delete(ctx context.Context, key string, rev int64) error {
+	if s.isAway() {
+		return external.ErrAmbiguous
+	}
+	return s.Store.Delete(ctx, key, rev)
+}
+
 const testBudgetName = "budget"
 
 var zoneTimes = Times{
@@ -102,12 +184,12 @@
 }
 
 func (f *zoneFleet) start(id string) *zoneNode {
-	n := &zoneNode{fleet: f, peer: mesh.Peer{ID: id, Zone: "z", Addr: id, Incarnation: "x"}}
+	n := &zoneNode{fleet: f, peer: mesh.Peer{ID: id, Zone: "z", Addr: id, Incarnation: "x"}, store: &faultyStore{Store: f.store}}
 	router := mesh.NewRouter()
 	caller := f.net.Join(n.peer, router)
-	n.holder = NewHolder(f.store, zoneView{n}, caller, router, noopStopper{}, WithTimes(zoneTimes), WithClock(f.clock.Now),
+	n.holder = NewHolder(n.store, zoneView{n}, caller, router, noopStopper{}, WithTimes(zoneTimes), WithClock(f.clock.Now),
 		WithLogger(zerolog.New(zerolog.NewTestWriter(f.t))), OnBilled(f.billed))
-	n.client = NewClient(f.store, zoneView{n}, caller, router, WithClientClock(f.clock.Now))
+	n.client = NewClient(n.store, zoneView{n}, caller, router, WithClientClock(f.clock.Now))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.nodes[id] = n
@@ -150,7 +232,7 @@
 
 // reclaim makes an instance take over a holder that is gone.
 func (n *zoneNode) reclaim(dead string) error {
-	e, err := n.fleet.store.Get(n.fleet.t.Context(), ledger.Key("z", dead))
+	e, err := n.store.Get(n.fleet.t.Context(), ledger.Key("z", dead))
 	So(err, ShouldBeNil)
 	So(e.Revision, ShouldNotEqual, 0)
 	j, err := ledger.Decode(e.Data)
@@ -226,3 +308,53 @@
 		})
 	})
 }
+
+// TestLastFlushUnknown guards against charges that are stored and never reported: the outcome of a holder's write of its
+// journal stays unknown, and the holder ends.
+func TestLastFlushUnknown(t *testing.T) {
+	Convey("Given a holder whose write of a charge takes effect without a response", t, func() {
+		f := newZoneFleet(t, "client", "home", "successor")
+		client, home, successor := f.nodes["client"], f.nodes["home"], f.nodes["successor"]
+		client.finish(client.serve(home, "done", 100), 60)
+		home.store.loseResponse(ledger.Prefix)
+
+		Convey("a planned stop reports the charge once the store is back", func() {
+			stopped := make(chan error, 1)
+			go func() { stopped <- home.holder.Stop(t.Context()) }()
+			waitUntil(t, func() bool { return len(stopped) > 0 || home.store.refusedCalls() > 2*casTries }) // longer than one write is tried
+			home.store.setAway(false)
+			So(<-stopped, ShouldBeNil)
+			So(f.charges["done"], ShouldHaveLength, 1)
+			So(f.spent(), ShouldEqual, 60)
+		})
+		Convey("a holder that finds its journal fenced reports the charge, and its successor does not", func() {
+			f.flush(home)
+			So(successor.reclaim(home.holder.ID()), ShouldBeNil)
+			So(f.charges["done"], ShouldBeEmpty)
+			home.store.setAway(false)
+			f.flush(home)
+			So(f.charges["done"], ShouldHaveLength, 1)
+			So(f.spent(), ShouldEqual, 60)
+		})
+		Convey("a holder that stops while the store is away hands the report to its clients", func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			defer cancel()
+			So(home.holder.Stop(ctx), ShouldNotBeNil)
+			home.crash()
+			So(successor.reclaim(home.holder.ID()), ShouldBeNil)
+			So(f.charges["done"], ShouldHaveLength, 1)
+			So(f.spent(), ShouldEqual, 60)
+		})
+	})
+}
+
+// waitUntil waits until a condition holds.
+func waitUntil(t *testing.T, ok func() bool) {
+	t.Helper()
+	for !ok() {
+		if t.Context().Err() != nil {
+			t.Fatal("the test has ended")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/budget/tick.go
+++ b/internal/budget/tick.go
@@ -126,13 +126,44 @@
 }
 
 // Stop shuts the holder down cleanly: it accepts no new reservations, waits until open ones end or pass to a
-// successor, flushes charges and closes every grant. ctx limits the wait for open reservations.
+// successor, flushes charges and closes every grant. It retries until ctx ends. Then its successor has to take it over.
 func (h *Holder) Stop(ctx context.Context) error {
 	h.mu.Lock()
 	h.closing = true
 	h.mu.Unlock()
-	if err := h.waitForOpen(ctx); err != nil {
-		return eris.Wrap(err, "waiting for open reservations")
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-handOverTime))
+		defer cancel()
+	}
+	err := eris.Wrap(h.waitForOpen(ctx), "waiting for open reservations")
+	if err == nil {
+		err = h.returnEverything(ctx)
+	}
+	if err != nil {
+		h.handOver(ctx)
+	}
+	return err
+}
+
+// returnEverything repeats returnOnce until it succeeds or ctx ends.
+func (h *Holder) returnEverything(ctx context.Context) error {
+	for try := 0; ; try++ {
+		err := h.returnOnce(ctx)
+		if err == nil {
+			return nil
+		}
+		h.log.Debug().Str("event", "return_failed").Int("try", try).Err(err).Msg("charges and grants not returned yet")
+		if !backOff(ctx, try) {
+			return err
+		}
+	}
+}
+
+// returnOnce flushes the charges, closes every grant and removes the journal.
+func (h *Holder) returnOnce(ctx context.Context) error {
+	if err := h.reportStored(ctx); err != nil {
+		return eris.Wrap(err, "reporting the charges of an ended incarnation")
 	}
 	if !h.hasJournal() {
 		return nil
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -89,6 +89,9 @@
 // Pending returns the number of charges that are not in the store.
 func (b *Book) Pending() int { return len(b.pending) }
 
+// PendingCharges returns the charges that are not known to be in the store.
+func (b *Book) PendingCharges() []Charge { return append([]Charge(nil), b.pending...) }
+
 // Stored reports whether a charge is in the store.
 func (b *Book) Stored(request string) bool {
 	_, ok := b.recent[request]
