fix: a planned stop that leaves something is an error for its caller

Instance.Stop logged stop_unclean and returned nil, so serve logged instance_stopped and exited 0 after a stop that had left escrow and charges to the zone. It returns the error now, and serve exits 1. The demo counts such stops (failed_stops) in place of ending without a report; its audit is the same.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -56,7 +56,8 @@
 	Attempts      float64 `json:"attempts_per_request"` // dispatches to endpoints per request that reached one
 	ConfigP99MS   float64 `json:"config_p99_ms"`        // from a change's confirmation until it is in force everywhere
 	Changes       int     `json:"config_changes"`
-	Settled       bool    `json:"settled"` // all charges reached the store in time
+	Settled       bool    `json:"settled"`      // all charges reached the store in time
+	FailedStops   int     `json:"failed_stops"` // planned stops that left something to the zone
 	Seed          uint64  `json:"seed"`
 
 	StoreCalls map[external.Duty]external.Calls `json:"store_calls"`
@@ -155,9 +156,7 @@
 	writes, reads := s.f.kv.Writes(), s.f.kv.Reads()
 	calls := s.f.storeCalls()
 	for _, n := range s.f.live("") {
-		if err := s.f.stop(n); err != nil {
-			return nil, eris.Wrapf(err, "stopping %s", n.id)
-		}
+		s.stop(n)
 	}
 	reverts := w.stop()
 	return buildResult(ctx, s, &Result{
@@ -217,6 +216,7 @@
 	res.Overspend, res.DoubleBilled, res.Unbilled = a.Overspend, a.DoubleBilled, a.Unbilled
 	res.Lost, res.Crossed, res.RanTwice, res.NotRunButRan = a.Lost, a.Crossed, a.RanTwice, a.NotRunButRan
 	res.LateNewWork, res.CutByStop, res.Held, res.Billed = a.LateNewWork, a.CutByStop, a.Held, a.Billed
+	res.FailedStops = s.failedStops
 	res.Notes = a.Notes
 	res.ConfigP99MS, res.Changes = s.operator.changeLatencyP99()
 	res.Attempts = s.f.runsPerRequest(calls)
--- a/internal/demo/faults.go
+++ b/internal/demo/faults.go
@@ -199,7 +199,7 @@
 		// A delayed list matters only when something changes: stop one instance gracefully and start another.
 		live := s.f.live(zoneNames[0])
 		if len(live) > 1 {
-			_ = s.f.stop(live[0])
+			s.stop(live[0])
 			return s.f.startNode(zoneNames[0])
 		}
 		return nil
@@ -249,11 +249,17 @@
 			return err
 		}
 		time.Sleep(3 * listInterval)
-		if err := s.f.stop(n); err != nil {
-			s.mu.Lock()
-			s.failedStops++
-			s.mu.Unlock()
-		}
+		s.stop(n)
 	}
 	return nil
 }
+
+// stop stops an instance gracefully, and counts the stop if it has left something.
+func (s *scenario) stop(n *node) {
+	if err := s.f.stop(n); err == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failedStops++
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -394,8 +395,8 @@
 func (in *Instance) Kernel() *kernel.Kernel { return in.kernel }
 
 // Stop performs a planned stop: the instance accepts no new requests, finishes those in progress, flushes its charges,
-// returns its escrow, and then ends its services. ctx limits the wait. If the escrow cannot be returned, the zone reclaims
-// it later.
+// returns its escrow, and then ends its services. ctx limits the wait. An error means that something was left: the zone
+// reclaims the escrow later.
 func (in *Instance) Stop(ctx context.Context) error {
 	in.gateway.Leave()
 	in.view.Leave()
@@ -414,7 +415,7 @@
 	}
 	in.callers.shutdown(ctx)
 	in.operators.shutdown(ctx)
-	return in.kernel.Close()
+	return errors.Join(err, in.kernel.Close())
 }
 
 const (
