fix: a take-over with an unknown outcome reports its charges once it is known

What was seen, by a test: a charge of a lost holder is in the store and never reported.

Cause: a take-over whose write has no response, and whose page cannot be read back, ends the successor's incarnation. The next one finds the lost holder's grant gone and its charges counted, so it passes over them, and the incarnation that has stored them reports nothing either.

The ended incarnation's grant with the take-over's sequence number shows that it took effect; while the lost holder still has its grant, the write may yet arrive. Ended incarnations are resolved by every instance, not only by the one that reclaims.

--- a/internal/budget/holder.go
+++ b/internal/budget/holder.go
@@ -109,6 +109,7 @@
 	abandonedRuns    map[string]time.Time       // runs abandoned before their reservations arrived; kept across incarnations
 	releases         map[Release]bool           // releases that operators have confirmed
 	unreported       map[string][]ledger.Charge // pending charges of ended incarnations, whose journals may have them
+	unknownMoves     map[string][]move          // take-overs of ended incarnations with an unknown outcome, by page key
 	handedOver       bool                       // this holder reports no charges any more
 	sweptAt          time.Time
 	stats            Stats
@@ -163,6 +164,7 @@
 	h := &Holder{
 		abandonedRuns: make(map[string]time.Time),
 		unreported:    make(map[string][]ledger.Charge),
+		unknownMoves:  make(map[string][]move),
 		journalSem:    semaphore.NewWeighted(1),
 		store:         store,
 		members:       members,
--- a/internal/budget/reclaim.go
+++ b/internal/budget/reclaim.go
@@ -35,7 +35,8 @@
 	return id
 }
 
-// sweepIfDue looks for dead holders of the zone if this instance reclaims them and the sweep interval has passed.
+// sweepIfDue resolves what ended incarnations have left, and looks for dead holders of the zone if this instance reclaims
+// them. It does so once in a sweep interval.
 func (h *Holder) sweepIfDue(ctx context.Context) {
 	now := h.now()
 	h.mu.Lock()
@@ -44,12 +45,15 @@
 		h.sweptAt = now
 	}
 	h.mu.Unlock()
-	if !due || !h.isReclaimer() {
+	if !due {
 		return
 	}
 	if err := h.reportStored(ctx); err != nil {
 		h.log.Debug().Str("event", "charges_unresolved").Err(err).Msg("charges of an ended incarnation stay unreported for now")
 	}
+	if !h.isReclaimer() {
+		return
+	}
 	if err := h.Sweep(ctx); err != nil {
 		h.log.Debug().Str("event", "sweep_failed").Err(err).Msg("sweep for dead holders failed")
 	}
--- a/internal/budget/reclaim_move.go
+++ b/internal/budget/reclaim_move.go
@@ -130,11 +130,12 @@
 }
 
 // resolveMove resolves a take-over whose response was lost. If the outcome stays unknown, this incarnation ends: the
-// next one reclaims it from the same reports, so that nothing is spent twice.
+// next one reclaims it from the same reports, so that nothing is spent twice, and finds out which charges to report.
 func (h *Holder) resolveMove(ctx context.Context, key string, moves []move) (moveResult, error) {
 	applied, known := h.readBackMoves(ctx, key, moves)
 	switch {
 	case !known:
+		h.keepUnknownMoves(key, moves)
 		h.abandonIncarnation(moves[0].holder)
 		return moveNothing, eris.Wrap(external.ErrAmbiguous, "the outcome of the take-over is unknown")
 	case applied:
@@ -147,11 +148,7 @@
 func budgetsGrantedTo(page *Page, holder string) []string {
 	var out []string
 	for _, budget := range page.Budgets() {
-		row, err := page.Row(budget)
-		if err != nil {
-			continue
-		}
-		if _, ok := row.Grants[holder]; ok {
+		if isGranted(page, budget, holder) {
 			out = append(out, budget)
 		}
 	}
--- a/internal/budget/recovery_test.go
+++ b/internal/budget/recovery_test.go
@@ -348,6 +348,46 @@
 	})
 }
 
+// TestTakeOverUnknown guards against charges of a lost holder that are stored and never reported: the take-over's write
+// takes effect without a response, and the successor gives up its incarnation.
+func TestTakeOverUnknown(t *testing.T) {
+	Convey("Given a take-over whose write has an unknown outcome", t, func() {
+		f := newZoneFleet(t, "client", "home", "successor")
+		client, home, successor := f.nodes["client"], f.nodes["home"], f.nodes["successor"]
+		running := client.serve(home, "running", 100)
+		client.finish(client.serve(home, "done", 100), 60)
+		home.crash()
+		ended := successor.holder.ID()
+		successor.store.loseResponse(PagePrefix)
+		So(successor.reclaim(home.holder.ID()), ShouldNotBeNil)
+		So(successor.holder.ID(), ShouldNotEqual, ended)
+		So(f.charges["done"], ShouldBeEmpty)
+		successor.store.setAway(false)
+
+		Convey("the next incarnation reports its charge, and each request is billed once", func() {
+			f.clock.Advance(zoneTimes.DeadTimeout)
+			successor.holder.Tick(t.Context())
+			So(successor.reclaim(ended), ShouldBeNil)
+			So(f.charges["done"], ShouldHaveLength, 1)
+			client.client.Tick(t.Context())
+			client.finish(running, 30)
+			f.flush(successor)
+			So(f.charges["done"], ShouldHaveLength, 1)
+			So(f.charges["running"], ShouldHaveLength, 1)
+			So(f.spent(), ShouldEqual, 90)
+		})
+		Convey("the charge is reported once if another instance takes both over", func() {
+			third := f.start("third")
+			f.clock.Advance(zoneTimes.DeadTimeout)
+			successor.holder.Tick(t.Context())
+			successor.crash()
+			So(third.reclaim(ended), ShouldBeNil)
+			So(f.charges["done"], ShouldHaveLength, 1)
+			So(f.spent(), ShouldEqual, 60)
+		})
+	})
+}
+
 // waitUntil waits until a condition holds.
 func waitUntil(t *testing.T, ok func() bool) {
 	t.Helper()
--- a/internal/budget/unreported.go
+++ b/internal/budget/unreported.go
@@ -27,21 +27,58 @@
 	}
 }
 
-// reportStored reports the charges of ended incarnations that their fenced journals contain. It returns an error while a
-// journal cannot be read or is not fenced yet.
+// keepUnknownMoves keeps take-overs whose outcome is unknown. Their incarnation ends.
+func (h *Holder) keepUnknownMoves(key string, moves []move) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.unknownMoves[key] = append(h.unknownMoves[key], moves...)
+}
+
+// reportStored reports the charges of ended incarnations that their fenced journals contain, or that their take-overs
+// have stored. It returns an error while a key cannot be read or a journal is not fenced yet.
 func (h *Holder) reportStored(ctx context.Context) error {
 	ctx = external.WithDuty(ctx, external.DutyFlush)
+	h.mu.Lock()
+	holders, pages := sortedKeys(h.unreported), sortedKeys(h.unknownMoves)
+	h.mu.Unlock()
 	var err error
-	for _, holder := range h.endedIncarnations() {
+	for _, key := range pages {
+		err = errors.Join(err, h.reportMoves(ctx, key))
+	}
+	for _, holder := range holders {
 		err = errors.Join(err, h.reportStoredOf(ctx, holder))
 	}
 	return err
 }
 
-func (h *Holder) endedIncarnations() []string {
+// reportMoves reports the charges of the take-overs on a page that have taken effect. Until another instance has reclaimed
+// the incarnation that made them, its grant shows that.
+func (h *Holder) reportMoves(ctx context.Context, key string) error {
+	e, err := h.store.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	page, err := DecodePage(e)
+	if err != nil {
+		return err
+	}
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	return sortedKeys(h.unreported)
+	moves := h.unknownMoves[key]
+	delete(h.unknownMoves, key)
+	h.mu.Unlock()
+	for _, m := range moves {
+		if isGranted(page, m.budget, m.dead) { // the write may still arrive
+			h.keepUnknownMoves(key, []move{m})
+			continue
+		}
+		applied := allMoved(page, []move{m})
+		h.log.Info().Str("event", "takeover_resolved").Str("budget", m.budget).Str("holder", m.holder).Bool("applied", applied).
+			Msg("the outcome of a take-over is known now")
+		if applied {
+			h.notifyBilled([]move{m})
+		}
+	}
+	return nil
 }
 
 func (h *Holder) reportStoredOf(ctx context.Context, holder string) error {
@@ -74,6 +111,16 @@
 	return nil
 }
 
+// isGranted reports whether a holder has a grant on a budget.
+func isGranted(page *Page, budget, holder string) bool {
+	row, err := page.Row(budget)
+	if err != nil {
+		return false
+	}
+	_, ok := row.Grants[holder]
+	return ok
+}
+
 // report calls the function that receives durable charges, unless clients have been told that this holder does not.
 func (h *Holder) report(c ledger.Charge) {
 	h.mu.Lock()
