--- a/internal/budget/holder.go
+++ b/internal/budget/holder.go
@@ -104,6 +104,7 @@
 	book             *ledger.Book
 	journal          journalState
 	closing          bool
+	stopped          bool                       // everything is returned and the journal removed
 	fences           map[string]*fenceState     // other holders of the zone, as observed by sweeps
 	inheritedSettled map[string]string          // clients of requests settled on behalf of reclaimed holders, by request
 	abandonedRuns    map[string]time.Time       // runs abandoned before their reservations arrived; kept across incarnations
--- a/internal/budget/increase.go
+++ b/internal/budget/increase.go
@@ -26,6 +26,9 @@
 	topUpBackoff        = 2 * time.Second // delay after a failed increase ahead of need
 )
 
+// errStopped means that this holder has removed its journal.
+var errStopped = errors.New("this holder has stopped")
+
 // errFenced means that a successor has taken over this holder's escrow.
 var errFenced = errors.New("this holder has been fenced")
 
@@ -324,6 +327,9 @@
 func (h *Holder) sizeIncrease(a *account, row *Row, need int64, holder string, seq uint64) (int64, Grant, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.stopped {
+		return 0, Grant{}, errStopped
+	}
 	if h.holder != holder {
 		return 0, Grant{}, errFenced
 	}
--- a/internal/budget/journal.go
+++ b/internal/budget/journal.go
@@ -30,6 +30,9 @@
 		return eris.Wrap(err, "waiting to write the journal")
 	}
 	defer h.journalSem.Release(1)
+	if h.hasStopped() {
+		return errStopped
+	}
 	if h.alreadyJournaled(client, page) {
 		return nil
 	}
--- a/internal/budget/recovery_test.go
+++ b/internal/budget/recovery_test.go
@@ -388,6 +388,33 @@
 	})
 }
 
+// TestTickAfterStop guards against a holder that takes the journal that it has removed for one that a successor has fenced.
+// It began a new incarnation, and its client had to wait until it took the holder for lost.
+func TestTickAfterStop(t *testing.T) {
+	Convey("Given a holder that has stopped, whose instance still runs", t, func() {
+		f := newZoneFleet(t, "client", "home")
+		client, home := f.nodes["client"], f.nodes["home"]
+		client.finish(client.serve(home, "done", 100), 60)
+		id := home.holder.ID()
+		So(home.holder.Stop(t.Context()), ShouldBeNil)
+		f.clock.Advance(2 * zoneTimes.RefreshInterval)
+		home.holder.Tick(t.Context())
+
+		Convey("it is not fenced and writes no journal", func() {
+			So(home.holder.ID(), ShouldEqual, id)
+			So(home.holder.Stats().Fenced, ShouldEqual, 0)
+			So(home.holder.writeJournal(t.Context(), "", new(uint16)), ShouldNotBeNil)
+			entries, err := f.store.List(t.Context(), ledger.Prefix)
+			So(err, ShouldBeNil)
+			So(entries, ShouldBeEmpty)
+		})
+		Convey("it still tells its clients which charges are stored", func() {
+			client.client.Tick(t.Context())
+			So(client.client.Open(), ShouldEqual, 0)
+		})
+	})
+}
+
 // waitUntil waits until a condition holds.
 func waitUntil(t *testing.T, ok func() bool) {
 	t.Helper()
--- a/internal/budget/tick.go
+++ b/internal/budget/tick.go
@@ -38,6 +38,9 @@
 func (h *Holder) flushDue() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.stopped {
+		return false
+	}
 	now := h.now()
 	j := &h.journal
 	if !j.dirtySince.IsZero() && now.Sub(j.dirtySince) >= h.times.Flush {
@@ -177,6 +180,12 @@
 	return h.removeJournal(ctx)
 }
 
+func (h *Holder) hasStopped() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.stopped
+}
+
 func (h *Holder) hasJournal() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -249,7 +258,13 @@
 	h.mu.Lock()
 	key := ledger.Key(h.members.Self().Zone, h.holder)
 	h.mu.Unlock()
-	return deleteKey(external.WithDuty(ctx, external.DutyFlush), h.store, key)
+	if err := deleteKey(external.WithDuty(ctx, external.DutyFlush), h.store, key); err != nil {
+		return err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stopped = true
+	return nil
 }
 
 // deleteKey deletes a key at any revision. It retries until the outcome is known or the attempts are used up.
