fix: an instance that is leaving bills at the registrar that the others use

Cause: the others do not ask an instance that is leaving for its records. So a claim of theirs that it has accepted before it left never changes, and where it disagrees with the fleet as it is now, the instance uses no registrar for these keys: it cannot bill what it has served, and its stop waits until its limit. Where it is the registrar in its own view, it records the bill at itself, where the others do not look: a retry counts as a new request.

Evidence: registrar_disputed 21 times in 10 s on the leaving instance, by a claimant in the fleet.

Change: an instance that is leaving is no registrar in its own view while its zone has others, and claims do not bind it. The registrar that it asks still answers only when it has collected from everyone in its view and no claim is against it.

--- a/internal/once/keys.go
+++ b/internal/once/keys.go
@@ -214,11 +214,12 @@
 
 // registrarOf returns the registrar of a request's key. The zone is chosen among the declared ones, so that both sides
 // of a network partition agree on it, whichever instances they see. It returns false if there is none, or if another
-// instance has claimed the key as its registrar.
+// instance has claimed the key as its registrar. Claims do not bind an instance that is leaving: the others no longer ask
+// it for its records, so that the claims that it has accepted do not end.
 func (k *Keys) registrarOf(request, customer string) (mesh.Peer, bool) {
 	p, ok := k.viewedRegistrar(request, customer)
-	if !ok {
-		return p, false
+	if !ok || k.isLeaving() {
+		return p, ok
 	}
 	k.mu.Lock()
 	claim, disputed := k.competingClaim(request, p)
@@ -236,14 +237,26 @@
 		Msg("the key's registrar is not used; another instance has claimed the key")
 }
 
-// viewedRegistrar returns the registrar of a request's key in this instance's view of the fleet.
+// isLeaving reports whether this instance is leaving the fleet.
+func (k *Keys) isLeaving() bool { return k.members.Leaving(k.members.Self().IncarnationID()) }
+
+// viewedRegistrar returns the registrar of a request's key in this instance's view of the fleet. An instance that is
+// leaving is none for itself either, unless it is the last one of the zone.
 func (k *Keys) viewedRegistrar(request, customer string) (mesh.Peer, bool) {
 	zone := pickZone(request, k.zones(customer))
-	var peers []mesh.Peer
+	var peers, others []mesh.Peer
+	self := k.members.Self().ID
 	for _, p := range k.members.Fleet() {
-		if p.Zone == zone || zone == "" {
-			peers = append(peers, p)
+		if p.Zone != zone && zone != "" {
+			continue
 		}
+		peers = append(peers, p)
+		if p.ID != self {
+			others = append(others, p)
+		}
+	}
+	if len(others) > 0 && k.isLeaving() {
+		peers = others
 	}
 	return member.Top(request, peers, "")
 }
--- a/internal/once/keys_test.go
+++ b/internal/once/keys_test.go
@@ -305,3 +305,42 @@
 		})
 	})
 }
+
+// TestBillWhileLeaving guards against a request that was answered and never billed because its serving instance was
+// stopping: the others no longer ask such an instance for its records, so a claim that it has accepted before never ends,
+// and they no longer use it as a registrar, which it still did itself.
+func TestBillWhileLeaving(t *testing.T) {
+	ctx := context.Background()
+	serveAndLeave := func(request string) (*keysFleet, Record) {
+		f := newKeysFleet("b", "c")
+		resp, err := f.keys["c"].Begin(ctx, customer, Record{Request: request, Owner: peer("c")})
+		So(err, ShouldBeNil)
+		rec := resp.Record
+		rec.Place.Run = "run-1"
+		owner, err := f.keys["c"].Update(ctx, customer, rec)
+		So(err, ShouldBeNil)
+		So(owner, ShouldBeTrue)
+		f.start("a", "a", "b", "c")
+		f.see("b", "a", "b", "c")
+		f.see("c", "a", "b", "c")
+		f.leave("c")
+		f.tick()
+		f.tick()
+		return f, billedRecord(request, "c", "run-1")
+	}
+	check := func(f *keysFleet, rec Record) {
+		owner, err := f.keys["c"].Update(ctx, customer, rec)
+		So(err, ShouldBeNil)
+		So(owner, ShouldBeTrue)
+		resp, err := f.keys["b"].Begin(ctx, customer, Record{Request: rec.Request, Owner: peer("b")})
+		So(err, ShouldBeNil)
+		So(resp.New, ShouldBeFalse)
+		So(resp.Record.Billed(), ShouldBeTrue)
+	}
+	Convey("A leaving instance can bill a request whose former registrar has claimed it", t, func() {
+		check(serveAndLeave(requestOf("a", peers("a", "b"), "b", peers("b", "c"))))
+	})
+	Convey("A leaving instance records a bill where the others look for it, if it has been the registrar itself", t, func() {
+		check(serveAndLeave(requestOf("a", peers("a", "b"), "c", peers("a", "b", "c"))))
+	})
+}
--- a/internal/once/registrar.go
+++ b/internal/once/registrar.go
@@ -179,11 +179,12 @@
 
 // movedRecords lists the requests served by this instance whose records have a new registrar.
 func (k *Keys) movedRecords() map[mesh.Peer][]string {
+	leaving := k.isLeaving()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	out := make(map[mesh.Peer][]string)
 	for id, o := range k.owned {
-		if p, ok := k.viewedRegistrar(id, o.customer); ok && p.ID != o.registrar && !k.disputed(id, p) {
+		if p, ok := k.viewedRegistrar(id, o.customer); ok && p.ID != o.registrar && (leaving || !k.disputed(id, p)) {
 			out[p] = append(out[p], id)
 		}
 	}
