fix: the outcome of a run whose settlement is put off is known to the budget's holder

What was seen: "unbilled: call N was answered whole", the sums in order, settled false: the reservation of a call of a plain service stays open for ever (orphan_held), since its serving instance has ended and the service cannot tell.

Cause: a settlement that is put off until the key's registrar can decide is known to one process only, the serving instance. If that ends first, by a crash or at the limit of its stop, nobody knows what the run has used.

Change: the serving instance tells the holder as soon as it puts the settlement off, and at each tick until the holder has it. The holder of an orphan with an outcome does not ask the endpoint; whether to bill is still the registrar's decision. Reports to a successor carry the outcome. Older builds pass over the fields, as before.

--- a/internal/budget/client.go
+++ b/internal/budget/client.go
@@ -79,6 +79,7 @@
 	place        Place
 	state        holdState
 	used         int64
+	outcome      int64 // what the run at place has used, while the settlement is put off
 	holder       string
 	addr         string
 	chain        []string
@@ -371,6 +372,18 @@
 	return nil
 }
 
+// RecordOutcome tells the holder what the run has used, while it cannot be settled yet. If this instance is lost before it
+// can, the holder need not ask the endpoint, which may not know.
+func (h *Hold) RecordOutcome(ctx context.Context, tokens int64) error {
+	h.c.mu.Lock()
+	h.outcome = min(tokens, h.tokens)
+	addr := h.addr
+	req := UpdateReq{Request: h.request, Budget: h.budget, Place: h.place, Used: h.outcome}
+	h.c.mu.Unlock()
+	_, err := mesh.Call[UpdateReq, mesh.Empty](ctx, h.c.caller, addr, KindUpdate, req)
+	return eris.Wrap(err, "recording the outcome of a run")
+}
+
 // Settle ends the reservation and records the tokens used; zero means that nothing ran. The settlement is delivered
 // in the background.
 func (h *Hold) Settle(tokens int64) {
--- a/internal/budget/client_fence.go
+++ b/internal/budget/client_fence.go
@@ -37,7 +37,7 @@
 	r := Report{
 		Request: h.request, Budget: h.budget, Customer: h.customer, Tokens: h.tokens, Open: h.reportedOpen,
 		Keyed: h.keyed, Place: h.place, Owner: c.members.Self().IncarnationID(), Chain: slices.Clone(h.chain),
-		Unreported: h.unreported,
+		Unreported: h.unreported, Used: h.outcome,
 	}
 	if !r.Open {
 		// The take-over of the grant that the charge belongs to counts it. A successor's grant does not contain it.
--- a/internal/budget/holder.go
+++ b/internal/budget/holder.go
@@ -402,14 +402,14 @@
 	}
 }
 
-// Update moves an open reservation.
+// Update moves an open reservation, or records what its run has used.
 func (h *Holder) Update(client string, req UpdateReq) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	a, ok := h.accounts[req.Budget]
 	if ok {
 		if r, open := a.open[req.Request]; open && r.owner == client {
-			r.place = req.Place
+			r.place, r.used = req.Place, req.Used
 			return nil
 		}
 	}
--- a/internal/budget/messages.go
+++ b/internal/budget/messages.go
@@ -73,11 +73,12 @@
 	HolderAddr string `cbor:"-"`
 }
 
-// UpdateReq moves an open reservation to another endpoint, attempt or run.
+// UpdateReq moves an open reservation to another endpoint, attempt or run, or tells what the run at Place has used.
 type UpdateReq struct {
 	Request string `cbor:"1,keyasint"`
 	Budget  string `cbor:"2,keyasint"`
 	Place   Place  `cbor:"3,keyasint"`
+	Used    int64  `cbor:"4,keyasint,omitempty"` // tokens, if the run has ended and is not settled yet; otherwise 0
 }
 
 // SettleReq closes a reservation and reports the tokens used. Zero tokens means that nothing ran.
@@ -125,6 +126,8 @@
 	Chain    []string `cbor:"9,keyasint"`
 	// Unreported means that the holder has ended and has not reported the charge, whether it is stored or not.
 	Unreported bool `cbor:"10,keyasint,omitempty"`
+	// Used is the tokens that the run of an open reservation has used, if it has ended and is not settled yet.
+	Used int64 `cbor:"11,keyasint,omitempty"`
 }
 
 // UnreportedReq tells a client that a holder has ended and does not report the charges of some requests.
--- a/internal/budget/orphan.go
+++ b/internal/budget/orphan.go
@@ -18,20 +18,19 @@
 	r       *reservation
 	place   Place
 	owner   string
+	used    int64 // as the owner has told; otherwise 0
 }
 
 // resolveOrphans settles reservations whose serving instance has been missing for longer than any reservation may be
-// used. The endpoint reports how far the run came, and guarantees that it does not start the run later. While the
-// endpoint does not respond, or cannot guarantee that, the tokens stay reserved.
+// used. Unless the serving instance has told how the run ended, the endpoint reports how far the run came, and guarantees
+// that it does not start the run later. While the endpoint does not respond, or cannot guarantee that, the tokens stay reserved.
 func (h *Holder) resolveOrphans(ctx context.Context) {
 	for _, o := range h.dueOrphans() {
 		if !h.members.Lost(o.owner) {
 			continue
 		}
-		c, cancel := context.WithTimeout(external.WithDuty(ctx, external.DutyOther), stopTimeout)
-		used, known, final, err := h.stopper.StopRun(c, o.place)
-		cancel()
-		if err != nil || (!known && !final) {
+		used, known := h.outcome(ctx, o)
+		if !known {
 			h.log.Info().Str("event", "orphan_held").Str("request", o.r.request).Str("budget", o.account.budget).
 				Int64("tokens", o.r.tokens).Msg("reservation stays open: the outcome of its run is unknown")
 			h.postpone(o)
@@ -45,6 +44,18 @@
 	}
 }
 
+// outcome returns what the run of an orphan has used. known is false while neither its owner has told nor the endpoint
+// tells, or the run may still start there.
+func (h *Holder) outcome(ctx context.Context, o orphan) (used int64, known bool) {
+	if o.used > 0 {
+		return o.used, true
+	}
+	ctx, cancel := context.WithTimeout(external.WithDuty(ctx, external.DutyOther), stopTimeout)
+	defer cancel()
+	used, found, final, err := h.stopper.StopRun(ctx, o.place)
+	return used, err == nil && (found || final)
+}
+
 // checkKey checks for a keyed orphan whether another run of the same request has been billed, and returns the tokens
 // to bill. ok is false while this cannot be determined.
 func (h *Holder) checkKey(ctx context.Context, o orphan, used int64) (tokens int64, ok bool) {
@@ -70,7 +81,7 @@
 				return out
 			}
 			if h.isOrphaned(r, now) {
-				out = append(out, orphan{account: a, r: r, place: r.place, owner: r.owner})
+				out = append(out, orphan{account: a, r: r, place: r.place, owner: r.owner, used: r.used})
 			}
 		}
 	}
--- a/internal/budget/reclaim_move.go
+++ b/internal/budget/reclaim_move.go
@@ -293,7 +293,7 @@
 		a.granted, a.onRow = m.grant.Granted, true
 		for _, r := range m.totals.openReports {
 			a.reserve(&reservation{
-				request: r.Request, customer: r.Customer, owner: r.Owner, place: r.Place, tokens: r.Tokens, keyed: r.Keyed, since: now,
+				request: r.Request, customer: r.Customer, owner: r.Owner, place: r.Place, tokens: r.Tokens, used: r.Used, keyed: r.Keyed, since: now,
 			})
 		}
 		for _, r := range append(m.totals.recordedCharges, m.totals.newCharges...) {
--- a/internal/budget/recovery_test.go
+++ b/internal/budget/recovery_test.go
@@ -415,6 +415,36 @@
 	})
 }
 
+// TestOutcomeOfDeferredRun guards against a request that was answered and is never billed: its serving instance is lost
+// while the settlement is put off, and the endpoint cannot tell what the run has used.
+func TestOutcomeOfDeferredRun(t *testing.T) {
+	Convey("Given a run that has ended and is not settled yet", t, func() {
+		f := newZoneFleet(t, "client", "home", "successor")
+		client, home, successor := f.nodes["client"], f.nodes["home"], f.nodes["successor"]
+		hold := client.serve(home, "done", 100)
+		So(hold.RecordOutcome(t.Context(), 60), ShouldBeNil)
+		resolve := func(n *zoneNode) {
+			client.crash()
+			n.holder.Tick(t.Context()) // the owner is missed
+			f.clock.Advance(zoneTimes.OrphanTimeout)
+			n.holder.Tick(t.Context())
+			f.flush(n)
+			So(f.charges["done"], ShouldHaveLength, 1)
+			So(f.spent(), ShouldEqual, 60)
+		}
+		Convey("its holder bills it if its serving instance is lost", func() { resolve(home) })
+		Convey("so does the holder's successor", func() {
+			home.crash()
+			So(successor.reclaim(home.holder.ID()), ShouldBeNil)
+			resolve(successor)
+		})
+		Convey("it is billed once if its serving instance can settle it", func() {
+			client.finish(hold, 60)
+			resolve(home)
+		})
+	})
+}
+
 // waitUntil waits until a condition holds.
 func waitUntil(t *testing.T, ok func() bool) {
 	t.Helper()
--- a/internal/gateway/deferred.go
+++ b/internal/gateway/deferred.go
@@ -1,21 +1,48 @@
 package gateway
 
-import "context"
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// recordTimeout limits one call that tells a holder the outcome of a deferred run.
+const recordTimeout = time.Second
 
 // deferred is a request that was served while the key's registrar, the instance that stores the key's record, did not
 // answer, or that another instance has taken over. Its tokens stay reserved until the registrar reports whether another
 // instance has billed the same request.
 type deferred struct {
-	j    *job
-	used int64
+	j        *job
+	used     int64
+	recorded bool // the budget's holder knows used
 }
 
-func (g *Gateway) deferSettlement(j *job, used int64) {
+// deferSettlement puts a settlement off. The budget's holder is told what the run has used, so that it can be billed if
+// this instance is lost before the registrar answers.
+func (g *Gateway) deferSettlement(ctx context.Context, j *job, used int64) {
 	g.log.Info().Str("event", "settlement_deferred").Str("request", j.id).Str("run", j.hold.Place().Run).Int64("tokens", used).
 		Msg("the request's registrar cannot decide now whether to bill the run; it is asked again")
+	d := deferred{j: j, used: used}
+	d.record(ctx, g.log)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.deferred = append(g.deferred, deferred{j: j, used: used})
+	g.deferred = append(g.deferred, d)
+}
+
+// record tells the budget's holder the outcome of the run, unless it knows.
+func (d *deferred) record(ctx context.Context, log zerolog.Logger) {
+	if d.recorded {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	err := d.j.hold.RecordOutcome(ctx, d.used)
+	if err != nil {
+		log.Debug().Str("event", "outcome_unrecorded").Str("request", d.j.id).Err(err).Msg("the budget's holder does not know the outcome of the run yet")
+	}
+	d.recorded = err == nil
 }
 
 // settleDeferred settles the deferred requests whose key's registrar answers now. The others stay deferred.
@@ -28,6 +55,7 @@
 		if ctx.Err() == nil && g.settleOne(ctx, d) {
 			continue
 		}
+		d.record(ctx, g.log)
 		g.mu.Lock()
 		g.deferred = append(g.deferred, d)
 		g.mu.Unlock()
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -375,7 +375,7 @@
 	case j.hold == nil:
 		j.recordUnbilled(ctx)
 	case used > 0 && (j.provisional || !j.bill(ctx, used)):
-		j.g.deferSettlement(j, used)
+		j.g.deferSettlement(ctx, j, used)
 	case used == 0:
 		j.hold.Settle(0)
 		j.recordEnd(ctx, j.hold.Place(), 0)
