fix: a request that is refused as not run leaves no record, also where the registrar did not answer

Cause: a job that has registered its key and then finds the registrar unreachable goes on provisionally. If it then ends without having run ("the reservation is too old to be used"), it did not drop its record, as if it had never had one. The record names a run that is not done, of an owner that is alive, and is passed on to each new registrar.

--- a/internal/gateway/attach.go
+++ b/internal/gateway/attach.go
@@ -90,7 +90,7 @@
 		return err
 	}
 	if resp.New || (resp.Record.OwnedBy(g.members.Self()) && resp.Record.Place.Run == "") {
-		j.term = resp.Record.Term
+		j.registered, j.term = true, resp.Record.Term
 		g.detach(ctx, j.run)
 		return nil
 	}
@@ -171,7 +171,7 @@
 			verdict.WithRetryAfter(time.Second), verdict.WithCause(err)))
 		return
 	}
-	j.term = current.Term
+	j.registered, j.term = true, current.Term
 	if current.Place.Run == "" {
 		j.formerOwner = rec.Owner.IncarnationID()
 		j.run(ctx) // the former owner never dispatched the request, and can no longer do so
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -52,6 +52,7 @@
 	claimed           bool
 	claimRun          string              // the run for which the claim was made
 	term              int64               // of this job's ownership of the key's record
+	registered        bool                // the key's registrar has had a record of this job's ownership
 	provisional       bool                // the key's registrar did not answer: another instance may have the request too
 	formerOwner       string              // ID of the incarnation from which an undispatched request was taken over
 	settledBefore     *budget.ReserveResp // the response of a holder that has billed the request before; nil: there was none
@@ -390,7 +391,7 @@
 	if j.claimRun != "" {
 		j.g.claims.Release(ctx, j.id, j.claimRun)
 	}
-	if !j.provisional {
+	if j.registered || !j.provisional {
 		j.g.keys.Drop(ctx, j.customer, j.keyRecord(budget.Place{}, false, 0))
 	}
 	j.g.removeJob(j.id, j)
--- a/internal/matrix/takeover_test.go
+++ b/internal/matrix/takeover_test.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -147,6 +148,35 @@
 	})
 }
 
+// TestRetryAfterUnrecordedRefusal guards against a record that outlasts its request: an attempt whose registrar did not
+// answer was refused as not run, and its record stayed. No instance served the request again while that one lived, or it
+// was answered and never billed.
+func TestRetryAfterUnrecordedRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A caller that is refused as not run while the registrar does not answer gets the answer from another instance", t, func() {
+			faults := &callFaults{kind: once.KindUpdate}
+			f := newFleetWith(t, func(f *testFleet) { f.wrapCaller = faults.wrap })
+			req := kindPayment.request(f.key)
+			f.setOnStep(func(n *node, s step.Step) {
+				if s == step.Claim && n.peer.ID == "a1" {
+					faults.crashed.Store(true)
+					faults.unreachable.Store(1 << 20)
+					f.clock.Advance(budget.DefaultMaxHold + time.Second)
+				}
+			})
+			first := f.send(t.Context(), f.node("a1"), req, false)
+			So(first.verdict, ShouldEqual, verdict.NotRun)
+			faults.unreachable.Store(0)
+			f.advanceSeconds(t.Context(), 2)
+			So(f.send(t.Context(), f.node("a2"), req, false).String(), ShouldEqual, "whole")
+			f.settle(t.Context())
+			v, err := budget.Inspect(t.Context(), f.store(), testBudget)
+			So(err, ShouldBeNil)
+			So(v.Spent, ShouldEqual, req.cost())
+		})
+	})
+}
+
 // recordFor returns a record with which a node asks for the existing one of a request.
 func recordFor(request string, n *node) once.Record {
 	return once.Record{Request: request, Owner: n.peer}
