fix: the demo's operator sends a refused plan again, as it is told to

What was seen: demos that end with status 1 and without a report.

Cause: the first plan of the demo is refused as not run, with Retry-After, when the store does not answer within 1 s. The demo's operator came back with a confirmation, but not with a plan. The fault is the demo's, no instance's.

Change: it makes the plan again while it is told to come back, within the same limit for the set-up.

--- a/internal/demo/operator.go
+++ b/internal/demo/operator.go
@@ -24,6 +24,7 @@
 	bigDeposit         = 5_000_000
 	smallDeposit       = 9_000 // used up within the demo
 	operatorTimeout    = 5 * time.Second
+	operatorPause      = 100 * time.Millisecond // before a request that is refused for now is sent again
 )
 
 // operatorClient is a client of the intent API.
@@ -77,21 +78,18 @@
 // change plans and confirms an intent, and sends each request to the next instance in turn. It repeats the confirmation
 // while the outcome is unknown.
 func (o *operatorClient) change(ctx context.Context, in *intent.Intent) (*intent.Result, error) {
-	n, err := o.nextInstance()
+	p, err := o.plan(ctx, in)
 	if err != nil {
 		return nil, err
 	}
-	var p intent.Plan
-	if err := o.post(ctx, n, "/v1/intents", in, &p); err != nil {
-		return nil, err
-	}
 	for {
-		if n, err = o.nextInstance(); err != nil {
+		n, err := o.nextInstance()
+		if err != nil {
 			return nil, err
 		}
 		var res intent.Result
 		sent := time.Now()
-		err := o.post(ctx, n, "/v1/plans/"+p.ID+"/confirm", struct{}{}, &res)
+		err = o.post(ctx, n, "/v1/plans/"+p.ID+"/confirm", struct{}{}, &res)
 		if err == nil && (res.State == intent.StateAccepted || res.State == intent.StateUnchanged) {
 			o.recordLatency(ctx, sent, res.Version)
 			return &res, nil
@@ -100,10 +98,29 @@
 		if errors.As(err, &pe) && pe.p.RetryAfter == 0 {
 			return nil, err
 		}
-		select {
-		case <-time.After(100 * time.Millisecond):
-		case <-ctx.Done():
-			return nil, errors.Join(ctx.Err(), err)
+		if werr := sleep(ctx, operatorPause); werr != nil {
+			return nil, errors.Join(werr, err)
+		}
+	}
+}
+
+// plan makes a plan of an intent. It asks the next instance while it is told to come back.
+func (o *operatorClient) plan(ctx context.Context, in *intent.Intent) (*intent.Plan, error) {
+	for {
+		n, err := o.nextInstance()
+		if err != nil {
+			return nil, err
+		}
+		var p intent.Plan
+		if err = o.post(ctx, n, "/v1/intents", in, &p); err == nil {
+			return &p, nil
+		}
+		var pe *problemError
+		if !errors.As(err, &pe) || pe.p.RetryAfter == 0 {
+			return nil, err
+		}
+		if werr := sleep(ctx, operatorPause); werr != nil {
+			return nil, errors.Join(werr, err)
 		}
 	}
 }
--- /dev/null
+++ b/internal/demo/operator_test.go
@@ -0,0 +1,27 @@
+package demo
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ledgemount/ledgemount/internal/standin/kv"
+)
+
+// TestSetUpWhileStoreIsAway guards against a demo that ends without a report: its first plan is refused with a time to
+// come back.
+func TestSetUpWhileStoreIsAway(t *testing.T) {
+	Convey("The operator makes its plan again while it is told to come back", t, func() {
+		f, err := newFleet(zerolog.Nop())
+		So(err, ShouldBeNil)
+		defer f.close()
+		f.kv.Set(kv.Down, true)
+		time.AfterFunc(time.Second, func() { f.kv.Set(kv.Down, false) })
+		ctx, cancel := context.WithTimeout(t.Context(), setUpTimeout)
+		defer cancel()
+		So(newOperator(f).setUp(ctx), ShouldBeNil)
+	})
+}
