fix: a client keeps a charge that a successor has only heard of

What was seen, by a test: a request that was answered and is never billed, nothing held.

Cause: with its report, a client assigns the charges of a lost holder to the successor that asks. The next successor closes the grant without them. A charge that the lost holder had not acknowledged yet was never dropped at all, and kept its client's stop waiting.

Besides, a holder that ends without an answer gives up the reports of the charges that it has named, not of later ones.

--- a/internal/budget/client_fence.go
+++ b/internal/budget/client_fence.go
@@ -28,7 +28,7 @@
 // confirmed it, all of them get the same report, even if the hold is settled meanwhile. The caller holds the lock.
 func (c *Client) report(h *Hold, req FenceReq) (Report, bool) {
 	if !h.unconfirmed {
-		if h.mustNotRun() || h.chargesNothing() {
+		if h.revokeUndispatched() || h.chargesNothing() {
 			delete(c.holds, h)
 			return Report{}, false
 		}
@@ -68,8 +68,8 @@
 	}
 }
 
-// mustNotRun revokes a hold that is not dispatched. It reports whether the hold is revoked.
-func (h *Hold) mustNotRun() bool {
+// revokeUndispatched revokes a hold that is not dispatched. It reports whether the hold is revoked.
+func (h *Hold) revokeUndispatched() bool {
 	if h.state == stateHeld {
 		h.state = stateRevoked
 	}
--- a/internal/budget/client_sync.go
+++ b/internal/budget/client_sync.go
@@ -25,6 +25,7 @@
 		c.sync(ctx, w)
 	}
 	c.dropStoppedHolders(ctx)
+	c.dropCounted(ctx)
 }
 
 func (c *Client) undelivered() []*Hold {
@@ -175,7 +176,7 @@
 	var out []holderAt
 	for h := range c.holds {
 		at := holderAt{h.holder, h.addr}
-		if h.state == stateDelivered && !h.failingSince.IsZero() && now.Sub(h.failingSince) > holderLostAfter && !seen[at] {
+		if h.isDeliveredTo(at.holder) && h.isUnanswered(now) && !seen[at] {
 			seen[at] = true
 			out = append(out, at)
 		}
@@ -197,9 +198,59 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for h := range c.holds {
-		if h.holder == at.holder && h.state == stateDelivered {
+		if h.isDeliveredTo(at.holder) {
 			delete(c.holds, h)
 		}
 	}
 	delete(c.toConfirm, at)
 }
+
+// isDeliveredTo reports whether a holder has the hold's charge from the client. A successor has only heard of it.
+func (h *Hold) isDeliveredTo(holder string) bool {
+	return h.holder == holder && h.state == stateDelivered && !h.unconfirmed
+}
+
+// isUnanswered reports whether the hold's holder has not answered for so long that it may be gone.
+func (h *Hold) isUnanswered(now time.Time) bool {
+	return !h.failingSince.IsZero() && now.Sub(h.failingSince) > holderLostAfter
+}
+
+// dropCounted drops charges that were reported to successors, of which none answers any more, once a take-over has counted
+// them: none of the holders that they belong to has a grant left.
+func (c *Client) dropCounted(ctx context.Context) {
+	for _, h := range c.unansweredCharges() {
+		e, err := c.store.Get(external.WithDuty(ctx, external.DutyFlush), PageKey(PageOf(h.budget)))
+		if err != nil {
+			continue
+		}
+		page, err := DecodePage(e)
+		if err != nil {
+			c.log.Error().Str("event", "page_undecoded").Str("budget", h.budget).Err(err).Msg("cannot tell whether a charge is stored")
+			continue
+		}
+		row, err := page.Row(h.budget)
+		c.mu.Lock()
+		if err == nil && grantOwner(row, h.chain[:h.ownHolders]) == "" {
+			delete(c.holds, h)
+		} else {
+			h.failingSince = c.now()
+		}
+		c.mu.Unlock()
+	}
+}
+
+// maxCountedPerTick limits the reads of pages in one tick.
+const maxCountedPerTick = 8
+
+func (c *Client) unansweredCharges() []*Hold {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	var out []*Hold
+	for h := range c.holds {
+		if h.unconfirmed && !h.reportedOpen && h.isUnanswered(now) && len(out) < maxCountedPerTick {
+			out = append(out, h)
+		}
+	}
+	return out
+}
--- a/internal/budget/holder.go
+++ b/internal/budget/holder.go
@@ -111,7 +111,7 @@
 	releases         map[Release]bool           // releases that operators have confirmed
 	unreported       map[string][]ledger.Charge // pending charges of ended incarnations, whose journals may have them
 	unknownMoves     map[string][]move          // take-overs of ended incarnations with an unknown outcome, by page key
-	handedOver       bool                       // this holder reports no charges any more
+	handedOver       map[string]bool            // requests whose charges this holder does not report
 	sweptAt          time.Time
 	stats            Stats
 }
@@ -166,6 +166,7 @@
 		abandonedRuns: make(map[string]time.Time),
 		unreported:    make(map[string][]ledger.Charge),
 		unknownMoves:  make(map[string][]move),
+		handedOver:    make(map[string]bool),
 		journalSem:    semaphore.NewWeighted(1),
 		store:         store,
 		members:       members,
--- a/internal/budget/recovery_test.go
+++ b/internal/budget/recovery_test.go
@@ -309,6 +309,41 @@
 	})
 }
 
+// TestSuccessorStopsBeforeTakeOver guards against a request that is never billed: a successor that had asked a client for
+// its reports stopped before it took the lost holder over, and the client took the charge for one that it had stored.
+func TestSuccessorStopsBeforeTakeOver(t *testing.T) {
+	Convey("Given a charge of a lost holder that is reported to a successor", t, func() {
+		f := newZoneFleet(t, "client", "home")
+		client, home := f.nodes["client"], f.nodes["home"]
+		client.finish(client.serve(home, "done", 100), 60)
+		home.crash()
+		first, second := f.start("first"), f.start("second")
+		waitForSuccessor := func() {
+			client.client.Tick(t.Context())
+			f.clock.Advance(holderLostAfter + time.Second)
+			client.client.Tick(t.Context())
+		}
+		Convey("which stops before it has taken the holder over, the next one bills it", func() {
+			client.client.Fence(FenceReq{Holder: home.holder.ID(), Successor: first.holder.ID(), Peer: first.peer, Client: client.peer.IncarnationID()})
+			So(first.holder.Stop(t.Context()), ShouldBeNil)
+			first.crash()
+			waitForSuccessor()
+			So(second.reclaim(home.holder.ID()), ShouldBeNil)
+			So(f.charges["done"], ShouldHaveLength, 1)
+			So(f.spent(), ShouldEqual, 60)
+		})
+		Convey("which stops after it has taken the holder over, the client drops the charge", func() {
+			So(first.reclaim(home.holder.ID()), ShouldBeNil)
+			So(first.holder.Stop(t.Context()), ShouldBeNil)
+			first.crash()
+			waitForSuccessor()
+			So(client.client.Open(), ShouldEqual, 0)
+			So(f.charges["done"], ShouldHaveLength, 1)
+			So(f.spent(), ShouldEqual, 60)
+		})
+	})
+}
+
 // TestLastFlushUnknown guards against charges that are stored and never reported: the outcome of a holder's write of its
 // journal stays unknown, and the holder ends.
 func TestLastFlushUnknown(t *testing.T) {
--- a/internal/budget/unreported.go
+++ b/internal/budget/unreported.go
@@ -121,17 +121,18 @@
 	return ok
 }
 
-// report calls the function that receives durable charges, unless clients have been told that this holder does not.
+// report calls the function that receives durable charges, unless clients have been told that this holder does not report
+// the charge.
 func (h *Holder) report(c ledger.Charge) {
 	h.mu.Lock()
-	handedOver := h.handedOver
+	handedOver := h.handedOver[c.Request]
 	h.mu.Unlock()
 	if !handedOver {
 		h.billed(c)
 	}
 }
 
-// handOver ends this holder's reports: its clients mark the charges that it has not reported, for its successor.
+// handOver makes the clients mark the charges that this holder has not reported, for its successor.
 func (h *Holder) handOver(ctx context.Context) {
 	reqs := h.endReports()
 	if len(reqs) == 0 {
@@ -158,13 +159,13 @@
 func (h *Holder) endReports() []UnreportedReq {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.handedOver = true
 	h.keepUnreported()
 	out := make([]UnreportedReq, 0, len(h.unreported))
 	for _, holder := range sortedKeys(h.unreported) {
 		req := UnreportedReq{Holder: holder}
 		for _, c := range h.unreported[holder] {
 			req.Requests = append(req.Requests, c.Request)
+			h.handedOver[c.Request] = true
 		}
 		out = append(out, req)
 	}
