--- a/internal/budget/client_sync.go
+++ b/internal/budget/client_sync.go
@@ -216,21 +216,15 @@
 }
 
 // dropCounted drops charges that were reported to successors, of which none answers any more, once a take-over has counted
-// them: none of the holders that they belong to has a grant left.
+// them.
 func (c *Client) dropCounted(ctx context.Context) {
 	for _, h := range c.unansweredCharges() {
-		e, err := c.store.Get(external.WithDuty(ctx, external.DutyFlush), PageKey(PageOf(h.budget)))
+		counted, err := c.isCounted(ctx, h)
 		if err != nil {
-			continue
-		}
-		page, err := DecodePage(e)
-		if err != nil {
-			c.log.Error().Str("event", "page_undecoded").Str("budget", h.budget).Err(err).Msg("cannot tell whether a charge is stored")
-			continue
+			c.log.Debug().Str("event", "charge_unresolved").Str("request", h.request).Err(err).Msg("cannot tell now whether a charge is stored")
 		}
-		row, err := page.Row(h.budget)
 		c.mu.Lock()
-		if err == nil && grantOwner(row, h.chain[:h.ownHolders]) == "" {
+		if counted {
 			delete(c.holds, h)
 		} else {
 			h.failingSince = c.now()
@@ -239,6 +233,25 @@
 	}
 }
 
+// isCounted reports whether none of the holders that a charge belongs to has a grant left: a take-over has counted it.
+func (c *Client) isCounted(ctx context.Context, h *Hold) (bool, error) {
+	e, err := c.store.Get(external.WithDuty(ctx, external.DutyFlush), PageKey(PageOf(h.budget)))
+	if err != nil {
+		return false, err
+	}
+	page, err := DecodePage(e)
+	if err != nil {
+		return false, err
+	}
+	row, err := page.Row(h.budget)
+	if err != nil {
+		return false, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return h.unconfirmed && grantOwner(row, h.chain[:h.ownHolders]) == "", nil
+}
+
 // maxCountedPerTick limits the reads of pages in one tick.
 const maxCountedPerTick = 8
 
