fix: a planned stop keeps a second for responses that are still being sent

The holder's part of a stop now lasts until its time ends, and the listeners of callers were shut down with what was left: nothing. One second of the stop's time is kept for the listeners.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -402,10 +402,7 @@
 	in.view.Leave()
 	err := in.gateway.Drain(ctx)
 	if err == nil {
-		err = in.holder.Stop(ctx)
-	}
-	if err == nil {
-		err = in.waitFlushed(ctx)
+		err = in.returnEscrow(ctx)
 	}
 	if err != nil {
 		in.log.Warn().Str("event", "stop_unclean").Err(err).
@@ -418,7 +415,21 @@
 	return errors.Join(err, in.kernel.Close())
 }
 
+// returnEscrow flushes the charges and returns the escrow. It leaves time of ctx for responses that are still being sent.
+func (in *Instance) returnEscrow(ctx context.Context) error {
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-shutdownTime))
+		defer cancel()
+	}
+	if err := in.holder.Stop(ctx); err != nil {
+		return err
+	}
+	return in.waitFlushed(ctx)
+}
+
 const (
+	shutdownTime      = time.Second // of a planned stop, for ending the connections of callers and operators
 	flushPollInterval = 20 * time.Millisecond
 	loggedAtStop      = 4 // reservations and holds that the log line of an incomplete stop lists
 )
