--- a/internal/budget/recovery_test.go
+++ b/internal/budget/recovery_test.go
@@ -372,9 +372,10 @@
 			So(f.spent(), ShouldEqual, 60)
 		})
 		Convey("a holder that stops while the store is away hands the report to its clients", func() {
-			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			ctx, cancel := context.WithTimeout(t.Context(), 4*handOverTime)
 			defer cancel()
 			So(home.holder.Stop(ctx), ShouldNotBeNil)
+			So(home.store.isAway(), ShouldBeTrue) // the write was made
 			home.crash()
 			So(successor.reclaim(home.holder.ID()), ShouldBeNil)
 			So(f.charges["done"], ShouldHaveLength, 1)
