fix: what a planned stop reserves for its last steps is a part of a short limit

Cause: a stop may be limited to 1 s (stop.within); the second kept for responses and the half second for handing over would have left no time to return escrow.

Change: kernel.WithReserve, a quarter of the remaining time at the most, for both.

Measured: TestWithReserve; tests of budget green.

--- a/internal/budget/tick.go
+++ b/internal/budget/tick.go
@@ -134,11 +134,8 @@
 	h.mu.Lock()
 	h.closing = true
 	h.mu.Unlock()
-	if deadline, ok := ctx.Deadline(); ok {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-handOverTime))
-		defer cancel()
-	}
+	ctx, cancel := kernel.WithReserve(ctx, handOverTime)
+	defer cancel()
 	err := eris.Wrap(h.waitForOpen(ctx), "waiting for open reservations")
 	if err == nil {
 		err = h.returnEverything(ctx)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -417,11 +417,8 @@
 
 // returnEscrow flushes the charges and returns the escrow. It leaves time of ctx for responses that are still being sent.
 func (in *Instance) returnEscrow(ctx context.Context) error {
-	if deadline, ok := ctx.Deadline(); ok {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-shutdownTime))
-		defer cancel()
-	}
+	ctx, cancel := kernel.WithReserve(ctx, shutdownTime)
+	defer cancel()
 	if err := in.holder.Stop(ctx); err != nil {
 		return err
 	}
