--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -17,7 +17,7 @@
 	owner      string // serving instance
 	place      Place
 	tokens     int64
-	used       int64 // what the run at place has used, if the owner has told; otherwise 0
+	used       int64 // tokens used by the run at place, if its owner has reported them; otherwise 0
 	keyed      bool
 	since      time.Time
 	orphanedAt time.Time // when the wait for a missing owner began; zero while the owner is alive
--- a/internal/budget/client.go
+++ b/internal/budget/client.go
@@ -79,13 +79,13 @@
 	place        Place
 	state        holdState
 	used         int64
-	outcome      int64 // what the run at place has used, while the settlement is put off
+	outcome      int64 // tokens used by the run at place, while its settlement is deferred
 	holder       string
 	addr         string
 	chain        []string
 	successors   []holderAt // successors that may have taken the reservation over, while unconfirmed
 	unconfirmed  bool       // reported to a successor that has not confirmed the take-over
-	reportedOpen bool       // while unconfirmed: the state that every successor is told
+	reportedOpen bool       // while unconfirmed: whether the reports to successors are of an open reservation
 	unreported   bool       // its holder has ended and does not report the charge
 	ownHolders   int        // while unconfirmed: the length of chain before the first of these successors
 	sending      bool
@@ -372,8 +372,8 @@
 	return nil
 }
 
-// RecordOutcome tells the holder what the run has used, while it cannot be settled yet. If this instance is lost before it
-// can, the holder need not ask the endpoint, which may not know.
+// RecordOutcome reports the tokens used by a run whose settlement is deferred to the holder. If this instance is lost
+// before it settles the run, the holder does not depend on the endpoint for them.
 func (h *Hold) RecordOutcome(ctx context.Context, tokens int64) error {
 	h.c.mu.Lock()
 	h.outcome = min(tokens, h.tokens)
--- a/internal/budget/client_sync.go
+++ b/internal/budget/client_sync.go
@@ -205,7 +205,7 @@
 	delete(c.toConfirm, at)
 }
 
-// isDeliveredTo reports whether a holder has the hold's charge from the client. A successor has only heard of it.
+// isDeliveredTo reports whether a holder has received the hold's settlement. A successor has only received a report.
 func (h *Hold) isDeliveredTo(holder string) bool {
 	return h.holder == holder && h.state == stateDelivered && !h.unconfirmed
 }
--- a/internal/budget/messages.go
+++ b/internal/budget/messages.go
@@ -73,7 +73,7 @@
 	HolderAddr string `cbor:"-"`
 }
 
-// UpdateReq moves an open reservation to another endpoint, attempt or run, or tells what the run at Place has used.
+// UpdateReq moves an open reservation to another endpoint, attempt or run, or reports the tokens used by the run at Place.
 type UpdateReq struct {
 	Request string `cbor:"1,keyasint"`
 	Budget  string `cbor:"2,keyasint"`
@@ -130,7 +130,7 @@
 	Used int64 `cbor:"11,keyasint,omitempty"`
 }
 
-// UnreportedReq tells a client that a holder has ended and does not report the charges of some requests.
+// UnreportedReq notifies a client that a holder has ended and does not report the charges of some requests.
 type UnreportedReq struct {
 	Holder   string   `cbor:"1,keyasint"`
 	Requests []string `cbor:"2,keyasint"`
--- a/internal/budget/orphan.go
+++ b/internal/budget/orphan.go
@@ -18,12 +18,13 @@
 	r       *reservation
 	place   Place
 	owner   string
-	used    int64 // as the owner has told; otherwise 0
+	used    int64 // tokens, if the owner has reported them; otherwise 0
 }
 
 // resolveOrphans settles reservations whose serving instance has been missing for longer than any reservation may be
-// used. Unless the serving instance has told how the run ended, the endpoint reports how far the run came, and guarantees
-// that it does not start the run later. While the endpoint does not respond, or cannot guarantee that, the tokens stay reserved.
+// used. Unless the serving instance has reported the run's outcome, the endpoint reports how far the run came, and
+// guarantees that it does not start the run later. While the endpoint does not respond, or cannot guarantee that, the
+// tokens stay reserved.
 func (h *Holder) resolveOrphans(ctx context.Context) {
 	for _, o := range h.dueOrphans() {
 		if !h.members.Lost(o.owner) {
@@ -44,8 +45,8 @@
 	}
 }
 
-// outcome returns what the run of an orphan has used. known is false while neither its owner has told nor the endpoint
-// tells, or the run may still start there.
+// outcome returns the tokens used by the run of an orphan. known is false while neither its owner nor the endpoint has
+// reported them, or while the run may still start there.
 func (h *Holder) outcome(ctx context.Context, o orphan) (used int64, known bool) {
 	if o.used > 0 {
 		return o.used, true
--- a/internal/budget/property_test.go
+++ b/internal/budget/property_test.go
@@ -187,7 +187,7 @@
 }
 
 // transferReports models the clients: open reservations continue at the successor. Charges that the successor has settled
-// are dropped if it has told the clients so, and otherwise are reported again when the successor is lost.
+// are dropped if the clients are notified, and otherwise are reported again when the successor is lost.
 func (m *model) transferReports(dead, successor string, told bool) {
 	rest := m.reports[:0]
 	for _, r := range m.reports {
--- a/internal/budget/reclaim.go
+++ b/internal/budget/reclaim.go
@@ -35,7 +35,7 @@
 	return id
 }
 
-// sweepIfDue resolves what ended incarnations have left, and looks for dead holders of the zone if this instance reclaims
+// sweepIfDue resolves the unreported charges of ended incarnations, and looks for dead holders of the zone if this instance reclaims
 // them. It does so once in a sweep interval.
 func (h *Holder) sweepIfDue(ctx context.Context) {
 	now := h.now()
--- a/internal/budget/recovery_test.go
+++ b/internal/budget/recovery_test.go
@@ -356,7 +356,8 @@
 		Convey("a planned stop reports the charge once the store is back", func() {
 			stopped := make(chan error, 1)
 			go func() { stopped <- home.holder.Stop(t.Context()) }()
-			waitUntil(t, func() bool { return len(stopped) > 0 || home.store.refusedCalls() > 2*casTries }) // longer than one write is tried
+			outlastsWrite := func() bool { return home.store.refusedCalls() > 2*casTries }
+			waitUntil(t, func() bool { return len(stopped) > 0 || outlastsWrite() })
 			home.store.setAway(false)
 			So(<-stopped, ShouldBeNil)
 			So(f.charges["done"], ShouldHaveLength, 1)
--- a/internal/budget/unreported.go
+++ b/internal/budget/unreported.go
@@ -17,7 +17,7 @@
 // are stored: the ended holder reports these, the successor reports the others from its clients' copies. A holder that
 // ends without reading the journal makes its clients mark their copies, so that the successor reports those too.
 
-// handOverTime is the part of a planned stop that is kept for telling the clients which charges are not reported.
+// handOverTime is the part of a planned stop that is reserved for notifying the clients of unreported charges.
 const handOverTime = 500 * time.Millisecond
 
 // keepUnreported keeps the pending charges of the incarnation that ends. The caller holds the lock.
@@ -121,8 +121,8 @@
 	return ok
 }
 
-// report calls the function that receives durable charges, unless clients have been told that this holder does not report
-// the charge.
+// report calls the function that receives durable charges, unless clients have been notified that this holder does not
+// report the charge.
 func (h *Holder) report(c ledger.Charge) {
 	h.mu.Lock()
 	handedOver := h.handedOver[c.Request]
@@ -140,18 +140,18 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), handOverTime)
 	defer cancel()
-	told, failed := 0, 0
-	for _, p := range h.clientsToTell() {
+	notified, failed := 0, 0
+	for _, p := range h.notifiedClients() {
 		for _, req := range reqs {
 			if _, err := mesh.Call[UnreportedReq, mesh.Empty](ctx, h.caller, p.Addr, KindUnreported, req); err != nil {
 				failed++
-				h.log.Debug().Str("event", "charges_not_handed_over").Str("client", p.ID).Err(err).Msg("client not told of unreported charges")
+				h.log.Debug().Str("event", "charges_not_handed_over").Str("client", p.ID).Err(err).Msg("client not notified of unreported charges")
 				continue
 			}
-			told++
+			notified++
 		}
 	}
-	h.log.Warn().Str("event", "charges_handed_over").Int("holders", len(reqs)).Int("requests", len(reqs[0].Requests)).Int("told", told).Int("failed", failed).
+	h.log.Warn().Str("event", "charges_handed_over").Int("holders", len(reqs)).Int("requests", len(reqs[0].Requests)).Int("notified", notified).Int("failed", failed).
 		Msg("the outcome of the last write is unknown; the successor reports the charges")
 }
 
@@ -172,8 +172,8 @@
 	return out
 }
 
-// clientsToTell returns the instances that may have copies of this holder's charges.
-func (h *Holder) clientsToTell() []mesh.Peer {
+// notifiedClients returns the instances that may have copies of this holder's charges.
+func (h *Holder) notifiedClients() []mesh.Peer {
 	self := h.members.Self().IncarnationID()
 	found := make(map[string]mesh.Peer)
 	for _, p := range h.members.Zone() {
--- a/internal/demo/operator.go
+++ b/internal/demo/operator.go
@@ -104,7 +104,7 @@
 	}
 }
 
-// plan makes a plan of an intent. It asks the next instance while it is told to come back.
+// plan makes a plan of an intent. It retries at the next instance while the refusals have a Retry-After.
 func (o *operatorClient) plan(ctx context.Context, in *intent.Intent) (*intent.Plan, error) {
 	for {
 		n, err := o.nextInstance()
--- a/internal/demo/operator_test.go
+++ b/internal/demo/operator_test.go
@@ -11,10 +11,10 @@
 	"github.com/ledgemount/ledgemount/internal/standin/kv"
 )
 
-// TestSetUpWhileStoreIsAway guards against a demo that ends without a report: its first plan is refused with a time to
-// come back.
+// TestSetUpWhileStoreIsAway guards against a demo that ends without a report: its first plan is refused with a
+// Retry-After.
 func TestSetUpWhileStoreIsAway(t *testing.T) {
-	Convey("The operator makes its plan again while it is told to come back", t, func() {
+	Convey("The operator retries its plan while the refusals have a Retry-After", t, func() {
 		f, err := newFleet(zerolog.Nop())
 		So(err, ShouldBeNil)
 		defer f.close()
--- a/internal/gateway/deferred.go
+++ b/internal/gateway/deferred.go
@@ -7,7 +7,7 @@
 	"github.com/rs/zerolog"
 )
 
-// recordTimeout limits one call that tells a holder the outcome of a deferred run.
+// recordTimeout limits one call that reports the outcome of a deferred run to a holder.
 const recordTimeout = time.Second
 
 // deferred is a request that was served while the key's registrar, the instance that stores the key's record, did not
@@ -16,10 +16,10 @@
 type deferred struct {
 	j        *job
 	used     int64
-	recorded bool // the budget's holder knows used
+	recorded bool // used has been reported to the budget's holder
 }
 
-// deferSettlement puts a settlement off. The budget's holder is told what the run has used, so that it can be billed if
+// deferSettlement defers a settlement. It reports the tokens used to the budget's holder, so that the run can be billed if
 // this instance is lost before the registrar answers.
 func (g *Gateway) deferSettlement(ctx context.Context, j *job, used int64) {
 	g.log.Info().Str("event", "settlement_deferred").Str("request", j.id).Str("run", j.hold.Place().Run).Int64("tokens", used).
@@ -31,7 +31,7 @@
 	g.deferred = append(g.deferred, d)
 }
 
-// record tells the budget's holder the outcome of the run, unless it knows.
+// record reports the outcome of the run to the budget's holder, unless that has succeeded before.
 func (d *deferred) record(ctx context.Context, log zerolog.Logger) {
 	if d.recorded {
 		return
