feat: log lines name the software version of endpoints, and the request that a caller takes up again

Cause: the record of an endpoint has the version of its software, and no part of the code read it. Neither the line of a request nor that of an endpoint told which version an attempt ran at, so resumptions within an answer and over a caller's tries could not be told apart.

No decision uses it yet.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -381,7 +381,7 @@
 		}
 		if changes++; changes <= maxEndpointLines {
 			f.log.Info().Str("event", "endpoint_seen").Str("endpoint", e.ID).Str("service", e.Service).Str("address", e.Addr).
-				Bool("draining", e.Draining).Int64("revision", u.At).Msg("endpoint added or changed")
+				Str("software", e.Software).Bool("draining", e.Draining).Int64("revision", u.At).Msg("endpoint added or changed")
 		}
 	}
 	for _, id := range u.Removed {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -26,6 +26,9 @@
 	Cold time.Duration `cbor:"7,keyasint,omitempty"`
 	// StartedAt is when its process started, in Unix milliseconds of its own clock; 0: not reported.
 	StartedAt int64 `cbor:"8,keyasint,omitempty"`
+	// Software is the version of its software. It is empty if the record comes from an instance of a build that omits it;
+	// the version is then unknown.
+	Software string `cbor:"9,keyasint,omitempty"`
 }
 
 // Run identifies one run of the endpoint's process: its ID, and its start time if it reports one.
@@ -250,6 +253,9 @@
 	// dropped.
 	if m != nil && m.Service == e.Service && m.Addr == e.Addr && !m.Outdated(e) {
 		changed := m.Draining != e.Draining
+		if e.Software == "" {
+			e.Software = m.Software // of the same process: only the sender did not know it
+		}
 		e.StartedAt, m.recordAt = max(e.StartedAt, m.StartedAt), p.now()
 		m.runKey = runKey(e)
 		m.Endpoint = e
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -224,7 +224,7 @@
 	}
 	lease.Done(poolEnd(res))
 	j.outcome.Endpoints = append(j.outcome.Endpoints, AttemptOutcome{
-		Endpoint: lease.Endpoint().ID, Reason: string(lease.Reason()), SkipReason: string(lease.Exclusion()), Result: resultNames[res], At: began.Sub(j.req.Arrived),
+		Endpoint: lease.Endpoint().ID, Software: lease.Endpoint().Software, Reason: string(lease.Reason()), SkipReason: string(lease.Exclusion()), Result: resultNames[res], At: began.Sub(j.req.Arrived),
 		DialFailure: j.dialFailure, Via: j.via, ProcessExited: res == resultBroken && !wd.stalled() && j.recordExit(lease, began, j.events > events),
 	})
 	return res, failure
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -38,6 +38,9 @@
 	Metered     bool  // the caller stated token counts
 	Parts       []Part
 	LastEventID string // last event that the caller has received; empty: none
+	// Resumes is the ID of the request whose response brought the first event of the stream that this one continues; empty:
+	// not stated.
+	Resumes string
 }
 
 // AffinityKey returns the ID of the last part of the prompt that other requests share. Requests with the same key are
@@ -137,6 +140,7 @@
 // AttemptOutcome describes one attempt in an Outcome.
 type AttemptOutcome struct {
 	Endpoint      string
+	Software      string // the endpoint's software version
 	Reason        string // why the endpoint was picked
 	SkipReason    string // why the endpoint that is first by affinity was excluded; empty: it was not
 	Result        string
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -116,6 +116,9 @@
 		Int64("budget_out", o.Budget.Outstanding).Int64("budget_unproven", o.Budget.Unproven).Int64("escrow_age_ms", o.Budget.Age.Milliseconds()).
 		Int64("first_ms", o.FirstByte.Milliseconds()).Int64("total_ms", o.Total.Milliseconds()).
 		Int64("pause_ms", o.MaxPause.Milliseconds()).Int64("prompt_tokens", o.Request.TokensIn)
+	if o.Request.LastEventID != "" {
+		e = e.Str("last_event", o.Request.LastEventID).Str("resumes", o.Request.Resumes)
+	}
 	if o.Late != relay.NotLate {
 		e = e.Str("late", string(o.Late))
 	}
@@ -142,7 +145,7 @@
 // MarshalZerologArray implements zerolog.LogArrayMarshaler.
 func (s attemptList) MarshalZerologArray(a *zerolog.Array) {
 	for _, x := range s {
-		d := zerolog.Dict().Str("endpoint", x.Endpoint).Str("reason", x.Reason).Str("end", x.Result).Int64("at_ms", x.At.Milliseconds())
+		d := zerolog.Dict().Str("endpoint", x.Endpoint).Str("software", x.Software).Str("reason", x.Reason).Str("end", x.Result).Int64("at_ms", x.At.Milliseconds())
 		if x.DialFailure != "" {
 			d = d.Str("dial", string(x.DialFailure))
 		}
