fix: an instance resumes an interrupted stream only at the software version that began it

Cause: callers saw events of two software versions of a service's endpoints within one response. For a second attempt the pool was asked for any endpoint of the service, also after events had been passed on.

Change: the endpoint that sends the first event binds the rest of the response to its version; the pool picks among endpoints of that version only. If none takes the request, the response is aborted at once: the caller can come back, and a wrong event cannot be taken back. A stream whose version is unknown is not continued. The pool records which versions a service has had, and since when not.

--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -20,6 +20,7 @@
 	Tried       map[string]bool // IDs of the endpoints that have already been sent the request
 	Regions     []string        // in which it may run; nil: in all
 	Zones       []string        // availability zones in which it may run; nil: in all
+	Software    string          // version of the endpoint's software that it has to have; empty: any
 	Blocks      []uint64        // hashes of the beginning of the prompt: see Blocks
 	HealthyOnly bool            // pick no endpoint rather than an unhealthy one
 }
@@ -133,7 +134,7 @@
 	warm := 0
 	p.anyExcluded = false
 	connected, rejections := p.connectionsOf(q.Service, now), p.rejectionLimitOf(q.Service, now)
-	unrestricted := rejections == nil && len(p.evacuated) == 0 && q.Regions == nil && q.Zones == nil && p.noZoneSuspect() && (connected == nil || connected.share > 0)
+	unrestricted := rejections == nil && len(p.evacuated) == 0 && q.Regions == nil && q.Zones == nil && q.Software == "" && p.noZoneSuspect() && (connected == nil || connected.share > 0)
 	for _, m := range members {
 		if unrestricted && m.pristine() {
 			m.exclusion, m.eligible = NotExcluded, !m.Draining && !q.Tried[m.ID]
@@ -233,6 +234,9 @@
 
 // allowed reports whether an endpoint may be sent the request at all.
 func (p *Pool) allowed(m *member, q Query) bool {
+	if q.Software != "" && m.Software != q.Software {
+		return false
+	}
 	if q.Regions != nil && !slices.Contains(q.Regions, p.regions[m.Zone]) {
 		return false
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -154,6 +154,8 @@
 
 	rejectionLimits map[string]*rejectionLimit // by service
 
+	software map[string]map[string]*softwareUse // by service and version
+
 	limited     int             // approximate number of endpoints whose limits are in force
 	demand      map[string]flow // rate of this instance's requests by service, counted while any endpoint has a limit
 	leased      bool            // this instance is granted parts of limits; otherwise it has an even share of each
@@ -210,6 +212,7 @@
 		announced: make(map[string]*announced), removedInUse: make(map[*member]bool), zoneLoad: func(string) int { return 0 }, zoneInstances: func() int { return 1 },
 		speeds: make(map[string]*speed), owners: singleInstance{}, random: rand.IntN, demand: make(map[string]flow),
 		activities: make(map[string]*activity), rejectionLimits: make(map[string]*rejectionLimit),
+		software: make(map[string]map[string]*softwareUse),
 	}
 	for _, opt := range opts {
 		opt(p)
@@ -256,6 +259,10 @@
 		if e.Software == "" {
 			e.Software = m.Software // of the same process: only the sender did not know it
 		}
+		if e.Software != m.Software {
+			p.countSoftware(m.Endpoint, -1)
+			p.countSoftware(e, 1)
+		}
 		e.StartedAt, m.recordAt = max(e.StartedAt, m.StartedAt), p.now()
 		m.runKey = runKey(e)
 		m.Endpoint = e
@@ -271,6 +278,7 @@
 	m.peerLoad = p.peerLoads[m.key()]
 	m.announced = p.reconcileRecord(e)
 	p.byID[e.ID] = m
+	p.countSoftware(e, 1)
 	p.applyPeersLeaving(m)
 	p.applyPeersLimit(m)
 	p.services[e.Service] = append(p.services[e.Service], m)
@@ -291,6 +299,7 @@
 		return false
 	}
 	delete(p.byID, id)
+	p.countSoftware(m.Endpoint, -1)
 	if m.open > 0 {
 		p.removedInUse[m] = true
 	}
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -178,6 +178,8 @@
 	// billInFull is set if the caller received a response that is not a stream, whose tokens cannot be counted.
 	billInFull      bool
 	lastEventID     string // ID of the last event that was forwarded
+	bound           bool   // the stream has begun, so that it may only continue at an endpoint of the same software version
+	software        string // that version; empty: unknown, or not bound
 	cachedDigest    *quarantine.Digest
 	suspectAdmitted bool // the request was admitted although it is under suspicion
 }
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -80,7 +80,7 @@
 	q := pool.Query{
 		Service: j.service.Name, Affinity: j.req.AffinityKey(), Prompt: j.req.TokensIn, Shared: j.req.SharedTokens(),
 		Target: j.route.Objective, Gap: j.route.Gap, Tried: j.tried,
-		Regions: route.AllowedRegions(j.route, j.customer),
+		Regions: route.AllowedRegions(j.route, j.customer), Software: j.software,
 	}
 	if j.core.noAffinity {
 		q.Affinity = ""
@@ -137,7 +137,7 @@
 
 // shouldRetry reports whether the request is sent to another endpoint.
 func (j *job) shouldRetry(ctx context.Context, res result) bool {
-	if ctx.Err() != nil || j.attempts >= j.route.MaxAttempts {
+	if ctx.Err() != nil || j.attempts >= j.route.MaxAttempts || !j.mayResume() {
 		return false
 	}
 	switch res {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -54,6 +54,7 @@
 			lease.ObserveFirstEvent(j.req.TokensIn, j.core.now().Sub(sent))
 		}
 		id := eventID(event)
+		j.bind(lease.Endpoint().Software)
 		j.sendHeader(res.Status, res.Header, -1)
 		j.recordEvent(id)
 		if j.out.Write(event) != nil {
