fix: a stream that its caller takes up again continues at the software version that began it, at any instance

Cause: callers saw events of two software versions over their tries. An instance sent a request with Last-Event-Id to any endpoint of the service. Which version had begun the stream was known to the instance that sent its first event, if to any, and the caller names that request in Resumes, which nothing read.

Change: package continuity. Instances send the origin of a stream (service, version) to one instance of their availability zone and one of another, chosen by rendezvous hashing of the customer and the request's ID; in a large fleet through a few holders of the zone. An instance that does not know an origin asks for it. While a service has had a single version for as long as a stream may last, as observed without a gap, nothing is sent and nobody is asked; an instance that starts adopts that from another one, and the first start of the fleet needs no observation (bootstrap of the platform's settings is taken for that). Without proof the request is rejected as not run (stream-unknown), and without an endpoint of the version too, each with a retry time by whether that may change.

TestReplication: all streams known after the loss of the serving instance or of its whole zone, in fleets of 6 and 36.

--- /dev/null
+++ b/internal/continuity/history.go
@@ -0,0 +1,64 @@
+package continuity
+
+import "time"
+
+// history returns the software versions that endpoints have had within the lifetime of a stream. It is empty if this instance
+// has not observed them for so long, or if its list of endpoints may not be current.
+func (t *Tracker) history() historyReply {
+	now := t.now()
+	if !t.ObservedForLifetime() || now.Sub(t.lastContact()) > maxContactAge {
+		return historyReply{}
+	}
+	out := historyReply{Observed: true}
+	for _, service := range t.endpoints.Services() {
+		for _, version := range t.endpoints.SoftwareSince(service, now.Add(-t.lifetime())) {
+			out.Versions = append(out.Versions, seenVersion{Service: service, Software: version})
+		}
+	}
+	if len(out.Versions) > maxVersions {
+		return historyReply{}
+	}
+	return out
+}
+
+// adopt takes over the history that another instance has sent. Its versions count as listed until now.
+func (t *Tracker) adopt(h historyReply) {
+	if !h.Observed || len(h.Versions) > maxVersions {
+		return
+	}
+	now := t.now()
+	for _, v := range h.Versions {
+		if len(v.Service) > maxNameLen || len(v.Software) > maxNameLen {
+			return
+		}
+	}
+	for _, v := range h.Versions {
+		t.endpoints.NoteSoftware(v.Service, v.Software, now)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if since := now.Add(-t.lifetime()); t.observedSince.After(since) {
+		t.observedSince = since
+	}
+}
+
+// lifetimeBounds limit how long a stream may be taken up again.
+const (
+	minLifetime = 10 * time.Second
+	maxLifetime = 5 * time.Minute
+	// lifetimeFactor is how often the time limit of a route fits into the time in which its callers come back.
+	lifetimeFactor = 2
+)
+
+// LifetimeFor returns how long after its first event a stream may be taken up again, for the time limits of the routes of
+// streams. A limit of 0 means none.
+func LifetimeFor(timeouts []time.Duration) time.Duration {
+	longest := minLifetime
+	for _, limit := range timeouts {
+		if limit <= 0 {
+			return maxLifetime
+		}
+		longest = max(longest, lifetimeFactor*limit)
+	}
+	return min(longest, maxLifetime)
+}
--- /dev/null
+++ b/internal/continuity/replicator_test.go
@@ -0,0 +1,211 @@
+package continuity
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ledgemount/ledgemount/internal/mesh"
+	"github.com/ledgemount/ledgemount/internal/mesh/meshtest"
+	"github.com/ledgemount/ledgemount/internal/peers/peerstest"
+)
+
+// testFleet is a fleet whose instances follow endpoints of two software versions.
+type testFleet struct {
+	ctx   context.Context //nolint:containedctx // of the test
+	net   *meshtest.Net
+	now   time.Time
+	peers []mesh.Peer
+	fleet []peerstest.Instance
+	nodes []*testNode
+}
+
+type testNode struct {
+	*testTracker
+	*Replicator
+}
+
+func newTestFleet(zones, perZone, large int) *testFleet {
+	f := &testFleet{ctx: context.Background(), net: meshtest.New(), now: time.Unix(1_000_000, 0)}
+	for i := range zones * perZone {
+		f.peers = append(f.peers, mesh.Peer{ID: fmt.Sprintf("i-%d", i), Zone: string(rune('a' + i/perZone)), Addr: fmt.Sprintf("i-%d:1", i)})
+	}
+	var err error
+	f.fleet, err = peerstest.Fleet(f.ctx, f.net, func() time.Time { return f.now }, large, f.peers)
+	So(err, ShouldBeNil)
+	for i := range f.fleet {
+		f.nodes = append(f.nodes, nil)
+		f.restart(i)
+	}
+	return f
+}
+
+// restart replaces an instance by a new process, which knows no streams.
+func (f *testFleet) restart(i int) {
+	x := newTestTracker()
+	x.list("e-1", "v1")
+	x.list("e-2", "v2")
+	f.nodes[i] = &testNode{testTracker: x, Replicator: NewReplicator(x.Tracker, f.fleet[i].Dir, f.fleet[i].Router, zerolog.Nop())}
+}
+
+// begin begins a stream at an instance and sends its origin.
+func (f *testFleet) begin(i int, request, software string) {
+	f.nodes[i].Begin(service, "north", request, software)
+	f.nodes[i].sendOrigins(f.ctx)
+	for _, x := range f.nodes { // holders pass origins on that were delegated to them
+		x.sendOrigins(f.ctx)
+	}
+}
+
+func (f *testFleet) resolve(i int, request string) Resolution {
+	return f.nodes[i].Resolve(f.ctx, service, "north", request)
+}
+
+// resolvedShare is the share of streams that all other instances resolve.
+func (f *testFleet) resolvedShare(from, streams int, except func(i int) bool) float64 {
+	known, all := 0, 0
+	for n := range streams {
+		for i := range f.nodes {
+			if i == from || except(i) {
+				continue
+			}
+			all++
+			if res := f.resolve(i, fmt.Sprintf("r-%d-%d", from, n)); res.Software == "v2" {
+				known++
+			}
+		}
+	}
+	return float64(known) / float64(all)
+}
+
+const testStreams = 30
+
+func (f *testFleet) beginAll(from int) {
+	for n := range testStreams {
+		f.begin(from, fmt.Sprintf("r-%d-%d", from, n), "v2")
+	}
+}
+
+func TestReplication(t *testing.T) {
+	for _, size := range []struct {
+		name                  string
+		zones, perZone, large int
+	}{{"a small fleet", 3, 2, 17}, {"a large fleet", 4, 9, 17}} {
+		Convey("In "+size.name, t, func() {
+			f := newTestFleet(size.zones, size.perZone, size.large)
+			f.beginAll(0)
+			down := func(ids ...int) func(int) bool {
+				m := make(map[int]bool)
+				for _, i := range ids {
+					m[i] = true
+					f.net.SetDown(f.peers[i].Addr, true)
+				}
+				return func(i int) bool { return m[i] }
+			}
+
+			Convey("every instance resolves every stream", func() {
+				So(f.resolvedShare(0, testStreams, down()), ShouldEqual, 1)
+			})
+
+			Convey("also after the serving instance was lost", func() {
+				So(f.resolvedShare(0, testStreams, down(0)), ShouldEqual, 1)
+			})
+
+			Convey("also after its whole availability zone was lost", func() {
+				zone := make([]int, 0, size.perZone)
+				for i := range size.perZone {
+					zone = append(zone, i)
+				}
+				So(f.resolvedShare(0, testStreams, down(zone...)), ShouldEqual, 1)
+			})
+
+			Convey("also after it and an instance of another zone were lost", func() {
+				So(f.resolvedShare(0, testStreams, down(0, size.perZone)), ShouldBeGreaterThanOrEqualTo, 0.8)
+			})
+
+			Convey("within an availability zone that is cut off", func() {
+				f.net.SetCut(func(from, to mesh.Peer) bool { return (from.Zone == "a") != (to.Zone == "a") })
+				So(f.resolvedShare(0, testStreams, func(i int) bool { return i >= size.perZone }), ShouldEqual, 1)
+			})
+
+			Convey("an unknown stream is resolved by none, and that is certain only if all answer", func() {
+				res := f.resolve(1, "no such stream")
+				So(res, ShouldResemble, Resolution{Source: SourceUnknown, Conclusive: true})
+				for i := 2; i < len(f.peers); i++ {
+					f.net.SetDown(f.peers[i].Addr, true)
+				}
+				res = f.resolve(1, "no such stream")
+				So(res.Software, ShouldBeEmpty)
+				So(res.Conclusive, ShouldBeFalse)
+			})
+		})
+	}
+}
+
+func TestReplicationToUnreachable(t *testing.T) {
+	Convey("An origin whose holder cannot be reached goes to another one", t, func() {
+		f := newTestFleet(3, 2, 17)
+		f.net.SetDown(f.peers[1].Addr, true)
+		f.net.SetDown(f.peers[2].Addr, true)
+		for n := range testStreams {
+			f.nodes[0].Begin(service, "north", fmt.Sprintf("r-0-%d", n), "v2")
+		}
+		for range maxSends {
+			f.nodes[0].sendOrigins(f.ctx)
+		}
+		So(f.resolvedShare(0, testStreams, func(i int) bool { return i == 1 || i == 2 }), ShouldEqual, 1)
+	})
+
+	Convey("An origin that nobody receives is given up, and costs nothing further", t, func() {
+		f := newTestFleet(3, 2, 17)
+		f.net.SetCut(func(from, _ mesh.Peer) bool { return from.ID == "i-0" })
+		f.begin(0, "r-1", "v1")
+		for range 2 * maxSends {
+			f.nodes[0].sendOrigins(f.ctx)
+		}
+		calls := f.net.Calls(KindOrigins)
+		f.nodes[0].sendOrigins(f.ctx)
+		So(f.net.Calls(KindOrigins), ShouldEqual, calls)
+	})
+}
+
+func TestSoleVersionCostsNothing(t *testing.T) {
+	Convey("While a service has a sole software version, origins are neither sent nor asked for", t, func() {
+		f := newTestFleet(3, 2, 17)
+		for _, x := range f.nodes {
+			x.pool.Remove("e-2")
+			x.pass(2*testLifetime, true)
+		}
+		f.begin(0, "r-1", "v1")
+		So(f.resolve(3, "r-1"), ShouldResemble, Resolution{Software: "v1", Source: SourceSole})
+		So(f.net.Calls(KindOrigins)+f.net.Calls(KindLookup), ShouldEqual, 0)
+
+		Convey("and an instance that starts then adopts that from another one, or asks", func() {
+			f.restart(4)
+			x := f.nodes[4]
+			x.pool.Remove("e-2")
+			f.net.SetDown(f.peers[0].Addr, true)
+			res := f.resolve(4, "r-1")
+			So(res.Software, ShouldEqual, "v1")
+			So(res.Source, ShouldEqual, SourcePeerSole)
+			x.adoptHistory(f.ctx)
+			So(x.ObservedForLifetime(), ShouldBeTrue)
+			So(f.net.Calls(KindHistory), ShouldEqual, 1)
+			x.adoptHistory(f.ctx)
+			So(f.net.Calls(KindHistory), ShouldEqual, 1)
+		})
+
+		Convey("and a second version makes the streams under way known", func() {
+			for _, x := range f.nodes {
+				x.list("e-2", "v2")
+			}
+			f.nodes[0].sendOrigins(f.ctx)
+			f.net.SetDown(f.peers[0].Addr, true)
+			So(f.resolve(3, "r-1").Software, ShouldEqual, "v1")
+		})
+	})
+}
--- a/internal/peers/lenders.go
+++ b/internal/peers/lenders.go
@@ -64,18 +64,18 @@
 	if !d.isLarge() {
 		limit, nearLimit, perFarZone = len(d.records), len(d.records), len(d.records)
 	}
-	near := d.lenders(d.tokenHolders(customer, d.zones[d.self.Peer.Zone]), nearLimit)
+	near := d.others(d.tokenHolders(customer, d.zones[d.self.Peer.Zone]), nearLimit)
 	var far []mesh.Peer
 	for zone, list := range d.zones {
 		if zone != d.self.Peer.Zone {
-			far = append(far, d.lenders(d.tokenHolders(customer, list), perFarZone)...)
+			far = append(far, d.others(d.tokenHolders(customer, list), perFarZone)...)
 		}
 	}
-	return append(near, d.lenders(member.Rank(customer+d.self.Peer.ID, far), limit-len(near))...)
+	return append(near, d.others(member.Rank(customer+d.self.Peer.ID, far), limit-len(near))...)
 }
 
-// lenders returns up to limit instances of a list that are not suspected. The caller holds mu.
-func (d *Directory) lenders(list []mesh.Peer, limit int) []mesh.Peer {
+// others returns up to limit instances of a list that are not suspected, without this one. The caller holds mu.
+func (d *Directory) others(list []mesh.Peer, limit int) []mesh.Peer {
 	out := make([]mesh.Peer, 0, len(list))
 	for _, p := range list {
 		if len(out) < limit && p.ID != d.self.Peer.ID && !d.suspected(p.ID) {
--- a/internal/pool/software.go
+++ b/internal/pool/software.go
@@ -29,6 +29,14 @@
 	return out
 }
 
+// FormerSoftware reports whether endpoints of a service had a software version and none is listed now.
+func (p *Pool) FormerSoftware(service, version string) bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	use := p.software[service][version]
+	return use != nil && use.endpoints == 0
+}
+
 // NoteSoftware records that endpoints of a service had a software version at some time, as another instance reports.
 func (p *Pool) NoteSoftware(service, version string, lastSeen time.Time) {
 	p.mu.Lock()
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -51,6 +51,7 @@
 	exits         exitProber
 	retrySlots    retrySchedule
 	suspects      *quarantine.Tracker
+	streams       Streams
 }
 
 // Option configures a Core.
@@ -72,6 +73,10 @@
 // WithQuarantine sets the tracker of requests that may crash endpoints. By default, each Core has a separate one.
 func WithQuarantine(t *quarantine.Tracker) Option { return func(c *Core) { c.suspects = t } }
 
+// WithStreams sets how the software versions at which streams began are recorded and determined. By default, they are not
+// known.
+func WithStreams(s Streams) Option { return func(c *Core) { c.streams = s } }
+
 // OnDial sets the function that is called for each new connection to an endpoint. It receives the endpoint's
 // availability zone, and the time until the connection was established or failed.
 func OnDial(f func(zone string, took time.Duration, err error)) Option {
@@ -106,13 +111,14 @@
 const (
 	retryAfterShort = 150 * time.Millisecond
 	retryAfterLong  = 400 * time.Millisecond
+	retryAfterGone  = 5 * time.Second // what the request needs is unlikely to come back
 )
 
 // New returns a Core.
 func New(deps Deps, opts ...Option) *Core {
 	c := &Core{
 		Deps: deps, now: time.Now, random: rand.Float64, onOutcome: func(Outcome) {}, onDial: func(string, time.Duration, error) {}, paths: directPaths{},
-		onDelayedExit: func(DelayedExit) {}, suspects: quarantine.New(),
+		onDelayedExit: func(DelayedExit) {}, suspects: quarantine.New(), streams: unknownStreams{},
 		congested: func() bool { return false }, stateFresh: func() bool { return true }, stallTimeout: defaultStallTimeout, maxBody: defaultMaxBody,
 	}
 	for _, opt := range opts {
@@ -201,6 +207,9 @@
 		defer cancel()
 		defer j.core.deadlines.add(j, cancel)()
 	}
+	if err := j.bindToOrigin(ctx); err != nil {
+		return err
+	}
 	if err := j.checkEndpoints(); err != nil {
 		return err
 	}
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -47,8 +47,10 @@
 		}
 		lease := j.pick()
 		if lease == nil {
+			j.noteResumption(ResumedNowhere)
 			return j.giveUp(ctx, failure, resultUnsent)
 		}
+		j.noteResumption(ResumedSame)
 		res, response := j.try(ctx, lease)
 		switch res {
 		case resultDone:
@@ -119,6 +121,8 @@
 		return refuse(verdict.CodeEndpointLimit, "the endpoints have had as many requests as they say that they take", j.nextRetry())
 	case j.pathLost():
 		return refuse(verdict.CodeNoEndpoint, "this instance reaches no endpoint, neither itself nor through another instance", retryAfterLong)
+	case backoff <= 0 && j.software != "" && j.core.Pool.FormerSoftware(j.service.Name, j.software):
+		return refuse(verdict.CodeNoEndpoint, "no endpoint of the software version at which the stream began is left", retryAfterGone)
 	case backoff <= 0:
 		return refuse(verdict.CodeNoEndpoint, "no endpoint takes work or can be reached", retryAfterLong)
 	}
@@ -137,7 +141,11 @@
 
 // shouldRetry reports whether the request is sent to another endpoint.
 func (j *job) shouldRetry(ctx context.Context, res result) bool {
-	if ctx.Err() != nil || j.attempts >= j.route.MaxAttempts || !j.mayResume() {
+	if ctx.Err() != nil || j.attempts >= j.route.MaxAttempts {
+		return false
+	}
+	if !j.mayResume() {
+		j.noteResumption(ResumptionBlind)
 		return false
 	}
 	switch res {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"github.com/ledgemount/ledgemount/internal/continuity"
 	"github.com/ledgemount/ledgemount/internal/escrow"
 	"github.com/ledgemount/ledgemount/internal/pool"
 	"github.com/ledgemount/ledgemount/internal/upstream"
@@ -122,11 +123,24 @@
 	MaxPause  time.Duration // longest pause between two events of a stream
 	Late      Lateness      // compared with the route's latency targets
 	Total     time.Duration
+	Origin    continuity.Resolution // of a stream that the caller takes up again
+	Resumed   Resumption            // whether this instance resumed an interrupted stream within the response
 	// Digest identifies the request by its content, regardless of its ID. It is empty unless an attempt was interrupted
 	// or the request was quarantined.
 	Digest string
 }
 
+// Resumption states whether an instance resumed an interrupted stream within the same response.
+type Resumption string
+
+// Resumptions.
+const (
+	NotResumed      Resumption = ""          // it was not interrupted, or must not be resumed
+	ResumedSame     Resumption = "same"      // at an endpoint of the software version that began it
+	ResumedNowhere  Resumption = "none-left" // no other endpoint of that version accepted it
+	ResumptionBlind Resumption = "unknown"   // the version that began it is not known
+)
+
 // Lateness states which latency target of its route a response missed.
 type Lateness string
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -51,6 +51,11 @@
 	Regions     []string // regions in which requests may run; nil: all
 }
 
+// Allows reports whether the route may choose a service.
+func (r *Route) Allows(service string) bool {
+	return slices.ContainsFunc(r.Split, func(s Share) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // Repeatable reports whether a request of the route may run more than once.
 func (r *Route) Repeatable() bool { return r.Kind == Safe || (r.Kind == Streaming && r.Resumable) }
 
@@ -221,6 +226,17 @@
 	return out
 }
 
+// StreamTimeouts returns the time limits of the routes whose streams may be resumed; 0 means none.
+func (t *Table) StreamTimeouts() []time.Duration {
+	var out []time.Duration
+	for i := range t.cfg.Routes {
+		if r := &t.cfg.Routes[i]; r.Kind == Streaming && r.Resumable {
+			out = append(out, r.Timeout)
+		}
+	}
+	return out
+}
+
 // Customers returns all customers.
 func (t *Table) Customers() []Customer { return t.cfg.Customers }
 
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -83,6 +83,12 @@
 		reason = "served"
 	}
 	m.metrics.Scope().Tagged(map[string]string{"reason": reason, "kind": o.Kind}).Counter("relay_requests_total").Inc(1)
+	if o.Origin.Source != "" {
+		m.countResumption("caller", string(o.Origin.Source))
+	}
+	if o.Resumed != relay.NotResumed {
+		m.countResumption("instance", string(o.Resumed))
+	}
 	for _, attempt := range o.Endpoints {
 		if attempt.DialFailure != "" {
 			m.metrics.Scope().Tagged(map[string]string{"cause": string(attempt.DialFailure)}).Counter("relay_dial_failures_total").Inc(1)
@@ -97,6 +103,11 @@
 	m.total.RecordDuration(o.Total)
 }
 
+// countResumption counts an interrupted stream that was, or was not, continued by its caller or by this instance.
+func (m *meters) countResumption(by, origin string) {
+	m.metrics.Scope().Tagged(map[string]string{"by": by, "origin": origin}).Counter("stream_resumptions_total").Inc(1)
+}
+
 // logRequest logs and records the outcome of a request. The log line contains the decisions and the data on which they
 // were based.
 func (r *Router) logRequest(o relay.Outcome) {
@@ -117,7 +128,11 @@
 		Int64("first_ms", o.FirstByte.Milliseconds()).Int64("total_ms", o.Total.Milliseconds()).
 		Int64("pause_ms", o.MaxPause.Milliseconds()).Int64("prompt_tokens", o.Request.TokensIn)
 	if o.Request.LastEventID != "" {
-		e = e.Str("last_event", o.Request.LastEventID).Str("resumes", o.Request.Resumes)
+		e = e.Str("last_event", o.Request.LastEventID).Str("resumes", o.Request.Resumes).
+			Str("origin", o.Origin.Software).Str("origin_source", string(o.Origin.Source)).Int64("origin_age_ms", o.Origin.Age.Milliseconds())
+	}
+	if o.Resumed != relay.NotResumed {
+		e = e.Str("resumed", string(o.Resumed))
 	}
 	if o.Late != relay.NotLate {
 		e = e.Str("late", string(o.Late))
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -14,6 +15,7 @@
 	"github.com/ledgemount/ledgemount/internal/boottime"
 	"github.com/ledgemount/ledgemount/internal/buildinfo"
 	"github.com/ledgemount/ledgemount/internal/compat"
+	"github.com/ledgemount/ledgemount/internal/continuity"
 	"github.com/ledgemount/ledgemount/internal/edge"
 	"github.com/ledgemount/ledgemount/internal/escrow"
 	"github.com/ledgemount/ledgemount/internal/escrow/remote"
@@ -63,28 +65,31 @@
 
 // Router is an instance of the fleet.
 type Router struct {
-	settings      *Settings
-	log           zerolog.Logger
-	kernel        *kernel.Kernel
-	client        *upstream.Client
-	pool          *pool.Pool
-	peers         *peers.Directory
-	fleetClock    *fleettime.Clock
-	bootClock     *boottime.Clock
-	resumeGuard   resumeGuard
-	load          *load.Exchange
-	reach         *reach.Monitor
-	forwarder     *reach.Server
-	replicator    *quarantine.Replicator
-	follow        *follow.Follower
-	escrow        *escrow.Holder
-	core          *relay.Core
-	suspects      *quarantine.Tracker
-	callers       *edge.Server
-	probes        *probes
-	metricsServer *probes // metrics on a separate address; nil: none
-	metrics       *meters
-	start         *startRecorder
+	settings    *Settings
+	log         zerolog.Logger
+	kernel      *kernel.Kernel
+	client      *upstream.Client
+	pool        *pool.Pool
+	peers       *peers.Directory
+	fleetClock  *fleettime.Clock
+	bootClock   *boottime.Clock
+	resumeGuard resumeGuard
+	load        *load.Exchange
+	reach       *reach.Monitor
+	forwarder   *reach.Server
+	replicator  *quarantine.Replicator
+	follow      *follow.Follower
+	escrow      *escrow.Holder
+	core        *relay.Core
+	suspects    *quarantine.Tracker
+	streams     *continuity.Replicator
+	// streamLifetime is how long after its first event a stream may be taken up again, in nanoseconds.
+	streamLifetime atomic.Int64
+	callers        *edge.Server
+	probes         *probes
+	metricsServer  *probes // metrics on a separate address; nil: none
+	metrics        *meters
+	start          *startRecorder
 
 	pressure *pressure.Monitor
 	restored restorationTracker
@@ -107,6 +112,7 @@
 	r.newFollower(platform, meshRouter)
 	r.newSharing(platform, meshRouter)
 	r.newReach(meshRouter)
+	r.newStreams(meshRouter)
 	r.newCore(platform)
 	r.resumeGuard = resumeGuard{clock: r.bootClock, lastContact: r.follow.LastContact}
 	r.bootClock.OnResume(r.onResume)
@@ -173,6 +179,19 @@
 	r.load = load.New(r.peers, r.pool, meshRouter, load.WithPiggyback(r.replicator), load.WithNow(now), load.OnLimits(r.metrics.recordLimits))
 }
 
+// newStreams creates the component that records at which software versions streams began.
+func (r *Router) newStreams(meshRouter *mesh.Router) {
+	r.streamLifetime.Store(int64(continuity.LifetimeFor(nil)))
+	opts := []continuity.Option{
+		continuity.WithNow(r.bootClock.Now), continuity.WithLastContact(r.follow.LastContact),
+		continuity.WithLifetime(func() time.Duration { return time.Duration(r.streamLifetime.Load()) }),
+	}
+	if r.settings.Instance.FirstStart {
+		opts = append(opts, continuity.WithFirstStart())
+	}
+	r.streams = continuity.NewReplicator(continuity.New(r.pool, opts...), r.peers, meshRouter, r.log)
+}
+
 // newCore creates the component that serves requests.
 func (r *Router) newCore(platform Platform) {
 	ratio, slack := r.settings.retryBudget()
@@ -180,7 +199,7 @@
 	r.core = relay.New(relay.Deps{
 		Table: r.follow.Table, Pool: r.pool, Budgets: r.escrow, Retries: retries, Client: r.client, Dialect: platform.Dialect,
 	}, append(r.settings.relayOptions(), relay.WithNow(r.bootClock.Now), relay.OnOutcome(r.logRequest), relay.OnDelayedExit(r.logDelayedExit),
-		relay.WithQuarantine(r.suspects), relay.WithStateFresh(r.resumeGuard.stateFresh), relay.OnDial(r.recordDial), relay.WithPaths(r.reach), relay.WithCongested(r.pressure.Congested))...)
+		relay.WithQuarantine(r.suspects), relay.WithStreams(r.streams), relay.WithStateFresh(r.resumeGuard.stateFresh), relay.OnDial(r.recordDial), relay.WithPaths(r.reach), relay.WithCongested(r.pressure.Congested))...)
 }
 
 // fleetSize returns the number of instances among which fleet-wide limits are divided. Right after its start, an instance
@@ -222,7 +241,7 @@
 	if !r.settings.disabled(Loads) {
 		list = append(list, r.load)
 	}
-	list = append(list, r.reach, r.replicator, r.follow, r.escrow, r.escrow.Repayments(), &sweeper{client: r.client}, &callLog{counts: r.metrics.calls, sent: r.metrics.sent, role: r.role, log: r.log}, r.startWatch(), r.callers, r.probes)
+	list = append(list, r.reach, r.replicator, r.streams, r.follow, r.escrow, r.escrow.Repayments(), &sweeper{client: r.client}, &callLog{counts: r.metrics.calls, sent: r.metrics.sent, role: r.role, log: r.log}, r.startWatch(), r.callers, r.probes)
 	if r.metricsServer != nil {
 		list = append(list, r.metricsServer)
 	}
@@ -243,10 +262,11 @@
 	return err
 }
 
-// updateServices applies the endpoint settings of a newer configuration to the pool.
+// updateServices applies the settings of services and of their streams in a newer configuration.
 func (r *Router) updateServices(t *route.Table) {
 	r.pool.SetWarmups(t.Warmups())
 	r.pool.SetConnections(t.Connections())
+	r.streamLifetime.Store(int64(continuity.LifetimeFor(t.StreamTimeouts())))
 }
 
 // updateBudgets applies the prepaid amounts of a newer configuration to the escrow.
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -33,6 +33,8 @@
 	// are diverted to other instances before the link is saturated. In a large fleet, the machines with the largest links
 	// lead their availability zones.
 	LinkMbps float64 `json:"link_mbps" validate:"min=0"`
+	// FirstStart states that the fleet starts for the first time: no instance of it has served before.
+	FirstStart bool `json:"first_start"`
 	// Regions maps each availability zone to its region, for routes and customers that are restricted to some regions.
 	Regions map[string]string `json:"regions"`
 }
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -62,6 +62,7 @@
 	CodeConflict          Code = "conflict"
 	CodeUnavailable       Code = "unavailable"
 	CodeQuarantined       Code = "request-quarantined"
+	CodeStreamUnknown     Code = "stream-unknown"
 	CodeInternal          Code = "internal"
 )
 
@@ -91,6 +92,7 @@
 	CodeConflict:          http.StatusConflict,
 	CodeUnavailable:       http.StatusServiceUnavailable,
 	CodeQuarantined:       http.StatusServiceUnavailable, // not permanent: a quarantine rests on an inference, and expires
+	CodeStreamUnknown:     http.StatusServiceUnavailable,
 	CodeInternal:          http.StatusInternalServerError,
 }
 
