feat: lines of interrupted requests name the shared parts of their prompts

Cause: requests that crash endpoints have one part of their prompts in common and nothing else. The log told a digest of the whole request, so that part could not be found.

Change: request_ended has the IDs of up to eight shared parts where it has a digest.

--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -57,12 +57,15 @@
 	}
 }
 
+// SharedParts returns the parts of the prompt that other requests may share: all but the last part.
+func (r *Request) SharedParts() []Part { return r.Parts[:max(0, len(r.Parts)-1)] }
+
 // SharedTokens returns the number of tokens in the parts of the prompt that other requests share: all but the last
 // part.
 func (r *Request) SharedTokens() int64 {
 	var n int64
-	for i := range len(r.Parts) - 1 {
-		n += r.Parts[i].Tokens
+	for _, p := range r.SharedParts() {
+		n += p.Tokens
 	}
 	return n
 }
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -141,7 +141,7 @@
 		e = e.Int64("restored_ms", age.Milliseconds())
 	}
 	if o.Digest != "" {
-		e = e.Str("digest", o.Digest)
+		e = e.Str("digest", o.Digest).Strs("parts", partIDs(o.Request.SharedParts()))
 	}
 	if o.Code != "" {
 		e = e.Str("code", string(o.Code)).Str("detail", o.Detail)
@@ -152,6 +152,17 @@
 	e.Msg("a request has ended")
 }
 
+// maxLoggedParts limits the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+func partIDs(parts []relay.Part) []string {
+	out := make([]string, 0, min(len(parts), maxLoggedParts))
+	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
+		out = append(out, p.ID)
+	}
+	return out
+}
+
 // attemptList writes the attempts of a request into a log line. The field "end" is the result of the attempt. "dial"
 // states how the connection attempt failed, "via" through which instance the connection was forwarded, "ended" that the
 // endpoint's process has exited, and "kept_off" why the first endpoint by affinity was excluded.
