fix: requests with a part of their prompts under which endpoints crash are kept from endpoints

Cause: callers' requests crashed one endpoint after the other, and all that these ran. The quarantine recognized a request by its whole content; these had one part of their prompts in common and nothing else, so each was new to it.

Change: crashes are recorded under the shared parts of a prompt too (all but the last), by service and part, if the run had written for less than 300 ms. A part is quarantined at the weight of four runs in a row; a run that overlapped counts half, and not at all if its crash is less than 250 ms from the one before. A run that went on for 300 ms after its first event, or to its end, clears its parts on all instances, if it began to write after the first crash. A crash that something in quarantine explains counts against nothing else; of parts with the same evidence the last one in the prompt is taken. From two in a row on, an instance runs requests with the part one at a time and does not retry them.

--- a/internal/quarantine/log.go
+++ b/internal/quarantine/log.go
@@ -8,6 +8,9 @@
 	EventQuarantined = "request_quarantined"
 	EventReleased    = "request_released"
 	EventCrash       = "endpoint_ended"
+
+	EventPartQuarantined = "part_quarantined"
+	EventPartReleased    = "part_released"
 )
 
 // LogChanges returns a function that logs changes. They are rare: a request is quarantined only after several
@@ -18,11 +21,17 @@
 		if c.Quarantined {
 			event, msg = EventQuarantined, "several endpoints ended while they ran a request: it is kept from the others"
 		}
+		if c.Part != "" {
+			event, msg = EventPartReleased, "requests with a part in their prompts are not kept from endpoints any more: a run of one went on well"
+			if c.Quarantined {
+				event, msg = EventPartQuarantined, "several endpoints ended while they ran requests with a part in their prompts: these are kept from the others"
+			}
+		}
 		crashes := zerolog.Arr()
 		for _, crash := range c.Crashes {
 			crashes = crashes.Dict(zerolog.Dict().Str("endpoint", crash.Run).Int64("ran_ms", crash.Ended.Sub(crash.Began).Milliseconds()).Bool("events", crash.Streamed))
 		}
-		log.Warn().Str("event", event).Str("digest", c.Digest.String()).Str("customer", c.Customer).Bool("told", !c.Local).
+		log.Warn().Str("event", event).Str("digest", c.Digest.String()).Str("customer", c.Customer).Str("part", c.Part).Bool("told", !c.Local).
 			Array("ends", crashes).Msg(msg)
 	}
 }
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -18,6 +18,8 @@
 	Quarantined   bool            `cbor:"5,keyasint,omitempty"`
 	QuarantinedMs int64           `cbor:"6,keyasint,omitempty"` // since it was quarantined
 	Probes        int             `cbor:"7,keyasint,omitempty"`
+	Part          string          `cbor:"8,keyasint,omitempty"` // ID of a part of prompts; empty: a request
+	Position      int             `cbor:"9,keyasint,omitempty"` // of the part in the prompt
 }
 
 type reportedCrash struct {
@@ -35,7 +37,7 @@
 
 // pack encodes a record as of now.
 func (r *record) pack(now time.Time) report {
-	rep := report{Digest: r.digest[:], Customer: r.customer, Gen: r.gen, Probes: r.probes, Quarantined: !r.quarantinedAt.IsZero()}
+	rep := report{Digest: r.digest[:], Customer: r.customer, Gen: r.gen, Probes: r.probes, Quarantined: !r.quarantinedAt.IsZero(), Part: r.label, Position: r.position}
 	if rep.Quarantined {
 		rep.QuarantinedMs = now.Sub(r.quarantinedAt).Milliseconds()
 	}
@@ -49,7 +51,7 @@
 
 // valid reports whether a received report can be right.
 func (rep report) valid() bool {
-	if len(rep.Digest) != len(Digest{}) || len(rep.Customer) > maxNameLen || len(rep.Crashes) > maxCrashes || rep.QuarantinedMs < 0 || rep.Probes < 0 {
+	if len(rep.Digest) != len(Digest{}) || len(rep.Customer) > maxNameLen || len(rep.Part) > maxNameLen || rep.Position < 0 || len(rep.Crashes) > maxCrashes || rep.QuarantinedMs < 0 || rep.Probes < 0 {
 		return false
 	}
 	for _, c := range rep.Crashes {
@@ -70,6 +72,9 @@
 	now := t.now()
 	t.mu.Lock()
 	r := t.lookupOrCreate(Digest(rep.Digest), rep.Customer, now)
+	if rep.Part != "" {
+		r.part, r.label, r.position = true, rep.Part, max(r.position, rep.Position)
+	}
 	before := r.seq
 	var changes []*Change
 	if rep.Gen > r.gen {
@@ -80,6 +85,9 @@
 	if rep.Gen == r.gen {
 		changes = append(changes, t.mergeCrashes(r, rep, now.Add(-age), now, window))
 	}
+	if r.part {
+		changes = append(changes, t.evaluateParts(now, true)...)
+	}
 	if r.seq != before && rep.Gen == r.gen && len(rep.Crashes) == len(r.crashes) && rep.Quarantined == !r.quarantinedAt.IsZero() {
 		r.from = from
 	}
@@ -94,28 +102,40 @@
 // encoded. The caller holds mu.
 func (t *Tracker) mergeCrashes(r *record, rep report, at, now time.Time, window time.Duration) *Change {
 	before, added := r.suspected(), false
-	for _, c := range rep.Crashes {
-		added = r.addCrash(Crash{
-			Run: c.Run, Began: at.Add(-time.Duration(c.BeganMs) * time.Millisecond), Ended: at.Add(-time.Duration(c.EndedMs) * time.Millisecond),
-			Streamed: c.Events,
-		}, window) || added
+	for _, reported := range rep.Crashes {
+		c := reported.crash(at)
+		if r.part && (!c.Ended.After(r.clearedAt) || (r.quarantinedAt.IsZero() && !rep.Quarantined && t.explained(c))) {
+			continue
+		}
+		added = r.addCrash(c, window) || added
 	}
 	wasQuarantined := !r.quarantinedAt.IsZero()
 	if rep.Quarantined && (!wasQuarantined || rep.Probes > r.probes) {
 		r.quarantinedAt, r.probes, added = at.Add(-time.Duration(rep.QuarantinedMs)*time.Millisecond), max(rep.Probes, r.probes), true
 	}
-	if !wasQuarantined && r.quarantinedAt.IsZero() && r.weight() >= quarantineWeight {
+	if !r.part && !wasQuarantined && r.quarantinedAt.IsZero() && r.weight() >= quarantineWeight {
 		r.quarantinedAt = now
 	}
 	if !added {
 		return nil
 	}
+	if r.part && !wasQuarantined && !r.quarantinedAt.IsZero() {
+		t.acquit(r)
+	}
 	t.countSuspects(r, before, true)
 	t.markChanged(r, now)
 	if wasQuarantined || r.quarantinedAt.IsZero() {
 		return nil
 	}
-	return &Change{Digest: r.digest, Customer: r.customer, Quarantined: true, Crashes: slices.Clone(r.crashes), Local: !rep.Quarantined}
+	return r.change(true, !rep.Quarantined)
+}
+
+// crash decodes a crash that was encoded at some time.
+func (c reportedCrash) crash(at time.Time) Crash {
+	return Crash{
+		Run: c.Run, Began: at.Add(-time.Duration(c.BeganMs) * time.Millisecond), Ended: at.Add(-time.Duration(c.EndedMs) * time.Millisecond),
+		Streamed: c.Events,
+	}
 }
 
 // lastSeq returns the sequence number of the last change.
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -50,10 +50,24 @@
 	maxCrashes         = 16   // per request
 )
 
-// record is the crash history of one request.
+// weight is the weight of a crash that counts in full.
+func (c Crash) weight() int {
+	if c.Streamed {
+		return streamedWeight
+	}
+	return crashWeight
+}
+
+// record is the crash history of one request, or of one part of prompts.
 type record struct {
 	digest   Digest
-	customer string
+	customer string // of a part: PartScope
+	part     bool
+	label    string // ID of a part
+	position int    // of a part in the prompt, the last one of several
+	// clearedAt is when the run that cleared a part, as this instance observed, wrote its first event. A crash that is
+	// detected later than it happened does not count if it happened before.
+	clearedAt time.Time
 	// gen counts the successful runs of the request while it was under suspicion; each of them resets the record
 	gen           uint32
 	crashes       []Crash   // ordered by the time of the crash
@@ -68,15 +82,14 @@
 // weight returns the total weight of the crashes. Crashes of consecutive runs, each of which began after the previous
 // crash, count in full. The total weight of the others, which ran concurrently, is limited.
 func (r *record) weight() int {
+	if r.part {
+		return partWeight(r.crashes)
+	}
 	total, overlap := 0, 0
 	var last time.Time
 	for _, c := range r.crashes {
-		w := crashWeight
-		if c.Streamed {
-			w = streamedWeight
-		}
 		if last.IsZero() || c.Began.After(last.Add(-clockSlack)) {
-			total += w
+			total += c.weight()
 			last = c.Ended
 			continue
 		}
@@ -87,14 +100,16 @@
 
 func (r *record) suspected() bool { return len(r.crashes) > 0 || !r.quarantinedAt.IsZero() }
 
-// addCrash adds a crash and reports whether it is new. Several instances may observe the same one.
+// hasCrash reports whether a crash is in the record. Several instances may observe the same one.
+func (r *record) hasCrash(c Crash, window time.Duration) bool {
+	return slices.ContainsFunc(r.crashes, func(known Crash) bool {
+		return known.Run == c.Run && c.Ended.Sub(known.Ended).Abs() < window
+	})
+}
+
+// addCrash adds a crash and reports whether it is new.
 func (r *record) addCrash(c Crash, window time.Duration) bool {
-	for _, known := range r.crashes {
-		if known.Run == c.Run && c.Ended.Sub(known.Ended).Abs() < window {
-			return false
-		}
-	}
-	if len(r.crashes) == maxCrashes {
+	if len(r.crashes) == maxCrashes || r.hasCrash(c, window) {
 		return false
 	}
 	r.crashes = append(r.crashes, c)
@@ -112,10 +127,11 @@
 	Refuse                 // it is quarantined, since it crashed several endpoints
 )
 
-// Change reports that a request is quarantined from now on, or no longer.
+// Change reports that a request, or a part of prompts, is quarantined from now on, or no longer.
 type Change struct {
 	Digest      Digest
-	Customer    string
+	Customer    string // of a part: PartScope
+	Part        string // ID of a part; empty: it is a request
 	Quarantined bool
 	Crashes     []Crash
 	Local       bool // decided by this instance, not reported by another one
@@ -364,7 +380,12 @@
 		return nil
 	}
 	r.quarantinedAt = now
-	return &Change{Digest: r.digest, Customer: r.customer, Quarantined: true, Crashes: slices.Clone(r.crashes), Local: local}
+	return r.change(true, local)
+}
+
+// change returns the report that the record is quarantined from now on, or no longer.
+func (r *record) change(quarantined, local bool) *Change {
+	return &Change{Digest: r.digest, Customer: r.customer, Part: r.label, Quarantined: quarantined, Crashes: slices.Clone(r.crashes), Local: local}
 }
 
 // reset clears a record and sets a later generation. The caller holds mu.
@@ -375,5 +396,5 @@
 	if !wasQuarantined {
 		return nil
 	}
-	return &Change{Digest: r.digest, Customer: r.customer, Local: local}
+	return r.change(false, local)
 }
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -182,12 +182,15 @@
 	events       int64
 	lastEventAt  time.Time // when the last event was received
 	// billInFull is set if the caller received a response that is not a stream, whose tokens cannot be counted.
-	billInFull      bool
-	lastEventID     string // ID of the last event that was forwarded
-	bound           bool   // the stream has begun, so that it may only continue at an endpoint of the same software version
-	software        string // that version; empty: unknown, or not bound
-	cachedDigest    *quarantine.Digest
-	suspectAdmitted bool // the request was admitted although it is under suspicion
+	billInFull    bool
+	lastEventID   string // ID of the last event that was forwarded
+	bound         bool   // the stream has begun, so that it may only continue at an endpoint of the same software version
+	software      string // that version; empty: unknown, or not bound
+	cachedDigest  *quarantine.Digest
+	cachedParts   []quarantine.Part
+	admitted      []quarantine.Digest // the request and parts of its prompt that were admitted although they are under suspicion
+	wroteAt       time.Time           // when the attempt in progress received its first event, or a whole response; zero: not yet
+	nextPartCheck time.Time           // see notePartsWritten
 }
 
 func (j *job) run(ctx context.Context) error {
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -39,8 +39,8 @@
 func (j *job) dispatch(ctx context.Context) error {
 	var failure *failedResponse
 	for {
-		if j.quarantinedMeanwhile() {
-			return j.giveUpQuarantined(ctx, failure)
+		if detail := j.quarantinedMeanwhile(); detail != "" {
+			return j.giveUpQuarantined(ctx, failure, detail)
 		}
 		if j.pathLost() {
 			return j.giveUp(ctx, failure, resultUnsent)
@@ -218,7 +218,7 @@
 func (j *job) try(ctx context.Context, lease *pool.Lease) (result, *failedResponse) {
 	began := j.core.now()
 	events := j.events
-	j.dialFailure, j.via = "", ""
+	j.dialFailure, j.via, j.wroteAt = "", "", time.Time{}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	wd := j.watch(lease, cancel)
@@ -337,6 +337,7 @@
 	if err != nil {
 		return resultBroken, nil
 	}
+	j.wroteAt = j.core.now()
 	if res.Length >= 0 && int64(len(body)) < min(res.Length, maxBuffered) {
 		return resultBroken, nil
 	}
--- a/internal/relay/exits.go
+++ b/internal/relay/exits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/singleflight"
@@ -51,66 +52,141 @@
 // recordExit reports whether the endpoint of an interrupted attempt has exited, and records the exit in the quarantine
 // tracker. events states whether the attempt had forwarded events.
 func (j *job) recordExit(lease *pool.Lease, began time.Time, events bool) bool {
-	digest, customer, endpoint := j.digest(), j.outcome.Customer, lease.Endpoint()
+	digest, endpoint := j.digest(), lease.Endpoint()
 	j.outcome.Digest = digest.String()
 	crash := quarantine.Crash{Run: endpoint.Run(), Began: began, Ended: j.core.now(), Streamed: events}
+	record := j.crashRecorder(crash)
 	exited := j.endpointExited(lease, func() {
-		j.core.suspects.RecordCrash(digest, customer, crash)
+		record()
 		j.core.onDelayedExit(DelayedExit{Digest: digest.String(), Endpoint: endpoint.ID})
 	})
 	if exited {
-		j.core.suspects.RecordCrash(digest, customer, crash)
+		record()
 	}
 	return exited
 }
 
-// checkQuarantine rejects a request if several endpoints have exited while they ran it. It does so before tokens are
-// reserved for the request. Each further run might interrupt all other requests at its endpoint.
-func (j *job) checkQuarantine() error {
-	if !j.core.suspects.Suspects(j.outcome.Customer) {
-		return nil
+// crashRecorder returns the function that records a crash under the request and, unless the attempt has shown that they are
+// sound, under the parts of its prompt.
+func (j *job) crashRecorder(crash quarantine.Crash) func() {
+	digest, customer, service, tracker := j.digest(), j.outcome.Customer, j.service.Name, j.core.suspects
+	var parts []quarantine.Part
+	if !j.partsSurvived(crash.Ended) {
+		parts = j.sharedParts()
 	}
-	decision, after := j.core.suspects.Enter(j.digest())
-	switch decision {
-	case quarantine.Refuse:
-		j.outcome.Digest = j.digest().String()
-		return refuse(verdict.CodeQuarantined, quarantinedDetail, after)
-	case quarantine.Wait:
+	return func() {
+		tracker.RecordCrash(digest, customer, crash)
+		tracker.RecordPartCrash(service, parts, crash)
+	}
+}
+
+// partsSurvived reports whether the attempt in progress has written on the parts of its prompt for so long that none of them
+// crashes endpoints.
+func (j *job) partsSurvived(now time.Time) bool {
+	return !j.wroteAt.IsZero() && now.Sub(j.wroteAt) >= quarantine.PartSurvival
+}
+
+// checkQuarantine rejects a request if several endpoints have exited while they ran it, or others with a part of its prompt. It
+// does so before tokens are reserved for the request. Each further run might interrupt all other requests at its endpoint.
+func (j *job) checkQuarantine() error {
+	for _, s := range j.suspects() {
+		if !j.core.suspects.Suspected(s.digest) {
+			continue
+		}
+		decision, after := j.core.suspects.Enter(s.digest)
+		if decision == quarantine.Run {
+			j.admitted = append(j.admitted, s.digest)
+			continue
+		}
+		j.leaveQuarantine()
 		j.outcome.Digest = j.digest().String()
-		return refuse(verdict.CodeQuarantined, "the endpoints that ran this request before have ended, and another run of it is under way", retryAfterLong)
-	case quarantine.Run:
+		if decision == quarantine.Wait {
+			return refuse(verdict.CodeQuarantined, s.waitDetail, retryAfterLong)
+		}
+		return refuse(verdict.CodeQuarantined, s.refusedDetail, after)
 	}
-	j.suspectAdmitted = true
 	return nil
 }
 
-const quarantinedDetail = "several endpoints ended while they ran this request before; it is kept from the others for a while and has not run this time"
+// suspect is the request, or a part of its prompt, that may be in quarantine.
+type suspect struct {
+	digest        quarantine.Digest
+	waitDetail    string
+	refusedDetail string
+}
+
+const (
+	requestRefused = "several endpoints ended while they ran this request before; it is kept from the others for a while and has not run this time"
+	requestWaits   = "the endpoints that ran this request before have ended, and another run of it is under way"
+	partRefused    = "several endpoints ended while they ran requests with a part of this prompt; these are kept from the others for a while, and this one has not run"
+	partWaits      = "endpoints have ended that ran requests with a part of this prompt, and another run of one is under way"
+)
+
+// suspects returns the request and the parts of its prompt, unless nothing similar is under suspicion.
+func (j *job) suspects() []suspect {
+	var out []suspect
+	if j.core.suspects.Suspects(j.outcome.Customer) {
+		out = append(out, suspect{digest: j.digest(), waitDetail: requestWaits, refusedDetail: requestRefused})
+	}
+	if j.partsSuspected() {
+		for _, p := range j.sharedParts() {
+			out = append(out, suspect{digest: p.Digest, waitDetail: partWaits, refusedDetail: partRefused})
+		}
+	}
+	return out
+}
+
+// partsSuspected reports whether any part of the prompts of the request's service is under suspicion.
+func (j *job) partsSuspected() bool {
+	return len(j.req.SharedParts()) > 0 && j.core.suspects.Suspects(quarantine.PartScope(j.service.Name))
+}
+
+// maxSuspectParts limits the parts of one prompt that are recorded.
+const maxSuspectParts = 16
+
+// sharedParts returns the parts of the prompt that other requests may share.
+func (j *job) sharedParts() []quarantine.Part {
+	if j.cachedParts == nil {
+		shared := j.req.SharedParts()
+		j.cachedParts = make([]quarantine.Part, 0, len(shared))
+		for _, p := range shared[:min(len(shared), maxSuspectParts)] {
+			j.cachedParts = append(j.cachedParts, quarantine.PartOf(j.service.Name, p.ID))
+		}
+	}
+	return j.cachedParts
+}
 
 func (j *job) leaveQuarantine() {
-	if j.suspectAdmitted {
-		j.core.suspects.Leave(j.digest())
+	for _, d := range j.admitted {
+		j.core.suspects.Leave(d)
 	}
+	j.admitted = nil
 }
 
-// quarantinedMeanwhile reports whether a request was quarantined after it was admitted, while it waited for its budget
-// or for a second attempt.
-func (j *job) quarantinedMeanwhile() bool {
-	return j.core.suspects.Suspects(j.outcome.Customer) && j.core.suspects.Quarantined(j.digest())
+// quarantinedMeanwhile returns why a request was quarantined after it was admitted, while it waited for its budget or for a
+// second attempt. It returns an empty string if it was not.
+func (j *job) quarantinedMeanwhile() (detail string) {
+	for _, s := range j.suspects() {
+		if j.core.suspects.Quarantined(s.digest) {
+			return s.refusedDetail
+		}
+	}
+	return ""
 }
 
 // giveUpQuarantined ends a request that was quarantined after it was admitted.
-func (j *job) giveUpQuarantined(ctx context.Context, failure *failedResponse) error {
+func (j *job) giveUpQuarantined(ctx context.Context, failure *failedResponse, detail string) error {
 	j.outcome.Digest = j.digest().String()
 	if !j.mayHaveRun && !j.headerSent && failure == nil {
-		return refuse(verdict.CodeQuarantined, quarantinedDetail, retryAfterLong)
+		return refuse(verdict.CodeQuarantined, detail, retryAfterLong)
 	}
 	return j.giveUp(ctx, failure, resultBroken)
 }
 
 // onlyCallerMayRetry reports whether this instance no longer retries the request, because two endpoints in a row have
-// exited while they ran it.
+// exited while they ran it, or others with a part of its prompt.
 func (j *job) onlyCallerMayRetry() bool {
-	return j.core.suspects.Suspects(j.outcome.Customer) && j.core.suspects.NoRetry(j.digest())
+	return slices.ContainsFunc(j.suspects(), func(s suspect) bool { return j.core.suspects.NoRetry(s.digest) })
 }
 
 // clearSuspicion records that the request was served completely, so that it is no longer under suspicion.
@@ -118,6 +194,25 @@
 	if j.core.suspects.Suspects(j.outcome.Customer) {
 		j.core.suspects.RecordSuccess(j.digest())
 	}
+	if j.partsSuspected() {
+		j.core.suspects.RecordPartSuccess(j.sharedParts(), j.wroteAt)
+	}
+}
+
+// partCheckInterval limits how often a stream clears parts that have come under suspicion.
+const partCheckInterval = 100 * time.Millisecond
+
+// notePartsWritten records that the endpoint has written an event. Once it has done so for a while, the parts of the prompt
+// are cleared.
+func (j *job) notePartsWritten(now time.Time) {
+	if j.wroteAt.IsZero() {
+		j.wroteAt = now
+	}
+	if !j.partsSurvived(now) || now.Before(j.nextPartCheck) || !j.partsSuspected() {
+		return
+	}
+	j.nextPartCheck = now.Add(partCheckInterval)
+	j.core.suspects.RecordPartSuccess(j.sharedParts(), j.wroteAt)
 }
 
 // DelayedExit describes the exit of an endpoint's process that was detected only after the outcome of the interrupted
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -42,6 +42,9 @@
 		var err error
 		event, err = readEvent(r, event[:0])
 		if errors.Is(err, io.EOF) && len(event) == 0 {
+			if j.wroteAt.IsZero() {
+				j.wroteAt = j.core.now()
+			}
 			j.sendHeader(res.Status, res.Header, -1)
 			return resultDone
 		}
@@ -53,6 +56,7 @@
 		if j.lastEventAt.IsZero() {
 			lease.ObserveFirstEvent(j.req.TokensIn, j.core.now().Sub(sent))
 		}
+		j.notePartsWritten(j.core.now())
 		id := eventID(event)
 		j.bind(lease.Endpoint().Software)
 		j.sendHeader(res.Status, res.Header, -1)
--- a/internal/router/quarantine.go
+++ b/internal/router/quarantine.go
@@ -16,11 +16,15 @@
 // expired.
 func (r *Router) ownsProbe(p quarantine.Digest) bool { return r.peers.Owns(p.String(), 1) }
 
-// onQuarantineChange logs that a request enters or leaves quarantine. A decision of this instance is saved to the store,
+// onQuarantineChange logs that a request, or a part of prompts, enters or leaves quarantine. A decision of this instance is saved to the store,
 // so that it survives a restart of all instances.
 func (r *Router) onQuarantineChange(c quarantine.Change) {
 	if c.Quarantined {
-		r.metrics.metrics.Scope().Counter("quarantine_requests_total").Inc(1)
+		counter := "quarantine_requests_total"
+		if c.Part != "" {
+			counter = "quarantine_parts_total"
+		}
+		r.metrics.metrics.Scope().Counter(counter).Inc(1)
 	}
 	quarantine.LogChanges(r.log)(c)
 	if c.Local {
