fix: origins of streams that no instance can receive, and the history of versions, are kept in the store

After a restart of all instances, none could know that a service had had a single version, for twice the time limit of a stream.

Change: an origin that no instance has received after three sends, or that nobody can receive, goes to the store, under one key for each instance, at most four writes a second, and none while links work. An instance of a small fleet that has asked in vain reads these keys, and watches them. The versions that endpoints have or had are one value of the store, written by one instance when they change; an instance that no other can tell takes it for its observation.

--- a/internal/continuity/formats_test.go
+++ b/internal/continuity/formats_test.go
@@ -12,4 +12,6 @@
 	formattest.Check[lookupRequest](t, "lookup")
 	formattest.Check[lookupReply](t, "origin")
 	formattest.Check[historyReply](t, "history")
+	formattest.Check[storedOrigins](t, "stored-origins")
+	formattest.Check[storedHistory](t, "stored-history")
 }
--- a/internal/continuity/history.go
+++ b/internal/continuity/history.go
@@ -21,6 +21,21 @@
 	return out
 }
 
+// listed returns the versions of the endpoints that are listed. current is false if the list may be outdated or incomplete.
+func (t *Tracker) listed() (list []seenVersion, current bool) {
+	now := t.now()
+	if now.Sub(t.lastContact()) > maxContactAge {
+		return nil, false
+	}
+	future := now.Add(maxLifetime) // versions without endpoints were last seen before
+	for _, service := range t.endpoints.Services() {
+		for _, version := range t.endpoints.SoftwareSince(service, future) {
+			list = append(list, seenVersion{Service: service, Software: version})
+		}
+	}
+	return list, len(list) > 0 && len(list) <= maxVersions
+}
+
 // adopt takes over the history that another instance has sent. Its versions count as listed until now.
 func (t *Tracker) adopt(h historyReply) {
 	if !h.Observed || len(h.Versions) > maxVersions {
--- a/internal/continuity/replicator.go
+++ b/internal/continuity/replicator.go
@@ -26,6 +26,7 @@
 	maxBatch       = 512                    // origins in one message
 	maxSends       = 3                      // attempts to send an origin
 	maxHistoryAsks = 8                      // attempts to receive the history of versions
+	maxPeerAsks    = 2                      // attempts to receive it from other instances, before it is read from the store
 	maxVersions    = 256                    // versions in one message
 	maxNameLen     = 256                    // bytes of a name in a message
 )
@@ -44,6 +45,21 @@
 	AgeMs    int64
 }
 
+func encodeOrigin(key Key, o Origin, now time.Time) sentOrigin {
+	return sentOrigin{Key: key[:], Service: o.Service, Software: o.Software, AgeMs: now.Sub(o.Began).Milliseconds()}
+}
+
+// valid reports whether a received origin can be right.
+func (o sentOrigin) valid() bool {
+	return len(o.Key) == len(Key{}) && o.Software != "" && len(o.Software) <= maxNameLen && len(o.Service) <= maxNameLen &&
+		o.AgeMs >= 0 && o.AgeMs <= maxLifetime.Milliseconds()
+}
+
+// origin decodes an origin that was encoded at some time.
+func (o sentOrigin) origin(at time.Time) Origin {
+	return Origin{Service: o.Service, Software: o.Software, Began: at.Add(-time.Duration(o.AgeMs) * time.Millisecond)}
+}
+
 // lookupRequest asks for the origin of a stream of a service.
 type lookupRequest struct {
 	Key     []byte `cbor:"1,keyasint"`
@@ -76,13 +92,16 @@
 	tracker *Tracker
 	dir     *peers.Directory
 	log     zerolog.Logger
+	archive *Archive
 	wake    chan struct{}
-	asks    int // attempts to receive the history; used by Run only
+	asks    int // attempts to receive the history since the last gap in the observation; used by Run only
+
+	mu sync.Mutex // guards the stored history of the archive
 }
 
 // NewReplicator returns a Replicator, and registers its message handlers.
-func NewReplicator(t *Tracker, dir *peers.Directory, router *mesh.Router, log zerolog.Logger) *Replicator {
-	r := &Replicator{tracker: t, dir: dir, log: log, wake: make(chan struct{}, 1)}
+func NewReplicator(t *Tracker, dir *peers.Directory, archive *Archive, router *mesh.Router, log zerolog.Logger) *Replicator {
+	r := &Replicator{tracker: t, dir: dir, archive: archive, log: log, wake: make(chan struct{}, 1)}
 	mesh.Handle(router, KindOrigins, r.handleOrigins)
 	mesh.Handle(router, KindLookup, r.handleLookup)
 	mesh.Handle(router, KindHistory, r.handleHistory)
@@ -102,10 +121,14 @@
 			return nil
 		case <-r.wake:
 		case <-poll.C:
-			r.tracker.Observe()
+			if r.tracker.Observe() {
+				r.asks = 0
+			}
 			r.adoptHistory(ctx)
+			r.saveHistory(ctx)
 		}
 		r.sendOrigins(ctx)
+		r.saveOrigins(ctx)
 		select {
 		case <-ctx.Done():
 		case <-time.After(batchPause):
@@ -158,14 +181,15 @@
 	return out
 }
 
-// sendOrigins sends the origins that other instances need and have not received.
+// sendOrigins sends the origins that other instances need and have not received. Those that no other instance can receive are
+// written to the store.
 func (r *Replicator) sendOrigins(ctx context.Context) {
 	batches := make(map[target][]unsent)
-	var early []unsent // no other instance can be reached yet
+	var unreachable []unsent
 	for _, u := range r.tracker.takeUnsent() {
 		targets := r.targetsOf(u)
-		if len(targets) == 0 && !u.delegated && !r.alone() {
-			early = append(early, u)
+		if len(targets) == 0 && !u.delegated {
+			unreachable = append(unreachable, u)
 		}
 		for _, to := range targets {
 			batches[to] = append(batches[to], u)
@@ -183,13 +207,9 @@
 		})
 	}
 	g.Wait()
-	r.tracker.returnUnsent(early)
-	r.retryLater(failed)
+	r.archiveOrigins(append(unreachable, r.retryLater(failed)...))
 }
 
-// alone reports whether there is no other instance.
-func (r *Replicator) alone() bool { return r.dir.IsDiscovered() && r.dir.Size() == 1 }
-
 // send sends origins to an instance, and returns those that it may not have received.
 func (r *Replicator) send(ctx context.Context, to target, batch []unsent) []unsent {
 	for len(batch) > 0 {
@@ -211,23 +231,26 @@
 	now := r.tracker.now()
 	for _, u := range batch {
 		if o, ok := r.tracker.Origin(u.key); ok {
-			m.Origins = append(m.Origins, sentOrigin{Key: u.key[:], Service: o.Service, Software: o.Software, AgeMs: now.Sub(o.Began).Milliseconds()})
+			m.Origins = append(m.Origins, encodeOrigin(u.key, o, now))
 		}
 	}
 	_, err := peers.Call[originsMessage, mesh.Empty](ctx, r.dir, to.peer, KindOrigins, m)
 	return err
 }
 
-// retryLater puts origins that were not received back on the list, unless they have been sent often enough. The directory
-// now avoids the instance that did not answer, so they go to another one.
-func (r *Replicator) retryLater(failed []unsent) {
+// retryLater puts origins that were not received back on the list. The directory now avoids the instance that did not answer,
+// so they go to another one. It returns those that have been sent often enough.
+func (r *Replicator) retryLater(failed []unsent) (givenUp []unsent) {
 	var again []unsent
 	for _, u := range failed {
 		if u.failed++; u.failed < maxSends {
 			again = append(again, u)
+			continue
 		}
+		givenUp = append(givenUp, u)
 	}
 	r.tracker.returnUnsent(again)
+	return givenUp
 }
 
 func (r *Replicator) handleOrigins(_ context.Context, _ mesh.Peer, m originsMessage) (mesh.Empty, error) {
@@ -236,10 +259,9 @@
 		put = r.tracker.PutDelegated
 	}
 	for _, o := range m.Origins[:min(len(m.Origins), maxBatch)] {
-		if len(o.Key) != len(Key{}) || o.Software == "" || len(o.Software) > maxNameLen || len(o.Service) > maxNameLen || o.AgeMs < 0 {
-			continue
+		if o.valid() {
+			put(Key(o.Key), o.origin(now))
 		}
-		put(Key(o.Key), Origin{Service: o.Service, Software: o.Software, Began: now.Add(-time.Duration(o.AgeMs) * time.Millisecond)})
 	}
 	if m.Delegate {
 		r.wakeUp()
@@ -269,7 +291,9 @@
 		return
 	}
 	candidates, _ := r.dir.CopyCandidates(r.Name())
-	if len(candidates) == 0 {
+	if len(candidates) == 0 || r.asks == maxPeerAsks {
+		r.asks++
+		r.loadHistory(ctx)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/continuity/replicator_test.go
+++ b/internal/continuity/replicator_test.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/ledgemount/ledgemount/internal/external/memkv"
 	"github.com/ledgemount/ledgemount/internal/mesh"
 	"github.com/ledgemount/ledgemount/internal/mesh/meshtest"
 	"github.com/ledgemount/ledgemount/internal/peers/peerstest"
@@ -21,7 +22,10 @@
 	now   time.Time
 	peers []mesh.Peer
 	fleet []peerstest.Instance
-	nodes []*testNode
+	store *memkv.Store
+	// software holds the versions that an instance finds listed when it starts.
+	software []string
+	nodes    []*testNode
 }
 
 type testNode struct {
@@ -30,7 +34,7 @@
 }
 
 func newTestFleet(zones, perZone, large int) *testFleet {
-	f := &testFleet{ctx: context.Background(), net: meshtest.New(), now: time.Unix(1_000_000, 0)}
+	f := &testFleet{ctx: context.Background(), net: meshtest.New(), store: memkv.New(), software: []string{"v1", "v2"}, now: time.Unix(1_000_000, 0)}
 	for i := range zones * perZone {
 		f.peers = append(f.peers, mesh.Peer{ID: fmt.Sprintf("i-%d", i), Zone: string(rune('a' + i/perZone)), Addr: fmt.Sprintf("i-%d:1", i)})
 	}
@@ -47,9 +51,11 @@
 // restart replaces an instance by a new process, which knows no streams.
 func (f *testFleet) restart(i int) {
 	x := newTestTracker()
-	x.list("e-1", "v1")
-	x.list("e-2", "v2")
-	f.nodes[i] = &testNode{testTracker: x, Replicator: NewReplicator(x.Tracker, f.fleet[i].Dir, f.fleet[i].Router, zerolog.Nop())}
+	for n, software := range f.software {
+		x.list(fmt.Sprintf("e-%d", n+1), software)
+	}
+	archive := NewArchive(f.store, "fleet/", f.peers[i].ID, func() time.Time { return f.now })
+	f.nodes[i] = &testNode{testTracker: x, Replicator: NewReplicator(x.Tracker, f.fleet[i].Dir, archive, f.fleet[i].Router, zerolog.Nop())}
 }
 
 // begin begins a stream at an instance and sends its origin.
@@ -65,6 +71,24 @@
 	return f.nodes[i].Resolve(f.ctx, service, "north", request)
 }
 
+// save makes an instance write to the store what it has to.
+func (f *testFleet) save(i int) {
+	x := f.nodes[i]
+	x.now = x.now.Add(minStoreInterval)
+	x.contact = x.now
+	x.saveHistory(f.ctx)
+	x.saveOrigins(f.ctx)
+}
+
+// watch passes all values of the store to an instance.
+func (f *testFleet) watch(i int) {
+	entries, _, err := f.store.ReadAll(f.ctx, "fleet/")
+	So(err, ShouldBeNil)
+	for _, e := range entries {
+		f.nodes[i].Observe(e)
+	}
+}
+
 // resolvedShare is the share of streams that all other instances resolve.
 func (f *testFleet) resolvedShare(from, streams int, except func(i int) bool) float64 {
 	known, all := 0, 0
@@ -160,9 +184,9 @@
 		So(f.resolvedShare(0, testStreams, func(i int) bool { return i == 1 || i == 2 }), ShouldEqual, 1)
 	})
 
-	Convey("An origin that nobody receives is given up, and costs nothing further", t, func() {
+	Convey("An origin that no instance receives is written to the store, and costs nothing further", t, func() {
 		f := newTestFleet(3, 2, 17)
-		f.net.SetCut(func(from, _ mesh.Peer) bool { return from.ID == "i-0" })
+		f.net.SetCut(func(from, to mesh.Peer) bool { return from.ID == "i-0" || to.ID == "i-0" })
 		f.begin(0, "r-1", "v1")
 		for range 2 * maxSends {
 			f.nodes[0].sendOrigins(f.ctx)
@@ -170,6 +194,13 @@
 		calls := f.net.Calls(KindOrigins)
 		f.nodes[0].sendOrigins(f.ctx)
 		So(f.net.Calls(KindOrigins), ShouldEqual, calls)
+		f.save(0)
+		So(f.resolve(2, "r-1").Source, ShouldEqual, SourceStore)
+		f.watch(3)
+		So(f.resolve(3, "r-1"), ShouldResemble, Resolution{Service: service, Software: "v1", Source: SourceLocal, Age: minStoreInterval})
+		revision := f.store.Number()
+		f.save(0)
+		So(f.store.Number(), ShouldEqual, revision)
 	})
 }
 
@@ -209,3 +240,84 @@
 		})
 	})
 }
+
+func TestHistoryOutlivesAllInstances(t *testing.T) {
+	Convey("After a restart of all instances, the history of versions is read from the store", t, func() {
+		f := newTestFleet(3, 2, 17)
+		f.software = []string{"v1"}
+		for i := range f.nodes {
+			f.restart(i)
+			f.nodes[i].pass(time.Second, true)
+		}
+		for i := range f.nodes {
+			f.save(i)
+		}
+		restartAll := func() {
+			f.software = []string{"v1"}
+			for i := range f.nodes {
+				f.restart(i)
+				f.nodes[i].pass(time.Second, true)
+			}
+		}
+
+		Convey("so that a stream of the sole version is known", func() {
+			restartAll()
+			So(f.resolve(3, "r-1").Software, ShouldBeEmpty)
+			for range maxPeerAsks + 1 {
+				f.nodes[3].adoptHistory(f.ctx)
+			}
+			So(f.nodes[3].ObservedForLifetime(), ShouldBeTrue)
+			So(f.resolve(3, "r-1"), ShouldResemble, Resolution{Software: "v1", Source: SourceSole})
+		})
+
+		Convey("and has versions that have gone meanwhile", func() {
+			for i, x := range f.nodes {
+				x.list("e-2", "v2")
+				f.save(i)
+			}
+			restartAll()
+			for range maxPeerAsks + 1 {
+				f.nodes[3].adoptHistory(f.ctx)
+			}
+			So(f.resolve(3, "r-1").Software, ShouldBeEmpty)
+			Convey("until no stream of theirs may last any more", func() {
+				f.now = f.now.Add(time.Second)
+				for i := range f.nodes {
+					f.save(i)
+					f.watch(i)
+				}
+				f.nodes[3].pass(testLifetime+time.Second, true)
+				So(f.resolve(3, "r-1").Software, ShouldEqual, "v1")
+			})
+		})
+
+		Convey("and is written only when it changes, by one instance", func() {
+			for i := range f.nodes {
+				f.watch(i)
+			}
+			revision := f.store.Number()
+			for range 20 {
+				for i := range f.nodes {
+					f.save(i)
+				}
+			}
+			So(f.store.Number(), ShouldEqual, revision)
+		})
+
+		Convey("and is written by another instance if the one that should does not", func() {
+			for _, x := range f.nodes {
+				x.list("e-3", "v3")
+			}
+			revision := f.store.Number()
+			for range 2 + int(historyTakeover/minStoreInterval) {
+				for i, x := range f.nodes {
+					if !x.dir.Owns(historyOwner, 1) {
+						f.save(i)
+						f.watch(i)
+					}
+				}
+			}
+			So(f.store.Number(), ShouldEqual, revision+1)
+		})
+	})
+}
--- a/internal/continuity/resolve.go
+++ b/internal/continuity/resolve.go
@@ -17,6 +17,7 @@
 	SourceSole     Source = "sole"      // all streams of the service began at one version, as this instance observed
 	SourcePeer     Source = "peer"      // another instance had the origin
 	SourcePeerSole Source = "peer-sole" // all streams of the service began at one version, as another instance observed
+	SourceStore    Source = "store"     // the store had the origin
 	SourceUnknown  Source = "unknown"
 )
 
@@ -35,21 +36,33 @@
 // event; empty: not stated.
 func (r *Replicator) Resolve(ctx context.Context, service, customer, request string) Resolution {
 	key := KeyOf(customer, request)
-	if o, ok := r.tracker.Origin(key); ok && request != "" {
-		return Resolution{Service: o.Service, Software: o.Software, Source: SourceLocal, Age: r.tracker.now().Sub(o.Began)}
+	if res, ok := r.known(key, SourceLocal); ok {
+		return res
 	}
 	if software, ok := r.tracker.Sole(service); ok {
 		return Resolution{Software: software, Source: SourceSole}
 	}
 	replies, asked := r.lookUp(ctx, lookupRequest{Key: key[:], Service: service})
 	res := decide(replies)
-	res.Conclusive = len(replies) == asked && !r.dir.NotifyTargetUnreachable()
-	if res.Source == SourcePeer {
+	res.Conclusive = asked > 0 && len(replies) == asked && !r.dir.NotifyTargetUnreachable()
+	switch {
+	case res.Source == SourcePeer:
 		r.tracker.Put(key, Origin{Service: res.Service, Software: res.Software, Began: r.tracker.now().Add(-res.Age)})
+	case res.Software == "" && !res.Conclusive && !r.dir.Large():
+		r.readOrigins(ctx)
+		if stored, ok := r.known(key, SourceStore); ok {
+			return stored
+		}
 	}
 	return res
 }
 
+// known returns the resolution of a stream whose origin this instance has.
+func (r *Replicator) known(key Key, source Source) (Resolution, bool) {
+	o, ok := r.tracker.Origin(key)
+	return Resolution{Service: o.Service, Software: o.Software, Source: source, Age: r.tracker.now().Sub(o.Began)}, ok
+}
+
 // decide combines the replies of other instances. An origin is certain. Otherwise a service's only version is, as long as no
 // two instances name different ones.
 func decide(replies []lookupReply) Resolution {
--- a/internal/continuity/tracker.go
+++ b/internal/continuity/tracker.go
@@ -207,16 +207,16 @@
 	return versions[0], true
 }
 
-// Observe detects gaps in the observation of the endpoints. It has to be called more often than once in maxContactAge.
-// After a gap, versions may have come and gone unseen.
-func (t *Tracker) Observe() {
+// Observe detects gaps in the observation of the endpoints, and reports whether there was one. It has to be called more often
+// than once in maxContactAge. After a gap, versions may have come and gone unseen.
+func (t *Tracker) Observe() (gap bool) {
 	contact, now := t.lastContact(), t.now()
 	if contact.IsZero() {
-		return
+		return false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	gap := contact.Sub(t.contact) > maxContactAge || now.Sub(contact) > maxContactAge
+	gap = contact.Sub(t.contact) > maxContactAge || now.Sub(contact) > maxContactAge
 	if t.contact.IsZero() {
 		gap = !t.firstStart
 	}
@@ -224,6 +224,7 @@
 		t.observedSince = now
 	}
 	t.contact = contact
+	return gap
 }
 
 // ObservedForLifetime reports whether the endpoints have been observed for as long as a stream may last.
--- a/internal/continuity/tracker_test.go
+++ b/internal/continuity/tracker_test.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/ledgemount/ledgemount/internal/external"
 	"github.com/ledgemount/ledgemount/internal/external/memkv"
 	"github.com/ledgemount/ledgemount/internal/mesh"
 	"github.com/ledgemount/ledgemount/internal/peers"
@@ -245,7 +246,12 @@
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		x := newTestTracker()
 		router := mesh.NewRouter()
-		NewReplicator(x.Tracker, peers.New(memkv.New(), "p/", peers.Record{}, router), router, zerolog.Nop())
+		store := memkv.New()
+		archive := NewArchive(store, "p/", "i-0", time.Now)
+		r := NewReplicator(x.Tracker, peers.New(store, "p/", peers.Record{}, router), archive, router, zerolog.Nop())
+		for _, key := range []string{"p/" + historyKey, "p/" + originsPrefix + "i-1"} {
+			r.Observe(external.Entry{Key: key, Data: raw})
+		}
 		for _, kind := range []mesh.Kind{KindOrigins, KindLookup, KindHistory} {
 			_, _ = router.Dispatch(t.Context(), mesh.Peer{ID: "i-1"}, kind, raw)
 		}
--- a/internal/external/meter.go
+++ b/internal/external/meter.go
@@ -24,6 +24,7 @@
 	DutyMembers Duty = "members" // the instances' records
 	// DutyQuarantine concerns quarantined requests.
 	DutyQuarantine Duty = "quarantine"
+	DutyStreams    Duty = "streams" // software versions at which streams began
 	DutyOther      Duty = "other"
 )
 
--- a/internal/router/quarantine.go
+++ b/internal/router/quarantine.go
@@ -5,11 +5,12 @@
 	"github.com/ledgemount/ledgemount/internal/quarantine"
 )
 
-// observeEntry passes a store entry that the fleet has written to the escrow and the replicator, each of which ignores
-// the entries of the other.
+// observeEntry passes a store entry that the fleet has written to those that may have written it, each of which ignores the
+// entries of the others.
 func (r *Router) observeEntry(e external.Entry) {
 	r.escrow.Observe(e)
 	r.replicator.Observe(e)
+	r.streams.Observe(e)
 }
 
 // ownsProbe reports whether this instance is the one that may run a request again as a probe when its quarantine has
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -112,7 +112,7 @@
 	r.newFollower(platform, meshRouter)
 	r.newSharing(platform, meshRouter)
 	r.newReach(meshRouter)
-	r.newStreams(meshRouter)
+	r.newStreams(platform, meshRouter)
 	r.newCore(platform)
 	r.resumeGuard = resumeGuard{clock: r.bootClock, lastContact: r.follow.LastContact}
 	r.bootClock.OnResume(r.onResume)
@@ -180,7 +180,7 @@
 }
 
 // newStreams creates the component that records at which software versions streams began.
-func (r *Router) newStreams(meshRouter *mesh.Router) {
+func (r *Router) newStreams(platform Platform, meshRouter *mesh.Router) {
 	r.streamLifetime.Store(int64(continuity.LifetimeFor(nil)))
 	opts := []continuity.Option{
 		continuity.WithNow(r.bootClock.Now), continuity.WithLastContact(r.follow.LastContact),
@@ -189,7 +189,8 @@
 	if r.settings.Instance.FirstStart {
 		opts = append(opts, continuity.WithFirstStart())
 	}
-	r.streams = continuity.NewReplicator(continuity.New(r.pool, opts...), r.peers, meshRouter, r.log)
+	archive := continuity.NewArchive(platform.Store, r.settings.Store.Prefix, r.settings.Instance.ID, time.Now)
+	r.streams = continuity.NewReplicator(continuity.New(r.pool, opts...), r.peers, archive, meshRouter, r.log)
 }
 
 // newCore creates the component that serves requests.
