perf: an instance of a large fleet needs links to a twentieth of its zone for the origins of streams; fewer reads at a start

Cause: the holders of origins were as few as the holders of token pools: 640 streams a second at 300 instances would have given each of them some 320 messages a second while two versions serve. An instance without others read the history of versions eight times.

Change: one holder for each twenty instances of a zone, two at least; the history is read from the store once after a gap.

By the formula 43 origins a second at each of 15 holders, in three messages each.

--- a/internal/continuity/replicator.go
+++ b/internal/continuity/replicator.go
@@ -290,16 +290,19 @@
 	if r.asks >= maxHistoryAsks || r.tracker.ObservedForLifetime() {
 		return
 	}
-	candidates, _ := r.dir.CopyCandidates(r.Name())
-	if len(candidates) == 0 || r.asks == maxPeerAsks {
-		r.asks++
+	n := r.asks
+	r.asks++
+	if n == maxPeerAsks {
 		r.loadHistory(ctx)
 		return
 	}
+	candidates, _ := r.dir.CopyCandidates(r.Name())
+	if len(candidates) == 0 {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	p := candidates[r.asks%len(candidates)]
-	r.asks++
+	p := candidates[n%len(candidates)]
 	reply, err := peers.Call[mesh.Empty, historyReply](ctx, r.dir, p, KindHistory, mesh.Empty{})
 	if err != nil {
 		r.log.Debug().Str("event", "software_history_unread").Str("peer", p.ID).Err(err).Msg("could not receive the history of software versions")
--- a/internal/peers/copies.go
+++ b/internal/peers/copies.go
@@ -13,10 +13,15 @@
 // these only.
 
 const (
-	copyCandidates = 2 // instances of a zone that are asked for a copy
-	copyZones      = 3 // other zones whose instances are asked for a copy
+	minCopyHolders         = 2  // in each zone of a large fleet, the minimum number of instances that hold copies
+	instancesPerCopyHolder = 20 // one more for each so many instances of a zone
+	copyCandidates         = 2  // instances of a zone that are asked for a copy
+	copyZones              = 3  // other zones whose instances are asked for a copy
 )
 
+// copyHolderCount returns the number of instances that hold copies in a zone of n instances of a large fleet.
+func copyHolderCount(n int) int { return max(minCopyHolders, n/instancesPerCopyHolder) }
+
 // ZoneCopyHolder returns the instance of the own zone that holds copies for a key, other than this one.
 func (d *Directory) ZoneCopyHolder(key string) (mesh.Peer, bool) {
 	d.mu.Lock()
@@ -52,7 +57,7 @@
 func (d *Directory) DelegatesCopies() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.isLarge() && d.rank >= poolHolders(len(d.zones[d.self.Peer.Zone]))
+	return d.isLarge() && d.rank >= copyHolderCount(len(d.zones[d.self.Peer.Zone]))
 }
 
 // CopyCandidates returns the instances that may hold a copy for a key: near ones, and those to ask if none of these has it.
@@ -82,7 +87,7 @@
 func (d *Directory) copyHolders(zone, key string, limit int) []mesh.Peer {
 	list := d.zones[zone]
 	if d.isLarge() {
-		list = list[:min(len(list), poolHolders(len(list)))]
+		list = list[:min(len(list), copyHolderCount(len(list)))]
 	}
 	holders := make([]mesh.Peer, 0, len(list))
 	for _, r := range list {
