fix: an instance asks others for the origin of a stream also where it has seen one version only

Cause: an instance whose list of endpoints is up to two seconds old took the only version that it knew for that of a stream which a newer endpoint had begun, through an instance that knew it.

Change: other instances are asked for each stream that a caller takes up again; what this instance has observed counts like their replies, and only if none of them has the origin and none names another version.

--- a/internal/continuity/resolve.go
+++ b/internal/continuity/resolve.go
@@ -13,12 +13,11 @@
 
 // Sources.
 const (
-	SourceLocal    Source = "local"     // this instance forwarded the first event, or has received the origin
-	SourceSole     Source = "sole"      // all streams of the service began at one version, as this instance observed
-	SourcePeer     Source = "peer"      // another instance had the origin
-	SourcePeerSole Source = "peer-sole" // all streams of the service began at one version, as another instance observed
-	SourceStore    Source = "store"     // the store had the origin
-	SourceUnknown  Source = "unknown"
+	SourceLocal   Source = "local" // this instance forwarded the first event, or has received the origin
+	SourcePeer    Source = "peer"  // another instance had the origin
+	SourceSole    Source = "sole"  // all streams of the service began at one version
+	SourceStore   Source = "store" // the store had the origin
+	SourceUnknown Source = "unknown"
 )
 
 // Resolution is the software version at which an interrupted stream has to continue.
@@ -39,32 +38,44 @@
 	if res, ok := r.known(key, SourceLocal); ok {
 		return res
 	}
-	if software, ok := r.tracker.Sole(service); ok {
-		return Resolution{Software: software, Source: SourceSole}
-	}
 	replies, asked := r.lookUp(ctx, lookupRequest{Key: key[:], Service: service})
-	res := decide(replies)
-	res.Conclusive = asked > 0 && len(replies) == asked && !r.dir.NotifyTargetUnreachable()
-	switch {
-	case res.Source == SourcePeer:
+	own, _ := r.tracker.Sole(service)
+	res := decide(append(replies, lookupReply{Sole: own}))
+	switch res.Source {
+	case SourcePeer:
 		r.tracker.Put(key, Origin{Service: res.Service, Software: res.Software, Began: r.tracker.now().Add(-res.Age)})
-	case res.Software == "" && !res.Conclusive && !r.dir.Large():
-		r.readOrigins(ctx)
-		if stored, ok := r.known(key, SourceStore); ok {
-			return stored
+	case SourceUnknown:
+		if asked > 0 && len(replies) == asked && !r.dir.NotifyTargetUnreachable() {
+			res.Conclusive = true
+			return res
 		}
+		return r.resolveByStore(ctx, key, res)
+	case SourceSole, SourceLocal, SourceStore:
 	}
 	return res
 }
 
+// resolveByStore looks for an origin in the store, which has those that could not be sent to other instances. Those of a large
+// fleet are too many to be read for one request.
+func (r *Replicator) resolveByStore(ctx context.Context, key Key, unknown Resolution) Resolution {
+	if r.dir.Large() {
+		return unknown
+	}
+	r.readOrigins(ctx)
+	if res, ok := r.known(key, SourceStore); ok {
+		return res
+	}
+	return unknown
+}
+
 // known returns the resolution of a stream whose origin this instance has.
 func (r *Replicator) known(key Key, source Source) (Resolution, bool) {
 	o, ok := r.tracker.Origin(key)
 	return Resolution{Service: o.Service, Software: o.Software, Source: source, Age: r.tracker.now().Sub(o.Began)}, ok
 }
 
-// decide combines the replies of other instances. An origin is certain. Otherwise a service's only version is, as long as no
-// two instances name different ones.
+// decide combines the replies of instances, this one included. An origin is certain. Otherwise a service's only version counts,
+// unless two instances name different ones: one of them does not know the newest version yet.
 func decide(replies []lookupReply) Resolution {
 	for _, reply := range replies {
 		if reply.Software != "" {
@@ -84,7 +95,7 @@
 		}
 	}
 	if sole != "" {
-		return Resolution{Software: sole, Source: SourcePeerSole}
+		return Resolution{Software: sole, Source: SourceSole}
 	}
 	return Resolution{Source: SourceUnknown}
 }
