fix: a quarantined part is tried again after two minutes

Cause: where all endpoints crash for a while, as after a faulty release, the popular parts of prompts are quarantined one after the other, and callers would be refused for ten minutes, long after the release was taken back.

Change: the quarantine of a part lasts a fifth of a request's at first, and doubles with each failed try up to 64 minutes.

--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -21,6 +21,11 @@
 	// as a loss of power. Runs that overlapped count only if their crashes are that far apart.
 	separateCrash = 250 * time.Millisecond
 	overlapWeight = 1
+
+	// A part is tried again sooner than a request, since all who share it are kept from endpoints meanwhile. Where endpoints
+	// crashed for a reason of their own, such as a faulty release, sound parts are quarantined too.
+	partDurationDivisor = 5
+	maxPartDoublings    = 5
 )
 
 // Part identifies a part of prompts.
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -284,8 +284,11 @@
 	}
 }
 
-// durationOf returns how long a request is quarantined. The caller holds mu.
+// durationOf returns how long a request or a part is quarantined. The caller holds mu.
 func (t *Tracker) durationOf(r *record) time.Duration {
+	if r.part {
+		return t.duration / partDurationDivisor << min(r.probes, maxPartDoublings)
+	}
 	return t.duration << min(r.probes, maxDoublings)
 }
 
