refactor: calls to the store do not delay the origins of streams; who asks for the history, and when

Cause: one loop sent origins to other instances and made the calls to the store, each of which may take 0.9 s when the store is slow. In an outage of the store each instance asked others for a history that none of them could have; after it each of a large fleet would have read the store.

Change: two loops; the archive guards its own state; the history is asked for only with a current list of endpoints, and of the store only by holders in a large fleet; a failed write is tried again after a second.

--- a/internal/continuity/archive.go
+++ b/internal/continuity/archive.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -25,6 +26,7 @@
 	storeTimeout       = 900 * time.Millisecond
 	originsTimeout     = 250 * time.Millisecond // for reading all origins while a caller waits
 	minStoreInterval   = 250 * time.Millisecond // between two writes of one instance's origins
+	storeRetry         = time.Second            // after a write that failed
 	historyTakeover    = 2 * time.Second        // after which another instance writes the history than the chosen one
 	maxStoredOrigins   = 512
 	maxHistoryAttempts = 3 // of one write, if other instances write too
@@ -56,58 +58,94 @@
 	prefix string
 	self   string // ID of this instance
 	wall   func() time.Time
+	reads  singleflight.Group
+	wake   chan struct{}
 
-	// Used by the service's Run only.
-	pending   []Key // origins to write
-	dirty     bool  // some of them have not been written
-	writtenAt time.Time
-	outdated  time.Time // since when the stored history has been outdated; zero: it is not
+	outdatedSince time.Time // since when the stored history has been outdated; zero: it is not; used by saveHistory only
 
-	reads  singleflight.Group
-	stored storedHistory // as last read or written; guarded by the replicator's mutex
+	mu      sync.Mutex
+	pending []Key         // origins to write, oldest first
+	stored  storedHistory // as last read or written
 }
 
 // NewArchive returns an Archive that writes under a prefix of the store.
 func NewArchive(store external.KV, prefix, self string, wall func() time.Time) *Archive {
-	return &Archive{store: store, prefix: prefix, self: self, wall: wall}
+	return &Archive{store: store, prefix: prefix, self: self, wall: wall, wake: make(chan struct{}, 1)}
 }
 
-// archiveOrigins adds origins to those that are written to the store.
-func (r *Replicator) archiveOrigins(list []unsent) {
+// add adds origins to those that are written to the store.
+func (a *Archive) add(list []unsent) {
+	if len(list) == 0 {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	for _, u := range list {
-		r.archive.pending = append(r.archive.pending, u.key)
+		a.pending = append(a.pending, u.key)
 	}
-	if excess := len(r.archive.pending) - maxStoredOrigins; excess > 0 {
-		r.archive.pending = r.archive.pending[excess:]
+	a.pending = a.pending[max(0, len(a.pending)-maxStoredOrigins):]
+	select {
+	case a.wake <- struct{}{}:
+	default:
 	}
-	r.archive.dirty = r.archive.dirty || len(list) > 0
 }
 
-// saveOrigins writes the origins that no other instance has received.
-func (r *Replicator) saveOrigins(ctx context.Context) {
-	a, now := r.archive, r.tracker.now()
-	if !a.dirty || now.Sub(a.writtenAt) < minStoreInterval {
-		return
+// history returns the stored history as last read or written.
+func (a *Archive) history() storedHistory {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.stored
+}
+
+func (a *Archive) setHistory(h storedHistory) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.stored = h
+}
+
+// writeOrigins writes the origins that no other instance has received, until ctx ends.
+func (r *Replicator) writeOrigins(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.archive.wake:
+		}
+		for ctx.Err() == nil && !r.saveOrigins(ctx) {
+			pause(ctx, storeRetry)
+		}
+		pause(ctx, minStoreInterval)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
-	a.writtenAt = now
+}
+
+// saveOrigins writes the pending origins that have not expired, and reports whether the store has them.
+func (r *Replicator) saveOrigins(ctx context.Context) bool {
+	a, now := r.archive, r.tracker.now()
 	value := storedOrigins{WallMs: a.wall().UnixMilli()}
-	kept := a.pending[:0]
-	for _, key := range a.pending {
-		if o, ok := r.tracker.Origin(key); ok {
-			kept = append(kept, key)
+	a.mu.Lock()
+	a.pending = slices.DeleteFunc(a.pending, func(key Key) bool {
+		o, known := r.tracker.Origin(key)
+		if known {
 			value.Origins = append(value.Origins, encodeOrigin(key, o, now))
 		}
-	}
-	a.pending = kept
+		return !known
+	})
+	a.mu.Unlock()
 	raw, err := cbor.Marshal(value)
 	if err == nil {
 		err = a.commit(ctx, external.Commit{Put: []external.Entry{{Key: a.prefix + originsPrefix + a.self, Data: raw}}})
 	}
 	if err != nil {
 		r.log.Debug().Str("event", "origins_unsaved").Int("origins", len(value.Origins)).Err(err).Msg("could not write the software versions of streams to the store; will retry")
-		return
 	}
-	a.dirty = false
+	return err == nil
 }
 
 // commit writes to the store.
@@ -120,7 +158,7 @@
 
 // Observe handles a value of the store, if it is one of an Archive.
 func (r *Replicator) Observe(e external.Entry) {
-	if r.archive == nil || len(e.Data) == 0 {
+	if len(e.Data) == 0 {
 		return
 	}
 	switch name, ours := strings.CutPrefix(e.Key, r.archive.prefix); {
@@ -179,9 +217,7 @@
 		}
 		r.tracker.endpoints.NoteSoftware(v.Service, v.Software, lastSeen)
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.archive.stored = h
+	r.archive.setHistory(h)
 }
 
 // loadHistory reads the stored history, and takes it for an observation of the endpoints: every version at which a stream can
@@ -205,21 +241,18 @@
 // has been missing for a while.
 func (r *Replicator) saveHistory(ctx context.Context) {
 	a, now := r.archive, r.tracker.now()
-	listed, current := r.tracker.listed()
-	r.mu.Lock()
-	stored := a.stored
-	r.mu.Unlock()
-	if !current || !stored.outdated(listed) {
-		a.outdated = time.Time{}
+	listed, ok := r.tracker.listed()
+	if !ok || !a.history().outdated(listed) {
+		a.outdatedSince = time.Time{}
 		return
 	}
-	if a.outdated.IsZero() {
-		a.outdated = now
+	if a.outdatedSince.IsZero() {
+		a.outdatedSince = now
 	}
-	if !r.dir.Owns(historyOwner, 1) && now.Sub(a.outdated) < historyTakeover {
+	if !r.dir.Owns(historyOwner, 1) && now.Sub(a.outdatedSince) < historyTakeover {
 		return
 	}
-	a.outdated = now
+	a.outdatedSince = now
 	for range maxHistoryAttempts {
 		err := r.writeHistory(ctx, listed)
 		if err == nil {
@@ -244,9 +277,7 @@
 	if len(e.Data) > 0 {
 		r.observeHistory(e.Data)
 	}
-	r.mu.Lock()
-	stored := a.stored
-	r.mu.Unlock()
+	stored := a.history()
 	if !stored.outdated(listed) {
 		return nil // another instance has written it
 	}
@@ -259,9 +290,7 @@
 	if err != nil {
 		return err
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	a.stored = h
+	a.setHistory(h)
 	return nil
 }
 
--- a/internal/continuity/history.go
+++ b/internal/continuity/history.go
@@ -5,11 +5,10 @@
 // history returns the software versions that endpoints have had within the lifetime of a stream. It is empty if this instance
 // has not observed them for so long, or if its list of endpoints may not be current.
 func (t *Tracker) history() historyReply {
-	now := t.now()
-	if !t.ObservedForLifetime() || now.Sub(t.lastContact()) > maxContactAge {
+	if !t.ObservedForLifetime() || !t.current() {
 		return historyReply{}
 	}
-	out := historyReply{Observed: true}
+	now, out := t.now(), historyReply{Observed: true}
 	for _, service := range t.endpoints.Services() {
 		for _, version := range t.endpoints.SoftwareSince(service, now.Add(-t.lifetime())) {
 			out.Versions = append(out.Versions, seenVersion{Service: service, Software: version})
@@ -21,13 +20,12 @@
 	return out
 }
 
-// listed returns the versions of the endpoints that are listed. current is false if the list may be outdated or incomplete.
-func (t *Tracker) listed() (list []seenVersion, current bool) {
-	now := t.now()
-	if now.Sub(t.lastContact()) > maxContactAge {
+// listed returns the versions of the endpoints that are listed. It returns false if the list may be outdated or incomplete.
+func (t *Tracker) listed() (list []seenVersion, ok bool) {
+	if !t.current() {
 		return nil, false
 	}
-	future := now.Add(maxLifetime) // versions without endpoints were last seen before
+	future := t.now().Add(maxLifetime) // versions without endpoints were last seen before
 	for _, service := range t.endpoints.Services() {
 		for _, version := range t.endpoints.SoftwareSince(service, future) {
 			list = append(list, seenVersion{Service: service, Software: version})
--- a/internal/continuity/replicator.go
+++ b/internal/continuity/replicator.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/ledgemount/ledgemount/internal/kernel"
 	"github.com/ledgemount/ledgemount/internal/mesh"
 	"github.com/ledgemount/ledgemount/internal/peers"
 )
@@ -94,9 +95,7 @@
 	log     zerolog.Logger
 	archive *Archive
 	wake    chan struct{}
-	asks    int // attempts to receive the history since the last gap in the observation; used by Run only
-
-	mu sync.Mutex // guards the stored history of the archive
+	asks    int // attempts to receive the history since the last gap in the observation; used by followHistory only
 }
 
 // NewReplicator returns a Replicator, and registers its message handlers.
@@ -111,29 +110,38 @@
 // Name implements kernel.Service.
 func (*Replicator) Name() string { return "continuity" }
 
-// Run implements kernel.Service.
+// Run implements kernel.Service. Calls to the store, which may take long, do not delay messages to other instances.
 func (r *Replicator) Run(ctx context.Context) error {
+	var g sync.WaitGroup
+	g.Go(func() { kernel.Every(ctx, pollInterval, r.followHistory) })
+	g.Go(func() { r.writeOrigins(ctx) })
+	r.replicate(ctx)
+	g.Wait()
+	return nil
+}
+
+// replicate sends the origins of this instance's streams to others until ctx ends.
+func (r *Replicator) replicate(ctx context.Context) {
 	poll := time.NewTicker(pollInterval)
 	defer poll.Stop()
-	for {
+	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
-			return nil
 		case <-r.wake:
 		case <-poll.C:
-			if r.tracker.Observe() {
-				r.asks = 0
-			}
-			r.adoptHistory(ctx)
-			r.saveHistory(ctx)
 		}
 		r.sendOrigins(ctx)
-		r.saveOrigins(ctx)
-		select {
-		case <-ctx.Done():
-		case <-time.After(batchPause):
-		}
+		pause(ctx, batchPause)
+	}
+}
+
+// followHistory keeps the observation of the endpoints, and the history in the store, up to date.
+func (r *Replicator) followHistory(ctx context.Context) {
+	if r.tracker.Observe() {
+		r.asks = 0
 	}
+	r.adoptHistory(ctx)
+	r.saveHistory(ctx)
 }
 
 // Begin records the software version at which a stream began.
@@ -207,7 +215,7 @@
 		})
 	}
 	g.Wait()
-	r.archiveOrigins(append(unreachable, r.retryLater(failed)...))
+	r.archive.add(append(unreachable, r.retryLater(failed)...))
 }
 
 // send sends origins to an instance, and returns those that it may not have received.
@@ -287,12 +295,12 @@
 // adoptHistory receives the software versions that another instance has observed. Without them, an instance that has just
 // started would not know for the lifetime of a stream whether there were others.
 func (r *Replicator) adoptHistory(ctx context.Context) {
-	if r.asks >= maxHistoryAsks || r.tracker.ObservedForLifetime() {
+	if r.asks >= maxHistoryAsks || r.tracker.ObservedForLifetime() || !r.tracker.current() {
 		return
 	}
 	n := r.asks
 	r.asks++
-	if n == maxPeerAsks {
+	if n == maxPeerAsks && !r.dir.DelegatesCopies() {
 		r.loadHistory(ctx)
 		return
 	}
--- a/internal/continuity/replicator_test.go
+++ b/internal/continuity/replicator_test.go
@@ -77,7 +77,11 @@
 	x.now = x.now.Add(minStoreInterval)
 	x.contact = x.now
 	x.saveHistory(f.ctx)
-	x.saveOrigins(f.ctx)
+	select {
+	case <-x.archive.wake:
+		x.saveOrigins(f.ctx)
+	default:
+	}
 }
 
 // watch passes all values of the store to an instance.
--- a/internal/continuity/tracker.go
+++ b/internal/continuity/tracker.go
@@ -186,21 +186,16 @@
 	t.order = append(t.order, key)
 }
 
+// current reports whether the list of endpoints is up to date.
+func (t *Tracker) current() bool { return t.now().Sub(t.lastContact()) <= maxContactAge }
+
 // Sole returns the software version at which all streams of a service began that may still be taken up again. ok is false if
 // there may be several, or if this instance has not observed the endpoints for long enough.
 func (t *Tracker) Sole(service string) (software string, ok bool) {
-	now := t.now()
-	if now.Sub(t.lastContact()) > maxContactAge {
-		return "", false
-	}
-	since := now.Add(-t.lifetime())
-	t.mu.Lock()
-	observed := !t.observedSince.After(since)
-	t.mu.Unlock()
-	if !observed {
+	if !t.current() || !t.ObservedForLifetime() {
 		return "", false
 	}
-	versions := t.endpoints.SoftwareSince(service, since)
+	versions := t.endpoints.SoftwareSince(service, t.now().Add(-t.lifetime()))
 	if len(versions) != 1 || versions[0] == "" {
 		return "", false
 	}
