refactor: plainer names in the relay; parts of a prompt follow the service of a stream

Cause: a stream that goes on at the service that began it kept the parts of its prompt under the service that its route had chosen now; two things in one file were called suspects.

Change: parts are computed again after the service has changed; names.

Measured: tests of relay and router green.

--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -47,10 +47,10 @@
 		}
 		lease := j.pick()
 		if lease == nil {
-			j.noteResumption(ResumedNowhere)
+			j.noteResumption(ResumptionNoEndpoint)
 			return j.giveUp(ctx, failure, resultUnsent)
 		}
-		j.noteResumption(ResumedSame)
+		j.noteResumption(ResumptionSame)
 		res, response := j.try(ctx, lease)
 		switch res {
 		case resultDone:
@@ -145,7 +145,7 @@
 		return false
 	}
 	if !j.mayResume() {
-		j.noteResumption(ResumptionBlind)
+		j.noteResumption(ResumptionUnknown)
 		return false
 	}
 	switch res {
--- a/internal/relay/exits.go
+++ b/internal/relay/exits.go
@@ -89,7 +89,7 @@
 // checkQuarantine rejects a request if several endpoints have exited while they ran it, or others with a part of its prompt. It
 // does so before tokens are reserved for the request. Each further run might interrupt all other requests at its endpoint.
 func (j *job) checkQuarantine() error {
-	for _, s := range j.suspects() {
+	for _, s := range j.quarantineSubjects() {
 		if !j.core.suspects.Suspected(s.digest) {
 			continue
 		}
@@ -108,8 +108,8 @@
 	return nil
 }
 
-// suspect is the request, or a part of its prompt, that may be in quarantine.
-type suspect struct {
+// quarantineSubject is the request, or a part of its prompt, that may be in quarantine.
+type quarantineSubject struct {
 	digest        quarantine.Digest
 	waitDetail    string
 	refusedDetail string
@@ -122,15 +122,15 @@
 	partWaits      = "endpoints have ended that ran requests with a part of this prompt, and another run of one is under way"
 )
 
-// suspects returns the request and the parts of its prompt, unless nothing similar is under suspicion.
-func (j *job) suspects() []suspect {
-	var out []suspect
+// quarantineSubjects returns the request and the parts of its prompt, unless nothing similar is under suspicion.
+func (j *job) quarantineSubjects() []quarantineSubject {
+	var out []quarantineSubject
 	if j.core.suspects.Suspects(j.outcome.Customer) {
-		out = append(out, suspect{digest: j.digest(), waitDetail: requestWaits, refusedDetail: requestRefused})
+		out = append(out, quarantineSubject{digest: j.digest(), waitDetail: requestWaits, refusedDetail: requestRefused})
 	}
 	if j.partsSuspected() {
 		for _, p := range j.sharedParts() {
-			out = append(out, suspect{digest: p.Digest, waitDetail: partWaits, refusedDetail: partRefused})
+			out = append(out, quarantineSubject{digest: p.Digest, waitDetail: partWaits, refusedDetail: partRefused})
 		}
 	}
 	return out
@@ -166,7 +166,7 @@
 // quarantinedMeanwhile returns why a request was quarantined after it was admitted, while it waited for its budget or for a
 // second attempt. It returns an empty string if it was not.
 func (j *job) quarantinedMeanwhile() (detail string) {
-	for _, s := range j.suspects() {
+	for _, s := range j.quarantineSubjects() {
 		if j.core.suspects.Quarantined(s.digest) {
 			return s.refusedDetail
 		}
@@ -186,7 +186,7 @@
 // onlyCallerMayRetry reports whether this instance no longer retries the request, because two endpoints in a row have
 // exited while they ran it, or others with a part of its prompt.
 func (j *job) onlyCallerMayRetry() bool {
-	return slices.ContainsFunc(j.suspects(), func(s suspect) bool { return j.core.suspects.NoRetry(s.digest) })
+	return slices.ContainsFunc(j.quarantineSubjects(), func(s quarantineSubject) bool { return j.core.suspects.NoRetry(s.digest) })
 }
 
 // clearSuspicion records that the request was served completely, so that it is no longer under suspicion.
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -138,10 +138,10 @@
 
 // Resumptions.
 const (
-	NotResumed      Resumption = ""          // it was not interrupted, or must not be resumed
-	ResumedSame     Resumption = "same"      // at an endpoint of the software version that began it
-	ResumedNowhere  Resumption = "none-left" // no other endpoint of that version accepted it
-	ResumptionBlind Resumption = "unknown"   // the version that began it is not known
+	NoResumption         Resumption = ""          // it was not interrupted, or must not be resumed
+	ResumptionSame       Resumption = "same"      // at an endpoint of the software version that began it
+	ResumptionNoEndpoint Resumption = "none-left" // no other endpoint of that version accepted it
+	ResumptionUnknown    Resumption = "unknown"   // the version that began it is not known
 )
 
 // Lateness states which latency target of its route a response missed.
--- a/internal/relay/software.go
+++ b/internal/relay/software.go
@@ -54,7 +54,7 @@
 	}
 	if table := j.core.Table(); j.route.Allows(name) && table != nil {
 		if service, ok := table.Service(name); ok {
-			j.service, j.outcome.Service = service, name
+			j.service, j.outcome.Service, j.cachedParts = service, name, nil
 			return nil
 		}
 	}
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -86,7 +86,7 @@
 	if o.Origin.Source != "" {
 		m.countResumption("caller", string(o.Origin.Source))
 	}
-	if o.Resumed != relay.NotResumed {
+	if o.Resumed != relay.NoResumption {
 		m.countResumption("instance", string(o.Resumed))
 	}
 	for _, attempt := range o.Endpoints {
@@ -131,7 +131,7 @@
 		e = e.Str("last_event", o.Request.LastEventID).Str("resumes", o.Request.Resumes).
 			Str("origin", o.Origin.Software).Str("origin_source", string(o.Origin.Source)).Int64("origin_age_ms", o.Origin.Age.Milliseconds())
 	}
-	if o.Resumed != relay.NotResumed {
+	if o.Resumed != relay.NoResumption {
 		e = e.Str("resumed", string(o.Resumed))
 	}
 	if o.Late != relay.NotLate {
