--- a/internal/peers/copies.go
+++ b/internal/peers/copies.go
@@ -15,7 +15,7 @@
 const (
 	minCopyHolders         = 2  // in each zone of a large fleet, the minimum number of instances that hold copies
 	instancesPerCopyHolder = 20 // one more for each so many instances of a zone
-	copyCandidates         = 2  // instances of a zone that are asked for a copy
+	copyCandidates         = 2  // instances of a zone that are queried for a copy
 	copyZones              = 3  // other zones whose instances are asked for a copy
 )
 
@@ -60,7 +60,7 @@
 	return d.isLarge() && d.rank >= copyHolderCount(len(d.zones[d.self.Peer.Zone]))
 }
 
-// CopyCandidates returns the instances that may hold a copy for a key: near ones, and those to ask if none of these has it.
+// CopyCandidates returns the instances that may hold a copy for a key: near ones, and those to query if none of these has it.
 // In a small fleet the near ones are all others, because instances that know different others choose different holders.
 func (d *Directory) CopyCandidates(key string) (near, far []mesh.Peer) {
 	d.mu.Lock()
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -76,12 +76,14 @@
 	}
 	now := t.now()
 	t.mu.Lock()
-	added := false
+	added, enough := false, false
 	for _, i := range t.suspectParts(parts, c) {
-		added = t.addPartCrash(PartScope(service), parts[i], i, c, now) || added
+		if t.addPartCrash(PartScope(service), parts[i], i, c, now) {
+			added, enough = true, enough || t.records[parts[i].Digest].enoughEvidence()
+		}
 	}
 	var changes []*Change
-	if added {
+	if enough {
 		changes = t.evaluateParts(now, true)
 	}
 	t.mu.Unlock()
@@ -144,25 +146,30 @@
 // others. The caller holds mu.
 func (t *Tracker) evaluateParts(now time.Time, local bool) (changes []*Change) {
 	for {
-		var worst *record
+		var best *record
 		for _, r := range t.records {
-			if r.part && r.quarantinedAt.IsZero() && r.weight() >= partQuarantineWeight && (worst == nil || worst.lessSuspect(r)) {
-				worst = r
+			if r.enoughEvidence() && (best == nil || best.explainsLess(r)) {
+				best = r
 			}
 		}
-		if worst == nil {
+		if best == nil {
 			return changes
 		}
-		worst.quarantinedAt = now
-		t.markChanged(worst, now)
-		changes = append(changes, worst.change(true, local))
-		t.acquit(worst)
+		best.quarantinedAt = now
+		t.markChanged(best, now)
+		changes = append(changes, best.change(true, local))
+		t.dropExplained(best)
 	}
 }
 
-// lessSuspect reports whether another part explains more crashes than this one. Of two parts that always occur together, the
+// enoughEvidence reports whether a part that is not quarantined has crashes of enough weight for that.
+func (r *record) enoughEvidence() bool {
+	return r.part && r.quarantinedAt.IsZero() && r.weight() >= partQuarantineWeight
+}
+
+// explainsLess reports whether another part explains more crashes than this one. Of two parts that always occur together, the
 // later one in the prompt is shared by fewer requests.
-func (r *record) lessSuspect(other *record) bool {
+func (r *record) explainsLess(other *record) bool {
 	return cmp.Or(
 		cmp.Compare(r.weight(), other.weight()),
 		cmp.Compare(len(r.crashes), len(other.crashes)),
@@ -171,14 +178,14 @@
 	) < 0
 }
 
-// acquit removes the crashes that a quarantined part explains from the records of other parts. The caller holds mu.
-func (t *Tracker) acquit(guilty *record) {
+// dropExplained removes the crashes that a quarantined part explains from the records of other parts. The caller holds mu.
+func (t *Tracker) dropExplained(quarantined *record) {
 	for _, r := range t.records {
-		if r == guilty || !r.part || !r.quarantinedAt.IsZero() {
+		if r == quarantined || !r.part || !r.quarantinedAt.IsZero() {
 			continue
 		}
 		before := r.suspected()
-		r.crashes = slices.DeleteFunc(r.crashes, func(c Crash) bool { return guilty.hasCrash(c, sameCrashWindow) })
+		r.crashes = slices.DeleteFunc(r.crashes, func(c Crash) bool { return quarantined.hasCrash(c, sameCrashWindow) })
 		t.countSuspects(r, before, r.suspected())
 	}
 }
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -85,7 +85,7 @@
 	if rep.Gen == r.gen {
 		changes = append(changes, t.mergeCrashes(r, rep, now.Add(-age), now, window))
 	}
-	if r.part {
+	if r.enoughEvidence() {
 		changes = append(changes, t.evaluateParts(now, true)...)
 	}
 	if r.seq != before && rep.Gen == r.gen && len(rep.Crashes) == len(r.crashes) && rep.Quarantined == !r.quarantinedAt.IsZero() {
@@ -120,7 +120,7 @@
 		return nil
 	}
 	if r.part && !wasQuarantined && !r.quarantinedAt.IsZero() {
-		t.acquit(r)
+		t.dropExplained(r)
 	}
 	t.countSuspects(r, before, true)
 	t.markChanged(r, now)
--- a/internal/relay/software.go
+++ b/internal/relay/software.go
@@ -19,7 +19,7 @@
 	Resolve(ctx context.Context, service, customer, request string) continuity.Resolution
 }
 
-// unknownStreams knows no stream.
+// unknownStreams has no origins.
 type unknownStreams struct{}
 
 func (unknownStreams) Begin(string, string, string, string) {}
