fix: members of zones with relays do not take their list of endpoints for outdated

Cause: such a member is up to 2.1 s behind the store, by design; 2 s counted as a gap, after which an instance sends the origins of all its streams although a service has one version only.

Others are asked whenever a caller takes a stream up again, so an older list does not decide alone.

Measured: tests of continuity green; not played in a large fleet.

--- a/internal/continuity/tracker.go
+++ b/internal/continuity/tracker.go
@@ -59,7 +59,7 @@
 	maxOrigins = 16384 // of some 100 bytes each
 	maxUnsent  = 4096  // origins of own streams that others have not received
 	// maxContactAge is the age from which the list of endpoints may lack a version that other instances know.
-	maxContactAge = 2 * time.Second
+	maxContactAge = 4 * time.Second
 
 	defaultLifetime = time.Minute
 )
