fix: at the first start of a large fleet, and when versions change, few instances call the store and none sends origins in vain

Change: at the first start of the fleet gaps of the first 10 s do not count; in a large fleet only holders of copies write the history, the leaders first.

Measured: TestHistoryInLargeFleet (120 instances), TestSole.

--- a/internal/continuity/archive.go
+++ b/internal/continuity/archive.go
@@ -238,8 +238,11 @@
 }
 
 // saveHistory writes the software versions to the store if they have changed. One instance does so; another one if the change
-// has been missing for a while.
+// has been missing for a while. In a large fleet only holders of copies do.
 func (r *Replicator) saveHistory(ctx context.Context) {
+	if r.dir.DelegatesCopies() {
+		return
+	}
 	a, now := r.archive, r.tracker.now()
 	listed, ok := r.tracker.listed()
 	if !ok || !a.history().outdated(listed) {
@@ -249,7 +252,7 @@
 	if a.outdatedSince.IsZero() {
 		a.outdatedSince = now
 	}
-	if !r.dir.Owns(historyOwner, 1) && now.Sub(a.outdatedSince) < historyTakeover {
+	if !r.ownsHistory() && now.Sub(a.outdatedSince) < historyTakeover {
 		return
 	}
 	a.outdatedSince = now
@@ -265,6 +268,14 @@
 	}
 }
 
+// ownsHistory reports whether this instance writes the history first. In a large fleet that is the leader of each zone.
+func (r *Replicator) ownsHistory() bool {
+	if r.dir.Large() {
+		return r.dir.Leads()
+	}
+	return r.dir.Owns(historyOwner, 1)
+}
+
 func (r *Replicator) writeHistory(ctx context.Context, listed []seenVersion) error {
 	a := r.archive
 	key := a.prefix + historyKey
--- a/internal/continuity/replicator_test.go
+++ b/internal/continuity/replicator_test.go
@@ -335,3 +335,26 @@
 		})
 	})
 }
+
+func TestHistoryInLargeFleet(t *testing.T) {
+	Convey("In a large fleet only a few instances call the store for the history of versions", t, func() {
+		f := newTestFleet(3, 40, 17)
+		f.software = []string{"v1"}
+		calls := 0
+		for i := range f.nodes {
+			f.restart(i)
+			f.nodes[i].pass(time.Second, true)
+		}
+		for range 2 + int(historyTakeover/minStoreInterval) {
+			for i, x := range f.nodes {
+				before := f.store.Calls()
+				f.save(i)
+				if f.store.Calls() > before {
+					calls++
+					So(x.dir.DelegatesCopies(), ShouldBeFalse)
+				}
+			}
+		}
+		So(calls, ShouldBeBetweenOrEqual, 1, 3*2)
+	})
+}
--- a/internal/continuity/tracker.go
+++ b/internal/continuity/tracker.go
@@ -60,6 +60,8 @@
 	maxUnsent  = 4096  // origins of own streams that others have not received
 	// maxContactAge is the age from which the list of endpoints may lack a version that other instances know.
 	maxContactAge = 4 * time.Second
+	// startGrace is how long after the first start of the fleet the list of endpoints may be incomplete: no stream begins yet.
+	startGrace = 10 * time.Second
 
 	defaultLifetime = time.Minute
 )
@@ -79,6 +81,7 @@
 	lifetime    func() time.Duration
 	lastContact func() time.Time
 	firstStart  bool
+	startedAt   time.Time
 
 	mu            sync.Mutex
 	origins       map[Key]Origin
@@ -115,8 +118,9 @@
 	if t.lastContact == nil {
 		t.lastContact = t.now
 	}
+	t.startedAt = t.now()
 	if !t.firstStart {
-		t.observedSince = t.now()
+		t.observedSince = t.startedAt
 	}
 	return t
 }
@@ -211,9 +215,12 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	gap = contact.Sub(t.contact) > maxContactAge || now.Sub(contact) > maxContactAge
-	if t.contact.IsZero() {
-		gap = !t.firstStart
+	switch {
+	case t.firstStart && now.Sub(t.startedAt) < startGrace:
+	case t.contact.IsZero():
+		gap = true
+	default:
+		gap = contact.Sub(t.contact) > maxContactAge || now.Sub(contact) > maxContactAge
 	}
 	if gap {
 		t.observedSince = now
--- a/internal/continuity/tracker_test.go
+++ b/internal/continuity/tracker_test.go
@@ -119,6 +119,16 @@
 		x.list("e-1", "v1")
 		x.pass(time.Second, true)
 		So(x.sole(), ShouldEqual, "v1")
+
+		Convey("also if the list of endpoints is late at first, but not after a gap later on", func() {
+			x.pass(maxContactAge+time.Second, false)
+			x.pass(time.Second, true)
+			So(x.sole(), ShouldEqual, "v1")
+			x.pass(startGrace, true)
+			x.pass(maxContactAge+time.Second, false)
+			x.pass(time.Second, true)
+			So(x.sole(), ShouldBeEmpty)
+		})
 	})
 
 	Convey("An instance that starts in a running fleet adopts the history of another one", t, func() {
