perf: complete streams are not sent to others, and an idle instance wakes up once a second

Two tickers woke each instance six times a second although a service had one version only.

Change: a stream that was sent completely leaves the list; the list is bounded by a map that drops what has expired; one ticker a second, which wakes the sender only if something is due.

--- a/internal/continuity/replicator.go
+++ b/internal/continuity/replicator.go
@@ -23,7 +23,7 @@
 	copies         = 2                      // instances that receive each origin
 	callTimeout    = 250 * time.Millisecond // of one message
 	batchPause     = 30 * time.Millisecond  // between messages with origins
-	pollInterval   = 500 * time.Millisecond // between checks whether origins have to be sent that were not so far
+	pollInterval   = time.Second            // between checks whether origins have to be sent that were not so far
 	maxBatch       = 512                    // origins in one message
 	maxSends       = 3                      // attempts to send an origin
 	maxHistoryAsks = 8                      // attempts to receive the history of versions
@@ -122,13 +122,11 @@
 
 // replicate sends the origins of this instance's streams to others until ctx ends.
 func (r *Replicator) replicate(ctx context.Context) {
-	poll := time.NewTicker(pollInterval)
-	defer poll.Stop()
-	for ctx.Err() == nil {
+	for {
 		select {
 		case <-ctx.Done():
+			return
 		case <-r.wake:
-		case <-poll.C:
 		}
 		r.sendOrigins(ctx)
 		pause(ctx, batchPause)
@@ -141,6 +139,9 @@
 		r.asks = 0
 	}
 	r.adoptHistory(ctx)
+	if r.tracker.due() {
+		r.wakeUp()
+	}
 	r.saveHistory(ctx)
 }
 
@@ -151,6 +152,9 @@
 	}
 }
 
+// End records that the response to a request, which may have begun a stream, was sent completely.
+func (r *Replicator) End(customer, request string) { r.tracker.End(KeyOf(customer, request)) }
+
 // wakeUp makes Run send origins soon.
 func (r *Replicator) wakeUp() {
 	select {
--- a/internal/continuity/tracker.go
+++ b/internal/continuity/tracker.go
@@ -13,6 +13,8 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -85,8 +87,8 @@
 
 	mu            sync.Mutex
 	origins       map[Key]Origin
-	order         []Key     // of the origins, oldest first
-	unsent        []unsent  // oldest first
+	order         []Key // of the origins, oldest first
+	unsent        map[Key]unsent
 	observedSince time.Time // since when the endpoints have been followed without a gap
 	contact       time.Time // as of the last call of Observe; zero: there was none yet
 }
@@ -110,7 +112,7 @@
 // New returns a Tracker.
 func New(endpoints Endpoints, opts ...Option) *Tracker {
 	t := &Tracker{
-		endpoints: endpoints, now: time.Now, lifetime: func() time.Duration { return defaultLifetime }, origins: make(map[Key]Origin),
+		endpoints: endpoints, now: time.Now, lifetime: func() time.Duration { return defaultLifetime }, origins: make(map[Key]Origin), unsent: make(map[Key]unsent),
 	}
 	for _, opt := range opts {
 		opt(t)
@@ -167,13 +169,18 @@
 	t.addUnsent(unsent{key: key, delegated: true})
 }
 
-// addUnsent appends an origin to those that others have not received, and drops the oldest if there are too many. The
-// caller holds mu.
+// addUnsent adds an origin to those that others have not received, unless there are too many. The caller holds mu.
 func (t *Tracker) addUnsent(u unsent) {
-	if len(t.unsent) == maxUnsent {
-		t.unsent = t.unsent[1:]
+	if len(t.unsent) < maxUnsent {
+		t.unsent[u.key] = u
 	}
-	t.unsent = append(t.unsent, u)
+}
+
+// End records that a stream was sent completely. Its caller hardly takes it up again, so its origin is not sent any more.
+func (t *Tracker) End(key Key) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.unsent, key)
 }
 
 // put records an origin, and removes old ones. The caller holds mu.
@@ -237,32 +244,54 @@
 	return !t.observedSince.After(since)
 }
 
+// due reports whether other instances need to receive origins that were not sent. It removes those that have expired.
+func (t *Tracker) due() bool {
+	services := make(map[string]bool)
+	expired := t.now().Add(-t.lifetime())
+	t.mu.Lock()
+	for key := range t.unsent {
+		o, known := t.origins[key]
+		if !known || o.Began.Before(expired) {
+			delete(t.unsent, key)
+			continue
+		}
+		services[o.Service] = true
+	}
+	t.mu.Unlock()
+	for service := range services {
+		if _, sole := t.Sole(service); !sole {
+			return true
+		}
+	}
+	return false
+}
+
 // takeUnsent returns the origins that other instances need to receive, and takes them off the list. Those of services with
 // a single version stay on it.
 func (t *Tracker) takeUnsent() []unsent {
 	sole := make(map[string]bool)
 	t.mu.Lock()
-	list := t.unsent
-	t.unsent = nil
+	list := slices.Collect(maps.Values(t.unsent))
 	t.mu.Unlock()
-	var out, keep []unsent
+	var out, done []unsent
 	for _, u := range list {
 		o, known := t.Origin(u.key)
 		if !known {
+			done = append(done, u)
 			continue
 		}
 		if _, checked := sole[o.Service]; !checked {
 			_, sole[o.Service] = t.Sole(o.Service)
 		}
-		if sole[o.Service] && !u.delegated {
-			keep = append(keep, u)
-			continue
+		if !sole[o.Service] || u.delegated {
+			out = append(out, u)
 		}
-		out = append(out, u)
 	}
 	t.mu.Lock()
-	t.unsent = append(keep, t.unsent...)
-	t.mu.Unlock()
+	defer t.mu.Unlock()
+	for _, u := range append(done, out...) {
+		delete(t.unsent, u.key)
+	}
 	return out
 }
 
@@ -270,8 +299,7 @@
 func (t *Tracker) returnUnsent(list []unsent) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.unsent = append(list, t.unsent...)
-	if excess := len(t.unsent) - maxUnsent; excess > 0 {
-		t.unsent = t.unsent[excess:]
+	for _, u := range list {
+		t.addUnsent(u)
 	}
 }
--- a/internal/continuity/tracker_test.go
+++ b/internal/continuity/tracker_test.go
@@ -200,6 +200,21 @@
 			So(len(x.takeUnsent()), ShouldEqual, 1)
 		})
 
+		Convey("does not give out the origin of a complete stream, but keeps it", func() {
+			x.Begin(service, key, "v1")
+			x.End(key)
+			x.list("e-2", "v2")
+			So(x.due(), ShouldBeFalse)
+			So(x.takeUnsent(), ShouldBeEmpty)
+			_, ok := x.Origin(key)
+			So(ok, ShouldBeTrue)
+			x.Begin(service, KeyOf("north", "r-3"), "v1")
+			So(x.due(), ShouldBeTrue)
+			x.pass(testLifetime+time.Second, true)
+			So(x.due(), ShouldBeFalse)
+			So(x.unsent, ShouldBeEmpty)
+		})
+
 		Convey("forgets the oldest if there are too many", func() {
 			for i := range maxOrigins + 100 {
 				x.Begin(service, KeyOf("north", fmt.Sprint(i)), "v1")
@@ -208,6 +223,7 @@
 			So(len(x.unsent), ShouldEqual, maxUnsent)
 			_, ok := x.Origin(KeyOf("north", "0"))
 			So(ok, ShouldBeFalse)
+			So(len(x.takeUnsent()), ShouldEqual, 0)
 			_, ok = x.Origin(KeyOf("north", fmt.Sprint(maxOrigins)))
 			So(ok, ShouldBeTrue)
 		})
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -55,6 +55,7 @@
 		switch res {
 		case resultDone:
 			j.clearSuspicion()
+			j.endStream()
 			return nil
 		case resultWithdrawn:
 			continue
--- a/internal/relay/software.go
+++ b/internal/relay/software.go
@@ -15,6 +15,8 @@
 type Streams interface {
 	// Begin records the software version of the endpoint that sent the first event of the response to a request.
 	Begin(service, customer, request, software string)
+	// End records that the response to a request was sent completely.
+	End(customer, request string)
 	// Resolve determines the version at which the stream began whose first event was in the response to a request.
 	Resolve(ctx context.Context, service, customer, request string) continuity.Resolution
 }
@@ -24,6 +26,8 @@
 
 func (unknownStreams) Begin(string, string, string, string) {}
 
+func (unknownStreams) End(string, string) {}
+
 func (unknownStreams) Resolve(context.Context, string, string, string) continuity.Resolution {
 	return continuity.Resolution{Source: continuity.SourceUnknown, Conclusive: true}
 }
@@ -72,6 +76,13 @@
 	}
 }
 
+// endStream records that a stream that began in this response is complete.
+func (j *job) endStream() {
+	if j.bound && j.route.Resumable && j.req.LastEventID == "" {
+		j.core.streams.End(j.outcome.Customer, j.req.ID)
+	}
+}
+
 // mayResume reports whether another endpoint may continue the response. A stream that began at an unknown software version
 // cannot be continued: no endpoint is known to have the same one.
 func (j *job) mayResume() bool { return !j.bound || j.software != "" }
