--- a/internal/continuity/resolve.go
+++ b/internal/continuity/resolve.go
@@ -74,8 +74,8 @@
 	return Resolution{Service: o.Service, Software: o.Software, Source: source, Age: r.tracker.now().Sub(o.Began)}, ok
 }
 
-// decide combines the replies of instances, this one included. An origin is certain. Otherwise a service's only version counts,
-// unless two instances name different ones: one of them does not know the newest version yet.
+// decide combines the replies of instances, this one included. An origin is certain. Without one, a service's only version
+// counts, unless two instances name different ones: one of them does not know the newest version yet.
 func decide(replies []lookupReply) Resolution {
 	for _, reply := range replies {
 		if reply.Software != "" {
