--- a/internal/relay/exits.go
+++ b/internal/relay/exits.go
@@ -86,8 +86,9 @@
 	return !j.wroteAt.IsZero() && now.Sub(j.wroteAt) >= quarantine.PartSurvival
 }
 
-// checkQuarantine rejects a request if several endpoints have exited while they ran it, or others with a part of its prompt. It
-// does so before tokens are reserved for the request. Each further run might interrupt all other requests at its endpoint.
+// checkQuarantine rejects a request if several endpoints have exited while they ran it, or others with a part of its
+// prompt. It does so before tokens are reserved for the request. Each further run might interrupt all other requests at
+// its endpoint.
 func (j *job) checkQuarantine() error {
 	for _, s := range j.quarantineSubjects() {
 		if !j.core.suspects.Suspected(s.digest) {
