fix: an instance that is cut off does not take the version in its old list for that of a stream

Cause: callers that come back at an instance which was cut off seconds ago could be served by an old version, although their stream had begun at a newer one elsewhere: the list counted for 4 s, also where no other instance answered.

Change: where not all others answer, and in replies to others, the only version counts if the list is at most 1 s old; else the request is refused as not run.

--- a/internal/continuity/replicator.go
+++ b/internal/continuity/replicator.go
@@ -288,7 +288,7 @@
 			return lookupReply{Service: o.Service, Software: o.Software, AgeMs: r.tracker.now().Sub(o.Began).Milliseconds()}, nil
 		}
 	}
-	reply.Sole, _ = r.tracker.Sole(req.Service)
+	reply.Sole = r.tracker.recentSole(req.Service)
 	return reply, nil
 }
 
--- a/internal/continuity/replicator_test.go
+++ b/internal/continuity/replicator_test.go
@@ -358,3 +358,24 @@
 		So(calls, ShouldBeBetweenOrEqual, 1, 3*2)
 	})
 }
+
+// An instance that was cut off took the only version in its old list for that of a stream that a newer endpoint had begun.
+func TestCutInstanceDoesNotGuess(t *testing.T) {
+	Convey("An availability zone is cut off while a second version appears elsewhere", t, func() {
+		f := newTestFleet(3, 2, 17)
+		f.software = []string{"v1"}
+		for i := range f.nodes {
+			f.restart(i)
+			f.nodes[i].pass(2*testLifetime, true)
+		}
+		f.net.SetCut(func(from, to mesh.Peer) bool { return (from.Zone == "c") != (to.Zone == "c") })
+		for _, i := range []int{4, 5} {
+			f.nodes[i].pass(2*time.Second, false)
+		}
+		f.nodes[0].list("e-2", "v2")
+		f.begin(0, "r-1", "v2")
+		So(f.nodes[4].sole(), ShouldEqual, "v1")
+		So(f.resolve(4, "r-1").Software, ShouldBeEmpty)
+		So(f.resolve(1, "r-1").Software, ShouldEqual, "v2")
+	})
+}
--- a/internal/continuity/resolve.go
+++ b/internal/continuity/resolve.go
@@ -39,13 +39,13 @@
 		return res
 	}
 	replies, asked := r.lookUp(ctx, lookupRequest{Key: key[:], Service: service})
-	own, _ := r.tracker.Sole(service)
-	res := decide(append(replies, lookupReply{Sole: own}))
+	complete := asked > 0 && len(replies) == asked && !r.dir.NotifyTargetUnreachable()
+	res := decide(append(replies, lookupReply{Sole: r.ownSole(service, complete)}))
 	switch res.Source {
 	case SourcePeer:
 		r.tracker.Put(key, Origin{Service: res.Service, Software: res.Software, Began: r.tracker.now().Add(-res.Age)})
 	case SourceUnknown:
-		if asked > 0 && len(replies) == asked && !r.dir.NotifyTargetUnreachable() {
+		if complete {
 			res.Conclusive = true
 			return res
 		}
@@ -55,6 +55,16 @@
 	return res
 }
 
+// ownSole returns the only version of a service as this instance has observed it, or an empty string. If not all others have
+// answered, this instance may be cut off, and its list must be recent.
+func (r *Replicator) ownSole(service string, complete bool) string {
+	if complete {
+		software, _ := r.tracker.Sole(service)
+		return software
+	}
+	return r.tracker.recentSole(service)
+}
+
 // resolveByStore looks for an origin in the store, which has those that could not be sent to other instances. Those of a large
 // fleet are too many to be read for one request.
 func (r *Replicator) resolveByStore(ctx context.Context, key Key, unknown Resolution) Resolution {
--- a/internal/continuity/tracker.go
+++ b/internal/continuity/tracker.go
@@ -62,6 +62,8 @@
 	maxUnsent  = 4096  // origins of own streams that others have not received
 	// maxContactAge is the age from which the list of endpoints may lack a version that other instances know.
 	maxContactAge = 4 * time.Second
+	// maxRecentAge is the age up to which a list of endpoints decides although other instances do not answer.
+	maxRecentAge = time.Second
 	// startGrace is how long after the first start of the fleet the list of endpoints may be incomplete: no stream begins yet.
 	startGrace = 10 * time.Second
 
@@ -213,6 +215,15 @@
 	return versions[0], true
 }
 
+// recentSole returns the version that Sole returns if the list of endpoints is recent, and else an empty string.
+func (t *Tracker) recentSole(service string) string {
+	if t.now().Sub(t.lastContact()) > maxRecentAge {
+		return ""
+	}
+	software, _ := t.Sole(service)
+	return software
+}
+
 // Observe detects gaps in the observation of the endpoints, and reports whether there was one. It has to be called more often
 // than once in maxContactAge. After a gap, versions may have come and gone unseen.
 func (t *Tracker) Observe() (gap bool) {
