--- a/internal/continuity/archive.go
+++ b/internal/continuity/archive.go
@@ -38,8 +38,8 @@
 	Origins []sentOrigin `cbor:"2,keyasint,omitempty"`
 }
 
-// storedHistory is the value that holds the versions of all services. It outlives all instances: streams begin only through
-// instances, so that no stream has begun at a version that none of them has seen.
+// storedHistory is the value that holds the versions of all services. It outlives all instances: streams begin only
+// through instances, so that no stream has begun at a version that none of them has seen.
 type storedHistory struct {
 	Versions []storedVersion `cbor:"1,keyasint,omitempty"`
 }
@@ -49,7 +49,7 @@
 	_        struct{} `cbor:",toarray"`
 	Service  string
 	Software string
-	GoneMs   int64 // wall clock time at which the last of them was found gone, in Unix milliseconds; 0: some are listed
+	GoneMs   int64 // when the last of them was removed, by the wall clock, in Unix milliseconds; 0: some are listed
 }
 
 // Archive keeps in the store what other instances do not receive, and what has to outlive all instances.
@@ -201,8 +201,8 @@
 	}
 }
 
-// observeHistory takes over the versions of the stored history. They do not replace an observation of the endpoints without
-// a gap: see loadHistory.
+// observeHistory takes over the versions of the stored history. They do not replace an observation of the endpoints
+// without a gap: see loadHistory.
 func (r *Replicator) observeHistory(raw []byte) {
 	var h storedHistory
 	if err := cbor.Unmarshal(raw, &h); err != nil || len(h.Versions) > maxVersions {
@@ -220,8 +220,8 @@
 	r.archive.setHistory(h)
 }
 
-// loadHistory reads the stored history, and takes it for an observation of the endpoints: every version at which a stream can
-// have begun is in it.
+// loadHistory reads the stored history, and takes it for an observation of the endpoints: every version at which a
+// stream can have begun is in it.
 func (r *Replicator) loadHistory(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(external.WithDuty(ctx, external.DutyStreams), storeTimeout)
 	defer cancel()
@@ -237,8 +237,8 @@
 	r.tracker.adopt(historyReply{Observed: true})
 }
 
-// saveHistory writes the software versions to the store if they have changed. One instance does so; another one if the change
-// has been missing for a while. In a large fleet only holders of copies do.
+// saveHistory writes the software versions to the store if they have changed. One instance does so; another one if
+// the change has been missing for a while. In a large fleet only holders of copies do.
 func (r *Replicator) saveHistory(ctx context.Context) {
 	if r.dir.DelegatesCopies() {
 		return
@@ -319,8 +319,8 @@
 	return present != len(listed)
 }
 
-// updated returns the history with the versions that are listed now. Those that have been gone for longer than any stream may
-// last are left out.
+// updated returns the history with the versions that are listed now. Those that have been gone for longer than any
+// stream may last are left out.
 func (h storedHistory) updated(listed []seenVersion, wall time.Time) storedHistory {
 	var out storedHistory
 	for _, v := range listed {
--- a/internal/continuity/history.go
+++ b/internal/continuity/history.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// history returns the software versions that endpoints have had within the lifetime of a stream. It is empty if this instance
-// has not observed them for so long, or if its list of endpoints may not be current.
+// history returns the software versions that endpoints have had within the lifetime of a stream. It is empty if this
+// instance has not observed them for so long, or if its list of endpoints may not be current.
 func (t *Tracker) history() historyReply {
 	if !t.ObservedForLifetime() || !t.current() {
 		return historyReply{}
@@ -20,7 +20,8 @@
 	return out
 }
 
-// listed returns the versions of the endpoints that are listed. It returns false if the list may be outdated or incomplete.
+// listed returns the versions of the endpoints that are listed. It returns false if the list may be outdated or
+// incomplete.
 func (t *Tracker) listed() (list []seenVersion, ok bool) {
 	if !t.current() {
 		return nil, false
--- a/internal/continuity/replicator.go
+++ b/internal/continuity/replicator.go
@@ -193,8 +193,8 @@
 	return out
 }
 
-// sendOrigins sends the origins that other instances need and have not received. Those that no other instance can receive are
-// written to the store.
+// sendOrigins sends the origins that other instances need and have not received. Those that no other instance can
+// receive are written to the store.
 func (r *Replicator) sendOrigins(ctx context.Context) {
 	batches := make(map[target][]unsent)
 	var unreachable []unsent
@@ -250,8 +250,8 @@
 	return err
 }
 
-// retryLater puts origins that were not received back on the list. The directory now avoids the instance that did not answer,
-// so they go to another one. It returns those that have been sent often enough.
+// retryLater puts origins that were not received back on the list. The directory now avoids the instance that did not
+// answer, so they go to another one. It returns those that have been sent often enough.
 func (r *Replicator) retryLater(failed []unsent) (givenUp []unsent) {
 	var again []unsent
 	for _, u := range failed {
--- a/internal/continuity/replicator_test.go
+++ b/internal/continuity/replicator_test.go
@@ -48,7 +48,7 @@
 	return f
 }
 
-// restart replaces an instance by a new process, which knows no streams.
+// restart replaces an instance by a new process without origins.
 func (f *testFleet) restart(i int) {
 	x := newTestTracker()
 	for n, software := range f.software {
@@ -71,7 +71,7 @@
 	return f.nodes[i].Resolve(f.ctx, service, "north", request)
 }
 
-// save makes an instance write to the store what it has to.
+// save makes an instance write its history and pending origins to the store.
 func (f *testFleet) save(i int) {
 	x := f.nodes[i]
 	x.now = x.now.Add(minStoreInterval)
--- a/internal/continuity/resolve.go
+++ b/internal/continuity/resolve.go
@@ -55,8 +55,8 @@
 	return res
 }
 
-// ownSole returns the only version of a service as this instance has observed it, or an empty string. If not all others have
-// answered, this instance may be cut off, and its list must be recent.
+// ownSole returns the only version of a service as this instance has observed it, or an empty string. If not all
+// others have answered, this instance may be cut off, and its list must be recent.
 func (r *Replicator) ownSole(service string, complete bool) string {
 	if complete {
 		software, _ := r.tracker.Sole(service)
@@ -65,8 +65,8 @@
 	return r.tracker.recentSole(service)
 }
 
-// resolveByStore looks for an origin in the store, which has those that could not be sent to other instances. Those of a large
-// fleet are too many to be read for one request.
+// resolveByStore looks for an origin in the store, which has those that could not be sent to other instances. Those
+// of a large fleet are too many to be read for one request.
 func (r *Replicator) resolveByStore(ctx context.Context, key Key, unknown Resolution) Resolution {
 	if r.dir.Large() {
 		return unknown
@@ -110,8 +110,8 @@
 	return Resolution{Source: SourceUnknown}
 }
 
-// lookUp asks the instances that may have the origin of a stream, and returns the replies of those that answered in time. It
-// asks those of other zones of a large fleet only if none of the own zone has the origin.
+// lookUp asks the instances that may have the origin of a stream, and returns the replies of those that answered in
+// time. It asks those of other zones of a large fleet only if none of the own zone has the origin.
 func (r *Replicator) lookUp(ctx context.Context, req lookupRequest) (replies []lookupReply, asked int) {
 	near, far := r.dir.CopyCandidates(Key(req.Key).String())
 	replies, found := r.askAll(ctx, near, req)
--- a/internal/continuity/tracker.go
+++ b/internal/continuity/tracker.go
@@ -19,8 +19,8 @@
 	"time"
 )
 
-// Key identifies a stream by its customer and the ID of the request that brought its first event. It is a part of a SHA-256
-// sum, so that no customer can choose an ID with the key of another customer's stream.
+// Key identifies a stream by its customer and the ID of the request that brought its first event. It is a part of a
+// SHA-256 sum, so that no customer can choose an ID with the key of another customer's stream.
 type Key [16]byte
 
 // KeyOf returns the key of a stream.
@@ -202,8 +202,8 @@
 // current reports whether the list of endpoints is up to date.
 func (t *Tracker) current() bool { return t.now().Sub(t.lastContact()) <= maxContactAge }
 
-// Sole returns the software version at which all streams of a service began that may still be taken up again. ok is false if
-// there may be several, or if this instance has not observed the endpoints for long enough.
+// Sole returns the software version at which all streams of a service began that may still be taken up again. ok is
+// false if there may be several, or if this instance has not observed the endpoints for long enough.
 func (t *Tracker) Sole(service string) (software string, ok bool) {
 	if !t.current() || !t.ObservedForLifetime() {
 		return "", false
@@ -224,8 +224,8 @@
 	return software
 }
 
-// Observe detects gaps in the observation of the endpoints, and reports whether there was one. It has to be called more often
-// than once in maxContactAge. After a gap, versions may have come and gone unseen.
+// Observe detects gaps in the observation of the endpoints, and reports whether there was one. It has to be called
+// more often than once in maxContactAge. After a gap, versions may have come and gone unseen.
 func (t *Tracker) Observe() (gap bool) {
 	contact, now := t.lastContact(), t.now()
 	if contact.IsZero() {
--- a/internal/peers/copies.go
+++ b/internal/peers/copies.go
@@ -16,7 +16,7 @@
 	minCopyHolders         = 2  // in each zone of a large fleet, the minimum number of instances that hold copies
 	instancesPerCopyHolder = 20 // one more for each so many instances of a zone
 	copyCandidates         = 2  // instances of a zone that are queried for a copy
-	copyZones              = 3  // other zones whose instances are asked for a copy
+	copyZones              = 3  // other zones whose instances are queried for a copy
 )
 
 // copyHolderCount returns the number of instances that hold copies in a zone of n instances of a large fleet.
@@ -60,8 +60,9 @@
 	return d.isLarge() && d.rank >= copyHolderCount(len(d.zones[d.self.Peer.Zone]))
 }
 
-// CopyCandidates returns the instances that may hold a copy for a key: near ones, and those to query if none of these has it.
-// In a small fleet the near ones are all others, because instances that know different others choose different holders.
+// CopyCandidates returns the instances that may hold a copy for a key: near ones, and those to query if none of these
+// has it. In a small fleet the near ones are all others, because instances that know different others choose
+// different holders.
 func (d *Directory) CopyCandidates(key string) (near, far []mesh.Peer) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -50,8 +50,8 @@
 // endpoints whichever customer sends it.
 func PartScope(service string) string { return "service " + service }
 
-// partWeight returns the total weight of the crashes of a part. Crashes of runs that began after the previous crash count in
-// full, those of overlapping runs less.
+// partWeight returns the total weight of the crashes of a part. Crashes of runs that began after the previous crash
+// count in full, those of overlapping runs less.
 func partWeight(crashes []Crash) int {
 	total := 0
 	var last, previous time.Time
@@ -68,8 +68,8 @@
 	return total
 }
 
-// RecordPartCrash records a crash that this instance has observed, under a request of a service. parts are those that other
-// requests may share, in the order of the prompt. The request had passed on no event, or had just begun to.
+// RecordPartCrash records a crash that this instance has observed, under a request of a service. parts are those that
+// other requests may share, in the order of the prompt. The request had passed on no event, or had just begun to.
 func (t *Tracker) RecordPartCrash(service string, parts []Part, c Crash) {
 	if len(parts) == 0 {
 		return
@@ -95,8 +95,8 @@
 	}
 }
 
-// suspectParts returns the indexes of the parts that may have caused a crash: those that are quarantined, or none if the crash
-// is explained by something else that is, and else all. The caller holds mu.
+// suspectParts returns the indexes of the parts that may have caused a crash: those that are quarantined, or none if
+// the crash is explained by something else that is, and else all. The caller holds mu.
 func (t *Tracker) suspectParts(parts []Part, c Crash) []int {
 	var quarantined []int
 	all := make([]int, 0, len(parts))
@@ -125,8 +125,8 @@
 	return false
 }
 
-// addPartCrash adds a crash to the record of a part and reports whether it is new. position is the index of the part in the
-// prompt. The caller holds mu.
+// addPartCrash adds a crash to the record of a part and reports whether it is new. position is the index of the part
+// in the prompt. The caller holds mu.
 func (t *Tracker) addPartCrash(scope string, p Part, position int, c Crash, now time.Time) bool {
 	r := t.lookupOrCreate(p.Digest, scope, now)
 	r.part, r.label, r.position = true, p.ID, max(r.position, position)
@@ -167,8 +167,8 @@
 	return r.part && r.quarantinedAt.IsZero() && r.weight() >= partQuarantineWeight
 }
 
-// explainsLess reports whether another part explains more crashes than this one. Of two parts that always occur together, the
-// later one in the prompt is shared by fewer requests.
+// explainsLess reports whether another part explains more crashes than this one. Of two parts that always occur
+// together, the later one in the prompt is shared by fewer requests.
 func (r *record) explainsLess(other *record) bool {
 	return cmp.Or(
 		cmp.Compare(r.weight(), other.weight()),
@@ -190,8 +190,9 @@
 	}
 }
 
-// RecordPartSuccess records that a run wrote on parts without a crash for PartSurvival after its first event, or to its end. A
-// part is cleared, on all instances, if the run wrote its first event after the first of the crashes began.
+// RecordPartSuccess records that a run wrote on parts without a crash for PartSurvival after its first event, or to
+// its end. A part is cleared, on all instances, if the run wrote its first event after the first of the crashes
+// began.
 func (t *Tracker) RecordPartSuccess(parts []Part, firstEvent time.Time) {
 	now := t.now()
 	cleared := false
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -189,7 +189,7 @@
 	cachedDigest  *quarantine.Digest
 	cachedParts   []quarantine.Part
 	admitted      []quarantine.Digest // the request and parts of its prompt that were admitted although they are under suspicion
-	wroteAt       time.Time           // when the attempt in progress received its first event, or a whole response; zero: not yet
+	wroteAt       time.Time           // when the attempt in progress received its first event, or a complete response; zero: not yet
 	nextPartCheck time.Time           // see notePartsWritten
 }
 
--- a/internal/relay/exits.go
+++ b/internal/relay/exits.go
@@ -66,8 +66,8 @@
 	return exited
 }
 
-// crashRecorder returns the function that records a crash under the request and, unless the attempt has shown that they are
-// sound, under the parts of its prompt.
+// crashRecorder returns the function that records a crash under the request and, unless the attempt has shown that
+// they are sound, under the parts of its prompt.
 func (j *job) crashRecorder(crash quarantine.Crash) func() {
 	digest, customer, service, tracker := j.digest(), j.outcome.Customer, j.service.Name, j.core.suspects
 	var parts []quarantine.Part
@@ -80,8 +80,8 @@
 	}
 }
 
-// partsSurvived reports whether the attempt in progress has written on the parts of its prompt for so long that none of them
-// crashes endpoints.
+// partsSurvived reports whether the attempt in progress has written on the parts of its prompt for so long that none
+// of them crashes endpoints.
 func (j *job) partsSurvived(now time.Time) bool {
 	return !j.wroteAt.IsZero() && now.Sub(j.wroteAt) >= quarantine.PartSurvival
 }
@@ -164,8 +164,8 @@
 	j.admitted = nil
 }
 
-// quarantinedMeanwhile returns why a request was quarantined after it was admitted, while it waited for its budget or for a
-// second attempt. It returns an empty string if it was not.
+// quarantinedMeanwhile returns why a request was quarantined after it was admitted, while it waited for its budget or
+// for a second attempt. It returns an empty string if it was not.
 func (j *job) quarantinedMeanwhile() (detail string) {
 	for _, s := range j.quarantineSubjects() {
 		if j.core.suspects.Quarantined(s.digest) {
@@ -203,8 +203,8 @@
 // partCheckInterval limits how often a stream clears parts that have come under suspicion.
 const partCheckInterval = 100 * time.Millisecond
 
-// notePartsWritten records that the endpoint has written an event. Once it has done so for a while, the parts of the prompt
-// are cleared.
+// notePartsWritten records that the endpoint has written an event. Once it has done so for a while, the parts of the
+// prompt are cleared.
 func (j *job) notePartsWritten(now time.Time) {
 	if j.wroteAt.IsZero() {
 		j.wroteAt = now
--- a/internal/relay/software.go
+++ b/internal/relay/software.go
@@ -33,7 +33,7 @@
 }
 
 // bindToOrigin binds a request that takes a stream up again to the software version at which the stream began. It rejects
-// the request if that version is not known: a caller can begin anew, but cannot tell that a stream continues wrongly.
+// the request if that version is not known: a caller can begin anew, but cannot detect a wrong continuation.
 func (j *job) bindToOrigin(ctx context.Context) error {
 	if j.req.LastEventID == "" || j.route.Kind != route.Streaming {
 		return nil
--- a/internal/router/quarantine.go
+++ b/internal/router/quarantine.go
@@ -5,8 +5,8 @@
 	"github.com/ledgemount/ledgemount/internal/quarantine"
 )
 
-// observeEntry passes a store entry that the fleet has written to those that may have written it, each of which ignores the
-// entries of the others.
+// observeEntry passes a store entry that the fleet has written to those that may have written it, each of which
+// ignores the entries of the others.
 func (r *Router) observeEntry(e external.Entry) {
 	r.escrow.Observe(e)
 	r.replicator.Observe(e)
@@ -17,8 +17,8 @@
 // expired.
 func (r *Router) ownsProbe(p quarantine.Digest) bool { return r.peers.Owns(p.String(), 1) }
 
-// onQuarantineChange logs that a request, or a part of prompts, enters or leaves quarantine. A decision of this instance is
-// saved to the store, so that it survives a restart of all instances.
+// onQuarantineChange logs that a request, or a part of prompts, enters or leaves quarantine. A decision of this
+// instance is saved to the store, so that it survives a restart of all instances.
 func (r *Router) onQuarantineChange(c quarantine.Change) {
 	if c.Quarantined {
 		counter := "quarantine_requests_total"
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -74,8 +74,8 @@
 	Writes  int    `json:"writes_per_second" validate:"min=0"`    // write capacity of the store for the whole fleet
 }
 
-// A page of accounts is a single store value, which one holder writes at a time. A store is sized for its fleet, so a higher
-// write capacity means more availability zones, each of which writes a page about once a second.
+// A page of accounts is a single store value, which one holder writes at a time. A store is sized for its fleet, so a
+// higher write capacity means more availability zones, each of which writes a page about once a second.
 const (
 	maxOnePageWrites = 1200 // up to this write capacity, all accounts are in one page
 	writesPerPage    = 1000
