test: review case 2, budgets charged twice at planned stops

A planned stop writes what the holder has spent; if the answer to that write is lost, the holder's refreshes join the page again meanwhile and the second attempt settles the same tokens once more. Proper requests then get 402 for good (rule DENIED).

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -51,6 +51,7 @@
 // cases are all cases, by name.
 var cases = map[string]scenario{
 	"receipts":       {receipts, []string{"highland"}, 1000 * large.used()},
+	"double-billing": {doubleBilling, []string{"highland"}, 1000 * large.used()},
 }
 
 // maxDuration limits a run.
@@ -121,7 +122,7 @@
 	storeReads      = 2000
 )
 
-var zones = []string{"buonmathuot", "pleiku", "kontum"}
+var zones = []string{"nasr-hall", "maadi-hall", "giza-hall", "shubra-hall"}
 
 // start starts the store, the engines and the fleet, and waits until all nodes are ready.
 func (t *trial) start(dir, program string) error {
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -95,10 +95,10 @@
 func (f *fleet) writeSettings(n *node, bootstrap bool) error {
 	zones := make(map[string]string)
 	for _, x := range f.nodes {
-		zones[x.zone] = "land"
+		zones[x.zone] = "greater-cairo"
 	}
 	set := map[string]any{
-		"node": n.name, "role": "router", "machineClass": "front", "serves": []string{"front"}, "ip": n.ip, "zone": n.zone, "region": "land", "zones": zones,
+		"node": n.name, "role": "router", "machineClass": "front", "serves": []string{"front"}, "ip": n.ip, "zone": n.zone, "region": "greater-cairo", "zones": zones,
 		"listen":    map[string]any{"front": n.front(), "readiness": n.readiness()},
 		"portRange": []int{7340, 7355}, "seeds": []string{}, "bootstrap": bootstrap, "inTolerance": false,
 		"limits":  map[string]any{"cpuShare": 0.4, "cpus": 1, "memoryMb": 284, "maxFds": 4200, "linkMbps": 1000.0, "diskMb": 0},
@@ -107,7 +107,7 @@
 		"faultTolerance": map[string]any{"machines": 2, "zones": 1, "regions": 0},
 		"bounds": map[string]any{
 			"seedLagS": 3, "reuseAfterS": 2, "contactMs": 3000, "ackMs": 4000, "catchUpS": 4, "drainMs": 2000, "graceS": graceS, "lossSlackMs": 200, "configMs": 2000,
-			"downgradeSlackMs": 250, "maxSkewMs": 5000, "strictRevoke": false, "revokeMs": 5000, "retryBudgetRatio": 0.2, "budgetWindowS": 10, "retryBudgetSlack": 52,
+			"downgradeSlackMs": 250, "maxSkewMs": 5000, "strictRevoke": false, "revokeMs": 5000, "retryBudgetRatio": 0.2, "budgetWindowS": 10, "retryBudgetSlack": 56,
 			"recoverS": 12, "passMs": 120, "retryAfterS": 10, "settle_ms": 1500,
 		},
 		"provider": map[string]any{"address": f.store.addr, "form": "kv", "writes_per_s": f.writes, "reads_per_s": 5 * f.writes, "historyS": 20, "value_bytes": 1048576, "ttl_min_ms": 1000},
--- a/review/standin/receipts.go
+++ b/review/standin/receipts.go
@@ -15,7 +15,7 @@
 	"time"
 )
 
-// Doses of the disruptions: those of the site file. The service has six servers, so one of them is a share of 0.17.
+// Doses of the disruptions: those of the site file. The service has eight servers, so one of them is a share of 0.125.
 const (
 	crashFor = 2 * time.Second
 	slowBy   = 5
