test: review case 3, budgets granted anew after a change of the store's rate

The number of pages of accounts follows provider.writes_per_s. When the platform raises it from 400 to 3,200, two of four tenants receive 150 in 100 of their prepaid (rule BUDGET).

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -51,6 +51,7 @@
 // cases are all cases, by name.
 var cases = map[string]scenario{
 	"receipts":       {receipts, []string{"highland"}, 1000 * large.used()},
+	"store-rate":     {storeRate, []string{"highland", "nile", "sabarmati", "kerbrat"}, 40 * large.used()},
 	"double-billing": {doubleBilling, []string{"highland"}, 1000 * large.used()},
 }
 
