--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -35,6 +36,7 @@
 	addr              string
 	stop              chan struct{}
 	slow              atomic.Int64 // times as long as usual that it works on a receipt; 0: as usual
+	failing           atomic.Int64 // requests for receipts, of a hundred, that it fails with a 500 after its work
 
 	mu      sync.Mutex
 	running int
@@ -154,7 +156,7 @@
 	e.runs = append(e.runs, x)
 	e.mu.Unlock()
 	h.Set("Server-Stamp", "stamp."+e.id+"."+id)
-	if strings.HasPrefix(r.URL.Path, "/receipt/") {
+	if strings.HasPrefix(r.URL.Path, "/receipt/") || strings.HasPrefix(r.URL.Path, "/order/") {
 		e.receipt(w, r, x)
 		return
 	}
@@ -208,10 +210,13 @@
 	return b.Bytes()
 }
 
-// receipt writes a receipt.
+// receipt writes a receipt. A failure has a body of the same kind and length.
 func (e *engine) receipt(w http.ResponseWriter, r *http.Request, x *run) {
 	w.Header().Set("Content-Type", "application/octet-stream")
 	flush := http.NewResponseController(w)
+	if int64(rand.IntN(100)) < e.failing.Load() { //nolint:gosec // a test
+		w.WriteHeader(http.StatusInternalServerError)
+	}
 	for i := range receiptPieces {
 		if r.Context().Err() != nil {
 			panic(http.ErrAbortHandler)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -63,6 +63,7 @@
 	program := flag.String("program", "target/ledgemount", "the router's program")
 	record := flag.String("record", "record.txt", "the file for the record")
 	flag.Parse()
+	signal.Ignore(syscall.SIGPIPE) // a closed output must not keep the processes from being ended
 	out, err := os.Create(*record)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -172,6 +173,9 @@
 		}, {
 			"name": "r-receipt", "host": "api.example", "pathPrefix": "/receipt/", "routeType": "safe", "timeoutMs": 2000, "targetLatencyMs": 300, "priority": 2,
 			"service": "pool", "maxAttempts": 2, "public": false,
+		}, {
+			"name": "r-order", "host": "api.example", "pathPrefix": "/order/", "routeType": "unsafe", "timeoutMs": 2000, "targetLatencyMs": 300, "priority": 2,
+			"service": "pool", "maxAttempts": 1, "public": false,
 		}},
 		"services": []map[string]any{{
 			"name": "pool", "healthPath": "/health", "maxConnections": 360, "protocol": "h1", "tls": false,
--- a/review/standin/receipts.go
+++ b/review/standin/receipts.go
@@ -20,11 +20,19 @@
 	crashFor = 2 * time.Second
 	slowBy   = 5
 	slowFor  = 6500 * time.Millisecond
+	failing  = 45 // of a hundred requests
+	greyFor  = 6500 * time.Millisecond
 )
 
-// receipts fetches receipts on a safe route while a server of the service crashes, or with VARIANT=slow is slow for a
-// while.
-// MIXED: no client gets a success with a body that is not the whole body of the engine that signed it.
+// The variants of the disruption, by the value of VARIANT. Any other value is a crash.
+const (
+	variantSlow   = "slow"   // a server is slow for a while
+	variantErrors = "errors" // a server fails a part of its requests, which go to an unsafe route here
+)
+
+// receipts fetches receipts on a safe route while a server of the service crashes, or as VARIANT says.
+// MIXED: no client gets a success with a body that is not the whole body of the engine that signed it, and no answer that
+// ends early looks complete.
 func receipts(t *trial) error {
 	var wg sync.WaitGroup
 	var got receiptTally
@@ -56,15 +64,23 @@
 
 // disturbServers plays the disruption.
 func (t *trial) disturbServers() error {
-	if os.Getenv("VARIANT") == "slow" {
+	switch e := t.engines[0]; os.Getenv("VARIANT") {
+	case variantSlow:
 		if t.trouble {
-			e := t.engines[0]
 			t.log.line("srv_slow: %s works %d times as long for %.1f s", e.id, slowBy, slowFor.Seconds())
 			e.slow.Store(slowBy)
 			defer e.slow.Store(0)
 		}
 		time.Sleep(slowFor)
 		return nil
+	case variantErrors:
+		if t.trouble {
+			t.log.line("srv_grey (errors): %s fails %d in 100 of its requests for %.1f s", e.id, failing, greyFor.Seconds())
+			e.failing.Store(failing)
+			defer e.failing.Store(0)
+		}
+		time.Sleep(greyFor)
+		return nil
 	}
 	if !t.trouble {
 		time.Sleep(crashFor)
@@ -102,6 +118,7 @@
 	sent    int
 	whole   int // successes with the whole body of one run
 	mixed   int // successes that look complete and are not
+	cut     int // failures of an engine that look complete and lack a part of its body
 	broken  int // answers that ended early, as the client can see
 	refused map[int]int
 }
@@ -109,11 +126,11 @@
 func (r *receiptTally) check(log *recorder) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	summary := fmt.Sprintf("MIXED: of %d requests %d got a whole receipt, %d a success that looks complete with a body that is not the engine's, %d an answer that ends early visibly; others by status: %v",
-		r.sent, r.whole, r.mixed, r.broken, r.refused)
+	summary := fmt.Sprintf("MIXED: of %d requests %d got a whole receipt, %d a success that looks complete with a body that is not the engine's, %d a failure that looks complete and is not, %d an answer that ends early visibly; others by status: %v",
+		r.sent, r.whole, r.mixed, r.cut, r.broken, r.refused)
 	log.line("%s", summary)
 	fmt.Println(summary)
-	if r.mixed > 0 {
+	if r.mixed+r.cut > 0 {
 		return fmt.Errorf("%w: MIXED", errBroken)
 	}
 	return nil
@@ -129,7 +146,11 @@
 	to := ready[n%len(ready)]
 	ctx, cancel := context.WithTimeout(context.Background(), receiptDeadline)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+to.front()+"/receipt/"+id, nil)
+	method, path := http.MethodGet, "/receipt/"
+	if os.Getenv("VARIANT") == variantErrors {
+		method, path = http.MethodPost, "/order/"
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+to.front()+path+id, nil)
 	if err != nil {
 		panic(err) // the address is well formed
 	}
@@ -149,6 +170,9 @@
 	r.sent++
 	what := "whole"
 	switch wrong := compareReceipt(stamp, id, body); {
+	case status >= http.StatusInternalServerError && stamp != "" && err == nil && wrong != nil:
+		r.cut++
+		what = "a failure, CUT: " + wrong.Error()
 	case status != http.StatusOK:
 		if r.refused == nil {
 			r.refused = make(map[int]int)
