--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -60,8 +60,27 @@
 const (
 	frontPort     = "8227"
 	readinessPort = "8220"
+	metricsPort   = "9464" // as the deploy file states it
+	peerPort      = "7340" // the first of portRange
 )
 
+// free reports whether nothing uses the ports of a node.
+func (n *node) free() bool {
+	for _, port := range []string{frontPort, readinessPort, metricsPort} {
+		l, err := net.Listen("tcp", net.JoinHostPort(n.ip, port))
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+	}
+	c, err := net.ListenPacket("udp", net.JoinHostPort(n.ip, peerPort))
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
+
 func (n *node) front() string     { return net.JoinHostPort(n.ip, frontPort) }
 func (n *node) readiness() string { return net.JoinHostPort(n.ip, readinessPort) }
 
@@ -79,8 +98,8 @@
 }
 
 // newFleet makes the nodes. Nothing runs yet. net3 is the first three numbers of their addresses.
-func newFleet(log *recorder, dir, program, net3 string, st *store, zones []string, perZone, writes int) *fleet {
-	f := &fleet{log: log, dir: dir, program: program, store: st, writes: writes, client: &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
+func newFleet(log *recorder, dir, program, net3 string, zones []string, perZone, writes int) *fleet {
+	f := &fleet{log: log, dir: dir, program: program, writes: writes, client: &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
 	for i := range perZone {
 		for z, zone := range zones {
 			n := &node{name: fmt.Sprintf("front-%s-%d", zone, i+1), zone: zone, ip: fmt.Sprintf("%s.%d", net3, 10*(z+1)+i), log: log, misses: maxMisses}
@@ -91,6 +110,16 @@
 	return f
 }
 
+// free reports whether nothing uses the ports of the nodes.
+func (f *fleet) free() bool {
+	for _, n := range f.nodes {
+		if !n.free() {
+			return false
+		}
+	}
+	return true
+}
+
 // writeSettings writes a node's settings file. bootstrap is set at the first start of the whole system only.
 func (f *fleet) writeSettings(n *node, bootstrap bool) error {
 	zones := make(map[string]string)
@@ -148,6 +177,7 @@
 	defer n.mu.Unlock()
 	cmd := exec.Command(f.program, "router") //nolint:gosec // the program under test
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "LEDGEMOUNT_CONFIG=" + n.settings}
+	cmd.Dir = filepath.Dir(filepath.Dir(f.program)) // the repository's root
 	cmd.Stdout, cmd.Stderr = n.out, n.out
 	if err := cmd.Start(); err != nil {
 		return err
