feat: log lines of requests tell what each attempt brought the caller

A response whose bytes do not belong together can come from an attempt that was repeated after a part had been sent, or from bytes of another exchange on the same connection. The line of a request did not tell them apart: it names the results of the attempts and not what was sent in each.

With several attempts, each now has "bytes", its part of the response body that was sent to the caller; explain prints it. One attempt only: no new field.

--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -179,6 +179,7 @@
 	availability pool.Availability    // availability of endpoints as last queried
 	mayHaveRun   bool                 // an endpoint may have run the request
 	headerSent   bool                 // the response header has been sent to the caller
+	forwarded    int64                // bytes of the response body that have been sent to the caller
 	events       int64
 	lastEventAt  time.Time // when the last event was received
 	// billInFull is set if the caller received a response that is not a stream, whose tokens cannot be counted.
@@ -350,3 +351,9 @@
 	j.outcome.FirstByte = j.core.now().Sub(j.req.Arrived)
 	j.out.Begin(status, j.core.Dialect.ResponseHeader(header), length)
 }
+
+// forward sends a piece of the response body to the caller.
+func (j *job) forward(p []byte) error {
+	j.forwarded += int64(len(p))
+	return j.out.Write(p)
+}
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -175,7 +175,7 @@
 		return j.truncated(ctx, res)
 	case failure != nil:
 		j.sendHeader(failure.status, failure.header, int64(len(failure.body)))
-		_ = j.out.Write(failure.body)
+		_ = j.forward(failure.body)
 		return nil
 	case errors.Is(ctx.Err(), context.DeadlineExceeded), j.deadlinePassed(ctx):
 		return j.timedOut()
@@ -218,7 +218,7 @@
 // try makes one attempt: it sends the request to an endpoint and forwards the response.
 func (j *job) try(ctx context.Context, lease *pool.Lease) (result, *failedResponse) {
 	began := j.core.now()
-	events := j.events
+	events, forwarded := j.events, j.forwarded
 	j.dialFailure, j.via, j.wroteAt = "", "", time.Time{}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -233,7 +233,7 @@
 	}
 	lease.Done(poolEnd(res))
 	j.outcome.Endpoints = append(j.outcome.Endpoints, AttemptOutcome{
-		Endpoint: lease.Endpoint().ID, Software: lease.Endpoint().Software, Reason: string(lease.Reason()), SkipReason: string(lease.Exclusion()), Result: resultNames[res], At: began.Sub(j.req.Arrived),
+		Endpoint: lease.Endpoint().ID, Software: lease.Endpoint().Software, Reason: string(lease.Reason()), SkipReason: string(lease.Exclusion()), Result: resultNames[res], At: began.Sub(j.req.Arrived), Forwarded: j.forwarded - forwarded,
 		DialFailure: j.dialFailure, Via: j.via, ProcessExited: res == resultBroken && !wd.stalled() && j.recordExit(lease, began, j.events > events),
 	})
 	return res, failure
@@ -348,7 +348,7 @@
 	j.billInFull = res.Status < http.StatusMultipleChoices
 	if len(body) < maxBuffered {
 		j.sendHeader(res.Status, res.Header, int64(len(body)))
-		if j.out.Write(body) != nil {
+		if j.forward(body) != nil {
 			return resultCallerLeft, nil
 		}
 		return resultDone, nil
@@ -360,13 +360,13 @@
 // already.
 func (j *job) relayUnbuffered(res *upstream.Response, first []byte) result {
 	j.sendHeader(res.Status, res.Header, res.Length)
-	if j.out.Write(first) != nil {
+	if j.forward(first) != nil {
 		return resultCallerLeft
 	}
 	buf := make([]byte, copyBufferSize)
 	for {
 		n, err := res.Body.Read(buf)
-		if n > 0 && j.out.Write(buf[:n]) != nil {
+		if n > 0 && j.forward(buf[:n]) != nil {
 			return resultCallerLeft
 		}
 		if errors.Is(err, io.EOF) {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -161,6 +161,7 @@
 	Reason        string // why the endpoint was picked
 	SkipReason    string // why the endpoint that is first by affinity was excluded; empty: it was not
 	Result        string
+	Forwarded     int64                // bytes of the response body that were sent to the caller
 	DialFailure   upstream.DialFailure // how the connection attempt failed; empty: it did not
 	Via           string               // the instance that the connection was forwarded through; empty: none
 	At            time.Duration        // since the request arrived
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -61,7 +61,7 @@
 		j.bind(lease.Endpoint().Software)
 		j.sendHeader(res.Status, res.Header, -1)
 		j.recordEvent(id)
-		if j.out.Write(event) != nil {
+		if j.forward(event) != nil {
 			return resultCallerLeft
 		}
 	}
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -165,13 +165,17 @@
 
 // attemptList writes the attempts of a request into a log line. The field "end" is the result of the attempt. "dial"
 // states how the connection attempt failed, "via" through which instance the connection was forwarded, "ended" that the
-// endpoint's process has exited, and "kept_off" why the first endpoint by affinity was excluded.
+// endpoint's process has exited, and "kept_off" why the first endpoint by affinity was excluded. "bytes" is the part of
+// the response body that the attempt has brought the caller; it is left out if there was only one attempt.
 type attemptList []relay.AttemptOutcome
 
 // MarshalZerologArray implements zerolog.LogArrayMarshaler.
 func (s attemptList) MarshalZerologArray(a *zerolog.Array) {
 	for _, x := range s {
 		d := zerolog.Dict().Str("endpoint", x.Endpoint).Str("software", x.Software).Str("reason", x.Reason).Str("end", x.Result).Int64("at_ms", x.At.Milliseconds())
+		if len(s) > 1 {
+			d = d.Int64("bytes", x.Forwarded)
+		}
 		if x.DialFailure != "" {
 			d = d.Str("dial", string(x.DialFailure))
 		}
--- a/internal/router/explain.go
+++ b/internal/router/explain.go
@@ -54,6 +54,7 @@
 	Reason     string `json:"reason"` // why the endpoint was picked
 	End        string `json:"end"`
 	AtMs       int64  `json:"at_ms"`
+	Bytes      int64  `json:"bytes"`    // of the response body that the attempt has brought the caller; 0 for a single attempt
 	Dial       string `json:"dial"`     // how the connection attempt failed; empty: it did not
 	Via        string `json:"via"`      // the instance that forwarded the connection; empty: none
 	SkipReason string `json:"kept_off"` // why the endpoint that is first by affinity was excluded; empty: it was not
@@ -161,6 +162,9 @@
 	if e.Via != "" {
 		note += " (through " + e.Via + ")"
 	}
+	if e.Bytes > 0 {
+		note += fmt.Sprintf(" (%d bytes forwarded)", e.Bytes)
+	}
 	return note
 }
 
