fix: a broken response is no longer continued by the response of another run

What callers saw: status 200, complete, with the beginning of one endpoint's response and behind it the whole response of a second one.

Cause: a response over 256 KiB is forwarded while it arrives. When it broke off, the request was repeated as if nothing had been sent: shouldRetry asked whether the route may be repeated, and not what the caller had. sendHeader did nothing the second time, and the second body was appended. Nothing showed it, because this instance frames the response. The same on routes for streams whose endpoint responds with something that is no stream.

Change: delivery keeps what the caller has (nothing, events, a part), and mayContinue alone decides from it whether another run may follow. headerSent and lastEventID are now parts of it.

--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -178,13 +178,12 @@
 	via          string               // the instance that the attempt in progress is forwarded through; empty: none
 	availability pool.Availability    // availability of endpoints as last queried
 	mayHaveRun   bool                 // an endpoint may have run the request
-	headerSent   bool                 // the response header has been sent to the caller
-	forwarded    int64                // bytes of the response body that have been sent to the caller
+	delivered    delivery
+	forwarded    int64 // bytes of the response body that have been sent to the caller
 	events       int64
 	lastEventAt  time.Time // when the last event was received
 	// billInFull is set if the caller received a response that is not a stream, whose tokens cannot be counted.
 	billInFull    bool
-	lastEventID   string // ID of the last event that was forwarded
 	bound         bool   // the stream has begun, so that it may only continue at an endpoint of the same software version
 	software      string // that version; empty: unknown, or not bound
 	cachedDigest  *quarantine.Digest
@@ -323,7 +322,7 @@
 // lateness returns which latency target of its route a response missed. A response that was not started missed none.
 func (j *job) lateness() Lateness {
 	switch {
-	case !j.headerSent || j.route == nil:
+	case !j.delivered.started() || j.route == nil:
 		return NotLate
 	case j.route.Objective > 0 && j.outcome.FirstByte > j.route.Objective:
 		return LateFirst
@@ -341,12 +340,12 @@
 	return j.deadline.Sub(j.core.now()), true
 }
 
-// sendHeader sends the response header, unless it has been sent before.
-func (j *job) sendHeader(status int, header http.Header, length int64) {
-	if j.headerSent {
+// sendHeader sends the response header, unless it has been sent before. extent is what the caller has received then.
+func (j *job) sendHeader(status int, header http.Header, length int64, extent extent) {
+	if j.delivered.started() {
 		return
 	}
-	j.headerSent = true
+	j.delivered.extent = extent
 	j.outcome.Status = status
 	j.outcome.FirstByte = j.core.now().Sub(j.req.Arrived)
 	j.out.Begin(status, j.core.Dialect.ResponseHeader(header), length)
--- /dev/null
+++ b/internal/relay/delivery.go
@@ -0,0 +1,30 @@
+package relay
+
+// delivery is what the caller has received of a response so far. It determines what may follow. A caller cannot detect
+// that a response was continued by anything but itself, since this instance frames the response.
+type delivery struct {
+	extent      extent
+	lastEventID string // of the last event that was forwarded; empty: none yet
+}
+
+// extent is how far a response has been sent.
+type extent int
+
+const (
+	nothingSent extent = iota // any response may follow
+	eventsSent                // the header of a stream and complete events: only the events after the last one may follow
+	partSent                  // only the rest of the same response may follow
+)
+
+// started reports whether the caller has received the response header.
+func (d *delivery) started() bool { return d.extent != nothingSent }
+
+// resumable reports whether the response of another run may follow.
+func (d *delivery) resumable() bool { return d.extent != partSent }
+
+// addEvent records that an event was forwarded.
+func (d *delivery) addEvent(id string) {
+	if id != "" {
+		d.lastEventID = id
+	}
+}
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -145,8 +145,7 @@
 	if ctx.Err() != nil || j.attempts >= j.route.MaxAttempts {
 		return false
 	}
-	if !j.mayResume() {
-		j.noteResumption(ResumptionUnknown)
+	if !j.mayContinue() {
 		return false
 	}
 	switch res {
@@ -171,10 +170,10 @@
 // one, and returns an error otherwise.
 func (j *job) giveUp(ctx context.Context, failure *failedResponse, res result) error {
 	switch {
-	case j.headerSent:
+	case j.delivered.started():
 		return j.truncated(ctx, res)
 	case failure != nil:
-		j.sendHeader(failure.status, failure.header, int64(len(failure.body)))
+		j.sendHeader(failure.status, failure.header, int64(len(failure.body)), partSent)
 		_ = j.forward(failure.body)
 		return nil
 	case errors.Is(ctx.Err(), context.DeadlineExceeded), j.deadlinePassed(ctx):
@@ -270,7 +269,7 @@
 // exchange sends the request, reads the response header, and forwards the response if it is acceptable.
 func (j *job) exchange(ctx context.Context, lease *pool.Lease, wd *watchdog) (result, *failedResponse) {
 	e := lease.Endpoint()
-	a := Attempt{Endpoint: e.ID, LastEventID: j.lastEventID}
+	a := Attempt{Endpoint: e.ID, LastEventID: j.delivered.lastEventID}
 	if a.LastEventID == "" {
 		a.LastEventID = j.req.LastEventID
 	}
@@ -347,7 +346,7 @@
 	}
 	j.billInFull = res.Status < http.StatusMultipleChoices
 	if len(body) < maxBuffered {
-		j.sendHeader(res.Status, res.Header, int64(len(body)))
+		j.sendHeader(res.Status, res.Header, int64(len(body)), partSent)
 		if j.forward(body) != nil {
 			return resultCallerLeft, nil
 		}
@@ -359,7 +358,7 @@
 // relayUnbuffered forwards a response that is too long to be buffered. first holds the bytes that have been read
 // already.
 func (j *job) relayUnbuffered(res *upstream.Response, first []byte) result {
-	j.sendHeader(res.Status, res.Header, res.Length)
+	j.sendHeader(res.Status, res.Header, res.Length, partSent)
 	if j.forward(first) != nil {
 		return resultCallerLeft
 	}
--- a/internal/relay/exits.go
+++ b/internal/relay/exits.go
@@ -178,7 +178,7 @@
 // giveUpQuarantined ends a request that was quarantined after it was admitted.
 func (j *job) giveUpQuarantined(ctx context.Context, failure *failedResponse, detail string) error {
 	j.outcome.Digest = j.digest().String()
-	if !j.mayHaveRun && !j.headerSent && failure == nil {
+	if !j.mayHaveRun && !j.delivered.started() && failure == nil {
 		return refuse(verdict.CodeQuarantined, detail, retryAfterLong)
 	}
 	return j.giveUp(ctx, failure, resultBroken)
--- a/internal/relay/lateness_test.go
+++ b/internal/relay/lateness_test.go
@@ -14,13 +14,13 @@
 		now := time.Unix(1000, 0)
 		j := &job{core: New(Deps{}, WithNow(func() time.Time { return now })), route: &route.Route{Objective: time.Second, Gap: 500 * time.Millisecond}}
 		So(j.lateness(), ShouldEqual, NotLate)
-		j.headerSent = true
+		j.delivered.extent = eventsSent
 		for _, gap := range []time.Duration{0, 100 * time.Millisecond, 600 * time.Millisecond, 20 * time.Millisecond} {
 			now = now.Add(gap)
 			j.recordEvent("7")
 		}
 		So(j.events, ShouldEqual, 4)
-		So(j.lastEventID, ShouldEqual, "7")
+		So(j.delivered.lastEventID, ShouldEqual, "7")
 		So(j.outcome.MaxPause, ShouldEqual, 600*time.Millisecond)
 		So(j.lateness(), ShouldEqual, LatePause)
 		j.outcome.FirstByte = 2 * time.Second
--- a/internal/relay/software.go
+++ b/internal/relay/software.go
@@ -83,13 +83,22 @@
 	}
 }
 
-// mayResume reports whether another endpoint may continue the response. A stream that began at an unknown software version
-// cannot be continued: no endpoint is known to have the same one.
-func (j *job) mayResume() bool { return !j.bound || j.software != "" }
+// mayContinue reports whether the response of another run may follow what the caller has received. A stream that began at
+// an unknown software version cannot be continued: no endpoint is known to have the same one.
+func (j *job) mayContinue() bool {
+	if !j.delivered.resumable() {
+		return false
+	}
+	if j.bound && j.software == "" {
+		j.noteResumption(ResumptionUnknown)
+		return false
+	}
+	return true
+}
 
 // noteResumption records whether an interrupted stream is resumed. Before the first event there is nothing to resume.
 func (j *job) noteResumption(r Resumption) {
-	if j.headerSent {
+	if j.delivered.started() {
 		j.outcome.Resumed = r
 	}
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -45,7 +45,7 @@
 			if j.wroteAt.IsZero() {
 				j.wroteAt = j.core.now()
 			}
-			j.sendHeader(res.Status, res.Header, -1)
+			j.sendHeader(res.Status, res.Header, -1, eventsSent)
 			return resultDone
 		}
 		if err != nil {
@@ -59,7 +59,7 @@
 		j.notePartsWritten(j.core.now())
 		id := eventID(event)
 		j.bind(lease.Endpoint().Software)
-		j.sendHeader(res.Status, res.Header, -1)
+		j.sendHeader(res.Status, res.Header, -1, eventsSent)
 		j.recordEvent(id)
 		if j.forward(event) != nil {
 			return resultCallerLeft
@@ -74,9 +74,9 @@
 		j.outcome.MaxPause = max(j.outcome.MaxPause, now.Sub(j.lastEventAt))
 	}
 	j.lastEventAt = now
+	j.delivered.addEvent(id)
 	if id != "" {
 		j.events++
-		j.lastEventID = id
 	}
 }
 
--- a/internal/relay/verdict_test.go
+++ b/internal/relay/verdict_test.go
@@ -30,7 +30,10 @@
 						if started && !ran {
 							continue // without a run, there is no response to start
 						}
-						j := &job{core: New(Deps{}), mayHaveRun: ran, headerSent: started}
+						j := &job{core: New(Deps{}), mayHaveRun: ran}
+						if started {
+							j.delivered.extent = partSent
+						}
 						e := verdict.From(j.giveUp(ctx, nil, res))
 						Convey(fmt.Sprintf("%s, %s, ran %v, response started %v: %s", name, resultNames[res], ran, started, e.Code()), func() {
 							if ran {
