fix: failures over 256 KiB reach the caller whole

Cause: a failure is stored, since the request may be repeated. What had been read up to the buffer's size was taken for all of it.

Change: a failure that does not fit is dropped if another attempt is granted, and otherwise forwarded as it arrives, with its own length. It is never stored in part. The attempt still counts as a failure of its endpoint.

--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -17,15 +17,17 @@
 type result int
 
 const (
-	resultDone         result = iota // the caller has received a complete response
-	resultUnsent                     // the endpoint could not be reached, so nothing was sent
-	resultRemoteUnsent               // another instance, which has a path to endpoints, could not reach it either
-	resultNoPath                     // this instance has lost its path to all endpoints; nothing was sent
-	resultNotRun                     // the endpoint reports that it did not run the request
-	resultFailed                     // the endpoint responded with a server error, and the response is stored
-	resultBroken                     // the request may have run; its response is lost or incomplete
-	resultCallerLeft                 // the caller disconnected, or does not accept the response
-	resultWithdrawn                  // nothing was sent, because the endpoint no longer accepts the request
+	resultDone           result = iota // the caller has received a complete response
+	resultUnsent                       // the endpoint could not be reached, so nothing was sent
+	resultRemoteUnsent                 // another instance, which has a path to endpoints, could not reach it either
+	resultNoPath                       // this instance has lost its path to all endpoints; nothing was sent
+	resultNotRun                       // the endpoint reports that it did not run the request
+	resultFailed                       // the endpoint responded with a server error; the response is stored, unless a part of another one was sent
+	resultFailureSent                  // the caller has received a complete response with a server error
+	resultFailureDropped               // the endpoint responded with a server error too long to store; another attempt has been granted
+	resultBroken                       // the request may have run; its response is lost or incomplete
+	resultCallerLeft                   // the caller disconnected, or does not accept the response
+	resultWithdrawn                    // nothing was sent, because the endpoint no longer accepts the request
 )
 
 // failedResponse is a response with a server error. The caller gets it if no other attempt succeeds.
@@ -57,7 +59,9 @@
 			j.clearSuspicion()
 			j.endStream()
 			return nil
-		case resultWithdrawn:
+		case resultFailureSent:
+			return nil
+		case resultWithdrawn, resultFailureDropped:
 			continue
 		case resultFailed:
 			failure = response
@@ -154,7 +158,7 @@
 		if !j.route.Repeatable() || (res == resultBroken && j.onlyCallerMayRetry()) {
 			return false
 		}
-	case resultDone, resultUnsent, resultRemoteUnsent, resultNoPath, resultCallerLeft, resultWithdrawn:
+	case resultDone, resultUnsent, resultRemoteUnsent, resultNoPath, resultCallerLeft, resultWithdrawn, resultFailureSent, resultFailureDropped:
 		return false
 	}
 	if remaining, ok := j.remaining(); ok && remaining < minRemaining {
@@ -240,14 +244,14 @@
 
 var resultNames = map[result]string{
 	resultDone: "done", resultUnsent: "unreachable", resultRemoteUnsent: "unreachable-forwarded", resultNoPath: "no-path", resultNotRun: "not-run", resultFailed: "failed", resultBroken: "broken",
-	resultCallerLeft: "left", resultWithdrawn: "withdrawn",
+	resultFailureSent: "failed-sent", resultFailureDropped: "failed-dropped", resultCallerLeft: "left", resultWithdrawn: "withdrawn",
 }
 
 func poolEnd(res result) pool.End {
 	switch res {
 	case resultDone:
 		return pool.EndGood
-	case resultFailed:
+	case resultFailed, resultFailureSent, resultFailureDropped:
 		return pool.EndFailed
 	case resultUnsent:
 		return pool.EndUnreachable
@@ -320,7 +324,7 @@
 	if j.isStream(res) {
 		return j.relayStream(res, wd, lease, sent), nil
 	}
-	return j.relayBuffered(res, wd)
+	return j.relayBuffered(ctx, res, wd)
 }
 
 // maxDrain limits how many bytes of an unneeded response are read so that its connection can be reused.
@@ -329,9 +333,9 @@
 // maxBuffered is the size in bytes up to which a response is read completely before it is forwarded.
 const maxBuffered = 256 << 10
 
-// relayBuffered forwards a response that is not a stream, after it has read up to maxBuffered bytes of it. It returns a
-// server error instead of forwarding it, because the request may still be retried.
-func (j *job) relayBuffered(res *upstream.Response, wd *watchdog) (result, *failedResponse) {
+// relayBuffered forwards a response that is not a stream, after it has read up to maxBuffered bytes of it. A server error
+// is not forwarded while the request may still be retried.
+func (j *job) relayBuffered(ctx context.Context, res *upstream.Response, wd *watchdog) (result, *failedResponse) {
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxBuffered))
 	wd.received()
 	if err != nil {
@@ -342,7 +346,7 @@
 		return resultBroken, nil
 	}
 	if res.Status >= http.StatusInternalServerError {
-		return resultFailed, &failedResponse{status: res.Status, header: res.Header, body: body}
+		return j.relayFailure(ctx, res, body)
 	}
 	j.billInFull = res.Status < http.StatusMultipleChoices
 	if len(body) < maxBuffered {
@@ -355,6 +359,23 @@
 	return j.relayUnbuffered(res, body), nil
 }
 
+// relayFailure returns a server error that fits into the buffer, so that it can be sent if no other attempt succeeds. Of a
+// longer one, first holds only the beginning: it is dropped if the request is retried, and forwarded otherwise.
+func (j *job) relayFailure(ctx context.Context, res *upstream.Response, first []byte) (result, *failedResponse) {
+	switch {
+	case len(first) < maxBuffered:
+		return resultFailed, &failedResponse{status: res.Status, header: res.Header, body: first}
+	case j.delivered.started():
+		return resultFailed, nil
+	case j.shouldRetry(ctx, resultFailed):
+		return resultFailureDropped, nil
+	}
+	if end := j.relayUnbuffered(res, first); end != resultDone {
+		return end, nil
+	}
+	return resultFailureSent, nil
+}
+
 // relayUnbuffered forwards a response that is too long to be buffered. first holds the bytes that have been read
 // already.
 func (j *job) relayUnbuffered(res *upstream.Response, first []byte) result {
