fix: a stream is resumed by its own continuation only

What callers saw: events, and behind them the JSON of a second endpoint (a client error, a success that is no stream), or the same events again from an endpoint that does not resume; status 200, ended as whole.

A resumed attempt forwarded whatever the second endpoint sent: a response that is no stream went through the path for plain responses, whose header is not sent twice.

Change: what is forwarded after a part must be a stream of events whose first ID follows the last one forwarded. Anything else is not sent; the attempt ends as "unrelated", another one may be made, and without one the response ends visibly early.

Evidence: TestStreamIsResumedByItsContinuationOnly, 7 of 10 cases red before, 0 now. TestStreamsOfTwoSoftwareVersions green.

--- a/internal/relay/delivery.go
+++ b/internal/relay/delivery.go
@@ -1,5 +1,7 @@
 package relay
 
+import "strconv"
+
 // delivery is what the caller has received of a response so far. It determines what may follow. A caller cannot detect
 // that a response was continued by anything but itself, since this instance frames the response.
 type delivery struct {
@@ -22,6 +24,14 @@
 // resumable reports whether the response of another run may follow.
 func (d *delivery) resumable() bool { return d.extent != partSent }
 
+// follows reports whether an event may follow those that were forwarded. The IDs of a stream rise; an endpoint that does
+// not resume a stream sends its first event again.
+func (d *delivery) follows(id string) bool {
+	last, errLast := strconv.ParseInt(d.lastEventID, 10, 64)
+	next, errNext := strconv.ParseInt(id, 10, 64)
+	return errLast != nil || errNext != nil || next > last
+}
+
 // addEvent records that an event was forwarded.
 func (d *delivery) addEvent(id string) {
 	if id != "" {
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -22,10 +22,11 @@
 	resultRemoteUnsent                 // another instance, which has a path to endpoints, could not reach it either
 	resultNoPath                       // this instance has lost its path to all endpoints; nothing was sent
 	resultNotRun                       // the endpoint reports that it did not run the request
-	resultFailed                       // the endpoint responded with a server error; the response is stored, unless a part of another one was sent
+	resultFailed                       // the endpoint responded with a server error, and the response is stored unless a part of another one was sent
 	resultFailureSent                  // the caller has received a complete response with a server error
 	resultFailureDropped               // the endpoint responded with a server error too long to store; another attempt has been granted
 	resultBroken                       // the request may have run; its response is lost or incomplete
+	resultUnrelated                    // the request ran, and its response does not continue the one that the caller has in part
 	resultCallerLeft                   // the caller disconnected, or does not accept the response
 	resultWithdrawn                    // nothing was sent, because the endpoint no longer accepts the request
 )
@@ -74,7 +75,7 @@
 				continue
 			}
 			res = resultUnsent
-		case resultNotRun, resultBroken, resultCallerLeft:
+		case resultNotRun, resultBroken, resultUnrelated, resultCallerLeft:
 		}
 		if !j.shouldRetry(ctx, res) {
 			return j.giveUp(ctx, failure, res)
@@ -154,7 +155,7 @@
 	}
 	switch res {
 	case resultNotRun:
-	case resultFailed, resultBroken:
+	case resultFailed, resultBroken, resultUnrelated:
 		if !j.route.Repeatable() || (res == resultBroken && j.onlyCallerMayRetry()) {
 			return false
 		}
@@ -244,7 +245,7 @@
 
 var resultNames = map[result]string{
 	resultDone: "done", resultUnsent: "unreachable", resultRemoteUnsent: "unreachable-forwarded", resultNoPath: "no-path", resultNotRun: "not-run", resultFailed: "failed", resultBroken: "broken",
-	resultFailureSent: "failed-sent", resultFailureDropped: "failed-dropped", resultCallerLeft: "left", resultWithdrawn: "withdrawn",
+	resultFailureSent: "failed-sent", resultFailureDropped: "failed-dropped", resultUnrelated: "unrelated", resultCallerLeft: "left", resultWithdrawn: "withdrawn",
 }
 
 func poolEnd(res result) pool.End {
@@ -265,7 +266,7 @@
 		return pool.EndBusy
 	case resultWithdrawn:
 		return pool.EndUnsent
-	case resultCallerLeft:
+	case resultCallerLeft, resultUnrelated:
 	}
 	return pool.EndNeutral
 }
@@ -324,9 +325,20 @@
 	if j.isStream(res) {
 		return j.relayStream(res, wd, lease, sent), nil
 	}
+	if j.delivered.started() {
+		return unrelatedResult(res.Status), nil
+	}
 	return j.relayBuffered(ctx, res, wd)
 }
 
+// unrelatedResult returns the result of an attempt to resume a stream whose response is no stream. It is not forwarded.
+func unrelatedResult(status int) result {
+	if status >= http.StatusInternalServerError {
+		return resultFailed
+	}
+	return resultUnrelated
+}
+
 // maxDrain limits how many bytes of an unneeded response are read so that its connection can be reused.
 const maxDrain = 4 << 10
 
@@ -365,8 +377,6 @@
 	switch {
 	case len(first) < maxBuffered:
 		return resultFailed, &failedResponse{status: res.Status, header: res.Header, body: first}
-	case j.delivered.started():
-		return resultFailed, nil
 	case j.shouldRetry(ctx, resultFailed):
 		return resultFailureDropped, nil
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -38,6 +38,7 @@
 func (j *job) relayStream(res *upstream.Response, wd *watchdog, lease *pool.Lease, sent time.Time) result {
 	r := bufio.NewReader(res.Body)
 	var event []byte
+	resuming := j.delivered.started()
 	for {
 		var err error
 		event, err = readEvent(r, event[:0])
@@ -58,6 +59,10 @@
 		}
 		j.notePartsWritten(j.core.now())
 		id := eventID(event)
+		if resuming && !j.delivered.follows(id) {
+			return resultUnrelated
+		}
+		resuming = resuming && id == ""
 		j.bind(lease.Endpoint().Software)
 		j.sendHeader(res.Status, res.Header, -1, eventsSent)
 		j.recordEvent(id)
