fix: a stream is not resumed after an event without an ID

What callers saw: a stream that broke off after its first events began again from the first one within the same response, or repeated the events behind the last ID; status 200, ended as whole.

An event without an ID was forwarded and not recorded, so the attempt that followed named an older event, or none.

Change: after an event without an ID nothing but the rest of the same response may follow, until an event with an ID comes. Blocks that consist of comments are no events: they neither prevent a resumption nor count for pauses.

--- a/internal/relay/delivery.go
+++ b/internal/relay/delivery.go
@@ -14,7 +14,7 @@
 
 const (
 	nothingSent extent = iota // any response may follow
-	eventsSent                // the header of a stream and complete events: only the events after the last one may follow
+	eventsSent                // the header of a stream and complete events, the last one with an ID: only those after it may follow
 	partSent                  // only the rest of the same response may follow
 )
 
@@ -32,9 +32,12 @@
 	return errLast != nil || errNext != nil || next > last
 }
 
-// addEvent records that an event was forwarded.
+// addEvent records that an event was forwarded. The endpoints cannot resume after an event without an ID: they would repeat
+// it.
 func (d *delivery) addEvent(id string) {
-	if id != "" {
-		d.lastEventID = id
+	if id == "" {
+		d.extent = partSent
+		return
 	}
+	d.extent, d.lastEventID = eventsSent, id
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -65,7 +65,9 @@
 		resuming = resuming && id == ""
 		j.bind(lease.Endpoint().Software)
 		j.sendHeader(res.Status, res.Header, -1, eventsSent)
-		j.recordEvent(id)
+		if !isComment(event) {
+			j.recordEvent(id)
+		}
 		if j.forward(event) != nil {
 			return resultCallerLeft
 		}
@@ -108,6 +110,16 @@
 
 func isBlank(line []byte) bool { return len(bytes.TrimRight(line, "\r\n")) == 0 }
 
+// isComment reports whether a block of a stream consists of comments, which are no event.
+func isComment(block []byte) bool {
+	for line := range bytes.Lines(block) {
+		if !isBlank(line) && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 var idField = []byte("id:")
 
 // eventID returns the ID of an event, or "" if it has none.
