fix: a long response that flows is not taken for silence

Cause: the watchdog heard of the header and of the end of the buffered part only. Bytes that were forwarded unbuffered, and those that filled the buffer, were not reported.

Change: every read of a response's body is reported. Once nothing else could continue what the caller has, the watchdog no longer ends the attempt: an endpoint's silence is no reason to end a response sooner than its deadline.

--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -151,6 +151,9 @@
 		return false
 	}
 	if !j.mayContinue() {
+		if j.softwareUnknown() {
+			j.noteResumption(ResumptionUnknown)
+		}
 		return false
 	}
 	switch res {
@@ -348,8 +351,8 @@
 // relayBuffered forwards a response that is not a stream, after it has read up to maxBuffered bytes of it. A server error
 // is not forwarded while the request may still be retried.
 func (j *job) relayBuffered(ctx context.Context, res *upstream.Response, wd *watchdog) (result, *failedResponse) {
+	res.Body = watchedBody{ReadCloser: res.Body, watchdog: wd}
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxBuffered))
-	wd.received()
 	if err != nil {
 		return resultBroken, nil
 	}
@@ -358,7 +361,7 @@
 		return resultBroken, nil
 	}
 	if res.Status >= http.StatusInternalServerError {
-		return j.relayFailure(ctx, res, body)
+		return j.relayFailure(ctx, res, body, wd)
 	}
 	j.billInFull = res.Status < http.StatusMultipleChoices
 	if len(body) < maxBuffered {
@@ -368,27 +371,28 @@
 		}
 		return resultDone, nil
 	}
-	return j.relayUnbuffered(res, body), nil
+	return j.relayUnbuffered(res, body, wd), nil
 }
 
 // relayFailure returns a server error that fits into the buffer, so that it can be sent if no other attempt succeeds. Of a
 // longer one, first holds only the beginning: it is dropped if the request is retried, and forwarded otherwise.
-func (j *job) relayFailure(ctx context.Context, res *upstream.Response, first []byte) (result, *failedResponse) {
+func (j *job) relayFailure(ctx context.Context, res *upstream.Response, first []byte, wd *watchdog) (result, *failedResponse) {
 	switch {
 	case len(first) < maxBuffered:
 		return resultFailed, &failedResponse{status: res.Status, header: res.Header, body: first}
 	case j.shouldRetry(ctx, resultFailed):
 		return resultFailureDropped, nil
 	}
-	if end := j.relayUnbuffered(res, first); end != resultDone {
+	if end := j.relayUnbuffered(res, first, wd); end != resultDone {
 		return end, nil
 	}
 	return resultFailureSent, nil
 }
 
 // relayUnbuffered forwards a response that is too long to be buffered. first holds the bytes that have been read
-// already.
-func (j *job) relayUnbuffered(res *upstream.Response, first []byte) result {
+// already. Silence no longer ends the attempt, since no other one could continue the response.
+func (j *job) relayUnbuffered(res *upstream.Response, first []byte, wd *watchdog) result {
+	wd.stop()
 	j.sendHeader(res.Status, res.Header, res.Length, partSent)
 	if j.forward(first) != nil {
 		return resultCallerLeft
--- a/internal/relay/software.go
+++ b/internal/relay/software.go
@@ -85,16 +85,10 @@
 
 // mayContinue reports whether the response of another run may follow what the caller has received. A stream that began at
 // an unknown software version cannot be continued: no endpoint is known to have the same one.
-func (j *job) mayContinue() bool {
-	if !j.delivered.resumable() {
-		return false
-	}
-	if j.bound && j.software == "" {
-		j.noteResumption(ResumptionUnknown)
-		return false
-	}
-	return true
-}
+func (j *job) mayContinue() bool { return j.delivered.resumable() && !j.softwareUnknown() }
+
+// softwareUnknown reports whether a stream began at an endpoint whose software version is not known.
+func (j *job) softwareUnknown() bool { return j.bound && j.software == "" }
 
 // noteResumption records whether an interrupted stream is resumed. Before the first event there is nothing to resume.
 func (j *job) noteResumption(r Resumption) {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -68,6 +68,9 @@
 		if !isComment(event) {
 			j.recordEvent(id)
 		}
+		if !j.mayContinue() {
+			wd.stop()
+		}
 		if j.forward(event) != nil {
 			return resultCallerLeft
 		}
@@ -205,6 +208,21 @@
 	w.lease.Received()
 }
 
+// watchedBody is a response body that notifies a watchdog of what it receives.
+type watchedBody struct {
+	io.ReadCloser
+	watchdog *watchdog
+}
+
+// Read implements io.Reader.
+func (b watchedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n > 0 {
+		b.watchdog.received()
+	}
+	return n, err
+}
+
 func (w *watchdog) stalled() bool { return w.expired.Load() }
 
 func (w *watchdog) stop() {
