fix: responses to HEAD are forwarded

What callers saw: each HEAD on a safe route ran as often as the route allows and ended with 502.

Cause: the length that such a response states was compared with its body, which it never has.

Change: upstream says whether a response has no body; its stated length is passed on and not compared.

--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -35,6 +35,7 @@
 type failedResponse struct {
 	status int
 	header http.Header
+	length int64 // as the header states it; -1: not stated
 	body   []byte
 }
 
@@ -181,7 +182,7 @@
 	case j.delivered.started():
 		return j.truncated(ctx, res)
 	case failure != nil:
-		j.sendHeader(failure.status, failure.header, int64(len(failure.body)), partSent)
+		j.sendHeader(failure.status, failure.header, failure.length, partSent)
 		_ = j.forward(failure.body)
 		return nil
 	case errors.Is(ctx.Err(), context.DeadlineExceeded), j.deadlinePassed(ctx):
@@ -357,7 +358,7 @@
 		return resultBroken, nil
 	}
 	j.wroteAt = j.core.now()
-	if res.Length >= 0 && int64(len(body)) < min(res.Length, maxBuffered) {
+	if !res.NoBody && res.Length >= 0 && int64(len(body)) < min(res.Length, maxBuffered) {
 		return resultBroken, nil
 	}
 	if res.Status >= http.StatusInternalServerError {
@@ -365,7 +366,7 @@
 	}
 	j.billInFull = res.Status < http.StatusMultipleChoices
 	if len(body) < maxBuffered {
-		j.sendHeader(res.Status, res.Header, int64(len(body)), partSent)
+		j.sendHeader(res.Status, res.Header, bodyLength(res, body), partSent)
 		if j.forward(body) != nil {
 			return resultCallerLeft, nil
 		}
@@ -374,12 +375,21 @@
 	return j.relayUnbuffered(res, body, wd), nil
 }
 
+// bodyLength returns the length to state for a response whose body was read completely. One without a body may state the
+// length of another.
+func bodyLength(res *upstream.Response, body []byte) int64 {
+	if res.NoBody {
+		return res.Length
+	}
+	return int64(len(body))
+}
+
 // relayFailure returns a server error that fits into the buffer, so that it can be sent if no other attempt succeeds. Of a
 // longer one, first holds only the beginning: it is dropped if the request is retried, and forwarded otherwise.
 func (j *job) relayFailure(ctx context.Context, res *upstream.Response, first []byte, wd *watchdog) (result, *failedResponse) {
 	switch {
 	case len(first) < maxBuffered:
-		return resultFailed, &failedResponse{status: res.Status, header: res.Header, body: first}
+		return resultFailed, &failedResponse{status: res.Status, header: res.Header, length: bodyLength(res, first), body: first}
 	case j.shouldRetry(ctx, resultFailed):
 		return resultFailureDropped, nil
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -67,11 +67,17 @@
 			return nil, errFraming
 		}
 		x.header, x.closeAfter = res.Header, res.Close
-		body := &body{exchange: x, src: res.Body}
-		return &Response{Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, Body: body}, nil
+		return &Response{
+			Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, NoBody: hasNoBody(method, res.StatusCode), Body: &body{exchange: x, src: res.Body},
+		}, nil
 	}
 }
 
+// hasNoBody reports whether a response has no body, whatever its header states.
+func hasNoBody(method string, status int) bool {
+	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
+}
+
 // abort ends the exchange and closes its connection.
 func (x *exchange) abort() {
 	if x.done.CompareAndSwap(false, true) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -41,7 +41,8 @@
 type Response struct {
 	Status int
 	Header http.Header
-	Length int64 // of the body; -1: unknown
+	Length int64 // of the body as the header states it; -1: not stated
+	NoBody bool  // there is no body, whatever length the header states: the response to HEAD, or one with status 204 or 304
 	Body   io.ReadCloser
 }
 
