fix: a planned stop is charged once, whatever becomes of its write's answer

Cause: a settlement adds to the account and takes the holder's row off the page. A page without the holder looked like one that it had never joined, so after a write with an unknown outcome the next write was computed from a page that did not say whether the settlement was done: the holder's own refresh joined again with all that its process had spent, and the next attempt, or the successor, settled that row once more. No lost answer is needed: stop, refresh, stop charged 1,000 for 750. The same by a part that the zone's leader writes after the stop, by a stop after a restoration (each attempt adds everything), and by a process that its successor has settled while it runs on.

A holder that was on an earlier page of the same epoch takes its absence for its settlement also without a record. A stopping holder's regular work writes nothing more. An ended holder refuses as too little held, not as an exhausted budget. This works for late readers and writers too, since record and settlement are one conditional write: both are done or none, and a restoration takes both back.

--- a/internal/compat/compat.go
+++ b/internal/compat/compat.go
@@ -17,7 +17,7 @@
 
 // Generation is the version of the formats of messages, rows and pages. It increases with each build in which a format is
 // added or changed. A build reads all generations up to its own.
-const Generation = 9
+const Generation = 10
 
 // UnknownFields is the encoding of a value that had fields unknown to its type. The zero value means that it had none.
 type UnknownFields struct{ raw cbor.RawMessage }
--- a/internal/escrow/account.go
+++ b/internal/escrow/account.go
@@ -39,6 +39,8 @@
 	// unproven is Account.Unproven, as last read.
 	unproven int64
 
+	ended bool // this holder's row was settled, so nothing of it can be spent
+
 	// led is set once the zone's leader has returned a receipt, which sets the fields below.
 	led        bool
 	target     int64   // what this holder should have unspent
@@ -50,7 +52,12 @@
 func (a *account) used() int64 { return a.spent + a.reserved }
 
 // unspent returns the unspent part of the entire account, as far as this holder has observed it.
-func (a *account) unspent() int64 { return a.remaining - max(0, a.used()-a.confirmed.row.Spent) }
+func (a *account) unspent() int64 {
+	if a.ended {
+		return a.remaining // the use of this holder is settled
+	}
+	return a.remaining - max(0, a.used()-a.confirmed.row.Spent)
+}
 
 // exhaustedDetail explains the rejection of a request because the budget is exhausted. If instances were lost, it
 // includes the tokens that count as spent but are not reported.
@@ -64,6 +71,9 @@
 
 // headroom returns the tokens that can be reserved now without exceeding any row that may be in force.
 func (a *account) headroom(now time.Duration) int64 {
+	if a.ended {
+		return 0
+	}
 	limit := a.confirmed.ceiling(now)
 	for _, u := range a.unconfirmed {
 		limit = min(limit, u.ceiling(now))
--- a/internal/escrow/copy.go
+++ b/internal/escrow/copy.go
@@ -82,7 +82,7 @@
 		return err
 	}
 	report, present := page.Holders[h.id]
-	resolved := !h.mustRestate(p) && p.resolvesOutcome(revision, report, present)
+	resolved := h.noteEnded(p, page, revision) || (!h.mustRestate(p) && p.resolvesOutcome(revision, report, present))
 	if resolved {
 		p.unconfirmedBase, p.submitted, p.count = -1, false, report.Count
 	}
--- a/internal/escrow/fleet.go
+++ b/internal/escrow/fleet.go
@@ -106,8 +106,9 @@
 	FleetRate float64                   `cbor:"6,keyasint,omitempty"` // tokens per second that all holders use of all customers
 	// Unsettled is set if rows of the node's earlier holders are left.
 	Unsettled bool  `cbor:"7,keyasint,omitempty"`
-	Epoch     int64 `cbor:"8,keyasint,omitempty"` // of the store, at the page's write; 0: it has none
-	Dormant   bool  `cbor:"9,keyasint,omitempty"` // the part was a dormant holder's, and was taken as one
+	Epoch     int64 `cbor:"8,keyasint,omitempty"`  // of the store, at the page's write; 0: it has none
+	Dormant   bool  `cbor:"9,keyasint,omitempty"`  // the part was a dormant holder's, and was taken as one
+	Ended     bool  `cbor:"10,keyasint,omitempty"` // the holder's rows were settled, so the part was not written
 }
 
 // AccountReceipt is the state of one customer's account for a holder.
--- a/internal/escrow/group.go
+++ b/internal/escrow/group.go
@@ -37,6 +37,9 @@
 	if !h.reachesStore() {
 		return Receipt{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the store does not answer here")
 	}
+	if h.retired() {
+		return Receipt{}, verdict.New(verdict.NotRun, verdict.CodeStopping, "this holder writes no more rows")
+	}
 	ctx, cancel := context.WithTimeout(ctx, submissionWait)
 	defer cancel()
 	own := h.enqueue(s)
@@ -177,7 +180,7 @@
 		return x.settleDormant(g)
 	}
 	targets := make(map[string]int64, len(x.part.Rows))
-	if g.page.isNextPart(x.holder, x.part.Report) && !g.page.hasSuccessor(x.holder, x.part.Report) {
+	if !g.page.hasEnded(x.holder) && g.page.isNextPart(x.holder, x.part.Report) && !g.page.hasSuccessor(x.holder, x.part.Report) {
 		h.grantPart(x, g, targets)
 	}
 	return h.receipt(x, g, targets)
@@ -206,7 +209,7 @@
 	report, present := page.Holders[x.holder]
 	r := PartReceipt{
 		Page: x.part.Page, Present: present, Unsettled: g.unsettled(x.holder, x.part.Report.Node), Report: report, Holders: len(page.Holders), FleetRate: h.fleetMeter.rate(),
-		Epoch: page.Epoch, Rows: make(map[string]AccountReceipt, len(x.part.Rows)),
+		Epoch: page.Epoch, Rows: make(map[string]AccountReceipt, len(x.part.Rows)), Ended: page.hasEnded(x.holder),
 	}
 	for name := range x.part.Rows {
 		a, acc := h.accounts[name], page.Accounts[name]
--- a/internal/escrow/group_test.go
+++ b/internal/escrow/group_test.go
@@ -107,7 +107,7 @@
 		Convey("is notified that its rows were removed, and spends nothing more", func() {
 			entry, _, _ := w.store.Read(context.Background(), h.pageOf(north).key)
 			p, _ := DecodePage(entry.Data)
-			p.Leave(h.id, nil, false)
+			p.Leave(h.id, nil, false, 0)
 			raw, _ := p.Encode()
 			w.store.Put(h.pageOf(north).key, raw)
 			w.useTokens(follower, north, 10)
--- a/internal/escrow/holder.go
+++ b/internal/escrow/holder.go
@@ -99,6 +99,7 @@
 	holderCount int           // number of holders in the pages
 	changed     chan struct{} // closed and replaced after each refresh
 	stopping    bool
+	leaving     bool // Leave has been called
 
 	fleet Fleet // nil: this holder is standalone
 	// leaderRate is the tokens per second that all holders use of all customers, as reported by the zone's leader.
@@ -136,6 +137,8 @@
 	verifiedAt  time.Time        // when the copy was known to be the newest
 	selfWritten bool             // this holder has written the copy
 	reported    map[string]int64 // spent, by customer, as last written
+	presentAt   int64            // the latest revision at which the page is known to have had this holder; 0: none
+	ended       bool             // this holder's rows were settled, so it must not write any again
 	// settledEarlier is set if this holder is dormant and the rows of the node's earlier processes are settled.
 	settledEarlier bool
 }
@@ -273,7 +276,7 @@
 		return true
 	}
 	for _, p := range h.pages {
-		if !p.joined {
+		if !p.joined || p.ended {
 			return false
 		}
 	}
--- a/internal/escrow/leave.go
+++ b/internal/escrow/leave.go
@@ -10,8 +10,12 @@
 	"github.com/ledgemount/ledgemount/internal/external"
 )
 
-// Leave returns everything unspent and removes the holder from every page. It retries until ctx ends.
+// Leave returns everything unspent and removes the holder from every page. It retries until ctx ends. From its start on,
+// Run writes nothing more.
 func (h *Holder) Leave(ctx context.Context) error {
+	h.mu.Lock()
+	h.leaving = true
+	h.mu.Unlock()
 	if h.isDormant() {
 		return nil
 	}
@@ -47,22 +51,24 @@
 		return err
 	}
 	restates := h.mustRestate(p)
-	if _, held := page.Holders[h.id]; !held && !restates {
+	_, held := page.Holders[h.id]
+	mayAppear := p.submitted || p.unconfirmedBase >= 0 // an earlier write, or a leader's, may still add the holder
+	if h.noteEnded(p, page, p.revision) || (!held && !restates && !mayAppear) {
 		h.mu.Unlock()
 		return nil
 	}
 	page.enterEpoch(h.epochs.Current(), h.wall(), p.joined)
-	spent := make(map[string]int64, len(h.accounts))
+	spent, rows := make(map[string]int64, len(h.accounts)), make(map[string]issuedRow, len(h.accounts))
 	for name, a := range h.accounts {
 		if h.pageOf(name) == p {
-			spent[name] = a.used()
-			a.unconfirmed = append(a.unconfirmed, issuedRow{})
+			spent[name], rows[name] = a.used(), issuedRow{}
+			a.unconfirmed = append(a.unconfirmed, rows[name])
 		}
 	}
-	page.Leave(h.id, spent, restates)
+	page.Leave(h.id, spent, restates, h.wall().UnixMilli())
 	raw, err := page.Encode()
 	p.unconfirmedBase = p.revision
-	w := pageWrite{state: p, raw: raw, page: page, base: p.revision}
+	w := pageWrite{state: p, raw: raw, page: page, base: p.revision, rows: rows, ends: true}
 	h.mu.Unlock()
 	if err != nil {
 		return err
--- a/internal/escrow/page.go
+++ b/internal/escrow/page.go
@@ -84,6 +84,8 @@
 	RestoredEpoch int64 `cbor:"4,keyasint,omitempty"`
 	// RestoredAt is the wall clock, in ms, at the page's first write in that epoch.
 	RestoredAt int64 `cbor:"5,keyasint,omitempty"`
+	// Ended has the holders whose rows were settled, with the wall clock in ms at that time; see endedRetention.
+	Ended map[string]int64 `cbor:"6,keyasint,omitempty"`
 
 	unknown compat.UnknownFields // fields written by a later build
 }
@@ -249,7 +251,7 @@
 		a.Unproven += spent - row.Spent
 		delete(a.Rows, id)
 	}
-	delete(p.Holders, id)
+	p.end(id, start.Wall)
 	return s
 }
 
@@ -287,9 +289,13 @@
 	return then.Boot != "" && then.Boot == now.Boot && steady >= 0 && -ClockError < off && off < ClockError
 }
 
-// Leave settles what a holder has spent and releases the rest. The holder spends nothing afterwards. If the page may
-// lack the holder's last rows (incomplete), everything that it has spent is settled, whatever its rows are.
-func (p *Page) Leave(holder string, spent map[string]int64, incomplete bool) {
+// Leave settles what a holder has spent and releases the rest, unless it was settled before. The holder spends nothing
+// afterwards. If the page may lack the holder's last rows (incomplete), everything that it has spent is settled, whatever
+// its rows are. wall is the wall clock, in ms.
+func (p *Page) Leave(holder string, spent map[string]int64, incomplete bool, wall int64) {
+	if p.hasEnded(holder) {
+		return
+	}
 	for customer, a := range p.Accounts {
 		row, ok := a.Rows[holder]
 		if !ok {
@@ -300,7 +306,7 @@
 		}
 		delete(a.Rows, holder)
 	}
-	delete(p.Holders, holder)
+	p.end(holder, wall)
 	if !incomplete {
 		return
 	}
--- a/internal/escrow/page_test.go
+++ b/internal/escrow/page_test.go
@@ -53,7 +53,7 @@
 			So(err, ShouldBeNil)
 			p, err := DecodePage(raw)
 			So(err, ShouldBeNil)
-			p.Leave("node-0/1", map[string]int64{"north": 6}, false)
+			p.Leave("node-0/1", map[string]int64{"north": 6}, false, 0)
 			p.account("north").Rows["node-1/1"] = Row{Granted: 12, Spent: 5}
 			out, err := p.Encode()
 			So(err, ShouldBeNil)
--- a/internal/escrow/property_test.go
+++ b/internal/escrow/property_test.go
@@ -209,7 +209,8 @@
 	nodes             []*simNode
 	spent             map[string]int64
 	prepaid           map[string]int64
-	lastEnd           int64 // the store's revision when a holder last ended, or the store was last restored
+	used              map[string]map[string]int64 // the most that each holder had spent or reserved, by customer
+	lastEnd           int64                       // the store's revision when a holder last ended, or the store was last restored
 }
 
 // leaderOf returns the node to which a node submits its rows.
@@ -225,7 +226,7 @@
 }
 
 func newWorld(policy Policy) *world {
-	w := &world{policy: policy, countsSuspensions: true, store: memkv.New(), spent: make(map[string]int64), prepaid: make(map[string]int64)}
+	w := &world{policy: policy, countsSuspensions: true, store: memkv.New(), spent: make(map[string]int64), prepaid: make(map[string]int64), used: make(map[string]map[string]int64)}
 	for _, c := range propertyCustomers {
 		w.prepaid[c] = propertyPrepaid
 	}
@@ -285,6 +286,7 @@
 	if err == nil && r != nil {
 		n.reservations = append(n.reservations, &simReservation{customer: customer, maxTokens: maxTokens, reservation: r})
 	}
+	w.recordUse()
 }
 
 // settle ends the oldest reservation. Used tokens count as spent by the fleet at once, whatever happens to the node.
@@ -327,6 +329,51 @@
 			t.Fatalf("customer %s has spent %d of %d", c, spent, w.prepaid[c])
 		}
 	}
+	for c := range w.prepaid {
+		if charged, used := w.charged(c), w.usedBy(c); charged > used {
+			t.Fatalf("customer %s is charged %d, and its holders have used %d", c, charged, used)
+		}
+	}
+}
+
+// recordUse records what the holders have spent or reserved.
+func (w *world) recordUse() {
+	for _, n := range w.nodes {
+		used := w.used[n.holder.id]
+		if used == nil {
+			used = make(map[string]int64)
+			w.used[n.holder.id] = used
+		}
+		for c, a := range n.holder.accounts {
+			used[c] = max(used[c], a.used())
+		}
+	}
+}
+
+// usedBy returns the most that all holders, also those that have ended, have spent or reserved of a customer's budget.
+func (w *world) usedBy(customer string) int64 {
+	total := int64(0)
+	for _, used := range w.used {
+		total += used[customer]
+	}
+	return total
+}
+
+// charged returns what the pages charge a customer for and holders have reported. What lost holders may have spent beyond
+// their reports is left out.
+func (w *world) charged(customer string) int64 {
+	total := int64(0)
+	entries, _, _ := w.store.ReadAll(context.Background(), propertyPrefix)
+	for _, e := range entries {
+		p, err := DecodePage(e.Data)
+		if err != nil {
+			panic(err) // holders write valid pages
+		}
+		if a := p.Accounts[customer]; a != nil {
+			total += a.Spent() - a.Unproven
+		}
+	}
+	return total
 }
 
 // TestNoOverspendAcrossSuspensions extends TestNoOverspend by suspensions of machines, the leader's included: single
@@ -388,7 +435,7 @@
 		w.store.SetDelayWrites(rapid.Bool().Draw(t, "late"))
 		w.store.ReleaseWrites()
 	case 15:
-		w.stopAndRestart(n)
+		w.stopInSteps(t, n)
 	case 16, 17:
 		n.link = rapid.IntRange(linkNone, linkModes-1).Draw(t, "link")
 		n.hasFleetTime = rapid.Bool().Draw(t, "timed")
@@ -443,6 +490,27 @@
 	return all
 }
 
+// stopInSteps is a planned stop that makes several attempts, with other work of the process between them, and a new start.
+func (w *world) stopInSteps(t *rapid.T, n *simNode) {
+	w.settleAll(n)
+	for range rapid.IntRange(1, 5).Draw(t, "attempts") {
+		p := n.holder.pages[rapid.IntRange(0, len(n.holder.pages)-1).Draw(t, "page")]
+		_ = n.holder.leaveOnce(context.Background(), p)
+		switch rapid.IntRange(0, 4).Draw(t, "between") {
+		case 0:
+			w.refresh(n)
+		case 1:
+			w.observe(n)
+		case 2:
+			w.store.SetLoseResponses(rapid.Bool().Draw(t, "lose"))
+		case 3:
+			w.spendAll(n, propertyCustomers[0])
+		}
+		w.check(t)
+	}
+	w.start(n)
+}
+
 // hasCopies reports whether a node has copies of all pages. Dormant holders have none.
 func (n *simNode) hasCopies() bool {
 	return n.holder.Ready() && !slices.ContainsFunc(n.holder.pages, func(p *pageState) bool { return !p.joined })
@@ -605,14 +673,17 @@
 			}
 			for range actions {
 				perform()
+				w.check(t)
 			}
 			if rapid.Bool().Draw(t, "known") {
 				w.restore(t)
 			} else {
 				w.restoreWithoutCopies(t)
 			}
+			w.check(t)
 			for range actions / 2 {
 				perform()
+				w.check(t)
 			}
 		}
 		w.store.SetDelayWrites(false)
--- a/internal/escrow/refresh.go
+++ b/internal/escrow/refresh.go
@@ -30,7 +30,7 @@
 
 // round refreshes all pages that are due, through the zone's leader if there is one.
 func (h *Holder) round(ctx context.Context, regular bool) {
-	if h.fleet != nil && !h.Ready() && !h.fleet.Settled() {
+	if h.retired() || (h.fleet != nil && !h.Ready() && !h.fleet.Settled()) {
 		return
 	}
 	if h.isDormant() {
@@ -175,6 +175,8 @@
 			return
 		case errors.Is(err, external.ErrConflict):
 			continue
+		case errors.Is(err, errEnded):
+			return
 		}
 		h.mu.Lock()
 		h.lastFailure = h.now()
--- a/internal/escrow/submit.go
+++ b/internal/escrow/submit.go
@@ -125,7 +125,10 @@
 	if r.Present && r.Report.Count <= p.count {
 		return // older than the state already known
 	}
-	if !r.Present && !p.joined {
+	if !r.Present && (r.Ended || (p.joined && !h.mustRestate(p))) {
+		h.markEnded(p)
+	}
+	if !r.Present && !p.joined && !p.ended {
 		return
 	}
 	p.count, p.submitted, p.unconfirmedBase = r.Report.Count, false, -1
--- a/internal/escrow/write.go
+++ b/internal/escrow/write.go
@@ -31,6 +31,7 @@
 	unsettled  bool
 	restored   bool // this is the first write of the page since the store was restored
 	reinstated bool // this is such a write, and it writes back a copy that this holder had
+	ends       bool // it settles this holder's rows
 }
 
 // write writes all pages of a list, or none.
@@ -64,6 +65,9 @@
 	if h.lacksRows(p, page) {
 		return pageWrite{}, errPageNotRestated
 	}
+	if h.leaving || h.noteEnded(p, page, p.revision) {
+		return pageWrite{}, errEnded
+	}
 	report := h.report(h.clock.Now(), max(p.count, page.Holders[h.id].Count)+1)
 	restored, restates := page.enterEpoch(report.Epoch, h.wall(), p.joined), h.mustRestate(p)
 	var settlements []Settlement
@@ -140,6 +144,11 @@
 		h.reportSettlements(x.settlements, p.key)
 	}
 	p.complete(w.parts)
+	if w.ends {
+		h.markEnded(p)
+		return
+	}
+	p.presentAt = max(p.presentAt, revision)
 	for name, i := range w.rows {
 		a := h.accounts[name]
 		a.confirm(i)
