fix: the number of budget pages is that of the store, not of the settings

Cause: accounts are distributed among pages by a hash, and the number of pages followed the store's rate in each process's settings. On another page an account is unknown, so its whole prepaid amount was granted again.

A leader writes a row only on the page on which the account lies. Without a stated number, the pages that exist are counted, since they were written together. The first conditional write decides in an empty store.

--- a/internal/escrow/copy.go
+++ b/internal/escrow/copy.go
@@ -24,11 +24,9 @@
 	if fresh {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(external.WithDuty(ctx, external.DutyDraw), h.times.CallTimeout)
-	defer cancel()
-	entry, _, err := h.store.Read(ctx, p.key)
+	entry, err := h.readEntry(ctx, p.key)
 	if err != nil {
-		return eris.Wrapf(err, "reading %s", p.key)
+		return err
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -36,6 +34,14 @@
 	return h.adopt(p, entry)
 }
 
+// readEntry reads a page from the store.
+func (h *Holder) readEntry(ctx context.Context, key string) (external.Entry, error) {
+	ctx, cancel := context.WithTimeout(external.WithDuty(ctx, external.DutyDraw), h.times.CallTimeout)
+	defer cancel()
+	entry, _, err := h.store.Read(ctx, key)
+	return entry, eris.Wrapf(err, "reading %s", key)
+}
+
 // recordCall records that a call to the store begins. The caller holds mu.
 func (h *Holder) recordCall() {
 	if h.unanswered.IsZero() {
--- a/internal/escrow/dormant.go
+++ b/internal/escrow/dormant.go
@@ -57,6 +57,10 @@
 	defer h.mu.Unlock()
 	h.recordAnswer()
 	for _, r := range receipt.Parts {
+		if r.Pages > 0 && r.Pages != len(h.pages) {
+			h.pagesStated = r.Pages
+			continue
+		}
 		if r.Page >= 0 && r.Page < len(h.pages) {
 			h.pages[r.Page].settledEarlier = r.Dormant && !r.Unsettled
 		}
@@ -70,7 +74,7 @@
 		x.settlements = g.settlePredecessors(x.holder, x.part.Start)
 	}
 	return PartReceipt{
-		Page: x.part.Page, Dormant: true, Unsettled: g.unsettled(x.holder, x.part.Report.Node), Holders: len(g.page.Holders), Epoch: g.page.Epoch,
+		Page: x.part.Page, Pages: g.page.Pages, Dormant: true, Unsettled: g.unsettled(x.holder, x.part.Report.Node), Holders: len(g.page.Holders), Epoch: g.page.Epoch,
 	}
 }
 
--- a/internal/escrow/fleet.go
+++ b/internal/escrow/fleet.go
@@ -109,6 +109,7 @@
 	Epoch     int64 `cbor:"8,keyasint,omitempty"`  // of the store, at the page's write; 0: it has none
 	Dormant   bool  `cbor:"9,keyasint,omitempty"`  // the part was a dormant holder's, and was taken as one
 	Ended     bool  `cbor:"10,keyasint,omitempty"` // the holder's rows were settled, so the part was not written
+	Pages     int   `cbor:"11,keyasint,omitempty"` // the number of pages in the store; 0: the leader's build does not state it
 }
 
 // AccountReceipt is the state of one customer's account for a holder.
--- a/internal/escrow/group.go
+++ b/internal/escrow/group.go
@@ -196,7 +196,7 @@
 	g.report(x.holder, report)
 	for name, need := range x.part.Rows {
 		a := h.accounts[name]
-		if a == nil || a.prepaid < 0 {
+		if a == nil || a.prepaid < 0 || h.pageOf(name) != h.pages[x.part.Page] {
 			continue
 		}
 		_, targets[name] = g.grant(name, x.holder, need, a.prepaid)
@@ -209,7 +209,7 @@
 	report, present := page.Holders[x.holder]
 	r := PartReceipt{
 		Page: x.part.Page, Present: present, Unsettled: g.unsettled(x.holder, x.part.Report.Node), Report: report, Holders: len(page.Holders), FleetRate: h.fleetMeter.rate(),
-		Epoch: page.Epoch, Rows: make(map[string]AccountReceipt, len(x.part.Rows)), Ended: page.hasEnded(x.holder),
+		Epoch: page.Epoch, Rows: make(map[string]AccountReceipt, len(x.part.Rows)), Ended: page.hasEnded(x.holder), Pages: page.Pages,
 	}
 	for name := range x.part.Rows {
 		a, acc := h.accounts[name], page.Accounts[name]
--- a/internal/escrow/holder.go
+++ b/internal/escrow/holder.go
@@ -1,7 +1,6 @@
 package escrow
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -72,6 +71,7 @@
 type Holder struct {
 	id      string
 	node    string
+	prefix  string // of the pages' keys
 	started Report // report of the process's start
 	store   external.KV
 	clock   Clock
@@ -113,6 +113,9 @@
 
 	wakeups chan struct{}
 
+	layoutResolved bool // only Run uses it
+	pagesStated    int  // the number of pages that the store or a leader has stated since the last round; 0: none
+
 	active           bool // this holder has had rows, or is about to: see isDormant
 	readyWithoutRows bool // it was dormant when it became ready
 }
@@ -177,17 +180,17 @@
 func WithLogger(log zerolog.Logger) Option { return func(h *Holder) { h.log = log } }
 
 // New creates a holder. node is the name that outlasts the process, id is this process's own. The keys of pages in the
-// store start with prefix.
+// store start with prefix. pages is their number if the store has none yet.
 func New(store external.KV, prefix string, pages int, node, id string, opts ...Option) *Holder {
 	h := &Holder{
-		id: id, node: node, store: store, clock: MachineClock(), now: time.Now, wall: time.Now, random: rand.Float64,
+		id: id, node: node, prefix: prefix, store: store, clock: MachineClock(), now: time.Now, wall: time.Now, random: rand.Float64,
 		policy: DefaultPolicy(), times: DefaultTimes(), log: zerolog.Nop(), onSettlement: func(Settlement) {}, epochs: external.NewEpochs(),
 		accounts: make(map[string]*account), changed: make(chan struct{}), wakeups: make(chan struct{}, 1),
 		zoneDemand: make(map[string]reportedDemand), loans: make(map[loanKey]loanRecord), returnedEarly: make(map[loanKey]time.Time),
 		endedLoans: make(map[string]map[int64]int64), unreachableSince: make(map[string]time.Time),
 	}
 	for i := range max(1, pages) {
-		h.pages = append(h.pages, &pageState{key: fmt.Sprintf("%s%d", prefix, i), unconfirmedBase: -1, reported: make(map[string]int64)})
+		h.pages = append(h.pages, h.newPage(i))
 	}
 	for _, opt := range opts {
 		opt(h)
--- a/internal/escrow/leave.go
+++ b/internal/escrow/leave.go
@@ -15,12 +15,13 @@
 func (h *Holder) Leave(ctx context.Context) error {
 	h.mu.Lock()
 	h.leaving = true
+	pages := h.pages
 	h.mu.Unlock()
 	if h.isDormant() {
 		return nil
 	}
 	ctx = external.WithFinalCall(ctx)
-	for _, p := range h.pages {
+	for _, p := range pages {
 		for {
 			err := h.leaveOnce(ctx, p)
 			if err == nil {
--- a/internal/escrow/page.go
+++ b/internal/escrow/page.go
@@ -86,6 +86,8 @@
 	RestoredAt int64 `cbor:"5,keyasint,omitempty"`
 	// Ended has the holders whose rows were settled, with the wall clock in ms at that time; see endedRetention.
 	Ended map[string]int64 `cbor:"6,keyasint,omitempty"`
+	// Pages is the number of pages among which the accounts are distributed; 0: written by a build that does not state it.
+	Pages int `cbor:"7,keyasint,omitempty"`
 
 	unknown compat.UnknownFields // fields written by a later build
 }
--- a/internal/escrow/property_test.go
+++ b/internal/escrow/property_test.go
@@ -203,6 +203,7 @@
 // world is a small fleet with one store, in virtual time.
 type world struct {
 	policy            Policy
+	pages             int  // in the settings of nodes that start
 	countsSuspensions bool // the machines' clocks include suspensions, like MachineClock
 	store             *memkv.Store
 	elapsed           time.Duration
@@ -226,7 +227,7 @@
 }
 
 func newWorld(policy Policy) *world {
-	w := &world{policy: policy, countsSuspensions: true, store: memkv.New(), spent: make(map[string]int64), prepaid: make(map[string]int64), used: make(map[string]map[string]int64)}
+	w := &world{policy: policy, pages: 2, countsSuspensions: true, store: memkv.New(), spent: make(map[string]int64), prepaid: make(map[string]int64), used: make(map[string]map[string]int64)}
 	for _, c := range propertyCustomers {
 		w.prepaid[c] = propertyPrepaid
 	}
@@ -248,7 +249,7 @@
 	times.GatherWindow, times.MinGroupGap, times.MinRelayedGap = 0, 0, 0 // time does not advance while rows are submitted
 	n.epochs = external.NewEpochs(external.WithEpochClock(now))
 	n.kv = external.Fence(n.store, "", n.epochs)
-	n.holder = New(n.kv, propertyPrefix, 2, n.name, fmt.Sprintf("%s/%d", n.name, n.starts), WithClock(n.clock), WithNow(now), WithWall(now),
+	n.holder = New(n.kv, propertyPrefix, w.pages, n.name, fmt.Sprintf("%s/%d", n.name, n.starts), WithClock(n.clock), WithNow(now), WithWall(now),
 		WithEpochs(n.epochs), WithFleet(&simFleet{world: w, node: n}), WithPolicy(w.policy), WithTimes(times))
 	w.configure(n)
 }
--- a/internal/escrow/refresh.go
+++ b/internal/escrow/refresh.go
@@ -33,12 +33,16 @@
 	if h.retired() || (h.fleet != nil && !h.Ready() && !h.fleet.Settled()) {
 		return
 	}
+	h.applyStatedLayout()
 	if h.isDormant() {
 		h.refreshDormant(ctx)
 		return
 	}
 	h.activate()
 	follower, relay := h.isFollower(), h.isRelay()
+	if !follower && !h.resolveLayout(ctx) {
+		return
+	}
 	switch {
 	case follower:
 		h.submit(ctx, regular)
@@ -175,7 +179,7 @@
 			return
 		case errors.Is(err, external.ErrConflict):
 			continue
-		case errors.Is(err, errEnded):
+		case errors.Is(err, errEnded), errors.Is(err, errLayout):
 			return
 		}
 		h.mu.Lock()
--- a/internal/escrow/submit.go
+++ b/internal/escrow/submit.go
@@ -118,6 +118,10 @@
 	if r.Page < 0 || r.Page >= len(h.pages) {
 		return
 	}
+	if r.Pages > 0 && r.Pages != len(h.pages) {
+		h.pagesStated = r.Pages
+		return
+	}
 	p := h.pages[r.Page]
 	if !h.receiptCurrent(r, epoch) {
 		return
@@ -161,6 +165,9 @@
 
 // rollBackPart removes the rows of a part that no leader has accepted. The caller holds mu.
 func (h *Holder) rollBackPart(part Part) {
+	if part.Page >= len(h.pages) {
+		return
+	}
 	p := h.pages[part.Page]
 	left := false
 	for name := range part.Rows {
--- a/internal/escrow/write.go
+++ b/internal/escrow/write.go
@@ -68,6 +68,9 @@
 	if h.leaving || h.noteEnded(p, page, p.revision) {
 		return pageWrite{}, errEnded
 	}
+	if err := h.checkLayout(page); err != nil {
+		return pageWrite{}, err
+	}
 	report := h.report(h.clock.Now(), max(p.count, page.Holders[h.id].Count)+1)
 	restored, restates := page.enterEpoch(report.Epoch, h.wall(), p.joined), h.mustRestate(p)
 	var settlements []Settlement
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -22,9 +22,9 @@
 	resultRemoteUnsent                 // another instance, which has a path to endpoints, could not reach it either
 	resultNoPath                       // this instance has lost its path to all endpoints; nothing was sent
 	resultNotRun                       // the endpoint reports that it did not run the request
-	resultFailed                       // the endpoint responded with a server error, and the response is stored unless a part of another one was sent
+	resultFailed                       // the endpoint responded with a server error; the response is stored if it may still be sent
 	resultFailureSent                  // the caller has received a complete response with a server error
-	resultFailureDropped               // the endpoint responded with a server error too long to store; another attempt has been granted
+	resultFailureDropped               // the same with a response too long to store; another attempt has been granted
 	resultBroken                       // the request may have run; its response is lost or incomplete
 	resultUnrelated                    // the request ran, and its response does not continue the one that the caller has in part
 	resultCallerLeft                   // the caller disconnected, or does not accept the response
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -81,7 +81,7 @@
 	writesPerPage    = 1000
 )
 
-// pages returns the number of pages among which accounts are distributed. All instances must compute the same number.
+// pages returns the number of pages among which accounts are distributed if the store has none yet.
 func (s Store) pages() int {
 	switch {
 	case s.Pages > 0:
