fix: parts of prompts are evaluated once all records of a message are known

What callers saw: nothing was reported; a test of ours found it. A sound part that many requests share can be quarantined for two minutes, so that all of them are refused, while the part that crashes endpoints runs on.

Cause: an instance decided after each record of a message which part to quarantine. If the record of a sound part came first, it had the weight of four crashes before the cause's record was read; it was quarantined, and its crashes were taken from the cause as explained.

TestPartsOfOneMessageAreEvaluatedTogether: red before (the cause was not quarantined), green now.

--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -145,6 +145,7 @@
 // evaluateParts quarantines the parts whose crashes weigh enough. Crashes that one of them explains do not count against
 // others. The caller holds mu.
 func (t *Tracker) evaluateParts(now time.Time, local bool) (changes []*Change) {
+	t.unevaluated = false
 	for {
 		var best *record
 		for _, r := range t.records {
@@ -162,6 +163,20 @@
 	}
 }
 
+// evaluateReceived quarantines the parts for which received crashes are enough evidence.
+func (t *Tracker) evaluateReceived() {
+	now := t.now()
+	t.mu.Lock()
+	var changes []*Change
+	if t.unevaluated {
+		changes = t.evaluateParts(now, true)
+	}
+	t.mu.Unlock()
+	for _, c := range changes {
+		t.notify(c)
+	}
+}
+
 // enoughEvidence reports whether a part that is not quarantined has crashes of enough weight for that.
 func (r *record) enoughEvidence() bool {
 	return r.part && r.quarantinedAt.IsZero() && r.weight() >= partQuarantineWeight
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -219,3 +219,27 @@
 		}
 	})
 }
+
+// Guards against a sound part being quarantined because its crashes in a message are evaluated before those of the part that
+// caused them.
+func TestPartsOfOneMessageAreEvaluatedTogether(t *testing.T) {
+	Convey("An instance that receives the crashes of two parts in one message quarantines the cause only", t, func() {
+		now := time.Unix(1_000_000, 0)
+		clock := WithNow(func() time.Time { return now })
+		sender, receiver := New(clock), New(clock)
+		crash := func(to *Tracker, i int) {
+			now = now.Add(time.Second)
+			to.RecordPartCrash(partService, partsOf("popular", "bad"), Crash{Run: fmt.Sprintf("e-%d", i), Began: now.Add(-ranFor), Ended: now})
+		}
+		for i := range 3 {
+			crash(sender, i)
+		}
+		crash(receiver, 3)
+		reports, _ := sender.changedSince(0, "")
+		So(reports[0].Part, ShouldEqual, "popular")
+		receiver.mergeAll(reports, "", 0, sameCrashWindow)
+		receiver.evaluateReceived()
+		So(receiver.Quarantined(PartOf(partService, "bad").Digest), ShouldBeTrue)
+		So(receiver.Quarantined(PartOf(partService, "popular").Digest), ShouldBeFalse)
+	})
+}
--- a/internal/quarantine/replicator.go
+++ b/internal/quarantine/replicator.go
@@ -245,10 +245,8 @@
 		p.received, p.owesAck = u.Seq, true
 	}
 	r.mu.Unlock()
-	advanced := false
-	for _, rep := range u.Records[:min(len(u.Records), maxReports)] {
-		advanced = r.tracker.merge(rep, from, 0, sameCrashWindow) || advanced
-	}
+	advanced := r.tracker.mergeAll(u.Records[:min(len(u.Records), maxReports)], from, 0, sameCrashWindow)
+	r.tracker.evaluateReceived()
 	if advanced && r.dir.Large() && (r.dir.Leads() || r.dir.IsRelay()) {
 		r.Wake()
 	}
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -62,40 +62,47 @@
 	return true
 }
 
-// merge adds a received report. age is the time since it was encoded, and window is the time within which two
-// observations count as the same crash. from is the instance that sent it, or empty for the store. advanced reports
-// whether the report has a later generation, which means that a run was successful.
-func (t *Tracker) merge(rep report, from string, age, window time.Duration) (advanced bool) {
-	if !rep.valid() {
-		return false
-	}
+// mergeAll adds the reports of a message. age is the time since they were encoded, and window is the time within which two
+// observations count as the same crash. from is the instance that sent them, or empty for the store. advanced reports
+// whether any report has a later generation, which means that a run was successful. Parts are not evaluated before
+// evaluateReceived is called, or the next decision is made.
+func (t *Tracker) mergeAll(reports []report, from string, age, window time.Duration) (advanced bool) {
 	now := t.now()
+	var changes []*Change
 	t.mu.Lock()
+	for _, rep := range reports {
+		if rep.valid() {
+			change, later := t.mergeReport(rep, from, now.Add(-age), now, window)
+			changes, advanced = append(changes, change...), advanced || later
+		}
+	}
+	t.mu.Unlock()
+	for _, c := range changes {
+		t.notify(c)
+	}
+	return advanced
+}
+
+// mergeReport adds one report that was encoded at a time. The caller holds mu.
+func (t *Tracker) mergeReport(rep report, from string, at, now time.Time, window time.Duration) (changes []*Change, advanced bool) {
 	r := t.lookupOrCreate(Digest(rep.Digest), rep.Customer, now)
 	if rep.Part != "" {
 		r.part, r.label, r.position = true, rep.Part, max(r.position, rep.Position)
 	}
 	before := r.seq
-	var changes []*Change
 	if rep.Gen > r.gen {
 		changes = append(changes, t.reset(r, rep.Gen, false))
 		t.markChanged(r, now)
 		advanced = true
 	}
 	if rep.Gen == r.gen {
-		changes = append(changes, t.mergeCrashes(r, rep, now.Add(-age), now, window))
-	}
-	if r.enoughEvidence() {
-		changes = append(changes, t.evaluateParts(now, true)...)
+		changes = append(changes, t.mergeCrashes(r, rep, at, now, window))
 	}
+	t.unevaluated = t.unevaluated || r.enoughEvidence()
 	if r.seq != before && rep.Gen == r.gen && len(rep.Crashes) == len(r.crashes) && rep.Quarantined == !r.quarantinedAt.IsZero() {
 		r.from = from
 	}
-	t.mu.Unlock()
-	for _, c := range changes {
-		t.notify(c)
-	}
-	return advanced
+	return changes, advanced
 }
 
 // mergeCrashes adds the crashes and the quarantine of a report of the same generation. at is when the report was
@@ -161,6 +168,7 @@
 // number of the last one. It leaves out records that the receiver itself has sent: otherwise each member of an
 // availability zone would send back to its leader all records that it has received from the leader.
 func (t *Tracker) changedSince(seq uint64, to string) ([]report, uint64) {
+	t.evaluateReceived()
 	now := t.now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -198,6 +206,7 @@
 // packSnapshot encodes the records to store, so that they outlive all instances. It prefers quarantined requests, and
 // then the records that were updated last.
 func (t *Tracker) packSnapshot(wall time.Time) ([]byte, error) {
+	t.evaluateReceived()
 	now := t.now()
 	t.mu.Lock()
 	list := make([]*record, 0, len(t.records))
@@ -233,9 +242,8 @@
 	if age < 0 || age > t.duration {
 		age = 0
 	}
-	for _, r := range s.Records[:min(len(s.Records), maxSnapshotRecords)] {
-		t.merge(r, "", age, storedCrashWindow)
-	}
+	t.mergeAll(s.Records[:min(len(s.Records), maxSnapshotRecords)], "", age, storedCrashWindow)
+	t.evaluateReceived()
 	return nil
 }
 
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -41,6 +41,9 @@
 	records   map[Digest]*record
 	customers map[string]int // records under suspicion, by customer
 	seq       uint64
+	// unevaluated is set if received crashes of parts were not evaluated yet. A message has the crashes of several parts, and
+	// which of them is the cause shows only once all are known.
+	unevaluated bool
 }
 
 // Option configures a Tracker.
@@ -88,6 +91,7 @@
 // Enter decides whether an incoming request may run. If not, it also returns the time after which the caller may retry.
 // When a request that may run has ended, Leave must be called.
 func (t *Tracker) Enter(d Digest) (Decision, time.Duration) {
+	t.evaluateReceived()
 	now := t.now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -119,6 +123,7 @@
 
 // Quarantined reports whether a request is quarantined now, although it was admitted earlier.
 func (t *Tracker) Quarantined(d Digest) bool {
+	t.evaluateReceived()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[d]
@@ -127,6 +132,7 @@
 
 // NoRetry reports whether the instance must not retry a request itself. Its caller may still send it again.
 func (t *Tracker) NoRetry(d Digest) bool {
+	t.evaluateReceived()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[d]
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -264,3 +264,8 @@
 		}
 	})
 }
+
+// merge is mergeAll for one report.
+func (t *Tracker) merge(rep report, from string, age, window time.Duration) (advanced bool) {
+	return t.mergeAll([]report{rep}, from, age, window)
+}
