--- a/internal/escrow/layout_test.go
+++ b/internal/escrow/layout_test.go
@@ -11,8 +11,9 @@
 
 // layoutCustomers are so many that each page of any number in these tests has some.
 var layoutCustomers = func() []string {
-	var out []string
-	for i := range 12 {
+	const n = 12
+	out := make([]string, 0, n)
+	for i := range n {
 		out = append(out, fmt.Sprintf("customer-%d", i))
 	}
 	return out
