--- a/internal/escrow/settle_once_test.go
+++ b/internal/escrow/settle_once_test.go
@@ -191,6 +191,31 @@
 	})
 }
 
+// Guards against a holder that a restored page lacks taking its rows for settled and serving nothing more.
+func TestHolderThatRestorationLostJoinsAgain(t *testing.T) {
+	const north = "north"
+	Convey("A holder that joined after the copy was made states its rows again, whoever writes the restored page first", t, func() {
+		w := newWorld(DefaultPolicy())
+		w.store.SetEpoch(1)
+		first, lost := w.nodes[0], w.nodes[1]
+		w.refresh(first)
+		copied := w.store.Number()
+		w.refresh(lost)
+		w.useTokens(lost, north, usedBeforeStop)
+		w.refresh(lost)
+		w.restoreTo(copied)
+		for _, p := range lost.holder.pages {
+			So(lost.holder.load(context.Background(), p), ShouldBeNil)
+		}
+		w.refresh(first)
+		w.elapsed += restateWait
+		w.refresh(lost)
+		So(lost.holder.Ready(), ShouldBeTrue)
+		So(w.page(north).Accounts[north].Rows, ShouldContainKey, lost.holder.id)
+		So(w.charged(north), ShouldEqual, usedBeforeStop)
+	})
+}
+
 // Guards against pages that grow with each stop: the records of settled holders are limited in age and number.
 func TestRecordsOfSettledHoldersAreLimited(t *testing.T) {
 	const (
