perf: a starting holder reads the number of pages when it joins, not before

The number was read in the first round, also while no configuration was known; the page was then read again before the first write. Now it is read once, with the page that is written.

--- a/internal/escrow/layout.go
+++ b/internal/escrow/layout.go
@@ -23,8 +23,8 @@
 	return &pageState{key: h.pageKey(i), unconfirmedBase: -1, reported: make(map[string]int64)}
 }
 
-// resolveLayout determines the number of pages before this holder first writes one. It reports whether the number is
-// known. A follower learns it from its leader.
+// resolveLayout determines the number of pages before this holder first writes one. It reports whether this holder uses
+// that number; if not, it does so from the next round on. A follower learns the number from its leader.
 func (h *Holder) resolveLayout(ctx context.Context) bool {
 	if h.layoutResolved {
 		return true
@@ -36,11 +36,10 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if n > 0 {
-		h.setLayout(n)
-	}
+	before := len(h.pages)
+	h.setLayout(n)
 	h.layoutResolved = true
-	return true
+	return len(h.pages) == before
 }
 
 // pagesInUse returns the number of pages in the store, 0 if there are none. Builds that do not state it in the first page
--- a/internal/escrow/refresh.go
+++ b/internal/escrow/refresh.go
@@ -40,9 +40,6 @@
 	}
 	h.activate()
 	follower, relay := h.isFollower(), h.isRelay()
-	if !follower && !h.resolveLayout(ctx) {
-		return
-	}
 	switch {
 	case follower:
 		h.submit(ctx, regular)
@@ -55,7 +52,7 @@
 			pages = append(pages, p)
 		}
 	}
-	if len(pages) > 0 && ctx.Err() == nil {
+	if len(pages) > 0 && ctx.Err() == nil && h.resolveLayout(ctx) {
 		h.refresh(ctx, pages...)
 	}
 }
