--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -62,8 +62,8 @@
 	return true
 }
 
-// mergeAll adds the reports of a message. age is the time since they were encoded, and window is the time within which two
-// observations count as the same crash. from is the instance that sent them, or empty for the store. advanced reports
+// mergeAll adds the reports of a message. age is the time since they were encoded, and window is the time within which
+// two observations count as the same crash. from is the instance that sent them, or empty for the store. advanced reports
 // whether any report has a later generation, which means that a run was successful. Parts are not evaluated before
 // evaluateReceived is called, or the next decision is made.
 func (t *Tracker) mergeAll(reports []report, from string, age, window time.Duration) (advanced bool) {
--- a/internal/relay/delivery.go
+++ b/internal/relay/delivery.go
@@ -32,8 +32,7 @@
 	return errLast != nil || errNext != nil || next > last
 }
 
-// addEvent records that an event was forwarded. The endpoints cannot resume after an event without an ID: they would repeat
-// it.
+// addEvent records that an event was forwarded. Endpoints cannot resume after an event without an ID: they would repeat it.
 func (d *delivery) addEvent(id string) {
 	if id == "" {
 		d.extent = partSent
