--- a/internal/escrow/settle_once_test.go
+++ b/internal/escrow/settle_once_test.go
@@ -47,8 +47,7 @@
 	w.store.SetLoseResponses(false)
 }
 
-// Guards against a planned stop charging what its process has spent twice, when the response to a write is lost or a
-// refresh comes between two attempts.
+// Guards against a planned stop charging what its process has spent twice, after a write with an unknown outcome.
 func TestStopIsChargedOnce(t *testing.T) {
 	const north = "north"
 	stops := map[string]func(w *world, n *simNode){
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -220,8 +220,7 @@
 	})
 }
 
-// Guards against a sound part being quarantined because its crashes in a message are evaluated before those of the part
-// that caused them.
+// Guards against a sound part being quarantined before all crashes of a message are known.
 func TestPartsOfOneMessageAreEvaluatedTogether(t *testing.T) {
 	Convey("An instance that receives the crashes of two parts in one message quarantines the cause only", t, func() {
 		now := time.Unix(1_000_000, 0)
