--- a/internal/escrow/ended.go
+++ b/internal/escrow/ended.go
@@ -13,8 +13,8 @@
 // are lost together if the store is restored from an older copy.
 
 const (
-	// endedRetention is how long a page records that a holder was settled. A process that has confirmed its rows once
-	// knows by itself what their absence means.
+	// endedRetention is how long a page records that a holder was settled. A process that has confirmed its rows needs no
+	// record: that the page lacks them means that they were settled.
 	endedRetention = 10 * time.Minute
 	// maxEnded limits the records of a page.
 	maxEnded = 1024
--- a/internal/escrow/layout.go
+++ b/internal/escrow/layout.go
@@ -7,7 +7,7 @@
 )
 
 // All holders must distribute the accounts among the same number of pages. On another page an account is unknown, so its
-// whole prepaid amount would be granted again. The settings of instances may differ for a while, or change between two
+// entire prepaid amount would be granted again. The settings of instances may differ for a while, or change between two
 // starts of a process. Therefore the pages state their number, and a holder uses that one. Nothing changes it.
 
 // maxPages limits the number of pages that a holder accepts.
@@ -24,7 +24,7 @@
 }
 
 // resolveLayout determines the number of pages before this holder first writes one. It reports whether this holder uses
-// that number; if not, it does so from the next round on. A follower learns the number from its leader.
+// that number; if not, it does so from the next round on. A follower receives the number from its leader.
 func (h *Holder) resolveLayout(ctx context.Context) bool {
 	if h.layoutResolved {
 		return true
