fix: a path is not taken for lost after four endpoints that have exited

Callers saw 503 "this instance reaches no endpoint, neither itself nor through another instance" for up to 0.8 s while endpoints were idle.

Cause: a check probes four endpoints. If none is reached, and other instances do not reach these four either, the path counted as lost. With four to six of eight endpoints exited, four of them are often drawn. Evidence: each refusal follows a path_changed to "lost" with reached 0, unreached 4, answered 8; the next check that draws another endpoint ends it. The probes of a lost path's return concluded the same.

Change: before a path counts as lost, up to 28 other endpoints are probed at once; one that is reached shows that it is not.

TestPathIsNotLostWhileAnEndpointIsReached failed before, in both of its cases.

--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -94,6 +95,9 @@
 	checkLifetime  = 250 * time.Millisecond // how long the result of a check is used
 	maxCut         = 64                     // endpoints of a service that are tracked one by one
 	cutProbesATick = 4                      // of them that are probed at once
+
+	// maxFurtherProbes is how many endpoints, beyond those of the check, are probed before a path counts as lost.
+	maxFurtherProbes = 28
 )
 
 // Monitor is the service that tracks the paths to endpoints.
@@ -312,10 +316,10 @@
 	case c.failing && len(result.Confirmed) > 0:
 		result.To = Forwarded
 	case len(reached) > 0 || m.endpoints.ReceivedSince(name, began):
-	case result.Answered > 0:
-		result.To = Lost
-	default:
+	case result.Answered == 0:
 		m.reportSilence(result)
+	case !m.reachesOthers(name, unreached, &result):
+		result.To = Lost
 	}
 	m.settle(name, s, unreached, result)
 }
@@ -331,6 +335,24 @@
 	return ok, append(unreached, failed...)
 }
 
+// reachesOthers probes endpoints of a service beyond those that were not reached, unless the path is lost already. The
+// latter may all have exited, which other instances cannot tell from a lost path either.
+func (m *Monitor) reachesOthers(name string, unreached []pool.Endpoint, c *Change) bool {
+	if m.ServiceState(name) == Lost {
+		return false
+	}
+	targets := m.endpoints.ProbeTargets(name, maxFurtherProbes+len(unreached), "")
+	targets = slices.DeleteFunc(targets, func(e pool.Endpoint) bool { return slices.ContainsFunc(unreached, sameID(e)) })
+	reached, failed := m.probe(targets[:min(maxFurtherProbes, len(targets))])
+	c.Reached += len(reached)
+	c.Unreached += len(failed)
+	return len(reached) > 0
+}
+
+func sameID(e pool.Endpoint) func(pool.Endpoint) bool {
+	return func(x pool.Endpoint) bool { return x.ID == e.ID }
+}
+
 // probe tries to reach endpoints, all at the same time.
 func (m *Monitor) probe(list []pool.Endpoint) (reached, unreached []pool.Endpoint) {
 	errs := make([]error, len(list))
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -337,6 +337,59 @@
 	})
 }
 
+// Guards against all requests being rejected while most, but not all, endpoints have exited.
+func TestPathIsNotLostWhileAnEndpointIsReached(t *testing.T) {
+	exited := []string{"engine-00", "engine-01", "engine-02", "engine-03", "engine-04", "engine-05"}
+	inBubble(t, func(t *testing.T) {
+		Convey("A path is not lost if endpoints beyond those of the first probe are reached", t, func() {
+			w := newWorld(8, 3)
+			stop := w.run()
+			w.exit(exited...)
+			for _, n := range w.nodes {
+				So(n.monitor.Verify(t.Context(), testService, "engine-00"), ShouldEqual, Direct)
+				So(n.changes, ShouldBeEmpty)
+			}
+			stop()
+		})
+		Convey("nor if that shows only after the instances that forwarded have stopped", t, func() {
+			w := newWorld(8, 3)
+			stop := w.run()
+			n := w.nodes[0]
+			n.lose(everything)
+			So(n.monitor.Verify(t.Context(), testService, "engine-00"), ShouldEqual, Forwarded)
+			w.exit(exited...)
+			n.lose(nothing)
+			for _, x := range w.nodes[1:] {
+				x.server.Leave()
+			}
+			for range maxForwardTries {
+				_, _, _ = n.monitor.Connect(t.Context(), testService, "engine-07")
+			}
+			time.Sleep(time.Second)
+			So(n.monitor.ServiceState(testService), ShouldEqual, Direct)
+			for _, c := range n.changes {
+				So(c.To, ShouldNotEqual, Lost)
+			}
+			stop()
+		})
+		Convey("The number of further probes is limited, and they are not repeated while the path is lost", t, func() {
+			w := newWorld(100, 2)
+			stop := w.run()
+			for _, e := range w.endpoints {
+				w.exit(e.ID)
+			}
+			n := w.nodes[0]
+			So(n.monitor.Verify(t.Context(), testService, "engine-00"), ShouldEqual, Lost)
+			dials, _ := n.counts()
+			So(dials, ShouldBeLessThanOrEqualTo, probeCount+maxFurtherProbes+searchCount) // the last are for the other instance
+			time.Sleep(10 * time.Second)
+			later, _ := n.counts()
+			So(later-dials, ShouldBeLessThanOrEqualTo, 10*5*probeCount)
+			stop()
+		})
+	})
+}
+
 func TestForwarderWithoutPath(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		Convey("An instance that has lost its own path forwards nothing, and its refusal does not mean that an endpoint has exited", t, func() {
--- a/internal/reach/return.go
+++ b/internal/reach/return.go
@@ -36,7 +36,7 @@
 		c.To = Direct
 	case m.usableForwarders(s) > 0 || m.confirm(s, targets, true, &c) || c.Answered == 0:
 		c.To = Forwarded
-	default:
+	case !m.reachesOthers(name, targets, &c):
 		c.To = Lost
 	}
 	m.mu.Lock()
