fix: crashes of one request count as one against the parts of its prompt

Callers of other requests were refused as quarantined for seconds: one of 28 plays of TestCrashingRequest on served 1 of 140 of them, 131 were refused as quarantined, after five crashes under one request.

Cause: a part of prompts is quarantined after four crashes in a row, and crashes of one request that is sent again and again counted against the part that all prompts share, too. Where other requests were caught by them, their later begin made overlapping runs look like runs in a row, so that the part could be quarantined before the request. When the request was quarantined, its crashes stayed in the part's record.

Change: from its third crash on, a request explains all its crashes but the first; these are taken from the records of parts, at every instance. Counted not at all, a part whose callers send each request three times would never be found (same test, second case).

TestPartIsNotBlamedForOneRequest and TestPartIsNotBlamedForOneRequestElsewhere failed before; 20,000 draws of the latter are green now.

--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -21,6 +21,8 @@
 	// as a loss of power. Runs that overlapped count only if their crashes are that far apart.
 	separateCrash = 250 * time.Millisecond
 	overlapWeight = 1
+	// repeatedCrashes is the number of crashes of one request from which on they count as one against its parts.
+	repeatedCrashes = 3
 
 	// A part is tried again sooner than a request, since all who share it are kept from endpoints meanwhile. Where endpoints
 	// crashed for a reason of their own, such as a faulty release, sound parts are quarantined too.
@@ -115,16 +117,29 @@
 	return all
 }
 
-// explained reports whether something in quarantine was running when an endpoint crashed. The caller holds mu.
+// explained reports whether any record explains a crash. The caller holds mu.
 func (t *Tracker) explained(c Crash) bool {
 	for _, r := range t.records {
-		if !r.quarantinedAt.IsZero() && r.hasCrash(c, sameCrashWindow) {
+		if r.explains(c) {
 			return true
 		}
 	}
 	return false
 }
 
+// explains reports whether a crash is no evidence against parts that are not quarantined. A quarantined part explains all
+// its crashes. A request that crashed several endpoints explains all but its first: further requests have to crash
+// endpoints before a part of its prompt is quarantined.
+func (r *record) explains(c Crash) bool {
+	switch {
+	case !r.hasCrash(c, sameCrashWindow):
+		return false
+	case r.part:
+		return !r.quarantinedAt.IsZero()
+	}
+	return len(r.crashes) >= repeatedCrashes && !r.crashes[0].same(c, sameCrashWindow)
+}
+
 // addPartCrash adds a crash to the record of a part and reports whether it is new. position is the index of the part
 // in the prompt. The caller holds mu.
 func (t *Tracker) addPartCrash(scope string, p Part, position int, c Crash, now time.Time) bool {
@@ -193,14 +208,18 @@
 	) < 0
 }
 
-// dropExplained removes the crashes that a quarantined part explains from the records of other parts. The caller holds mu.
-func (t *Tracker) dropExplained(quarantined *record) {
+// dropExplained removes the crashes that a quarantined part, or a request, explains from the records of other parts. The
+// caller holds mu.
+func (t *Tracker) dropExplained(cause *record) {
+	if !cause.part && len(cause.crashes) < repeatedCrashes {
+		return
+	}
 	for _, r := range t.records {
-		if r == quarantined || !r.part || !r.quarantinedAt.IsZero() {
+		if r == cause || !r.part || !r.quarantinedAt.IsZero() {
 			continue
 		}
 		before := r.suspected()
-		r.crashes = slices.DeleteFunc(r.crashes, func(c Crash) bool { return quarantined.hasCrash(c, sameCrashWindow) })
+		r.crashes = slices.DeleteFunc(r.crashes, cause.explains)
 		t.countSuspects(r, before, r.suspected())
 	}
 }
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -242,3 +242,102 @@
 		So(receiver.Quarantined(PartOf(partService, "popular").Digest), ShouldBeFalse)
 	})
 }
+
+// interrupted records that a crash interrupted a run of a request with the part "popular".
+func (tt *testTracker) interrupted(request string, c Crash) {
+	tt.RecordCrash(requestNamed(request), "north", c)
+	tt.RecordPartCrash(partService, partsOf("popular"), c)
+}
+
+func requestNamed(name string) Digest {
+	return DigestOf("north", "POST", "api.example", "/draft/x", []byte(name))
+}
+
+// Guards against a part that all prompts share being quarantined for one request that crashes endpoints.
+func TestPartIsNotBlamedForOneRequest(t *testing.T) {
+	Convey("A tracker of crashes under requests whose prompts share a part", t, func() {
+		tt := newTestTracker()
+		popular := PartOf(partService, "popular").Digest
+
+		Convey("does not blame it for one request that is sent again and again, and runs at several endpoints at a time", func() {
+			for i := range 12 {
+				began := tt.now
+				ended := began.Add(130 * time.Millisecond)
+				endpoint := fmt.Sprintf("e-%d", i)
+				tt.now = ended
+				tt.interrupted(fmt.Sprintf("caught-%d", i), Crash{Run: endpoint, Began: ended.Add(-time.Millisecond), Ended: ended})
+				tt.interrupted("bad", Crash{Run: endpoint, Began: began, Ended: ended})
+				tt.now = began.Add(100 * time.Millisecond)
+			}
+			So(tt.Quarantined(requestNamed("bad")), ShouldBeTrue)
+			So(tt.Quarantined(popular), ShouldBeFalse)
+			d, _ := tt.Enter(popular)
+			So(d, ShouldEqual, Run)
+			d, _ = tt.Enter(popular)
+			So(d, ShouldEqual, Run)
+		})
+
+		Convey("blames it if requests with it crash endpoints, although each is sent three times", func() {
+			for i := range 4 * 3 {
+				endpoint := fmt.Sprintf("e-%d", i)
+				began := tt.now
+				tt.now = tt.now.Add(ranFor)
+				tt.interrupted(fmt.Sprintf("bad-%d", i/3), Crash{Run: endpoint, Began: began, Ended: tt.now})
+				tt.now = tt.now.Add(separateCrash)
+			}
+			So(tt.Quarantined(popular), ShouldBeTrue)
+		})
+	})
+}
+
+// exchange is a group of trackers that send each other their records.
+type exchange struct {
+	now     time.Time
+	members []*Tracker
+}
+
+func newExchange(members int) *exchange {
+	x := &exchange{now: time.Unix(1_000_000, 0)}
+	for range members {
+		x.members = append(x.members, New(WithNow(func() time.Time { return x.now })))
+	}
+	return x
+}
+
+// run has the members with the given indexes send all their records, one after the other.
+func (x *exchange) run(order []int) {
+	for _, i := range order {
+		records, _ := x.members[i].changedSince(0, "")
+		for _, to := range x.members {
+			to.mergeAll(records, "", 0, sameCrashWindow)
+			to.evaluateReceived()
+		}
+	}
+}
+
+// Guards against the same at instances that learn of the crashes from others, in any order.
+func TestPartIsNotBlamedForOneRequestElsewhere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newExchange(3)
+		crashes := rapid.IntRange(4, 10).Draw(t, "crashes")
+		for i := range crashes {
+			ended := f.now.Add(ranFor)
+			caught := Crash{Run: fmt.Sprintf("e-%d", i), Began: ended.Add(-time.Millisecond), Ended: ended}
+			f.now = ended
+			observers := rapid.Permutation(f.members).Draw(t, "observers")
+			observers[0].RecordCrash(requestNamed("bad"), "north", Crash{Run: caught.Run, Began: ended.Add(-ranFor), Ended: ended})
+			observers[0].RecordPartCrash(partService, partsOf("popular"), caught)
+			if rapid.Bool().Draw(t, "another is caught") {
+				observers[1].RecordCrash(requestNamed(fmt.Sprintf("caught-%d", i)), "north", caught)
+				observers[1].RecordPartCrash(partService, partsOf("popular"), caught)
+			}
+			f.run(rapid.Permutation([]int{0, 1, 2}).Draw(t, "order"))
+			f.now = f.now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+		}
+		for i, tracker := range f.members {
+			if tracker.Quarantined(PartOf(partService, "popular").Digest) {
+				t.Fatalf("instance %d quarantines a part for the crashes of one request", i)
+			}
+		}
+	})
+}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -56,6 +56,11 @@
 	return crashWeight
 }
 
+// same reports whether two observations are of the same crash.
+func (c Crash) same(other Crash, window time.Duration) bool {
+	return c.Run == other.Run && c.Ended.Sub(other.Ended).Abs() < window
+}
+
 // record is the crash history of one request, or of one part of prompts.
 type record struct {
 	digest   Digest
@@ -100,9 +105,7 @@
 
 // hasCrash reports whether a crash is in the record. Several instances may observe the same one.
 func (r *record) hasCrash(c Crash, window time.Duration) bool {
-	return slices.ContainsFunc(r.crashes, func(known Crash) bool {
-		return known.Run == c.Run && c.Ended.Sub(known.Ended).Abs() < window
-	})
+	return slices.ContainsFunc(r.crashes, func(known Crash) bool { return known.same(c, window) })
 }
 
 // addCrash adds a crash and reports whether it is new.
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -126,7 +126,7 @@
 	if !added {
 		return nil
 	}
-	if r.part && !wasQuarantined && !r.quarantinedAt.IsZero() {
+	if !r.part || (!wasQuarantined && !r.quarantinedAt.IsZero()) {
 		t.dropExplained(r)
 	}
 	t.countSuspects(r, before, true)
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -275,6 +275,7 @@
 func (t *Tracker) evaluate(r *record, now time.Time, local bool) *Change {
 	t.countSuspects(r, len(r.crashes) > 1 || !r.quarantinedAt.IsZero(), true)
 	t.markChanged(r, now)
+	t.dropExplained(r)
 	if !r.quarantinedAt.IsZero() || r.weight() < quarantineWeight {
 		return nil
 	}
