fix: a request is not rejected after three refused connections

Callers saw 503 "no endpoint takes work or can be reached" within milliseconds while endpoints were idle, when several others had just crashed.

Cause: a request was given up after three connections that were not established, however they failed. The bound is meant for those that nobody answers.

Change: refused connections, also those that another instance reports, are counted apart and bounded by 16 a request. A refusal takes no time and says nothing about other endpoints.

--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -104,7 +104,8 @@
 const (
 	defaultStallTimeout = 700 * time.Millisecond
 	defaultMaxBody      = 4 << 20
-	maxDials            = 3 // failed connection attempts per request
+	maxDials            = 3  // failed connection attempts per request, apart from those that are refused
+	maxRefusedDials     = 16 // refused connection attempts per request: they take no time
 )
 
 // Delays after which a rejected caller may retry.
@@ -174,6 +175,7 @@
 	tried        map[string]bool
 	attempts     int
 	failedDials  int
+	refusedDials int
 	dialFailure  upstream.DialFailure // of the attempt in progress
 	via          string               // the instance that the attempt in progress is forwarded through; empty: none
 	availability pool.Availability    // availability of endpoints as last queried
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -71,8 +71,8 @@
 			if res == resultNoPath {
 				delete(j.tried, lease.Endpoint().ID) // it may be reached through another instance
 			}
-			j.failedDials++
-			if j.failedDials < maxDials && ctx.Err() == nil && !j.pathLost() {
+			j.countDial(res)
+			if j.mayDial(ctx) {
 				continue
 			}
 			res = resultUnsent
@@ -84,6 +84,20 @@
 	}
 }
 
+// countDial counts a connection attempt that failed with the given result.
+func (j *job) countDial(res result) {
+	if res == resultRemoteUnsent || j.dialFailure == upstream.DialRefused {
+		j.refusedDials++
+	} else {
+		j.failedDials++
+	}
+}
+
+// mayDial reports whether another endpoint is tried after connection attempts that failed.
+func (j *job) mayDial(ctx context.Context) bool {
+	return j.failedDials < maxDials && j.refusedDials < maxRefusedDials && ctx.Err() == nil && !j.pathLost()
+}
+
 // query returns the criteria by which an endpoint is picked.
 func (j *job) query() pool.Query {
 	q := pool.Query{
