fix: records of instances are read soon after a restoration of the store

Cause: a restoration interrupted the wait for the next read of the records; the instance wrote its own record again, read nothing, and waited the whole five seconds anew. Evidence: path_changed says that it asked one instance, three times; the third had restarted 4 s before, between its last read and the restoration.

Change: the next read is when all have had time to write their records again, 1 s later, in a large fleet 2 s.

TestRecordsAreReadSoonAfterRestoration failed before.

--- a/internal/peers/directory.go
+++ b/internal/peers/directory.go
@@ -164,7 +164,7 @@
 	d.mu.Lock()
 	d.startedAt = d.now()
 	d.mu.Unlock()
-	for afterRestoration := false; ctx.Err() == nil; afterRestoration = d.sleep(ctx) {
+	for afterRestoration := false; ctx.Err() == nil; afterRestoration = d.sleep(ctx, d.readDelay(afterRestoration)) {
 		if !afterRestoration {
 			d.updateRecords(ctx)
 		}
@@ -204,16 +204,23 @@
 	close(d.discovered)
 }
 
-// sleep waits for the time of the next read. Reads are more frequent after the start, because other instances may be
-// starting too. It reports whether a restoration of the store ended the wait.
-func (d *Directory) sleep(ctx context.Context) bool {
-	wait := d.times.Read
+// readDelay returns the time until the next read. Reads are more frequent after the start, because other instances may
+// be starting too. After a restoration, the next one is when all have written their records again.
+func (d *Directory) readDelay(afterRestoration bool) time.Duration {
+	if afterRestoration {
+		return d.jitter()
+	}
 	switch age := d.now().Sub(d.startedAt); {
 	case age < d.times.Settle:
-		wait = d.times.Settle - age
+		return d.times.Settle - age
 	case age < d.times.Read:
-		wait = max(d.times.InitialRead, age)
+		return max(d.times.InitialRead, age)
 	}
+	return d.times.Read
+}
+
+// sleep waits for the time of the next read. It reports whether a restoration of the store ended the wait.
+func (d *Directory) sleep(ctx context.Context, wait time.Duration) bool {
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	select {
--- a/internal/peers/restore.go
+++ b/internal/peers/restore.go
@@ -62,13 +62,17 @@
 	return err
 }
 
-// waitJitter waits for a random part of the time over which the fleet writes its records again.
-func (d *Directory) waitJitter(ctx context.Context) {
-	jitter := smallFleetJitter
+// jitter is the time over which the fleet writes its records again.
+func (d *Directory) jitter() time.Duration {
 	if d.Large() {
-		jitter = largeFleetJitter
+		return largeFleetJitter
 	}
-	t := time.NewTimer(rand.N(jitter))
+	return smallFleetJitter
+}
+
+// waitJitter waits for a random part of the time over which the fleet writes its records again.
+func (d *Directory) waitJitter(ctx context.Context) {
+	t := time.NewTimer(rand.N(d.jitter()))
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/peers/restore_test.go
+++ b/internal/peers/restore_test.go
@@ -144,3 +144,15 @@
 		})
 	})
 }
+
+// Guards against the next read of the records being put off by a restoration of the store.
+func TestRecordsAreReadSoonAfterRestoration(t *testing.T) {
+	Convey("A fleet reads its records again once all have had time to write theirs", t, func() {
+		f := newFleet(2, 100)
+		d := f.dirs[0]
+		d.startedAt = f.at
+		f.at = f.at.Add(time.Minute)
+		So(d.readDelay(false), ShouldEqual, d.times.Read)
+		So(d.readDelay(true), ShouldEqual, smallFleetJitter)
+	})
+}
