fix: an instance that has just restarted is asked to forward connections

Cause: who forwards was taken from the store's records only, which are read each five seconds, although an instance that has started calls the others within half a second. Evidence: path_changed with "asked":3, one instance three times.

TestCallersForward failed before.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -106,11 +106,31 @@
 	calls   map[Kind]handler
 	streams map[Kind]streamHandler
 	tunnels map[Kind]tunnelHandler
+	onCall  func(from Peer)
 }
 
 // NewRouter returns a Router without handlers.
 func NewRouter() *Router {
-	return &Router{calls: make(map[Kind]handler), streams: make(map[Kind]streamHandler), tunnels: make(map[Kind]tunnelHandler)}
+	return &Router{
+		calls: make(map[Kind]handler), streams: make(map[Kind]streamHandler), tunnels: make(map[Kind]tunnelHandler), onCall: func(Peer) {},
+	}
+}
+
+// OnCall sets a function that is called with the sender of each call.
+func (r *Router) OnCall(f func(from Peer)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.onCall = f
+}
+
+// find returns the handler of a kind, and reports the call to the function that OnCall has set.
+func find[H any](r *Router, handlers map[Kind]H, from Peer, kind Kind) (H, bool) {
+	r.mu.RLock()
+	h, ok := handlers[kind]
+	onCall := r.onCall
+	r.mu.RUnlock()
+	onCall(from)
+	return h, ok
 }
 
 // Handle registers the typed handler of a kind of message.
@@ -151,9 +171,7 @@
 
 // Dispatch passes a call to its handler. Transports use it.
 func (r *Router) Dispatch(ctx context.Context, from Peer, kind Kind, body []byte) ([]byte, error) {
-	r.mu.RLock()
-	h, ok := r.calls[kind]
-	r.mu.RUnlock()
+	h, ok := find(r, r.calls, from, kind)
 	if !ok {
 		return nil, unknownKind(kind)
 	}
@@ -162,9 +180,7 @@
 
 // DispatchStream passes a streaming call to its handler.
 func (r *Router) DispatchStream(ctx context.Context, from Peer, kind Kind, body []byte, send func([]byte) error) error {
-	r.mu.RLock()
-	h, ok := r.streams[kind]
-	r.mu.RUnlock()
+	h, ok := find(r, r.streams, from, kind)
 	if !ok {
 		return unknownKind(kind)
 	}
--- a/internal/mesh/tunnel.go
+++ b/internal/mesh/tunnel.go
@@ -49,9 +49,7 @@
 
 // DispatchTunnel passes a message to the handler that establishes the far end of a tunnel.
 func (r *Router) DispatchTunnel(ctx context.Context, from Peer, kind Kind, body []byte) (net.Conn, error) {
-	r.mu.RLock()
-	h, ok := r.tunnels[kind]
-	r.mu.RUnlock()
+	h, ok := find(r, r.tunnels, from, kind)
 	if !ok {
 		return nil, unknownKind(kind)
 	}
--- a/internal/peers/directory.go
+++ b/internal/peers/directory.go
@@ -103,6 +103,7 @@
 	fleetAhead []Record            // likewise, of all zones
 	position   int                 // of this instance among all, ordered by ID
 	suspects   map[string]*suspicion
+	callers    map[string]recentCaller // by ID
 	leaving    bool
 	leader     string // last logged leader
 }
@@ -141,13 +142,14 @@
 func New(store external.KV, prefix string, self Record, router *mesh.Router, opts ...Option) *Directory {
 	d := &Directory{
 		store: store, prefix: prefix, self: self, router: router, times: DefaultTimes(), now: time.Now, log: zerolog.Nop(),
-		largeFleet: DefaultLargeFleet, pooling: true, records: make(map[string]Record), suspects: make(map[string]*suspicion),
+		largeFleet: DefaultLargeFleet, pooling: true, records: make(map[string]Record), suspects: make(map[string]*suspicion), callers: make(map[string]recentCaller),
 		discovered: make(chan struct{}), restorations: make(chan struct{}, 1), onTraffic: func(mesh.Kind, int) {}, epochs: external.NewEpochs(),
 	}
 	for _, opt := range opts {
 		opt(d)
 	}
 	d.epochs.OnRestored(d.onRestored)
+	router.OnCall(d.recordCaller)
 	return d
 }
 
--- a/internal/peers/forwarders.go
+++ b/internal/peers/forwarders.go
@@ -20,7 +20,7 @@
 	if !d.linked() {
 		return nil
 	}
-	var near, far []mesh.Peer
+	near, far := d.recentCallers(allowed)
 	for zone, records := range d.zones {
 		switch {
 		case zone == d.self.Peer.Zone:
@@ -29,18 +29,21 @@
 			far = d.sample(far, records, n)
 		}
 	}
-	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	for _, list := range [][]mesh.Peer{near, far} {
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	}
 	out := d.unsuspectedFirst(near)
 	out = out[:min(len(out), max(n/2, n-len(far)))]
 	return append(out, d.unsuspectedFirst(far)[:min(len(far), n-len(out))]...)
 }
 
-// sample appends up to n random instances of a list to out, without this instance.
+// sample appends up to n random instances of a list to out, without this instance and the recent callers. The caller
+// holds mu.
 func (d *Directory) sample(out []mesh.Peer, list []Record, n int) []mesh.Peer {
 	start := rand.IntN(max(1, len(list)))
 	for i := range list {
 		p := list[(start+i)%len(list)].Peer
-		if n > 0 && p.ID != d.self.Peer.ID {
+		if _, called := d.callers[p.ID]; n > 0 && p.ID != d.self.Peer.ID && !called {
 			out = append(out, p)
 			n--
 		}
