fix: a forwarded path whose endpoints are reached again is not taken for lost

Cause: the probes of a path's return concluded that it was lost unless all probed endpoints were reached, if no instance forwarded any more. Evidence: path_changed from "forwarded" to "lost" with reached 2, unreached 1; one endpoint had crashed meanwhile.

Change: if any of them is reached, connections are direct again; what has exited is the pool's to know.

TestPathIsNotLostWhileAnEndpointIsReached has this case now, which failed before.

--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -335,14 +335,14 @@
 	return ok, append(unreached, failed...)
 }
 
-// reachesOthers probes endpoints of a service beyond those that were not reached, unless the path is lost already. The
-// latter may all have exited, which other instances cannot tell from a lost path either.
-func (m *Monitor) reachesOthers(name string, unreached []pool.Endpoint, c *Change) bool {
+// reachesOthers reports whether this instance reaches endpoints of a service other than those that it has probed, which
+// may all have exited. It probes none if the path is lost already.
+func (m *Monitor) reachesOthers(name string, probed []pool.Endpoint, c *Change) bool {
 	if m.ServiceState(name) == Lost {
 		return false
 	}
-	targets := m.endpoints.ProbeTargets(name, maxFurtherProbes+len(unreached), "")
-	targets = slices.DeleteFunc(targets, func(e pool.Endpoint) bool { return slices.ContainsFunc(unreached, sameID(e)) })
+	targets := m.endpoints.ProbeTargets(name, maxFurtherProbes+len(probed), "")
+	targets = slices.DeleteFunc(targets, func(e pool.Endpoint) bool { return slices.ContainsFunc(probed, sameID(e)) })
 	reached, failed := m.probe(targets[:min(maxFurtherProbes, len(targets))])
 	c.Reached += len(reached)
 	c.Unreached += len(failed)
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -372,6 +372,23 @@
 			}
 			stop()
 		})
+		Convey("nor if one of the endpoints that were not reached has exited meanwhile, and the others are reached", t, func() {
+			w := newWorld(3, 2)
+			stop := w.run()
+			n := w.nodes[0]
+			n.lose(everything)
+			So(n.monitor.Verify(t.Context(), testService, "engine-00"), ShouldEqual, Forwarded)
+			w.exit("engine-02")
+			n.lose(nothing)
+			w.nodes[1].server.Leave()
+			_, _, _ = n.monitor.Connect(t.Context(), testService, "engine-01")
+			time.Sleep(time.Second)
+			So(n.monitor.ServiceState(testService), ShouldEqual, Direct)
+			for _, c := range n.changes {
+				So(c.To, ShouldNotEqual, Lost)
+			}
+			stop()
+		})
 		Convey("The number of further probes is limited, and they are not repeated while the path is lost", t, func() {
 			w := newWorld(100, 2)
 			stop := w.run()
--- a/internal/reach/return.go
+++ b/internal/reach/return.go
@@ -20,7 +20,8 @@
 }
 
 // probeReturn probes the endpoints that were not reached when the path was lost, and a random one. If all are reached,
-// connections are direct again. Most of the time, the first one is not, and the others are not probed.
+// connections are direct again, and also if some are and no instance forwards any more. Most of the time, the first one
+// is not reached, and the others are not probed.
 func (m *Monitor) probeReturn(name string, s *service) {
 	m.mu.Lock()
 	targets := m.known(s.unreached)
@@ -36,7 +37,7 @@
 		c.To = Direct
 	case m.usableForwarders(s) > 0 || m.confirm(s, targets, true, &c) || c.Answered == 0:
 		c.To = Forwarded
-	case !m.reachesOthers(name, targets, &c):
+	case len(reached) == 0 && !m.reachesOthers(name, targets, &c):
 		c.To = Lost
 	}
 	m.mu.Lock()
