test: tests of paths wait for all responses of other instances

Cause: Verify returns with the first instance that confirms, while further attempts are under way. Those count towards the stand-ins' limit of three carried connections, so that a connection of the test itself was refused, or added an instance as a forwarder after the test had made it stop.

--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -221,6 +221,14 @@
 	return nil, mesh.ErrUnreachable
 }
 
+// verify checks the paths after an endpoint could not be reached, and waits until all other instances have responded:
+// their connections count towards the limit of those that they carry.
+func (n *node) verify(t *testing.T, endpoint string) State {
+	state := n.monitor.Verify(t.Context(), testService, endpoint)
+	synctest.Wait()
+	return state
+}
+
 // run starts the periodic work of the monitors, which ends with the returned function.
 func (w *world) run() (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -246,7 +254,7 @@
 				stop := w.run()
 				n := w.nodes[0]
 				n.lose(everything)
-				So(n.monitor.Verify(t.Context(), testService, "engine-00"), ShouldEqual, Forwarded)
+				So(n.verify(t, "engine-00"), ShouldEqual, Forwarded)
 				So(n.monitor.State(testService, "engine-05"), ShouldEqual, Forwarded)
 				So(n.reset, ShouldEqual, 6)
 				conn, via, err := n.monitor.Connect(t.Context(), testService, "engine-03")
@@ -270,7 +278,7 @@
 			stop := w.run()
 			n := w.nodes[0]
 			n.lose(func(id string) bool { return id != "engine-01" })
-			So(n.monitor.Verify(t.Context(), testService, "engine-00"), ShouldEqual, Forwarded)
+			So(n.verify(t, "engine-00"), ShouldEqual, Forwarded)
 			time.Sleep(5 * time.Second)
 			So(n.monitor.State(testService, "engine-17"), ShouldEqual, Forwarded)
 			So(len(n.changes), ShouldEqual, 1)
@@ -286,7 +294,7 @@
 			stop := w.run()
 			n := w.nodes[0]
 			n.lose(func(id string) bool { return id == "engine-04" })
-			n.monitor.Verify(t.Context(), testService, "engine-04")
+			n.verify(t, "engine-04")
 			synctest.Wait()
 			So(n.monitor.State(testService, "engine-04"), ShouldEqual, Forwarded)
 			So(n.monitor.State(testService, "engine-00"), ShouldEqual, Direct)
@@ -307,7 +315,7 @@
 			w.exit("engine-04")
 			n := w.nodes[0]
 			began := time.Now()
-			So(n.monitor.Verify(t.Context(), testService, "engine-04"), ShouldEqual, Direct)
+			So(n.verify(t, "engine-04"), ShouldEqual, Direct)
 			So(time.Since(began), ShouldBeLessThan, probeTimeout+time.Millisecond) // it does not wait for other instances
 			time.Sleep(2 * time.Second)
 			So(n.monitor.State(testService, "engine-04"), ShouldEqual, Direct)
@@ -318,7 +326,7 @@
 			stop := w.run()
 			w.exit("engine-00", "engine-01", "engine-02")
 			for _, n := range w.nodes {
-				So(n.monitor.Verify(t.Context(), testService, "engine-00"), ShouldEqual, Lost)
+				So(n.verify(t, "engine-00"), ShouldEqual, Lost)
 			}
 			dials, asked := w.nodes[0].counts()
 			time.Sleep(10 * time.Second)
@@ -346,7 +354,7 @@
 			stop := w.run()
 			w.exit(exited...)
 			for _, n := range w.nodes {
-				So(n.monitor.Verify(t.Context(), testService, "engine-00"), ShouldEqual, Direct)
+				So(n.verify(t, "engine-00"), ShouldEqual, Direct)
 				So(n.changes, ShouldBeEmpty)
 			}
 			stop()
@@ -356,7 +364,7 @@
 			stop := w.run()
 			n := w.nodes[0]
 			n.lose(everything)
-			So(n.monitor.Verify(t.Context(), testService, "engine-00"), ShouldEqual, Forwarded)
+			So(n.verify(t, "engine-00"), ShouldEqual, Forwarded)
 			w.exit(exited...)
 			n.lose(nothing)
 			for _, x := range w.nodes[1:] {
@@ -377,7 +385,7 @@
 			stop := w.run()
 			n := w.nodes[0]
 			n.lose(everything)
-			So(n.monitor.Verify(t.Context(), testService, "engine-00"), ShouldEqual, Forwarded)
+			So(n.verify(t, "engine-00"), ShouldEqual, Forwarded)
 			w.exit("engine-02")
 			n.lose(nothing)
 			w.nodes[1].server.Leave()
@@ -396,7 +404,7 @@
 				w.exit(e.ID)
 			}
 			n := w.nodes[0]
-			So(n.monitor.Verify(t.Context(), testService, "engine-00"), ShouldEqual, Lost)
+			So(n.verify(t, "engine-00"), ShouldEqual, Lost)
 			dials, _ := n.counts()
 			So(dials, ShouldBeLessThanOrEqualTo, probeCount+maxFurtherProbes+searchCount) // the last are for the other instance
 			time.Sleep(10 * time.Second)
@@ -415,7 +423,7 @@
 				n.lose(everything)
 			}
 			n := w.nodes[0]
-			So(n.monitor.Verify(t.Context(), testService, "engine-00"), ShouldEqual, Forwarded)
+			So(n.verify(t, "engine-00"), ShouldEqual, Forwarded)
 			_, err := w.nodes[1].server.handle(t.Context(), mesh.Peer{}, ConnectRequest{Service: testService, Endpoint: "engine-00"})
 			So(verdict.From(err).Code(), ShouldEqual, verdict.CodeUnavailable)
 			_, via, err := n.monitor.Connect(t.Context(), testService, "engine-00")
@@ -437,7 +445,7 @@
 			w := newWorld(6, 3)
 			n := w.nodes[0]
 			n.lose(everything)
-			So(n.monitor.Verify(t.Context(), testService, "engine-00"), ShouldEqual, Forwarded)
+			So(n.verify(t, "engine-00"), ShouldEqual, Forwarded)
 			w.exit("engine-05")
 			_, _, err := n.monitor.Connect(t.Context(), testService, "engine-05")
 			So(errors.Is(err, ErrEndpoint), ShouldBeTrue)
@@ -456,7 +464,7 @@
 			stop := w.run()
 			n := w.nodes[0]
 			n.lose(everything)
-			So(n.monitor.Verify(t.Context(), testService, "engine-00"), ShouldEqual, Forwarded)
+			So(n.verify(t, "engine-00"), ShouldEqual, Forwarded)
 			time.Sleep(time.Second)
 			perPeer := make(map[string]int)
 			conns := make([]net.Conn, 0, 6)
@@ -484,7 +492,7 @@
 			w := newWorld(6, 3)
 			n := w.nodes[0]
 			n.lose(everything)
-			So(n.monitor.Verify(t.Context(), testService, "engine-00"), ShouldEqual, Forwarded)
+			So(n.verify(t, "engine-00"), ShouldEqual, Forwarded)
 			conn, via, err := n.monitor.Connect(t.Context(), testService, "engine-01")
 			So(err, ShouldBeNil)
 			peer := w.nodes[1]
@@ -527,7 +535,7 @@
 			n := w.nodes[0]
 			n.isolated = true
 			n.lose(everything)
-			n.monitor.Verify(t.Context(), testService, "engine-00")
+			n.verify(t, "engine-00")
 			time.Sleep(time.Second)
 			So(n.monitor.ServiceState(testService), ShouldEqual, Direct)
 			So(len(n.delays), ShouldEqual, probeCount)
@@ -541,7 +549,7 @@
 				n.lose(everything)
 			}
 			n := w.nodes[0]
-			n.monitor.Verify(t.Context(), testService, "engine-00")
+			n.verify(t, "engine-00")
 			time.Sleep(2 * time.Second)
 			So(n.monitor.ServiceState(testService), ShouldEqual, Lost)
 			So(n.delays, ShouldBeEmpty)
@@ -558,11 +566,11 @@
 			n, peer := w.nodes[0], w.nodes[1]
 			n.lose(everything)
 			peer.lose(func(id string) bool { return id == "engine-00" })
-			peer.monitor.Verify(t.Context(), testService, "engine-00")
+			peer.verify(t, "engine-00")
 			peer.monitor.mu.Lock()
 			peer.monitor.services[testService].cut["engine-00"] = true
 			peer.monitor.mu.Unlock()
-			So(n.monitor.Verify(t.Context(), testService, "engine-00"), ShouldEqual, Forwarded)
+			So(n.verify(t, "engine-00"), ShouldEqual, Forwarded)
 			for range 10 {
 				_, _, err := n.monitor.Connect(t.Context(), testService, "engine-00")
 				So(err, ShouldNotBeNil)
