fix: a small fleet reads its records again when an unknown instance calls

Cause: instances of a small fleet report loads and announcements to the one that ranks first, and receive those of all in reply. A new instance that ranks first has nobody to ask, and the others, who read the records each five seconds, went on reporting to the former first. Evidence: the new instance's log has no announcement that was told to it before its own request to that endpoint; the others have had it for 4 s.

Change: a call of an instance that is not in the records as it calls itself has them read at once, and not from a copy of the store, at most each 2 s. In a large fleet the leader tells a new instance.

TestCallersAreReadAtOnce failed before; it also bounds the reads while an instance without a record goes on calling.

--- a/internal/peers/callers.go
+++ b/internal/peers/callers.go
@@ -6,13 +6,16 @@
 	"github.com/ledgemount/ledgemount/internal/mesh"
 )
 
-// An instance that has just started calls the others as soon as it has read their records. They read its own record up
-// to Times.Read later, and know it by its calls until then.
+// An instance that has just started calls the others as soon as it has written its record. Those of a small fleet read
+// the records again then, instead of up to Times.Read later. Until they have, they know it by its calls. In a large
+// fleet the leaders tell a new instance what it needs.
 
 const (
 	// callerLifetime is how long an instance without a record stays known after it has called.
 	callerLifetime = 5 * time.Second
 	maxCallers     = 16 // such instances
+	// unknownReadInterval is the minimum interval between reads of the records because such an instance has called.
+	unknownReadInterval = 2 * time.Second
 )
 
 // recentCaller is an instance that has called this one.
@@ -21,7 +24,7 @@
 	at   time.Time
 }
 
-// recordCaller records a call of an instance whose record is not known.
+// recordCaller records a call of an instance whose record is not known, and has the records read.
 func (d *Directory) recordCaller(from mesh.Peer) {
 	if from.ID == d.self.Peer.ID || from.Addr == "" {
 		return
@@ -37,6 +40,18 @@
 		d.dropOldestCaller()
 	}
 	d.callers[from.ID] = recentCaller{peer: from, at: now}
+	if !d.isLarge() && now.Sub(d.unknownReadAt) >= unknownReadInterval {
+		d.unknownReadAt = now
+		d.requestRead()
+	}
+}
+
+// requestRead has Run read the records now.
+func (d *Directory) requestRead() {
+	select {
+	case d.readRequests <- struct{}{}:
+	default:
+	}
 }
 
 // dropOldestCaller drops the instance that has not called for the longest time. The caller holds mu.
--- a/internal/peers/directory.go
+++ b/internal/peers/directory.go
@@ -80,6 +80,7 @@
 
 	discovered   chan struct{}
 	restorations chan struct{}             // signals that the store was restored
+	readRequests chan struct{}             // signals that the records are to be read now
 	restoredAt   atomic.Pointer[time.Time] // when the last restoration was detected; nil: there was none
 
 	// Used by Run only.
@@ -104,8 +105,10 @@
 	position   int                 // of this instance among all, ordered by ID
 	suspects   map[string]*suspicion
 	callers    map[string]recentCaller // by ID
-	leaving    bool
-	leader     string // last logged leader
+	// unknownReadAt is when the records were last read because an instance without a known record had called.
+	unknownReadAt time.Time
+	leaving       bool
+	leader        string // last logged leader
 }
 
 // Option changes a Directory.
@@ -143,7 +146,7 @@
 	d := &Directory{
 		store: store, prefix: prefix, self: self, router: router, times: DefaultTimes(), now: time.Now, log: zerolog.Nop(),
 		largeFleet: DefaultLargeFleet, pooling: true, records: make(map[string]Record), suspects: make(map[string]*suspicion), callers: make(map[string]recentCaller),
-		discovered: make(chan struct{}), restorations: make(chan struct{}, 1), onTraffic: func(mesh.Kind, int) {}, epochs: external.NewEpochs(),
+		discovered: make(chan struct{}), restorations: make(chan struct{}, 1), readRequests: make(chan struct{}, 1), onTraffic: func(mesh.Kind, int) {}, epochs: external.NewEpochs(),
 	}
 	for _, opt := range opts {
 		opt(d)
@@ -166,9 +169,13 @@
 	d.mu.Lock()
 	d.startedAt = d.now()
 	d.mu.Unlock()
-	for afterRestoration := false; ctx.Err() == nil; afterRestoration = d.sleep(ctx, d.readDelay(afterRestoration)) {
-		if !afterRestoration {
+	for reason := wakeForRead; ctx.Err() == nil; reason = d.sleep(ctx, d.readDelay(reason)) {
+		switch reason {
+		case wakeForRead: // the store may serve the records from a copy some seconds old
+			d.updateRecords(external.WithStale(ctx))
+		case wakeForCaller:
 			d.updateRecords(ctx)
+		case wakeForRestoration:
 		}
 		if err := d.syncRecord(ctx); err != nil {
 			d.log.Debug().Str("event", "peer_unwritten").Err(err).Msg("own record not written")
@@ -206,10 +213,19 @@
 	close(d.discovered)
 }
 
+// wakeReason is why Run does its work again.
+type wakeReason int
+
+const (
+	wakeForRead        wakeReason = iota // the next read is due
+	wakeForCaller                        // an instance has called whose record is not known
+	wakeForRestoration                   // the store was restored
+)
+
 // readDelay returns the time until the next read. Reads are more frequent after the start, because other instances may
 // be starting too. After a restoration, the next one is when all have written their records again.
-func (d *Directory) readDelay(afterRestoration bool) time.Duration {
-	if afterRestoration {
+func (d *Directory) readDelay(last wakeReason) time.Duration {
+	if last == wakeForRestoration {
 		return d.jitter()
 	}
 	switch age := d.now().Sub(d.startedAt); {
@@ -221,18 +237,20 @@
 	return d.times.Read
 }
 
-// sleep waits for the time of the next read. It reports whether a restoration of the store ended the wait.
-func (d *Directory) sleep(ctx context.Context, wait time.Duration) bool {
+// sleep waits for the time of the next read, or for an event that calls for work before, and returns which it was.
+func (d *Directory) sleep(ctx context.Context, wait time.Duration) wakeReason {
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
 	case <-t.C:
+	case <-d.readRequests:
+		return wakeForCaller
 	case <-d.restorations:
 		d.waitJitter(ctx)
-		return true
+		return wakeForRestoration
 	}
-	return false
+	return wakeForRead
 }
 
 // writeRecord writes this instance's record.
--- a/internal/peers/forwarders_test.go
+++ b/internal/peers/forwarders_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -60,3 +63,43 @@
 		})
 	})
 }
+
+// Guards against an instance that has just started being unknown to the others until their next regular read.
+func TestCallersAreReadAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Instances read the records when one that they do not know calls, but not with each of its calls", t, func() {
+			f := newFleet(3, 100)
+			ctx, cancel := context.WithCancel(t.Context())
+			var g sync.WaitGroup
+			start := func(d *Directory) {
+				d.now = time.Now
+				g.Go(func() { _ = d.Run(ctx) })
+			}
+			first, last := f.dirs[0], f.dirs[2]
+			start(first)
+			start(f.dirs[1])
+			time.Sleep(time.Minute)
+			start(last)
+			time.Sleep(100 * time.Millisecond)
+			So(first.Size(), ShouldEqual, 2)
+			_, err := Call[string, string](ctx, last, first.self.Peer, kindEcho, "")
+			So(err, ShouldBeNil)
+			synctest.Wait()
+			So(first.Size(), ShouldEqual, 3)
+
+			So(last.Leave(ctx), ShouldBeNil)
+			time.Sleep(time.Minute)
+			So(first.Size(), ShouldEqual, 2)
+			before := f.store.Calls()
+			for range 50 {
+				_, err := Call[string, string](ctx, last, first.self.Peer, kindEcho, "")
+				So(err, ShouldBeNil)
+				time.Sleep(100 * time.Millisecond)
+			}
+			const regularReads, earlyReads = 2 * 3, 1 + int(5*time.Second/unknownReadInterval)
+			So(f.store.Calls()-before, ShouldBeLessThanOrEqualTo, regularReads+earlyReads)
+			cancel()
+			g.Wait()
+		})
+	})
+}
--- a/internal/peers/read.go
+++ b/internal/peers/read.go
@@ -94,10 +94,9 @@
 	return nil
 }
 
-// readPrefix reads the records under a prefix, and adds this instance's own one. The store may serve them from a copy some
-// seconds old.
+// readPrefix reads the records under a prefix, and adds this instance's own one.
 func (d *Directory) readPrefix(ctx context.Context, prefix string) (map[string]Record, error) {
-	ctx, cancel := context.WithTimeout(external.WithDuty(external.WithStale(ctx), external.DutyMembers), d.times.Call)
+	ctx, cancel := context.WithTimeout(external.WithDuty(ctx, external.DutyMembers), d.times.Call)
 	defer cancel()
 	entries, _, err := d.store.ReadAll(ctx, prefix)
 	if err != nil {
--- a/internal/peers/restore_test.go
+++ b/internal/peers/restore_test.go
@@ -152,7 +152,7 @@
 		d := f.dirs[0]
 		d.startedAt = f.at
 		f.at = f.at.Add(time.Minute)
-		So(d.readDelay(false), ShouldEqual, d.times.Read)
-		So(d.readDelay(true), ShouldEqual, smallFleetJitter)
+		So(d.readDelay(wakeForRead), ShouldEqual, d.times.Read)
+		So(d.readDelay(wakeForRestoration), ShouldEqual, smallFleetJitter)
 	})
 }
