--- a/internal/peers/callers.go
+++ b/internal/peers/callers.go
@@ -7,8 +7,8 @@
 )
 
 // An instance that has just started calls the others as soon as it has written its record. Those of a small fleet read
-// the records again then, instead of up to Times.Read later. Until they have, they know it by its calls. In a large
-// fleet the leaders tell a new instance what it needs.
+// the records again then, instead of up to Times.Read later. Until then its calls identify it. New instances of a large
+// fleet receive everything from their leaders.
 
 const (
 	// callerLifetime is how long an instance without a record stays known after it has called.
