fix: bound the size and the time of an endpoint's header

Callers saw EOF on all open requests: an endpoint that sends a status line or a header without end, or bytes without end behind a whole response, made the process hold whatever arrived until its machine ended it.

Cause: net/http reads a header of any size from the reader that it is given, and the client of endpoints gave it the bare connection. Bytes behind a response were read as the header of the next one on the kept connection.

A connection now returns at most 16 KiB while a header is read, and is closed if the header is not complete 3 s after its first bytes. The attempt counts as broken, so a repeatable request goes to another endpoint; the log states the fault.

--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -176,10 +176,11 @@
 	attempts     int
 	failedDials  int
 	refusedDials int
-	dialFailure  upstream.DialFailure // of the attempt in progress
-	via          string               // the instance that the attempt in progress is forwarded through; empty: none
-	availability pool.Availability    // availability of endpoints as last queried
-	mayHaveRun   bool                 // an endpoint may have run the request
+	dialFailure  upstream.DialFailure   // of the attempt in progress
+	fault        upstream.ProtocolFault // of the response to the attempt in progress
+	via          string                 // the instance that the attempt in progress is forwarded through; empty: none
+	availability pool.Availability      // availability of endpoints as last queried
+	mayHaveRun   bool                   // an endpoint may have run the request
 	delivered    delivery
 	forwarded    int64 // bytes of the response body that have been sent to the caller
 	events       int64
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -241,7 +241,7 @@
 func (j *job) try(ctx context.Context, lease *pool.Lease) (result, *failedResponse) {
 	began := j.core.now()
 	events, forwarded := j.events, j.forwarded
-	j.dialFailure, j.via, j.wroteAt = "", "", time.Time{}
+	j.dialFailure, j.fault, j.via, j.wroteAt = "", "", "", time.Time{}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	wd := j.watch(lease, cancel)
@@ -256,7 +256,7 @@
 	lease.Done(poolEnd(res))
 	j.outcome.Endpoints = append(j.outcome.Endpoints, AttemptOutcome{
 		Endpoint: lease.Endpoint().ID, Software: lease.Endpoint().Software, Reason: string(lease.Reason()), SkipReason: string(lease.Exclusion()), Result: resultNames[res], At: began.Sub(j.req.Arrived), Forwarded: j.forwarded - forwarded,
-		DialFailure: j.dialFailure, Via: j.via, ProcessExited: res == resultBroken && !wd.stalled() && j.recordExit(lease, began, j.events > events),
+		DialFailure: j.dialFailure, ProtocolFault: j.fault, Via: j.via, ProcessExited: res == resultBroken && !wd.stalled() && j.recordExit(lease, began, j.events > events),
 	})
 	return res, failure
 }
@@ -317,6 +317,7 @@
 	j.attempts++
 	if err != nil {
 		j.mayHaveRun = true
+		j.fault = upstream.ProtocolFaultOf(err)
 		return resultBroken, nil
 	}
 	defer func() { _ = res.Body.Close() }()
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -161,11 +161,12 @@
 	Reason        string // why the endpoint was picked
 	SkipReason    string // why the endpoint that is first by affinity was excluded; empty: it was not
 	Result        string
-	Forwarded     int64                // bytes of the response body that were sent to the caller
-	DialFailure   upstream.DialFailure // how the connection attempt failed; empty: it did not
-	Via           string               // the instance that the connection was forwarded through; empty: none
-	At            time.Duration        // since the request arrived
-	ProcessExited bool                 // the attempt was interrupted, and the endpoint's process had exited
+	Forwarded     int64                  // bytes of the response body that were sent to the caller
+	DialFailure   upstream.DialFailure   // how the connection attempt failed; empty: it did not
+	ProtocolFault upstream.ProtocolFault // how the response violated the protocol; empty: it did not
+	Via           string                 // the instance that the connection was forwarded through; empty: none
+	At            time.Duration          // since the request arrived
+	ProcessExited bool                   // the attempt was interrupted, and the endpoint's process had exited
 }
 
 // Validate checks the fields that every request must have. The error is a verdict.
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -93,6 +93,9 @@
 		if attempt.DialFailure != "" {
 			m.metrics.Scope().Tagged(map[string]string{"cause": string(attempt.DialFailure)}).Counter("relay_dial_failures_total").Inc(1)
 		}
+		if attempt.ProtocolFault != "" {
+			m.metrics.Scope().Tagged(map[string]string{"cause": string(attempt.ProtocolFault)}).Counter("relay_protocol_faults_total").Inc(1)
+		}
 		if attempt.SkipReason != "" {
 			m.metrics.Scope().Tagged(map[string]string{"cause": attempt.SkipReason}).Counter("relay_kept_off_total").Inc(1)
 		}
@@ -164,7 +167,7 @@
 }
 
 // attemptList writes the attempts of a request into a log line. The field "end" is the result of the attempt. "dial"
-// states how the connection attempt failed, "via" through which instance the connection was forwarded, "ended" that the
+// states how the connection attempt failed, "fault" how the response violated the protocol, "via" through which instance the connection was forwarded, "ended" that the
 // endpoint's process has exited, and "kept_off" why the first endpoint by affinity was excluded. "bytes" is the part of
 // the response body that the attempt has brought the caller; it is left out if there was only one attempt.
 type attemptList []relay.AttemptOutcome
@@ -179,6 +182,9 @@
 		if x.DialFailure != "" {
 			d = d.Str("dial", string(x.DialFailure))
 		}
+		if x.ProtocolFault != "" {
+			d = d.Str("fault", string(x.ProtocolFault))
+		}
 		if x.Via != "" {
 			d = d.Str("via", x.Via)
 		}
--- a/internal/router/explain.go
+++ b/internal/router/explain.go
@@ -56,6 +56,7 @@
 	AtMs       int64  `json:"at_ms"`
 	Bytes      int64  `json:"bytes"`    // of the response body that the attempt has brought the caller; 0 for a single attempt
 	Dial       string `json:"dial"`     // how the connection attempt failed; empty: it did not
+	Fault      string `json:"fault"`    // how the response violated the protocol; empty: it did not
 	Via        string `json:"via"`      // the instance that forwarded the connection; empty: none
 	SkipReason string `json:"kept_off"` // why the endpoint that is first by affinity was excluded; empty: it was not
 }
@@ -159,6 +160,9 @@
 	if e.Dial != "" {
 		note += " (connection: " + e.Dial + ")"
 	}
+	if e.Fault != "" {
+		note += " (protocol: " + e.Fault + ")"
+	}
 	if e.Via != "" {
 		note += " (through " + e.Via + ")"
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -53,26 +53,6 @@
 	return err == nil
 }
 
-// readHeader reads the header of the response and skips interim (1xx) responses.
-func (x *exchange) readHeader(method string) (*Response, error) {
-	for {
-		res, err := http.ReadResponse(x.conn.br, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		if res.StatusCode < http.StatusOK {
-			continue
-		}
-		if len(res.Header.Values("Content-Length")) > 1 {
-			return nil, errFraming
-		}
-		x.header, x.closeAfter = res.Header, res.Close
-		return &Response{
-			Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, NoBody: hasNoBody(method, res.StatusCode), Body: &body{exchange: x, src: res.Body},
-		}, nil
-	}
-}
-
 // hasNoBody reports whether a response has no body, whatever its header states.
 func hasNoBody(method string, status int) bool {
 	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
--- /dev/null
+++ b/internal/upstream/header.go
@@ -0,0 +1,126 @@
+package upstream
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// Limits of the header of a response.
+const (
+	maxHeaderBytes = 16 << 10        // of a response, including its interim responses
+	headerTimeout  = 3 * time.Second // from the first bytes of a header to its end
+)
+
+// Errors of responses that exceed these limits. The endpoint may have run the request.
+var (
+	ErrHeaderTooLarge = errors.New("the header of the response is too large")
+	ErrHeaderTimeout  = errors.New("the header of the response was not complete in time")
+)
+
+// ProtocolFault names the way in which a response violates the protocol, for logs and metrics.
+type ProtocolFault string
+
+// The ways in which responses violate the protocol.
+const (
+	FaultHeaderSize ProtocolFault = "header-size"
+	FaultHeaderTime ProtocolFault = "header-time"
+	FaultFraming    ProtocolFault = "framing"
+)
+
+// ProtocolFaultOf returns how the response violated the protocol whose exchange returned err; empty if it did not.
+func ProtocolFaultOf(err error) ProtocolFault {
+	switch {
+	case errors.Is(err, ErrHeaderTooLarge):
+		return FaultHeaderSize
+	case errors.Is(err, ErrHeaderTimeout):
+		return FaultHeaderTime
+	case errors.Is(err, errFraming):
+		return FaultFraming
+	}
+	return ""
+}
+
+// headerReader reads from a connection. While it reads a header, it returns no more than maxHeaderBytes and closes the
+// connection if the header is not complete within headerTimeout.
+type headerReader struct {
+	conn    io.ReadCloser
+	limited bool
+	left    int
+	begun   bool        // the first bytes of the header have been read
+	timer   *time.Timer // nil: they were the whole header so far
+	expired atomic.Bool
+}
+
+// begin starts the limits for the next header.
+func (r *headerReader) begin() { r.limited, r.left, r.begun = true, maxHeaderBytes, false }
+
+// restart gives the rest of a header, after an interim response, its own time.
+func (r *headerReader) restart() {
+	r.begun = false
+	if r.timer != nil {
+		r.timer.Stop()
+		r.timer = nil
+	}
+}
+
+// end ends the limits. It reports whether the header was complete in time.
+func (r *headerReader) end() bool {
+	r.restart()
+	r.limited = false
+	return !r.expired.Load()
+}
+
+// Read implements io.Reader.
+func (r *headerReader) Read(p []byte) (int, error) {
+	if !r.limited {
+		return r.conn.Read(p)
+	}
+	if r.left == 0 {
+		return 0, ErrHeaderTooLarge
+	}
+	if r.begun && r.timer == nil {
+		r.timer = time.AfterFunc(headerTimeout, r.expire)
+	}
+	n, err := r.conn.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	r.begun = r.begun || n > 0
+	if err != nil && r.expired.Load() {
+		err = ErrHeaderTimeout
+	}
+	return n, err
+}
+
+func (r *headerReader) expire() {
+	r.expired.Store(true)
+	_ = r.conn.Close()
+}
+
+// readHeader reads the header of the response and skips interim (1xx) responses.
+func (x *exchange) readHeader(method string) (*Response, error) {
+	limits := x.conn.header
+	limits.begin()
+	defer limits.end()
+	for {
+		res, err := http.ReadResponse(x.conn.br, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if res.StatusCode < http.StatusOK {
+			limits.restart()
+			continue
+		}
+		if len(res.Header.Values("Content-Length")) > 1 {
+			return nil, errFraming
+		}
+		if !limits.end() {
+			return nil, ErrHeaderTimeout
+		}
+		x.header, x.closeAfter = res.Header, res.Close
+		return &Response{
+			Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, NoBody: hasNoBody(method, res.StatusCode), Body: &body{exchange: x, src: res.Body},
+		}, nil
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -144,7 +144,8 @@
 type conn struct {
 	net.Conn
 	addr    string
-	br      *bufio.Reader
+	header  *headerReader
+	br      *bufio.Reader // reads from header
 	expires time.Time // from then on, it must not be reused
 	single  bool      // it carries one exchange only
 }
@@ -229,7 +230,8 @@
 // newConn wraps an established network connection for exchanges.
 func (c *Client) newConn(nc net.Conn, addr string) *conn {
 	nc = c.wrap(nc)
-	return &conn{Conn: nc, addr: addr, br: bufio.NewReaderSize(nc, readBufferSize)}
+	header := &headerReader{conn: nc}
+	return &conn{Conn: nc, addr: addr, header: header, br: bufio.NewReaderSize(header, readBufferSize)}
 }
 
 // pop removes the most recently used idle connection to an address from the pool. It returns nil if there is none.
