fix: bound the number of interim responses

Callers of repeatable requests waited for their deadline and got 504 from an endpoint that sends interim (1xx) responses only: each was skipped, without a limit, and none counted as silence.

More than 8 interim responses are no response: the connection is closed and the request goes to another endpoint.

--- a/internal/upstream/header.go
+++ b/internal/upstream/header.go
@@ -11,12 +11,14 @@
 // Limits of the header of a response.
 const (
 	maxHeaderBytes = 16 << 10        // of a response, including its interim responses
+	maxInterim     = 8               // interim responses before a response
 	headerTimeout  = 3 * time.Second // from the first bytes of a header to its end
 )
 
 // Errors of responses that exceed these limits. The endpoint may have run the request.
 var (
 	ErrHeaderTooLarge = errors.New("the header of the response is too large")
+	ErrTooManyInterim = errors.New("too many interim responses")
 	ErrHeaderTimeout  = errors.New("the header of the response was not complete in time")
 )
 
@@ -27,6 +29,7 @@
 const (
 	FaultHeaderSize ProtocolFault = "header-size"
 	FaultHeaderTime ProtocolFault = "header-time"
+	FaultInterim    ProtocolFault = "interim"
 	FaultFraming    ProtocolFault = "framing"
 )
 
@@ -37,6 +40,8 @@
 		return FaultHeaderSize
 	case errors.Is(err, ErrHeaderTimeout):
 		return FaultHeaderTime
+	case errors.Is(err, ErrTooManyInterim):
+		return FaultInterim
 	case errors.Is(err, errFraming):
 		return FaultFraming
 	}
@@ -103,7 +108,7 @@
 	limits := x.conn.header
 	limits.begin()
 	defer limits.end()
-	for {
+	for range maxInterim + 1 {
 		res, err := http.ReadResponse(x.conn.br, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
@@ -123,4 +128,5 @@
 			Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, NoBody: hasNoBody(method, res.StatusCode), Body: &body{exchange: x, src: res.Body},
 		}, nil
 	}
+	return nil, ErrTooManyInterim
 }
