fix: bound the memory that open requests hold together

A process ended, and with it all of its requests, when many callers sent large bodies at once: each is within the limit of the configuration, and nothing bounded their sum. limits.memoryMb of the platform's settings was read by nothing. A body that arrives slowly, or that is announced and never arrives, was held without a limit in time.

Open requests now share 40% of the machine's memory. Each asks for what it needs besides its bodies, for its body as it arrives, for the buffer of a response and for long events. A request that is refused is rejected at once as not run, with Retry-After; a response goes on unbuffered. A body has the caller's deadline to arrive, 30 s at most, and is rejected with 408 then. The garbage collector works harder from 85% of the memory on.

--- a/cmd/router.go
+++ b/cmd/router.go
@@ -7,6 +7,7 @@
 	stdlog "log"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -45,6 +46,9 @@
 	if err := router.Check(set); err != nil {
 		return err
 	}
+	if limit := set.Instance.SoftMemoryLimit(); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	log, closeLog := newRouterLog(set, os.Stdout, os.Stderr)
 	defer closeLog()
 	logNotes(log, notes)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -5,15 +5,16 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/ledgemount/ledgemount/internal/memory"
 	"github.com/ledgemount/ledgemount/internal/relay"
 	"github.com/ledgemount/ledgemount/internal/verdict"
 )
@@ -26,12 +27,13 @@
 // Timeouts limit how long callers may take.
 type Timeouts struct {
 	Header time.Duration // to send a request's header
+	Body   time.Duration // to send a request's body, if the caller states no earlier deadline
 	Idle   time.Duration // between requests on a connection
 }
 
 // DefaultTimeouts returns generous timeouts; the limits of a configuration are tighter.
 func DefaultTimeouts() Timeouts {
-	return Timeouts{Header: 10 * time.Second, Idle: 60 * time.Second}
+	return Timeouts{Header: 10 * time.Second, Body: 30 * time.Second, Idle: 60 * time.Second}
 }
 
 // maxHeaderBytes is the size of the largest request header that is read.
@@ -45,6 +47,8 @@
 	parser       Parser
 	now          func() time.Time
 	diverting    func() bool
+	memory       *memory.Budget
+	bodyTimeout  time.Duration
 	wrapListener func(net.Listener) net.Listener
 	stopping     atomic.Bool
 }
@@ -56,6 +60,9 @@
 // connection is closed after the response.
 func WithDiverting(f func() bool) Option { return func(s *Server) { s.diverting = f } }
 
+// WithMemory sets the memory that all open requests may hold together. By default, it is unlimited.
+func WithMemory(b *memory.Budget) Option { return func(s *Server) { s.memory = b } }
+
 // WithNow replaces the clock, which is read once for each request.
 func WithNow(now func() time.Time) Option { return func(s *Server) { s.now = now } }
 
@@ -70,7 +77,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "listening for callers on %s", addr)
 	}
-	s := &Server{listener: l, core: core, parser: parser, now: time.Now, diverting: func() bool { return false }}
+	s := &Server{listener: l, core: core, parser: parser, now: time.Now, bodyTimeout: timeouts.Body, diverting: func() bool { return false }}
 	s.wrapListener = func(l net.Listener) net.Listener { return l }
 	for _, opt := range opts {
 		opt(s)
@@ -120,12 +127,9 @@
 		writeError(w, err)
 		return
 	}
-	body, err := s.readBody(w, r)
-	if err != nil {
-		writeError(w, err)
-		return
-	}
-	req, err := s.parser.Parse(r, body, arrived)
+	account := s.memory.Open()
+	defer account.Close()
+	req, err := s.receive(w, r, arrived, account)
 	if err != nil {
 		writeError(w, err)
 		return
@@ -159,8 +163,29 @@
 	return nil
 }
 
-// readBody reads a request's body, up to the limit of the current configuration.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+// receive reads a request with its body.
+func (s *Server) receive(w http.ResponseWriter, r *http.Request, arrived time.Time, account *memory.Account) (*relay.Request, error) {
+	if !account.Grow(memory.RequestOverhead) {
+		return nil, memoryExceeded()
+	}
+	req, errParse := s.parser.Parse(r, nil, arrived)
+	timeout := s.bodyTimeout
+	if errParse == nil && req.Deadline > 0 {
+		timeout = min(timeout, req.Deadline)
+	}
+	body, err := s.readBody(w, r, timeout, account)
+	switch {
+	case err != nil:
+		return nil, err
+	case errParse != nil:
+		return nil, errParse
+	}
+	req.Body, req.Memory = body, account
+	return req, nil
+}
+
+// readBody reads a request's body within a timeout, up to the limit of the current configuration.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, timeout time.Duration, account *memory.Account) ([]byte, error) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return nil, nil
 	}
@@ -168,16 +193,22 @@
 	if r.ContentLength > limit {
 		return nil, tooLarge(limit)
 	}
-	src := http.MaxBytesReader(w, r.Body, limit)
-	if r.ContentLength > 0 {
-		b := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(src, b)
-		return b, bodyError(err, limit)
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(timeout)) // the server's connections support it
+	body, _, err := memory.Read(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit+1, account)
+	if err == nil {
+		_ = rc.SetReadDeadline(time.Time{})
 	}
-	b, err := io.ReadAll(src)
-	return b, bodyError(err, limit)
+	return body, bodyError(err, limit)
 }
 
+func memoryExceeded() error {
+	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the open requests of this instance hold as much memory as they may", verdict.WithRetryAfter(memoryRetryAfter))
+}
+
+// memoryRetryAfter is the delay after which a caller that was rejected for want of memory may retry.
+const memoryRetryAfter = 300 * time.Millisecond
+
 func bodyError(err error, limit int64) error {
 	var large *http.MaxBytesError
 	switch {
@@ -185,6 +216,10 @@
 		return nil
 	case errors.As(err, &large):
 		return tooLarge(limit)
+	case errors.Is(err, memory.ErrExceeded):
+		return memoryExceeded()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return verdict.New(verdict.NotRun, verdict.CodeBodyTimeout, "the body did not come in time", verdict.WithCause(err))
 	}
 	return verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the body did not come whole", verdict.WithCause(err))
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -11,6 +11,7 @@
 
 	"github.com/ledgemount/ledgemount/internal/continuity"
 	"github.com/ledgemount/ledgemount/internal/escrow"
+	"github.com/ledgemount/ledgemount/internal/memory"
 	"github.com/ledgemount/ledgemount/internal/pool"
 	"github.com/ledgemount/ledgemount/internal/upstream"
 	"github.com/ledgemount/ledgemount/internal/verdict"
@@ -39,6 +40,8 @@
 	Metered     bool  // the caller stated token counts
 	Parts       []Part
 	LastEventID string // last event that the caller has received; empty: none
+	// Memory is the account of what is held for the request; nil: unlimited.
+	Memory *memory.Account
 	// Resumes is the ID of the request whose response brought the first event of the stream that this one continues; empty:
 	// not stated.
 	Resumes string
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -6,29 +6,30 @@
 	"io"
 	"net/http"
 
+	"github.com/ledgemount/ledgemount/internal/memory"
 	"github.com/ledgemount/ledgemount/internal/upstream"
 )
 
 // maxBuffered is the size in bytes up to which a response is read completely before it is forwarded.
 const maxBuffered = 256 << 10
 
-// relayBuffered forwards a response that is not a stream, after it has read up to maxBuffered bytes of it. A server error
-// is not forwarded while the request may still be retried.
+// relayBuffered forwards a response that is not a stream, after it has read up to maxBuffered bytes of it, or fewer if the
+// memory of open requests is in use. A server error is not forwarded while the request may still be retried.
 func (j *job) relayBuffered(ctx context.Context, res *upstream.Response, wd *watchdog) (result, *failedResponse) {
 	res.Body = watchedBody{ReadCloser: res.Body, watchdog: wd}
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxBuffered))
-	if err != nil {
+	body, complete, err := memory.Read(res.Body, res.Length, maxBuffered, j.req.Memory)
+	if err != nil && !errors.Is(err, memory.ErrExceeded) {
 		return resultBroken, nil
 	}
 	j.wroteAt = j.core.now()
-	if !res.NoBody && res.Length >= 0 && int64(len(body)) < min(res.Length, maxBuffered) {
+	if complete && !res.NoBody && res.Length >= 0 && int64(len(body)) < res.Length {
 		return resultBroken, nil
 	}
 	if res.Status >= http.StatusInternalServerError {
-		return j.relayFailure(ctx, res, body, wd)
+		return j.relayFailure(ctx, res, body, complete, wd)
 	}
 	j.billInFull = res.Status < http.StatusMultipleChoices
-	if len(body) < maxBuffered {
+	if complete {
 		j.sendHeader(res.Status, res.Header, bodyLength(res, body), partSent)
 		if j.forward(body) != nil {
 			return resultCallerLeft, nil
@@ -49,9 +50,9 @@
 
 // relayFailure returns a server error that fits into the buffer, so that it can be sent if no other attempt succeeds. Of a
 // longer one, first holds only the beginning: it is dropped if the request is retried, and forwarded otherwise.
-func (j *job) relayFailure(ctx context.Context, res *upstream.Response, first []byte, wd *watchdog) (result, *failedResponse) {
+func (j *job) relayFailure(ctx context.Context, res *upstream.Response, first []byte, complete bool, wd *watchdog) (result, *failedResponse) {
 	switch {
-	case len(first) < maxBuffered:
+	case complete:
 		return resultFailed, &failedResponse{status: res.Status, header: res.Header, length: bodyLength(res, first), body: first}
 	case j.shouldRetry(ctx, resultFailed):
 		return resultFailureDropped, nil
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ledgemount/ledgemount/internal/memory"
 	"github.com/ledgemount/ledgemount/internal/pool"
 	"github.com/ledgemount/ledgemount/internal/route"
 	"github.com/ledgemount/ledgemount/internal/upstream"
@@ -22,6 +23,9 @@
 // maxEventBytes is the maximum size of an event in a stream.
 const maxEventBytes = 1 << 20
 
+// firstEventBytes is the size of an event up to which its buffer is part of memory.RequestOverhead.
+const firstEventBytes = 4 << 10
+
 var errEventTooLong = errors.New("event too long")
 
 // isStream reports whether a response is a stream of events.
@@ -41,7 +45,7 @@
 	resuming := j.delivered.started()
 	for {
 		var err error
-		event, err = readEvent(r, event[:0])
+		event, err = readEvent(r, event[:0], j.req.Memory)
 		if errors.Is(err, io.EOF) && len(event) == 0 {
 			if j.wroteAt.IsZero() {
 				j.wroteAt = j.core.now()
@@ -91,12 +95,14 @@
 }
 
 // readEvent appends the next event of a stream to event, including the empty line that terminates it. If it returns
-// io.EOF without any bytes, the stream has ended. If it returns an error with bytes, the event was truncated.
-func readEvent(r *bufio.Reader, event []byte) ([]byte, error) {
+// io.EOF without any bytes, the stream has ended. If it returns an error with bytes, the event was truncated, or too long
+// for the memory of open requests.
+func readEvent(r *bufio.Reader, event []byte, account *memory.Account) ([]byte, error) {
 	for {
 		line, err := r.ReadSlice('\n')
+		size := max(cap(event), firstEventBytes)
 		event = append(event, line...)
-		if len(event) > maxEventBytes {
+		if len(event) > maxEventBytes || !account.Grow(int64(cap(event)-size)) {
 			return event, errEventTooLong
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -25,6 +25,7 @@
 	"github.com/ledgemount/ledgemount/internal/follow"
 	"github.com/ledgemount/ledgemount/internal/kernel"
 	"github.com/ledgemount/ledgemount/internal/load"
+	"github.com/ledgemount/ledgemount/internal/memory"
 	"github.com/ledgemount/ledgemount/internal/mesh"
 	"github.com/ledgemount/ledgemount/internal/peers"
 	"github.com/ledgemount/ledgemount/internal/pool"
@@ -91,13 +92,14 @@
 	metrics        *meters
 	start          *startRecorder
 
+	memory   *memory.Budget // of open requests
 	pressure *pressure.Monitor
 	restored restorationTracker
 }
 
 // New returns a router whose listeners are open. It serves only once Run is called.
 func New(settings *Settings, platform Platform, log zerolog.Logger) (*Router, error) {
-	r := &Router{settings: settings, log: log, kernel: kernel.New(), metrics: newMeters(settings)}
+	r := &Router{settings: settings, log: log, kernel: kernel.New(), metrics: newMeters(settings), memory: memory.NewBudget(settings.Instance.requestMemory())}
 	if r.bootClock = platform.Clock; r.bootClock == nil {
 		r.bootClock = boottime.New()
 	}
@@ -251,7 +253,7 @@
 
 func (r *Router) listen(platform Platform) error {
 	var err error
-	r.callers, err = edge.Listen(r.settings.Callers.Listen, r.core, platform.Parser, edge.DefaultTimeouts(), edge.WithNow(r.arrivalTime), edge.WithDiverting(r.pressure.Diverting), edge.WithListenerWrapper(r.pressure.Listener))
+	r.callers, err = edge.Listen(r.settings.Callers.Listen, r.core, platform.Parser, edge.DefaultTimeouts(), edge.WithNow(r.arrivalTime), edge.WithDiverting(r.pressure.Diverting), edge.WithListenerWrapper(r.pressure.Listener), edge.WithMemory(r.memory))
 	if err != nil {
 		return err
 	}
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -33,12 +33,30 @@
 	// are diverted to other instances before the link is saturated. In a large fleet, the machines with the largest links
 	// lead their availability zones.
 	LinkMbps float64 `json:"link_mbps" validate:"min=0"`
+	// MemoryMB is the memory of the machine in megabytes, above which the process would be ended; 0: unknown. It bounds what
+	// open requests hold together.
+	MemoryMB int `json:"memory_mb" validate:"min=0"`
 	// FirstStart states that the fleet starts for the first time: no instance of it has served before.
 	FirstStart bool `json:"first_start"`
 	// Regions maps each availability zone to its region, for routes and customers that are restricted to some regions.
 	Regions map[string]string `json:"regions"`
 }
 
+// requestShare is the share of the machine's memory that open requests may hold. The rest is for the state of the fleet, and
+// for memory that the garbage collector has not reclaimed yet.
+const requestShare = 0.4
+
+// requestMemory returns the memory in bytes that open requests may hold together; 0: unlimited.
+func (i Instance) requestMemory() int64 { return int64(requestShare * float64(i.MemoryMB) * (1 << 20)) }
+
+// softMemoryShare is the share of the machine's memory from which the garbage collector works harder.
+const softMemoryShare = 0.85
+
+// SoftMemoryLimit returns the memory in bytes that the process should not exceed; 0: unlimited.
+func (i Instance) SoftMemoryLimit() int64 {
+	return int64(softMemoryShare * float64(i.MemoryMB) * (1 << 20))
+}
+
 // Cold limits the requests that all instances together send to an endpoint that has just started. In any second, they
 // send at most the service's slow-start rate times Overage, plus Slack requests.
 type Cold struct {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -146,8 +146,8 @@
 	addr    string
 	header  *headerReader
 	br      *bufio.Reader // reads from header
-	expires time.Time // from then on, it must not be reused
-	single  bool      // it carries one exchange only
+	expires time.Time     // from then on, it must not be reused
+	single  bool          // it carries one exchange only
 }
 
 // Do sends a request and returns as soon as it has read the header of the response. The exchange ends with ctx, even in
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -42,6 +42,7 @@
 	CodeForbidden         Code = "forbidden"
 	CodeNotFound          Code = "not-found"
 	CodeTooLarge          Code = "too-large"
+	CodeBodyTimeout       Code = "body-timeout"
 	CodeHeaderTooLarge    Code = "head-too-large"
 	CodeKeyReused         Code = "key-reused"
 	CodeBudgetExhausted   Code = "budget-exhausted"
@@ -72,6 +73,7 @@
 	CodeForbidden:         http.StatusForbidden,
 	CodeNotFound:          http.StatusNotFound,
 	CodeTooLarge:          http.StatusRequestEntityTooLarge,
+	CodeBodyTimeout:       http.StatusRequestTimeout,
 	CodeHeaderTooLarge:    http.StatusRequestHeaderFieldsTooLarge,
 	CodeKeyReused:         http.StatusUnprocessableEntity,
 	CodeBudgetExhausted:   http.StatusPaymentRequired,
