fix: keep a signal during the start from ending the process

The platform sends SIGHUP when a settings file changes. One that arrived in the first milliseconds of a router ended it (signal: hangup), before its first log line: the handler stood only after the settings were read and the listeners were open. Signals were also handled no longer while a planned stop was under way, since the watch of the settings ends then.

The other commands take SIGHUP for a stop; it ended them at once before.

--- a/cmd/root.go
+++ b/cmd/root.go
@@ -29,13 +29,23 @@
 	err io.Writer
 }
 
-// Execute runs the command line and returns the exit code. SIGINT and SIGTERM cancel the command's context.
+// Execute runs the command line and returns the exit code. SIGINT and SIGTERM cancel the command's context, and so does
+// SIGHUP, unless the command reloads its settings on it.
 func Execute(args []string, out, errOut io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	if !reloadsOnHangup(args) {
+		ctx, stop = signal.NotifyContext(ctx, syscall.SIGHUP)
+		defer stop()
+	}
 	return execute(ctx, args, out, errOut)
 }
 
+// routerName is the name of the command that runs a router.
+const routerName = "router"
+
+func reloadsOnHangup(args []string) bool { return len(args) > 0 && args[0] == routerName }
+
 func execute(ctx context.Context, args []string, out, errOut io.Writer) int {
 	p := flags.NewNamedParser("ledgemount", flags.HelpFlag|flags.PassDoubleDash)
 	p.LongDescription = "Routes requests to model endpoints under prepaid token budgets."
@@ -62,7 +72,7 @@
 	return []command{
 		{"demo", "Run a small fleet in one process, inject faults and audit the result", &demoCmd{env: e}},
 		{"serve", "Run one instance", &serveCmd{env: e}},
-		{"router", "Run one router instance on the users' platform", &routerCmd{env: e}},
+		{routerName, "Run one router instance on the users' platform", &routerCmd{env: e}},
 		{"explain", "Explain the course of one request from the logs of routers", &explainCmd{env: e}},
 		{"losses", "Report from the logs of routers where requests failed or were late", &lossesCmd{env: e}},
 		{"standin", "Run the stand-ins of the platform and the endpoints", &standinCmd{env: e}},
--- a/cmd/router.go
+++ b/cmd/router.go
@@ -34,6 +34,8 @@
 
 // Execute implements flags.Commander: it runs one router until a signal arrives, then performs a planned stop.
 func (c *routerCmd) Execute([]string) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	file, err := c.findSettings()
 	if err != nil {
 		return err
@@ -63,7 +65,7 @@
 	go func() { ended <- r.Run(context.Background()) }()
 	reload, stop := context.WithCancel(context.Background())
 	defer stop()
-	go watchSettings(reload, file, r, log)
+	go watchSettings(reload, file, hangups, r, log)
 	select {
 	case err := <-ended:
 		return err
@@ -119,11 +121,8 @@
 	return observe.Logger(out, set.Log.Level, set.Instance.ID, set.Instance.Zone), func() { _ = out.Close() }
 }
 
-// watchSettings reloads the settings on SIGHUP and when the file has changed.
-func watchSettings(ctx context.Context, file settingsFile, r *router.Router, log zerolog.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+// watchSettings reloads the settings on a hangup signal and when the file has changed.
+func watchSettings(ctx context.Context, file settingsFile, hangups <-chan os.Signal, r *router.Router, log zerolog.Logger) {
 	t := time.NewTicker(settingsPollInterval)
 	defer t.Stop()
 	seen := modTime(file.path)
@@ -131,7 +130,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
+		case <-hangups:
 		case <-t.C:
 			if modTime(file.path).Equal(seen) {
 				continue
--- /dev/null
+++ b/internal/earlysignal/init.go
@@ -0,0 +1,10 @@
+//go:build !cgo
+
+package earlysignal
+
+import (
+	"os/signal"
+	"syscall"
+)
+
+func init() { signal.Ignore(syscall.SIGHUP) }
--- a/main.go
+++ b/main.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"github.com/ledgemount/ledgemount/cmd"
+	_ "github.com/ledgemount/ledgemount/internal/earlysignal" // signals that arrive during the start
 )
 
 func main() {
