fix: outlive the reader of the log

All open requests got EOF, and the process was gone without a line (signal: broken pipe), once the reader of its log had ended: the Go runtime ends a process that writes to a closed standard output or standard error.

router, serve and standin ignore SIGPIPE, so that the write fails like any other and the line is lost. Commands that print for a reader, such as losses, still end with it.

--- a/cmd/root.go
+++ b/cmd/root.go
@@ -46,6 +46,10 @@
 
 func reloadsOnHangup(args []string) bool { return len(args) > 0 && args[0] == routerName }
 
+// ignoreClosedOutput lets a server outlive the reader of its standard output or standard error. By default, a write to
+// them then ends the process.
+func ignoreClosedOutput() { signal.Ignore(syscall.SIGPIPE) }
+
 func execute(ctx context.Context, args []string, out, errOut io.Writer) int {
 	p := flags.NewNamedParser("ledgemount", flags.HelpFlag|flags.PassDoubleDash)
 	p.LongDescription = "Routes requests to model endpoints under prepaid token budgets."
--- a/cmd/router.go
+++ b/cmd/router.go
@@ -34,6 +34,7 @@
 
 // Execute implements flags.Commander: it runs one router until a signal arrives, then performs a planned stop.
 func (c *routerCmd) Execute([]string) error {
+	ignoreClosedOutput()
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	file, err := c.findSettings()
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -19,6 +19,7 @@
 
 // Execute implements flags.Commander: it runs one instance until a signal arrives, then performs a planned stop.
 func (c *serveCmd) Execute([]string) error {
+	ignoreClosedOutput()
 	set, err := settings.Read(c.Settings)
 	if err != nil {
 		return err
--- a/cmd/standin.go
+++ b/cmd/standin.go
@@ -14,6 +14,7 @@
 
 // Execute implements flags.Commander: it runs the stand-ins until a signal arrives.
 func (c *standinCmd) Execute([]string) error {
+	ignoreClosedOutput()
 	s, err := bundle.Read(c.Settings)
 	if err != nil {
 		return err
