fix: end a planned stop although nobody reads the log

A process whose log is not read (a pipe whose reader stands still) did everything of a planned stop and then did not end: closing the log waits for the write in progress. It was killed at the end of the time for a stop, and its address stayed taken until then.

The log now has 200 ms for its last lines. Lines never held up requests: they are discarded when the buffer is full.

--- a/cmd/router.go
+++ b/cmd/router.go
@@ -30,6 +30,7 @@
 const (
 	logBufferLines       = 4096 // lines waiting to be written; further lines are discarded
 	settingsPollInterval = 2 * time.Second
+	logCloseTimeout      = 200 * time.Millisecond // for the last lines of the log
 )
 
 // Execute implements flags.Commander: it runs one router until a signal arrives, then performs a planned stop.
@@ -114,12 +115,25 @@
 }
 
 // newRouterLog returns a logger that never blocks. It discards lines that exceed the buffer, and writes a line with their
-// number to dropped. The returned function closes the logger.
+// number to dropped. The returned function writes the remaining lines, within logCloseTimeout, and closes the logger.
 func newRouterLog(set *router.Settings, w, dropped io.Writer) (zerolog.Logger, func()) {
 	out := diode.NewWriter(w, logBufferLines, 0, func(missed int) {
 		_, _ = fmt.Fprintf(dropped, "{\"event\":\"log_lines_dropped\",\"lines\":%d}\n", missed)
 	})
-	return observe.Logger(out, set.Log.Level, set.Instance.ID, set.Instance.Zone), func() { _ = out.Close() }
+	return observe.Logger(out, set.Log.Level, set.Instance.ID, set.Instance.Zone), func() { closeWithin(out, logCloseTimeout) }
+}
+
+// closeWithin closes c, but waits no longer than d: the writer of a log that nobody reads blocks.
+func closeWithin(c io.Closer, d time.Duration) {
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		_ = c.Close()
+	}()
+	select {
+	case <-closed:
+	case <-time.After(d):
+	}
 }
 
 // watchSettings reloads the settings on a hangup signal and when the file has changed.
