fix: wait for addresses that a predecessor still holds

A process did not start, "address already in use", if its address for callers or probes was still its predecessor's for a moment, or if the one for metrics was taken, although it could serve without. Each listener was tried once, and each was needed. An error of accept that concerns one connection (EPROTO, EHOSTUNREACH) would have ended the process as well.

The addresses for callers and probes are waited for, for as long as a predecessor may take to stop and 2 s more; a stop ends the wait. Metrics are served once their address is free. Errors of accept no longer end a server; the log states which address is awaited and when it was free.

--- a/cmd/router.go
+++ b/cmd/router.go
@@ -59,8 +59,11 @@
 	libraryLog := log.With().Str("event", "library_message").Logger()
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(libraryLog)
-	r, err := router.New(set, platform.New(set), log)
-	if err != nil {
+	r, err := router.New(c.env.ctx, set, platform.New(set), log)
+	switch {
+	case c.env.ctx.Err() != nil && err != nil:
+		return nil //nolint:nilerr // stopped while it waited for an address
+	case err != nil:
 		return eris.Wrap(err, "starting the router")
 	}
 	ended := make(chan error, 1)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -14,6 +14,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/ledgemount/ledgemount/internal/listen"
 	"github.com/ledgemount/ledgemount/internal/memory"
 	"github.com/ledgemount/ledgemount/internal/relay"
 	"github.com/ledgemount/ledgemount/internal/verdict"
@@ -71,12 +72,8 @@
 	return func(s *Server) { s.wrapListener = f }
 }
 
-// Listen starts to listen for callers on addr and returns the Server.
-func Listen(addr string, core *relay.Core, parser Parser, timeouts Timeouts, opts ...Option) (*Server, error) {
-	l, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, eris.Wrapf(err, "listening for callers on %s", addr)
-	}
+// New returns a Server that serves callers on a listener.
+func New(l *listen.Listener, core *relay.Core, parser Parser, timeouts Timeouts, opts ...Option) *Server {
 	s := &Server{listener: l, core: core, parser: parser, now: time.Now, bodyTimeout: timeouts.Body, diverting: func() bool { return false }}
 	s.wrapListener = func(l net.Listener) net.Listener { return l }
 	for _, opt := range opts {
@@ -84,7 +81,7 @@
 	}
 	s.listener = s.wrapListener(l)
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: timeouts.Header, IdleTimeout: timeouts.Idle, MaxHeaderBytes: maxHeaderBytes}
-	return s, nil
+	return s
 }
 
 // Name implements kernel.Service.
--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -9,10 +9,14 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/ledgemount/ledgemount/internal/listen"
 	"github.com/ledgemount/ledgemount/internal/settings"
 )
 
-const readHeaderTimeout = 5 * time.Second
+const (
+	readHeaderTimeout = 5 * time.Second
+	addressTimeout    = 10 * time.Second // for an address that a predecessor still holds
+)
 
 // server is an HTTP server that runs as a kernel service.
 type server struct {
@@ -24,10 +28,11 @@
 
 // newServer returns a server that listens on addr. It accepts connections once Run is called.
 func newServer(name, addr string, tls settings.TLS, h http.Handler) (*server, error) {
-	var lc net.ListenConfig
-	lis, err := lc.Listen(context.Background(), "tcp", addr)
+	ctx, cancel := context.WithTimeout(context.Background(), addressTimeout)
+	defer cancel()
+	lis, err := listen.TCP(ctx, addr)
 	if err != nil {
-		return nil, eris.Wrapf(err, "listening for %s on %s", name, addr)
+		return nil, eris.Wrapf(err, "listening for %s", name)
 	}
 	return &server{name: name, tls: tls, lis: lis, srv: &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}}, nil
 }
--- /dev/null
+++ b/internal/listen/listen.go
@@ -0,0 +1,90 @@
+// Package listen opens TCP listeners for servers that must not end because of a passing fault: an address that another
+// process still holds, or an error that concerns a single connection.
+package listen
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// retryInterval is the time between two attempts to listen on an address.
+const retryInterval = 50 * time.Millisecond
+
+// Option configures TCP.
+type Option func(*options)
+
+type options struct {
+	onWait func(err error)
+}
+
+// OnWait sets a function that is called once if the address is taken and TCP waits for it.
+func OnWait(f func(err error)) Option { return func(o *options) { o.onWait = f } }
+
+// TCP listens on an address. While another process holds it, or the machine does not have it yet, TCP tries again until
+// ctx ends.
+func TCP(ctx context.Context, addr string, opts ...Option) (*Listener, error) {
+	o := options{onWait: func(error) {}}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	var lc net.ListenConfig
+	t := time.NewTicker(retryInterval)
+	defer t.Stop()
+	for attempt := 1; ; attempt++ {
+		l, err := lc.Listen(ctx, "tcp", addr)
+		if err == nil {
+			return &Listener{TCPListener: l.(*net.TCPListener)}, nil
+		}
+		if !isPassing(err) {
+			return nil, eris.Wrapf(err, "listening on %s", addr)
+		}
+		if attempt == 1 {
+			o.onWait(err)
+		}
+		select {
+		case <-ctx.Done():
+			return nil, eris.Wrapf(errors.Join(err, ctx.Err()), "waiting for the address %s", addr)
+		case <-t.C:
+		}
+	}
+}
+
+// isPassing reports whether a failure to listen may end without any change of the settings.
+func isPassing(err error) bool {
+	return errors.Is(err, syscall.EADDRINUSE) || errors.Is(err, syscall.EADDRNOTAVAIL)
+}
+
+// Listener is a TCP listener whose Accept returns only temporary errors until it is closed.
+type Listener struct {
+	*net.TCPListener
+}
+
+// Accept implements net.Listener. Linux passes errors of a connection that has failed already, such as EPROTO or
+// EHOSTUNREACH, to accept. They do not concern the listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	c, err := l.AcceptTCP()
+	switch {
+	case errors.Is(err, net.ErrClosed):
+		return nil, err
+	case err != nil:
+		return nil, temporaryError{err}
+	}
+	return c, nil
+}
+
+// temporaryError is an error after which http.Server continues to accept, after a short delay.
+type temporaryError struct{ error }
+
+// Timeout implements net.Error.
+func (temporaryError) Timeout() bool { return false }
+
+// Temporary implements net.Error.
+func (temporaryError) Temporary() bool { return true }
+
+// Unwrap returns the cause.
+func (e temporaryError) Unwrap() error { return e.error }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -24,6 +24,7 @@
 	"github.com/ledgemount/ledgemount/internal/fleettime"
 	"github.com/ledgemount/ledgemount/internal/follow"
 	"github.com/ledgemount/ledgemount/internal/kernel"
+	"github.com/ledgemount/ledgemount/internal/listen"
 	"github.com/ledgemount/ledgemount/internal/load"
 	"github.com/ledgemount/ledgemount/internal/memory"
 	"github.com/ledgemount/ledgemount/internal/mesh"
@@ -97,8 +98,9 @@
 	restored restorationTracker
 }
 
-// New returns a router whose listeners are open. It serves only once Run is called.
-func New(settings *Settings, platform Platform, log zerolog.Logger) (*Router, error) {
+// New returns a router whose listeners for callers and probes are open. It waits for addresses that are still taken until
+// ctx ends, or a predecessor would have stopped. The router serves only once Run is called.
+func New(ctx context.Context, settings *Settings, platform Platform, log zerolog.Logger) (*Router, error) {
 	r := &Router{settings: settings, log: log, kernel: kernel.New(), metrics: newMeters(settings), memory: memory.NewBudget(settings.Instance.requestMemory())}
 	if r.bootClock = platform.Clock; r.bootClock == nil {
 		r.bootClock = boottime.New()
@@ -118,7 +120,7 @@
 	r.newCore(platform)
 	r.resumeGuard = resumeGuard{clock: r.bootClock, lastContact: r.follow.LastContact}
 	r.bootClock.OnResume(r.onResume)
-	if err := r.listen(platform); err != nil {
+	if err := r.listen(ctx, platform); err != nil {
 		return nil, err
 	}
 	r.start.reached(StepListening)
@@ -251,18 +253,45 @@
 	return list
 }
 
-func (r *Router) listen(platform Platform) error {
-	var err error
-	r.callers, err = edge.Listen(r.settings.Callers.Listen, r.core, platform.Parser, edge.DefaultTimeouts(), edge.WithNow(r.arrivalTime), edge.WithDiverting(r.pressure.Diverting), edge.WithListenerWrapper(r.pressure.Listener), edge.WithMemory(r.memory))
+// addressMargin is added to the time for a stop, after which a predecessor no longer holds its addresses.
+const addressMargin = 2 * time.Second
+
+// listen opens the listeners for callers and for probes. It waits for addresses that a predecessor still holds.
+func (r *Router) listen(ctx context.Context, platform Platform) error {
+	ctx, cancel := context.WithTimeout(ctx, r.settings.Stop.Within+addressMargin)
+	defer cancel()
+	callers, err := r.openListener(ctx, r.settings.Callers.Listen)
 	if err != nil {
 		return err
 	}
-	r.probes, err = listenProbes(r.settings.Probes, r.ready, r.metrics.handler())
-	if err != nil || r.settings.Probes.MetricsListen == "" {
+	probes, err := r.openListener(ctx, r.settings.Probes.Listen)
+	if err != nil {
+		_ = callers.Close()
 		return err
 	}
-	r.metricsServer, err = listenMetrics(r.settings.Probes, r.metrics.handler())
-	return err
+	r.callers = edge.New(callers, r.core, platform.Parser, edge.DefaultTimeouts(), edge.WithNow(r.arrivalTime), edge.WithDiverting(r.pressure.Diverting), edge.WithListenerWrapper(r.pressure.Listener), edge.WithMemory(r.memory))
+	r.probes = newProbes(probes, r.settings.Probes, r.ready, r.metrics.handler())
+	if addr := r.settings.Probes.MetricsListen; addr != "" {
+		open := func(ctx context.Context) (*listen.Listener, error) { return r.openListener(ctx, addr) }
+		r.metricsServer = newMetricsServer(open, r.settings.Probes, r.metrics.handler())
+	}
+	return nil
+}
+
+// openListener listens on an address. It logs that the address is taken, and when it has become free.
+func (r *Router) openListener(ctx context.Context, addr string) (*listen.Listener, error) {
+	var waitingSince time.Time
+	l, err := listen.TCP(ctx, addr, listen.OnWait(func(err error) {
+		waitingSince = time.Now()
+		r.log.Warn().Str("event", "address_taken").Str("address", addr).Err(err).Msg("the address cannot be listened on yet; waiting for it")
+	}))
+	switch {
+	case err != nil:
+		r.log.Error().Str("event", "address_unusable").Str("address", addr).Err(err).Msg("the address cannot be listened on")
+	case !waitingSince.IsZero():
+		r.log.Info().Str("event", "address_free").Str("address", addr).Dur("took", time.Since(waitingSince)).Msg("listening on the address")
+	}
+	return l, err
 }
 
 // updateServices applies the settings of services and of their streams in a newer configuration.
