fix: lose no request when a planned stop closes connections

Requests that were sent completely ended with EOF or a reset in the last moments of a planned stop, without a response and without anything sent to an endpoint.

Three causes. The listener was closed with connections in its queue, which the kernel resets. A connection that became idle was closed at once, although its last response had not announced it, and the next request was on its way. And net/http closes idle connections without a look at when they were last used.

The kernel now drops the first packet of further connections (a socket filter on the listener) while those that are established are still accepted, for 250 ms; then the listener closes. Connections stay open until a response has announced their end, or they have had no request for 500 ms. Listeners are plain TCP: the kernel has no socket filters for Multipath TCP, Go's default. Where a kernel refuses the filter, the queue is lost as before. Both edges use it.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -9,11 +9,11 @@
 	"net/http"
 	"os"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/ledgemount/ledgemount/internal/graceful"
 	"github.com/ledgemount/ledgemount/internal/listen"
 	"github.com/ledgemount/ledgemount/internal/memory"
 	"github.com/ledgemount/ledgemount/internal/relay"
@@ -42,8 +42,7 @@
 
 // Server is the HTTP server for callers.
 type Server struct {
-	listener     net.Listener
-	server       *http.Server
+	server       *graceful.Server
 	core         *relay.Core
 	parser       Parser
 	now          func() time.Time
@@ -51,7 +50,6 @@
 	memory       *memory.Budget
 	bodyTimeout  time.Duration
 	wrapListener func(net.Listener) net.Listener
-	stopping     atomic.Bool
 }
 
 // Option configures a Server.
@@ -74,13 +72,13 @@
 
 // New returns a Server that serves callers on a listener.
 func New(l *listen.Listener, core *relay.Core, parser Parser, timeouts Timeouts, opts ...Option) *Server {
-	s := &Server{listener: l, core: core, parser: parser, now: time.Now, bodyTimeout: timeouts.Body, diverting: func() bool { return false }}
+	s := &Server{core: core, parser: parser, now: time.Now, bodyTimeout: timeouts.Body, diverting: func() bool { return false }}
 	s.wrapListener = func(l net.Listener) net.Listener { return l }
 	for _, opt := range opts {
 		opt(s)
 	}
-	s.listener = s.wrapListener(l)
-	s.server = &http.Server{Handler: s, ReadHeaderTimeout: timeouts.Header, IdleTimeout: timeouts.Idle, MaxHeaderBytes: maxHeaderBytes}
+	server := &http.Server{Handler: s, ReadHeaderTimeout: timeouts.Header, IdleTimeout: timeouts.Idle, MaxHeaderBytes: maxHeaderBytes}
+	s.server = graceful.New(l, server, graceful.WithListenerWrapper(s.wrapListener))
 	return s
 }
 
@@ -88,36 +86,24 @@
 func (*Server) Name() string { return "callers" }
 
 // Addr returns the address on which the server listens.
-func (s *Server) Addr() string { return s.listener.Addr().String() }
+func (s *Server) Addr() string { return s.server.Addr() }
 
-// Run serves callers until ctx ends or Stop is called. It returns after ctx has ended.
+// Run serves callers until ctx ends. It returns after ctx has ended, also if Stop is called before.
 func (s *Server) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
-	defer stop()
-	err := s.server.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		<-ctx.Done()
-		return nil
-	}
-	return eris.Wrap(err, "serving callers")
+	return eris.Wrap(s.server.Serve(ctx), "serving callers")
 }
 
 // Leave makes the server close each connection after its next response, because the process is about to stop.
-func (s *Server) Leave() { s.stopping.Store(true) }
+func (s *Server) Leave() { s.server.Leave() }
 
-// Stop accepts no more connections and waits for open requests until ctx ends; then it interrupts them.
-func (s *Server) Stop(ctx context.Context) error {
-	err := s.server.Shutdown(ctx)
-	if err != nil {
-		_ = s.server.Close()
-	}
-	return eris.Wrap(err, "waiting for open requests")
-}
+// Stop serves the connections that are established already and accepts no others. It waits for open requests until ctx
+// ends; then it interrupts them.
+func (s *Server) Stop(ctx context.Context) error { return s.server.Stop(ctx) }
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := s.now()
-	if s.stopping.Load() || s.diverting() {
+	if s.diverting() {
 		w.Header().Set("Connection", "close")
 	}
 	if err := s.checkHeader(r); err != nil {
--- /dev/null
+++ b/internal/graceful/graceful.go
@@ -0,0 +1,128 @@
+// Package graceful runs an HTTP server whose planned stop loses no request. Connections that the kernel has established are
+// accepted and served before the listener closes, and a connection is closed only after a response that announces it, or
+// while no request is expected on it.
+package graceful
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/ledgemount/ledgemount/internal/listen"
+)
+
+const (
+	// establishTime is the time in which connections that are being established when a stop begins are accepted.
+	establishTime = 250 * time.Millisecond
+	// quietTime is how long a connection has had no request when a stop closes it.
+	quietTime    = 500 * time.Millisecond
+	pollInterval = 20 * time.Millisecond
+)
+
+// Server is an HTTP server on one listener.
+type Server struct {
+	listener *listen.Listener
+	accept   net.Listener // listener, as wrapped by options
+	server   *http.Server
+	conns    connections
+	now      func() time.Time
+	leaving  atomic.Bool
+	certFile string
+	keyFile  string
+}
+
+// Option configures a Server.
+type Option func(*Server)
+
+// WithTLS makes the server use TLS, with a certificate and a key in files.
+func WithTLS(certFile, keyFile string) Option {
+	return func(s *Server) { s.certFile, s.keyFile = certFile, keyFile }
+}
+
+// WithListenerWrapper sets a function that wraps the listener.
+func WithListenerWrapper(f func(net.Listener) net.Listener) Option {
+	return func(s *Server) { s.accept = f(s.accept) }
+}
+
+// New returns a server for server's handler and limits, whose ConnState it sets. It accepts connections once Serve is
+// called.
+func New(l *listen.Listener, server *http.Server, opts ...Option) *Server {
+	s := &Server{listener: l, accept: l, server: server, now: time.Now}
+	for _, opt := range opts {
+		opt(s)
+	}
+	handler := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+	server.ConnState = func(c net.Conn, state http.ConnState) { s.conns.set(c, state, s.now()) }
+	return s
+}
+
+// Addr returns the address on which the server listens.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// Serve serves requests until ctx ends; it then closes all connections. It returns an error only if it ends before.
+func (s *Server) Serve(ctx context.Context) error {
+	defer context.AfterFunc(ctx, s.Close)()
+	err := s.serve()
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		<-ctx.Done()
+		return nil
+	}
+	return eris.Wrap(err, "serving HTTP")
+}
+
+func (s *Server) serve() error {
+	if s.certFile != "" {
+		return s.server.ServeTLS(s.accept, s.certFile, s.keyFile)
+	}
+	return s.server.Serve(s.accept)
+}
+
+// Leave makes the server close each connection after its next response, because a stop is about to begin.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// Stop accepts the connections that are established already and no others, and waits until all requests have ended. When
+// ctx ends, it interrupts those that are left.
+func (s *Server) Stop(ctx context.Context) error {
+	s.Leave()
+	defer s.Close()
+	// Without the filter, the listener just closes: not every kernel has it.
+	if err := s.listener.RefuseNew(); err == nil {
+		wait(ctx, establishTime)
+	}
+	_ = s.listener.Close()
+	for s.conns.closeQuiet(s.now().Add(-quietTime)) > 0 {
+		if !wait(ctx, pollInterval) {
+			return eris.Wrap(ctx.Err(), "waiting for open requests")
+		}
+	}
+	return nil
+}
+
+// Close closes the listener and all connections at once.
+func (s *Server) Close() {
+	_ = s.server.Close()
+	_ = s.listener.Close()
+}
+
+// wait waits for d and reports true, or false if ctx ends before.
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -400,6 +401,8 @@
 func (in *Instance) Stop(ctx context.Context) error {
 	in.gateway.Leave()
 	in.view.Leave()
+	in.callers.leave()
+	in.operators.leave()
 	err := in.gateway.Drain(ctx)
 	if err == nil {
 		err = in.returnEscrow(ctx)
@@ -410,11 +413,23 @@
 			Int("open_holds", in.client.Open()).Interface("holds", in.client.OpenHolds(loggedAtStop)).
 			Msg("planned stop incomplete; the zone will reclaim the remaining escrow")
 	}
-	in.callers.shutdown(ctx)
-	in.operators.shutdown(ctx)
+	in.stopServers(ctx)
 	return errors.Join(err, in.kernel.Close())
 }
 
+// stopServers ends the connections of callers and operators.
+func (in *Instance) stopServers(ctx context.Context) {
+	var g sync.WaitGroup
+	for _, s := range []*server{in.callers, in.operators} {
+		g.Go(func() {
+			if err := s.shutdown(ctx); err != nil {
+				in.log.Warn().Str("event", "requests_interrupted").Str("server", s.name).Err(err).Msg("open requests were interrupted by the end of the stop")
+			}
+		})
+	}
+	g.Wait()
+}
+
 // returnEscrow flushes the charges and returns the escrow. It leaves time of ctx for responses that are still being sent.
 func (in *Instance) returnEscrow(ctx context.Context) error {
 	ctx, cancel := kernel.WithReserve(ctx, shutdownTime)
--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/ledgemount/ledgemount/internal/graceful"
 	"github.com/ledgemount/ledgemount/internal/listen"
 	"github.com/ledgemount/ledgemount/internal/settings"
 )
@@ -21,9 +20,8 @@
 // server is an HTTP server that runs as a kernel service.
 type server struct {
 	name string
-	tls  settings.TLS
-	lis  net.Listener
-	srv  *http.Server
+	srv  *graceful.Server
+	lis  *listen.Listener
 }
 
 // newServer returns a server that listens on addr. It accepts connections once Run is called.
@@ -34,7 +32,8 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "listening for %s", name)
 	}
-	return &server{name: name, tls: tls, lis: lis, srv: &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}}, nil
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	return &server{name: name, lis: lis, srv: graceful.New(lis, srv, graceful.WithTLS(tls.CertFile, tls.KeyFile))}, nil
 }
 
 // Name implements kernel.Service.
@@ -44,34 +43,14 @@
 
 // Run implements kernel.Service.
 func (s *server) Run(ctx context.Context) error {
-	ended := make(chan error, 1)
-	go func() { ended <- s.serve() }()
-	select {
-	case <-ctx.Done():
-		s.kill()
-		<-ended //nolint:errcheck // the server was killed
-		return nil
-	case err := <-ended:
-		if !errors.Is(err, http.ErrServerClosed) {
-			return eris.Wrapf(err, "serving %s", s.name)
-		}
-		<-ctx.Done()
-		return nil
-	}
+	return eris.Wrapf(s.srv.Serve(ctx), "serving %s", s.name)
 }
 
-func (s *server) serve() error {
-	if s.tls.CertFile != "" {
-		return s.srv.ServeTLS(s.lis, s.tls.CertFile, s.tls.KeyFile)
-	}
-	return s.srv.Serve(s.lis)
-}
+// leave makes the server close each connection after its next response.
+func (s *server) leave() { s.srv.Leave() }
 
 // shutdown stops the server after its requests have ended, or when ctx ends.
-func (s *server) shutdown(ctx context.Context) { _ = s.srv.Shutdown(ctx) }
+func (s *server) shutdown(ctx context.Context) error { return s.srv.Stop(ctx) }
 
 // kill closes the listener and all connections at once.
-func (s *server) kill() {
-	_ = s.srv.Close()
-	_ = s.lis.Close()
-}
+func (s *server) kill() { s.srv.Close() }
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -1,5 +1,6 @@
 // Package listen opens TCP listeners for servers that must not end because of a passing fault: an address that another
-// process still holds, or an error that concerns a single connection.
+// process still holds, or an error that concerns a single connection. A listener can be drained before it is closed, so that
+// no connection is lost that has been established already.
 package listen
 
 import (
@@ -33,6 +34,7 @@
 		opt(&o)
 	}
 	var lc net.ListenConfig
+	lc.SetMultipathTCP(false) // the kernel supports no socket filters for it, which RefuseNew needs
 	t := time.NewTicker(retryInterval)
 	defer t.Stop()
 	for attempt := 1; ; attempt++ {
