--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
 
 	"github.com/ledgemount/ledgemount/internal/graceful"
 	"github.com/ledgemount/ledgemount/internal/listen"
@@ -50,6 +51,7 @@
 	memory       *memory.Budget
 	bodyTimeout  time.Duration
 	wrapListener func(net.Listener) net.Listener
+	log          zerolog.Logger
 }
 
 // Option configures a Server.
@@ -62,6 +64,9 @@
 // WithMemory sets the memory that all open requests may hold together. By default, it is unlimited.
 func WithMemory(b *memory.Budget) Option { return func(s *Server) { s.memory = b } }
 
+// WithLogger sets the logger.
+func WithLogger(log zerolog.Logger) Option { return func(s *Server) { s.log = log } }
+
 // WithNow replaces the clock, which is read once for each request.
 func WithNow(now func() time.Time) Option { return func(s *Server) { s.now = now } }
 
@@ -72,13 +77,13 @@
 
 // New returns a Server that serves callers on a listener.
 func New(l *listen.Listener, core *relay.Core, parser Parser, timeouts Timeouts, opts ...Option) *Server {
-	s := &Server{core: core, parser: parser, now: time.Now, bodyTimeout: timeouts.Body, diverting: func() bool { return false }}
+	s := &Server{core: core, parser: parser, now: time.Now, bodyTimeout: timeouts.Body, diverting: func() bool { return false }, log: zerolog.Nop()}
 	s.wrapListener = func(l net.Listener) net.Listener { return l }
 	for _, opt := range opts {
 		opt(s)
 	}
 	server := &http.Server{Handler: s, ReadHeaderTimeout: timeouts.Header, IdleTimeout: timeouts.Idle, MaxHeaderBytes: maxHeaderBytes}
-	s.server = graceful.New(l, server, graceful.WithListenerWrapper(s.wrapListener))
+	s.server = graceful.New(l, server, graceful.WithListenerWrapper(s.wrapListener), graceful.WithLogger(s.log))
 	return s
 }
 
--- a/internal/graceful/graceful.go
+++ b/internal/graceful/graceful.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
 
 	"github.com/ledgemount/ledgemount/internal/listen"
 )
@@ -31,6 +32,7 @@
 	server   *http.Server
 	conns    connections
 	now      func() time.Time
+	log      zerolog.Logger
 	leaving  atomic.Bool
 	certFile string
 	keyFile  string
@@ -44,6 +46,9 @@
 	return func(s *Server) { s.certFile, s.keyFile = certFile, keyFile }
 }
 
+// WithLogger sets the logger.
+func WithLogger(log zerolog.Logger) Option { return func(s *Server) { s.log = log } }
+
 // WithListenerWrapper sets a function that wraps the listener.
 func WithListenerWrapper(f func(net.Listener) net.Listener) Option {
 	return func(s *Server) { s.accept = f(s.accept) }
@@ -52,7 +57,7 @@
 // New returns a server for server's handler and limits, whose ConnState it sets. It accepts connections once Serve is
 // called.
 func New(l *listen.Listener, server *http.Server, opts ...Option) *Server {
-	s := &Server{listener: l, accept: l, server: server, now: time.Now}
+	s := &Server{listener: l, accept: l, server: server, now: time.Now, log: zerolog.Nop()}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -96,8 +101,9 @@
 func (s *Server) Stop(ctx context.Context) error {
 	s.Leave()
 	defer s.Close()
-	// Without the filter, the listener just closes: not every kernel has it.
-	if err := s.listener.RefuseNew(); err == nil {
+	if err := s.listener.RefuseNew(); err != nil {
+		s.log.Warn().Str("event", "listener_undrained").Err(err).Msg("the listener closes without being drained: connections that were not accepted yet are reset")
+	} else {
 		wait(ctx, establishTime)
 	}
 	_ = s.listener.Close()
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -337,11 +337,11 @@
 		Calls: in.store.Calls, Now: time.Now,
 	})
 	var err error
-	in.callers, err = newServer("callers", in.set.Callers.Listen, in.set.Callers.TLS, in.gateway.Handler())
+	in.callers, err = newServer("callers", in.set.Callers.Listen, in.set.Callers.TLS, in.gateway.Handler(), in.log)
 	if err != nil {
 		return err
 	}
-	in.operators, err = newServer("operators", in.set.Operators.Listen, in.set.Operators.TLS, op.Handler())
+	in.operators, err = newServer("operators", in.set.Operators.Listen, in.set.Operators.TLS, op.Handler(), in.log)
 	return err
 }
 
--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
 
 	"github.com/ledgemount/ledgemount/internal/graceful"
 	"github.com/ledgemount/ledgemount/internal/listen"
@@ -25,7 +26,7 @@
 }
 
 // newServer returns a server that listens on addr. It accepts connections once Run is called.
-func newServer(name, addr string, tls settings.TLS, h http.Handler) (*server, error) {
+func newServer(name, addr string, tls settings.TLS, h http.Handler, log zerolog.Logger) (*server, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), addressTimeout)
 	defer cancel()
 	lis, err := listen.TCP(ctx, addr)
@@ -33,7 +34,7 @@
 		return nil, eris.Wrapf(err, "listening for %s", name)
 	}
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
-	return &server{name: name, lis: lis, srv: graceful.New(lis, srv, graceful.WithTLS(tls.CertFile, tls.KeyFile))}, nil
+	return &server{name: name, lis: lis, srv: graceful.New(lis, srv, graceful.WithTLS(tls.CertFile, tls.KeyFile), graceful.WithLogger(log))}, nil
 }
 
 // Name implements kernel.Service.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -269,7 +269,7 @@
 		_ = callers.Close()
 		return err
 	}
-	r.callers = edge.New(callers, r.core, platform.Parser, edge.DefaultTimeouts(), edge.WithNow(r.arrivalTime), edge.WithDiverting(r.pressure.Diverting), edge.WithListenerWrapper(r.pressure.Listener), edge.WithMemory(r.memory))
+	r.callers = edge.New(callers, r.core, platform.Parser, edge.DefaultTimeouts(), edge.WithNow(r.arrivalTime), edge.WithDiverting(r.pressure.Diverting), edge.WithListenerWrapper(r.pressure.Listener), edge.WithMemory(r.memory), edge.WithLogger(r.log))
 	r.probes = newProbes(probes, r.settings.Probes, r.ready, r.metrics.handler())
 	if addr := r.settings.Probes.MetricsListen; addr != "" {
 		open := func(ctx context.Context) (*listen.Listener, error) { return r.openListener(ctx, addr) }
