fix: end the response of a caller that does not read it

A caller that sends a request and does not read its response held the connection to an endpoint, and a slot of it, until it disconnected: the write to the caller has no end while the kernel's buffers are full, and the deadline of the request ends only what waits for the endpoint. A few dozen of such callers took all slots from the others, who were refused.

Writes to a caller now fail 1 s after the request's deadline, and those of rejections after 40 s; the exchange with the endpoint ends with them.

TestUnreadResponsesHoldEndpoint: 40 responses were still open 10 s after their deadline on; they end with it now.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -30,12 +30,13 @@
 type Timeouts struct {
 	Header time.Duration // to send a request's header
 	Body   time.Duration // to send a request's body, if the caller states no earlier deadline
+	Write  time.Duration // to receive a response that no endpoint has sent
 	Idle   time.Duration // between requests on a connection
 }
 
 // DefaultTimeouts returns generous timeouts; the limits of a configuration are tighter.
 func DefaultTimeouts() Timeouts {
-	return Timeouts{Header: 10 * time.Second, Body: 30 * time.Second, Idle: 60 * time.Second}
+	return Timeouts{Header: 10 * time.Second, Body: 30 * time.Second, Write: 10 * time.Second, Idle: 60 * time.Second}
 }
 
 // maxHeaderBytes is the size of the largest request header that is read.
@@ -50,6 +51,7 @@
 	diverting    func() bool
 	memory       *memory.Budget
 	bodyTimeout  time.Duration
+	writeTimeout time.Duration
 	wrapListener func(net.Listener) net.Listener
 	log          zerolog.Logger
 }
@@ -77,7 +79,7 @@
 
 // New returns a Server that serves callers on a listener.
 func New(l *listen.Listener, core *relay.Core, parser Parser, timeouts Timeouts, opts ...Option) *Server {
-	s := &Server{core: core, parser: parser, now: time.Now, bodyTimeout: timeouts.Body, diverting: func() bool { return false }, log: zerolog.Nop()}
+	s := &Server{core: core, parser: parser, now: time.Now, bodyTimeout: timeouts.Body, writeTimeout: timeouts.Write, diverting: func() bool { return false }, log: zerolog.Nop()}
 	s.wrapListener = func(l net.Listener) net.Listener { return l }
 	for _, opt := range opts {
 		opt(s)
@@ -108,6 +110,8 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := s.now()
+	out := &sink{w: w, controller: http.NewResponseController(w)}
+	out.SetTimeout(s.bodyTimeout + s.writeTimeout)
 	if s.diverting() {
 		w.Header().Set("Connection", "close")
 	}
@@ -122,7 +126,7 @@
 		writeError(w, err)
 		return
 	}
-	err = s.core.Serve(r.Context(), req, &sink{w: w, flush: http.NewResponseController(w)})
+	err = s.core.Serve(r.Context(), req, out)
 	switch {
 	case err == nil:
 	case errors.Is(err, relay.ErrBroken):
@@ -218,9 +222,18 @@
 
 // sink writes a response to a caller. It implements relay.Sink.
 type sink struct {
-	w         http.ResponseWriter
-	flush     *http.ResponseController
-	streaming bool
+	w          http.ResponseWriter
+	controller *http.ResponseController
+	streaming  bool
+}
+
+// SetTimeout implements relay.Sink.
+func (s *sink) SetTimeout(d time.Duration) {
+	var end time.Time
+	if d > 0 {
+		end = time.Now().Add(d)
+	}
+	_ = s.controller.SetWriteDeadline(end) // the server's connections support it
 }
 
 // Begin implements relay.Sink.
@@ -249,7 +262,7 @@
 	if !s.streaming {
 		return nil
 	}
-	return s.flush.Flush()
+	return s.controller.Flush()
 }
 
 // errorBody is the body of an error response that the instance itself generates.
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -258,6 +258,7 @@
 	j.outcome.Service = name
 	j.core.Retries.CountRequest(name)
 	j.setDeadline()
+	j.limitWrites()
 	return nil
 }
 
@@ -272,6 +273,19 @@
 	}
 }
 
+// writeGrace is the time after the deadline in which the caller may still receive what was sent before, or an error.
+const writeGrace = time.Second
+
+// limitWrites makes writes to the caller fail some time after the deadline. Otherwise a caller that does not read would
+// hold its connection to an endpoint, and the endpoint's slot, until it disconnects.
+func (j *job) limitWrites() {
+	if remaining, ok := j.remaining(); ok {
+		j.out.SetTimeout(max(0, remaining) + writeGrace)
+		return
+	}
+	j.out.SetTimeout(0)
+}
+
 func (j *job) reserve(ctx context.Context) error {
 	if j.customer == nil || j.customer.Prepaid < 0 || !j.req.Metered {
 		return nil
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -101,6 +101,8 @@
 
 // Sink receives the response for the caller.
 type Sink interface {
+	// SetTimeout makes writes fail from d on, for a caller that does not read its response; 0: never.
+	SetTimeout(d time.Duration)
 	// Begin sends the response header. length is the length of the body, or -1 if it is unknown.
 	Begin(status int, header http.Header, length int64)
 	// Write sends a piece of the body without delay.
