fix: bound the number of callers' connections

Idle connections used up the files of a process: new callers waited for seconds or got nothing, and endpoints could not be connected to. Headers that callers send slowly were held for each connection, and together passed the memory of the machine. Nothing bounded the number of connections; limits.maxFds of the platform's settings was read by nothing.

A process takes as many connections as leave a file for one to an endpoint each, and as its memory for requests suffices for. For a further one, the connection that has had no request for longest is closed. If nearly all have requests, requests on the others are rejected at once as not run, with Retry-After. A header may have 32 KiB (64 before).

Rejections before a request is read are logged (request_rejected) and counted; gauges state the connections and the memory of open requests beside their limits.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -40,7 +40,7 @@
 }
 
 // maxHeaderBytes is the size of the largest request header that is read.
-const maxHeaderBytes = 64 << 10
+const maxHeaderBytes = 32 << 10
 
 // Server is the HTTP server for callers.
 type Server struct {
@@ -53,6 +53,9 @@
 	bodyTimeout  time.Duration
 	writeTimeout time.Duration
 	wrapListener func(net.Listener) net.Listener
+	maxConns     int
+	onClosed     func()
+	onRejected   func(err *verdict.Error)
 	log          zerolog.Logger
 }
 
@@ -66,6 +69,15 @@
 // WithMemory sets the memory that all open requests may hold together. By default, it is unlimited.
 func WithMemory(b *memory.Budget) Option { return func(s *Server) { s.memory = b } }
 
+// WithConnectionLimit limits the number of callers' connections to n; 0: unlimited. closed is called for each connection
+// without requests that is closed for a further one.
+func WithConnectionLimit(n int, closed func()) Option {
+	return func(s *Server) { s.maxConns, s.onClosed = n, closed }
+}
+
+// OnRejected sets the function that is called for each request that is rejected before it is passed to the relay.
+func OnRejected(f func(err *verdict.Error)) Option { return func(s *Server) { s.onRejected = f } }
+
 // WithLogger sets the logger.
 func WithLogger(log zerolog.Logger) Option { return func(s *Server) { s.log = log } }
 
@@ -79,13 +91,14 @@
 
 // New returns a Server that serves callers on a listener.
 func New(l *listen.Listener, core *relay.Core, parser Parser, timeouts Timeouts, opts ...Option) *Server {
-	s := &Server{core: core, parser: parser, now: time.Now, bodyTimeout: timeouts.Body, writeTimeout: timeouts.Write, diverting: func() bool { return false }, log: zerolog.Nop()}
+	s := &Server{core: core, parser: parser, now: time.Now, bodyTimeout: timeouts.Body, writeTimeout: timeouts.Write, diverting: func() bool { return false }, onRejected: func(*verdict.Error) {}, log: zerolog.Nop()}
 	s.wrapListener = func(l net.Listener) net.Listener { return l }
 	for _, opt := range opts {
 		opt(s)
 	}
 	server := &http.Server{Handler: s, ReadHeaderTimeout: timeouts.Header, IdleTimeout: timeouts.Idle, MaxHeaderBytes: maxHeaderBytes}
-	s.server = graceful.New(l, server, graceful.WithListenerWrapper(s.wrapListener), graceful.WithLogger(s.log))
+	s.server = graceful.New(l, server, graceful.WithListenerWrapper(s.wrapListener), graceful.WithLogger(s.log),
+		graceful.WithConnectionLimit(s.maxConns, http.HandlerFunc(s.rejectConnection), s.onClosed))
 	return s
 }
 
@@ -116,14 +129,14 @@
 		w.Header().Set("Connection", "close")
 	}
 	if err := s.checkHeader(r); err != nil {
-		writeError(w, err)
+		s.reject(w, err)
 		return
 	}
 	account := s.memory.Open()
 	defer account.Close()
 	req, err := s.receive(w, r, arrived, account)
 	if err != nil {
-		writeError(w, err)
+		s.reject(w, err)
 		return
 	}
 	err = s.core.Serve(r.Context(), req, out)
@@ -194,12 +207,26 @@
 	return body, bodyError(err, limit)
 }
 
+// Connections returns the number of callers' connections.
+func (s *Server) Connections() int { return s.server.Connections() }
+
+// reject rejects a request that is not passed to the relay.
+func (s *Server) reject(w http.ResponseWriter, err error) {
+	s.onRejected(verdict.From(err))
+	writeError(w, err)
+}
+
+// rejectConnection rejects a request on a connection above the limit.
+func (s *Server) rejectConnection(w http.ResponseWriter, _ *http.Request) {
+	s.reject(w, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "this instance has as many connections as it may", verdict.WithRetryAfter(overloadRetryAfter)))
+}
+
 func memoryExceeded() error {
-	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the open requests of this instance hold as much memory as they may", verdict.WithRetryAfter(memoryRetryAfter))
+	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the open requests of this instance hold as much memory as they may", verdict.WithRetryAfter(overloadRetryAfter))
 }
 
-// memoryRetryAfter is the delay after which a caller that was rejected for want of memory may retry.
-const memoryRetryAfter = 300 * time.Millisecond
+// overloadRetryAfter is the delay after which a caller that was rejected for want of memory or connections may retry.
+const overloadRetryAfter = 300 * time.Millisecond
 
 func bodyError(err error, limit int64) error {
 	var large *http.MaxBytesError
--- a/internal/graceful/graceful.go
+++ b/internal/graceful/graceful.go
@@ -23,6 +23,11 @@
 	// quietTime is how long a connection has had no request when a stop closes it.
 	quietTime    = 500 * time.Millisecond
 	pollInterval = 20 * time.Millisecond
+
+	// A connection may be closed for another one if it has had no request for evictableTime, or if it is the quietest among
+	// evictableShare of the limit: a new connection has to have time to send its first request.
+	evictableTime  = 500 * time.Millisecond
+	evictableShare = 0.25
 )
 
 // Server is an HTTP server on one listener.
@@ -30,7 +35,9 @@
 	listener *listen.Listener
 	accept   net.Listener // listener, as wrapped by options
 	server   *http.Server
-	conns    connections
+	handler  http.Handler
+	conns    *connections
+	limit    connectionLimit
 	now      func() time.Time
 	log      zerolog.Logger
 	leaving  atomic.Bool
@@ -38,6 +45,13 @@
 	keyFile  string
 }
 
+// connectionLimit is what a server does with connections above a number.
+type connectionLimit struct {
+	n      int // 0: unlimited
+	reject http.Handler
+	closed func()
+}
+
 // Option configures a Server.
 type Option func(*Server)
 
@@ -54,24 +68,57 @@
 	return func(s *Server) { s.accept = f(s.accept) }
 }
 
+// WithConnectionLimit limits the number of connections with requests to n; 0: unlimited. For each connection above it, the
+// one that has had no request for longest is closed, and closed is called. If nearly all have requests, reject answers
+// those on the connections above the limit.
+func WithConnectionLimit(n int, reject http.Handler, closed func()) Option {
+	return func(s *Server) { s.limit = connectionLimit{n: n, reject: reject, closed: closed} }
+}
+
 // New returns a server for server's handler and limits, whose ConnState it sets. It accepts connections once Serve is
 // called.
 func New(l *listen.Listener, server *http.Server, opts ...Option) *Server {
-	s := &Server{listener: l, accept: l, server: server, now: time.Now, log: zerolog.Nop()}
+	s := &Server{listener: l, accept: l, server: server, conns: newConnections(), now: time.Now, log: zerolog.Nop()}
 	for _, opt := range opts {
 		opt(s)
 	}
-	handler := server.Handler
-	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.leaving.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		handler.ServeHTTP(w, r)
-	})
+	s.handler, server.Handler = server.Handler, http.HandlerFunc(s.handle)
+	server.ConnContext = s.admit
 	server.ConnState = func(c net.Conn, state http.ConnState) { s.conns.set(c, state, s.now()) }
 	return s
 }
 
+// handle passes a request to the handler, or rejects it if its connection exceeds the limit.
+func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
+	surplus := r.Context().Value(surplusKey{}) != nil
+	if surplus || s.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if surplus {
+		s.limit.reject.ServeHTTP(w, r)
+		return
+	}
+	s.handler.ServeHTTP(w, r)
+}
+
+// surplusKey is the context key that marks a connection above the limit.
+type surplusKey struct{}
+
+// admit makes room for a new connection, or marks it as one above the limit.
+func (s *Server) admit(ctx context.Context, _ net.Conn) context.Context {
+	switch {
+	case s.limit.n <= 0 || s.conns.size() < s.limit.n:
+		return ctx
+	case s.conns.closeLongestQuiet(s.now().Add(-evictableTime), int(evictableShare*float64(s.limit.n))):
+		s.limit.closed()
+		return ctx
+	}
+	return context.WithValue(ctx, surplusKey{}, true)
+}
+
+// Connections returns the number of open connections.
+func (s *Server) Connections() int { return s.conns.size() }
+
 // Addr returns the address on which the server listens.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
--- a/internal/graceful/graceful_test.go
+++ b/internal/graceful/graceful_test.go
@@ -21,12 +21,12 @@
 const timeout = 10 * time.Second
 
 // start serves h until the test ends.
-func start(t *testing.T, h http.HandlerFunc) *Server {
+func start(t *testing.T, h http.HandlerFunc, opts ...Option) *Server {
 	l, err := listen.TCP(t.Context(), "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := New(l, &http.Server{Handler: h})
+	s := New(l, &http.Server{Handler: h}, opts...)
 	var g sync.WaitGroup
 	g.Go(func() { _ = s.Serve(t.Context()) })
 	t.Cleanup(g.Wait)
@@ -167,3 +167,67 @@
 		})
 	})
 }
+
+func TestConnectionLimit(t *testing.T) {
+	const limit = 8
+	Convey("A server with as many connections as it may have", t, func() {
+		release := make(chan struct{})
+		var closed atomic.Int64
+		reject := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }
+		h := func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/wait" {
+				<-release
+			}
+			ok(w, r)
+		}
+		s := start(t, h, WithConnectionLimit(limit, http.HandlerFunc(reject), func() { closed.Add(1) }))
+		connect := func(n int) []*client {
+			out := make([]*client, n)
+			for i := range out {
+				c, err := dial(s.Addr())
+				So(err, ShouldBeNil)
+				out[i] = c
+			}
+			return out
+		}
+		Convey("closes the ones without requests, longest first", func() {
+			first := connect(limit)
+			for _, c := range first {
+				_, _, err := c.exchange()
+				So(err, ShouldBeNil)
+				time.Sleep(pollInterval) // the server notes the end of a request after its response
+			}
+			_, _, err := first[0].exchange()
+			So(err, ShouldBeNil)
+			_, _, err = connect(1)[0].exchange()
+			So(err, ShouldBeNil)
+			_, err = first[1].r.ReadByte()
+			So(err, ShouldEqual, io.EOF)
+			_, _, err = first[0].exchange()
+			So(err, ShouldBeNil)
+			So(closed.Load(), ShouldEqual, 1)
+			So(s.Connections(), ShouldEqual, limit)
+		})
+		Convey("rejects requests on further ones if all have requests", func() {
+			for _, c := range connect(limit) {
+				_, err := io.WriteString(c, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+				So(err, ShouldBeNil)
+				defer func() {
+					body, _, err := c.response()
+					So(err, ShouldBeNil)
+					So(body, ShouldEqual, "ok")
+				}()
+			}
+			defer close(release)
+			time.Sleep(5 * pollInterval)
+			for range 2 {
+				c := connect(1)[0]
+				So(c.request(), ShouldBeNil)
+				res, err := http.ReadResponse(c.r, nil)
+				So(err, ShouldBeNil)
+				So(res.StatusCode, ShouldEqual, http.StatusServiceUnavailable)
+				So(res.Close, ShouldBeTrue)
+			}
+		})
+	})
+}
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -18,6 +18,7 @@
 	"github.com/ledgemount/ledgemount/internal/quarantine"
 	"github.com/ledgemount/ledgemount/internal/reach"
 	"github.com/ledgemount/ledgemount/internal/relay"
+	"github.com/ledgemount/ledgemount/internal/verdict"
 )
 
 // meters holds the counters and histograms of a router.
@@ -28,6 +29,8 @@
 	store     tally.Histogram
 	calls     *callCounts
 	sent      *callCounts // bytes sent to other instances
+
+	quietClosed tally.Counter
 }
 
 func newMeters(settings *Settings) *meters {
@@ -42,6 +45,8 @@
 		firstByte: m.Scope().Histogram("relay_first_byte_seconds", buckets),
 		total:     m.Scope().Histogram("relay_request_seconds", buckets),
 		store:     m.Scope().Histogram("store_call_seconds", buckets),
+
+		quietClosed: m.Scope().Counter("caller_connections_closed_total"),
 	}
 }
 
@@ -57,6 +62,14 @@
 	m.metrics.Scope().Tagged(map[string]string{"proven": "no"}).Counter("escrow_settled_tokens_total").Inc(s.Unproven())
 }
 
+// recordQuietClosed counts a connection without requests that was closed for a further one.
+func (m *meters) recordQuietClosed() { m.quietClosed.Inc(1) }
+
+// recordRejection counts a request that was rejected before it was read.
+func (m *meters) recordRejection(code verdict.Code) {
+	m.metrics.Scope().Tagged(map[string]string{"reason": string(code)}).Counter("edge_rejections_total").Inc(1)
+}
+
 // recordStoreCall records a call to the store.
 func (m *meters) recordStoreCall(c external.Call) {
 	scope := m.metrics.Scope().Tagged(map[string]string{"call": c.Name, "duty": string(c.Duty), "outcome": c.Outcome})
@@ -111,6 +124,13 @@
 	m.metrics.Scope().Tagged(map[string]string{"by": by, "origin": origin}).Counter("stream_resumptions_total").Inc(1)
 }
 
+// logRejection logs and counts a request that was rejected before it was read.
+func (r *Router) logRejection(err *verdict.Error) {
+	r.metrics.recordRejection(err.Code())
+	r.log.Warn().Str("event", "request_rejected").Str("code", string(err.Code())).Str("detail", err.Detail()).
+		Int64("held_bytes", r.memory.Held()).Int("connections", r.callers.Connections()).Msg("a request was rejected before it was read")
+}
+
 // logRequest logs and records the outcome of a request. The log line contains the decisions and the data on which they
 // were based.
 func (r *Router) logRequest(o relay.Outcome) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -246,7 +246,7 @@
 	if !r.settings.disabled(Loads) {
 		list = append(list, r.load)
 	}
-	list = append(list, r.reach, r.replicator, r.streams, r.follow, r.escrow, r.escrow.Repayments(), &sweeper{client: r.client}, &callLog{counts: r.metrics.calls, sent: r.metrics.sent, role: r.role, log: r.log}, r.startWatch(), r.callers, r.probes)
+	list = append(list, r.reach, r.replicator, r.streams, r.follow, r.escrow, r.escrow.Repayments(), &sweeper{client: r.client}, &callLog{counts: r.metrics.calls, sent: r.metrics.sent, role: r.role, log: r.log}, &usageMeter{router: r}, r.startWatch(), r.callers, r.probes)
 	if r.metricsServer != nil {
 		list = append(list, r.metricsServer)
 	}
@@ -269,7 +269,10 @@
 		_ = callers.Close()
 		return err
 	}
-	r.callers = edge.New(callers, r.core, platform.Parser, edge.DefaultTimeouts(), edge.WithNow(r.arrivalTime), edge.WithDiverting(r.pressure.Diverting), edge.WithListenerWrapper(r.pressure.Listener), edge.WithMemory(r.memory), edge.WithLogger(r.log))
+	r.callers = edge.New(callers, r.core, platform.Parser, edge.DefaultTimeouts(),
+		edge.WithNow(r.arrivalTime), edge.WithDiverting(r.pressure.Diverting), edge.WithListenerWrapper(r.pressure.Listener),
+		edge.WithMemory(r.memory), edge.WithConnectionLimit(r.settings.Instance.maxConnections(), r.metrics.recordQuietClosed),
+		edge.OnRejected(r.logRejection), edge.WithLogger(r.log))
 	r.probes = newProbes(probes, r.settings.Probes, r.ready, r.metrics.handler())
 	if addr := r.settings.Probes.MetricsListen; addr != "" {
 		open := func(ctx context.Context) (*listen.Listener, error) { return r.openListener(ctx, addr) }
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -2,11 +2,13 @@
 
 import (
 	"os"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/ledgemount/ledgemount/internal/declare"
+	"github.com/ledgemount/ledgemount/internal/memory"
 	"github.com/ledgemount/ledgemount/internal/peers"
 )
 
@@ -36,6 +38,9 @@
 	// MemoryMB is the memory of the machine in megabytes, above which the process would be ended; 0: unknown. It bounds what
 	// open requests hold together.
 	MemoryMB int `json:"memory_mb" validate:"min=0"`
+	// MaxFiles is the number of files, sockets included, that the process may have open; 0: unknown. It bounds the number of
+	// callers' connections.
+	MaxFiles int `json:"max_files" validate:"min=0"`
 	// FirstStart states that the fleet starts for the first time: no instance of it has served before.
 	FirstStart bool `json:"first_start"`
 	// Regions maps each availability zone to its region, for routes and customers that are restricted to some regions.
@@ -49,6 +54,28 @@
 // requestMemory returns the memory in bytes that open requests may hold together; 0: unlimited.
 func (i Instance) requestMemory() int64 { return int64(requestShare * float64(i.MemoryMB) * (1 << 20)) }
 
+const (
+	reservedFiles   = 200  // for everything but the connections of requests
+	connectionShare = 0.45 // of the other files: each request may need another one to an endpoint
+	minConnections  = 16
+)
+
+// maxConnections returns how many connections of callers may be open; 0: unlimited. Their files and the memory of their
+// requests have to suffice.
+func (i Instance) maxConnections() int {
+	var limits []int
+	if i.MaxFiles > 0 {
+		limits = append(limits, int(connectionShare*float64(i.MaxFiles-reservedFiles)))
+	}
+	if i.MemoryMB > 0 {
+		limits = append(limits, int(i.requestMemory()/memory.RequestOverhead))
+	}
+	if len(limits) == 0 {
+		return 0
+	}
+	return max(minConnections, slices.Min(limits))
+}
+
 // softMemoryShare is the share of the machine's memory from which the garbage collector works harder.
 const softMemoryShare = 0.85
 
