fix: lose no request to bytes behind a response

Requests that cannot be repeated got 504 at their deadline if the endpoint still sent bytes on the kept connection on which they were sent: the bytes were taken for a header that does not end. A header that arrives slowly held a repeatable request for 3 s, which is longer than most deadlines.

A response that does not begin with a status line fails at its first byte. After bytes that belong to no response, each connection to that endpoint is used once, for 10 s.

--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -306,6 +306,7 @@
 	sent := j.core.now()
 	outbound.OnDial = func(took time.Duration, err error) { j.core.onDial(e.Zone, took, err) }
 	outbound.ShouldSend = lease.StillValid
+	outbound.HeaderTimeout = j.headerTimeout()
 	j.setPath(outbound, e)
 	res, err := j.core.Client.Do(ctx, e.Addr, outbound)
 	switch {
@@ -350,6 +351,20 @@
 	return j.relayBuffered(ctx, res, wd)
 }
 
+// headerTimeout returns the time in which a header that has begun has to end. A header that comes slowly is no progress, so a
+// request that may be sent to another endpoint waits for it no longer than for a silent one. 0: the default.
+func (j *job) headerTimeout() time.Duration {
+	if !j.hasOtherAttempt() {
+		return 0
+	}
+	return j.core.stallTimeout
+}
+
+// hasOtherAttempt reports whether the request may be sent to another endpoint if the attempt in progress fails.
+func (j *job) hasOtherAttempt() bool {
+	return j.route.Repeatable() && j.attempts+1 < j.route.MaxAttempts
+}
+
 // unrelatedResult returns the result of an attempt to resume a stream whose response is no stream. It is not forwarded.
 func unrelatedResult(status int) result {
 	if status >= http.StatusInternalServerError {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -164,7 +164,7 @@
 		lease: lease, now: j.core.now, firstTimeout: max(j.core.stallTimeout, lease.ResponseTimeout()), laterTimeout: max(j.core.stallTimeout, stallGapFactor*j.route.Gap),
 		started: j.core.now(), pathLost: j.directPathLost(lease.Endpoint()),
 	}
-	if !j.route.Repeatable() || j.attempts+1 >= j.route.MaxAttempts {
+	if !j.hasOtherAttempt() {
 		return w
 	}
 	w.mu.Lock()
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -70,6 +70,9 @@
 // sent completely, the connection carries one exchange only, the endpoint closes it, or more data than the response has
 // arrived.
 func (x *exchange) finish() {
+	if x.conn.br.Buffered() > 0 {
+		x.client.avoidReuse(x.conn.addr)
+	}
 	if !x.sent.Load() || x.closeAfter || x.conn.single || x.conn.br.Buffered() > 0 {
 		x.abort()
 		return
@@ -110,13 +113,13 @@
 	return nil
 }
 
-// isIdle reports whether a pooled connection is still open and has no unread data.
-func (c *conn) isIdle() bool {
+// state returns the state of a pooled connection.
+func (c *conn) state() connState {
 	if c.br.Buffered() > 0 {
-		return false
+		return connSurplus
 	}
 	if err := c.SetDeadline(time.Time{}); err != nil {
-		return false
+		return connClosed
 	}
-	return nothingBuffered(c.Conn)
+	return peekState(c.Conn)
 }
--- a/internal/upstream/header.go
+++ b/internal/upstream/header.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -10,9 +11,9 @@
 
 // Limits of the header of a response.
 const (
-	maxHeaderBytes = 16 << 10        // of a response, including its interim responses
-	maxInterim     = 8               // interim responses before a response
-	headerTimeout  = 3 * time.Second // from the first bytes of a header to its end
+	maxHeaderBytes       = 16 << 10        // of a response, including its interim responses
+	maxInterim           = 8               // interim responses before a response
+	defaultHeaderTimeout = 3 * time.Second // from the first bytes of a header to its end
 )
 
 // Errors of responses that exceed these limits. The endpoint may have run the request.
@@ -20,6 +21,7 @@
 	ErrHeaderTooLarge = errors.New("the header of the response is too large")
 	ErrTooManyInterim = errors.New("too many interim responses")
 	ErrHeaderTimeout  = errors.New("the header of the response was not complete in time")
+	ErrNoStatusLine   = errors.New("the response does not begin with a status line")
 )
 
 // ProtocolFault names the way in which a response violates the protocol, for logs and metrics.
@@ -31,6 +33,7 @@
 	FaultHeaderTime ProtocolFault = "header-time"
 	FaultInterim    ProtocolFault = "interim"
 	FaultFraming    ProtocolFault = "framing"
+	FaultStatusLine ProtocolFault = "status-line"
 )
 
 // ProtocolFaultOf returns how the response violated the protocol whose exchange returned err; empty if it did not.
@@ -42,25 +45,35 @@
 		return FaultHeaderTime
 	case errors.Is(err, ErrTooManyInterim):
 		return FaultInterim
+	case errors.Is(err, ErrNoStatusLine):
+		return FaultStatusLine
 	case errors.Is(err, errFraming):
 		return FaultFraming
 	}
 	return ""
 }
 
+// statusLinePrefix is how each response begins.
+const statusLinePrefix = "HTTP/1."
+
 // headerReader reads from a connection. While it reads a header, it returns no more than maxHeaderBytes and closes the
-// connection if the header is not complete within headerTimeout.
+// connection if the header is not complete within timeout. It fails at the first byte that no header begins with.
 type headerReader struct {
 	conn    io.ReadCloser
 	limited bool
+	timeout time.Duration
 	left    int
+	prefix  string      // the part of statusLinePrefix that has not been read
 	begun   bool        // the first bytes of the header have been read
 	timer   *time.Timer // nil: they were the whole header so far
 	expired atomic.Bool
 }
 
-// begin starts the limits for the next header.
-func (r *headerReader) begin() { r.limited, r.left, r.begun = true, maxHeaderBytes, false }
+// begin starts the limits for the next header. timeout is the time from its first bytes to its end; 0: the default.
+func (r *headerReader) begin(timeout time.Duration) {
+	r.timeout = cmp.Or(timeout, defaultHeaderTimeout)
+	r.limited, r.left, r.prefix, r.begun = true, maxHeaderBytes, statusLinePrefix, false
+}
 
 // restart gives the rest of a header, after an interim response, its own time.
 func (r *headerReader) restart() {
@@ -87,26 +100,37 @@
 		return 0, ErrHeaderTooLarge
 	}
 	if r.begun && r.timer == nil {
-		r.timer = time.AfterFunc(headerTimeout, r.expire)
+		r.timer = time.AfterFunc(r.timeout, r.expire)
 	}
 	n, err := r.conn.Read(p[:min(len(p), r.left)])
 	r.left -= n
 	r.begun = r.begun || n > 0
+	if !r.matchesPrefix(p[:n]) {
+		return 0, ErrNoStatusLine
+	}
 	if err != nil && r.expired.Load() {
 		err = ErrHeaderTimeout
 	}
 	return n, err
 }
 
+// matchesPrefix reports whether the next bytes of a header may be those of a status line.
+func (r *headerReader) matchesPrefix(p []byte) bool {
+	n := min(len(p), len(r.prefix))
+	matches := string(p[:n]) == r.prefix[:n]
+	r.prefix = r.prefix[n:]
+	return matches
+}
+
 func (r *headerReader) expire() {
 	r.expired.Store(true)
 	_ = r.conn.Close()
 }
 
 // readHeader reads the header of the response and skips interim (1xx) responses.
-func (x *exchange) readHeader(method string) (*Response, error) {
-	limits := x.conn.header
-	limits.begin()
+func (x *exchange) readHeader(req *Request) (*Response, error) {
+	limits, method := x.conn.header, req.Method
+	limits.begin(req.HeaderTimeout)
 	defer limits.end()
 	for range maxInterim + 1 {
 		res, err := http.ReadResponse(x.conn.br, &http.Request{Method: method})
--- a/internal/upstream/refused_test.go
+++ b/internal/upstream/refused_test.go
@@ -27,7 +27,7 @@
 		Convey("and an established connection is kept for the next request", func() {
 			So(len(c.idle[addr]), ShouldEqual, 2)
 			cn := c.pop(addr)
-			So(cn.isIdle(), ShouldBeTrue)
+			So(cn.state(), ShouldEqual, connIdle)
 		})
 
 		Convey("also if the process still accepts a connection while it exits", func() {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -32,6 +33,8 @@
 	// Connect establishes the connection in place of the client's own function. The connection is used for this request
 	// only. It may be nil.
 	Connect func(ctx context.Context) (net.Conn, error)
+	// HeaderTimeout is the time from the first bytes of the response's header to its end; 0: a default.
+	HeaderTimeout time.Duration
 	// ShouldSend is called once a connection is available. If it returns false, nothing is sent. It may be nil.
 	ShouldSend func() bool
 }
@@ -81,9 +84,10 @@
 	now         func() time.Time
 	wrap        func(net.Conn) net.Conn
 
-	mu     sync.Mutex
-	idle   map[string][]*conn
-	closed bool
+	mu      sync.Mutex
+	idle    map[string][]*conn
+	noReuse map[string]time.Time // addresses whose connections are used once, and until when
+	closed  bool
 }
 
 // Option configures a Client.
@@ -117,6 +121,7 @@
 		now:         time.Now,
 		wrap:        func(c net.Conn) net.Conn { return c },
 		idle:        make(map[string][]*conn),
+		noReuse:     make(map[string]time.Time),
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -165,8 +170,11 @@
 	x := &exchange{client: c, conn: cn}
 	x.stopWatch = context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	x.send(req)
-	res, err := x.readHeader(req.Method)
+	res, err := x.readHeader(req)
 	if err != nil {
+		if errors.Is(err, ErrNoStatusLine) {
+			c.avoidReuse(addr)
+		}
 		x.abort()
 		if ctx.Err() != nil {
 			err = ctx.Err()
@@ -192,8 +200,14 @@
 		if cn == nil {
 			break
 		}
-		if c.now().Before(cn.expires) && cn.isIdle() {
-			return cn, nil
+		if c.now().Before(cn.expires) {
+			switch cn.state() {
+			case connIdle:
+				return cn, nil
+			case connSurplus:
+				c.avoidReuse(addr)
+			case connClosed:
+			}
 		}
 		_ = cn.Close()
 	}
@@ -257,7 +271,7 @@
 	cn.expires = c.now().Add(lifetime)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || lifetime <= 0 || len(c.idle[cn.addr]) >= c.maxIdle {
+	if c.closed || lifetime <= 0 || len(c.idle[cn.addr]) >= c.maxIdle || c.now().Before(c.noReuse[cn.addr]) {
 		_ = cn.Close()
 		return
 	}
@@ -279,6 +293,19 @@
 	return 0, false
 }
 
+// noReuseTime is how long each connection to an address is used for one request only, after data has arrived that belongs to
+// no request.
+const noReuseTime = 10 * time.Second
+
+// avoidReuse makes requests to an address use new connections for a while. Data that arrives after a response is taken for
+// the beginning of the next one, and the request that was sent for that one may have run.
+func (c *Client) avoidReuse(addr string) {
+	c.mu.Lock()
+	c.noReuse[addr] = c.now().Add(noReuseTime)
+	c.mu.Unlock()
+	c.CloseIdle(addr)
+}
+
 // CloseIdle closes the idle connections to an address.
 func (c *Client) CloseIdle(addr string) {
 	c.mu.Lock()
@@ -326,6 +353,7 @@
 			delete(c.idle, addr)
 		}
 	}
+	maps.DeleteFunc(c.noReuse, func(_ string, until time.Time) bool { return !now.Before(until) })
 	c.mu.Unlock()
 	for _, cn := range expired {
 		_ = cn.Close()
