--- a/internal/endpoint/engine.go
+++ b/internal/endpoint/engine.go
@@ -32,6 +32,7 @@
 	maxEventBytes     = 1 << 20
 	maxErrorBodyBytes = 4 << 10
 	scannerBuffer     = 4 << 10
+	maxHeaderBytes    = 16 << 10
 )
 
 // Call is a request to a model engine.
@@ -74,6 +75,8 @@
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+		// By default, the transport holds up to 10 MB of each header.
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
