fix: bound what callers of the chat edge hold

The bodies of open requests were bounded one by one and not together; a body that never came, or a response that nobody read, held its request until the caller disconnected, and a planned stop to its end.

instance.memory_mb states the memory of the machine. Open requests may hold 40% of it with their bodies; what exceeds it is rejected as not run, with Retry-After. A body has 30 s, a response until 1 s after the request's deadline. Not bounded together are the responses of plain services (8 MB each) and the responses that are kept for keys.

--- a/cmd/root.go
+++ b/cmd/root.go
@@ -7,12 +7,14 @@
 	"fmt"
 	"io"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
 
 	"github.com/ledgemount/ledgemount/internal/declare"
 	"github.com/ledgemount/ledgemount/internal/demo"
+	"github.com/ledgemount/ledgemount/internal/memory"
 )
 
 // Exit codes.
@@ -50,6 +52,13 @@
 // them then ends the process.
 func ignoreClosedOutput() { signal.Ignore(syscall.SIGPIPE) }
 
+// limitMemory makes the garbage collector work harder as the process approaches the memory of its machine; 0: unknown.
+func limitMemory(machineMB int) {
+	if limit := memory.SoftLimit(machineMB); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
+}
+
 func execute(ctx context.Context, args []string, out, errOut io.Writer) int {
 	p := flags.NewNamedParser("ledgemount", flags.HelpFlag|flags.PassDoubleDash)
 	p.LongDescription = "Routes requests to model endpoints under prepaid token budgets."
--- a/cmd/router.go
+++ b/cmd/router.go
@@ -7,7 +7,6 @@
 	stdlog "log"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -50,9 +49,7 @@
 	if err := router.Check(set); err != nil {
 		return err
 	}
-	if limit := set.Instance.SoftMemoryLimit(); limit > 0 {
-		debug.SetMemoryLimit(limit)
-	}
+	limitMemory(set.Instance.MemoryMB)
 	log, closeLog := newRouterLog(set, os.Stdout, os.Stderr)
 	defer closeLog()
 	logNotes(log, notes)
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -24,6 +24,7 @@
 	if err != nil {
 		return err
 	}
+	limitMemory(set.Instance.MemoryMB)
 	log := observe.Logger(os.Stderr, set.Log.Level, set.Instance.ID, set.Instance.Zone)
 	in, err := instance.New(set, instance.WithLogger(log))
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/ledgemount/ledgemount/internal/budget"
 	"github.com/ledgemount/ledgemount/internal/declare"
 	"github.com/ledgemount/ledgemount/internal/endpoint"
+	"github.com/ledgemount/ledgemount/internal/memory"
 	"github.com/ledgemount/ledgemount/internal/mesh"
 	"github.com/ledgemount/ledgemount/internal/once"
 	"github.com/ledgemount/ledgemount/internal/quarantine"
@@ -93,6 +94,7 @@
 	metrics  metrics
 	outcomes func(Outcome)
 	maxBody  int64
+	memory   *memory.Budget
 	killed   context.Context //nolint:containedctx // ends all keyed jobs at once
 
 	work *tracker // open requests and their background work
@@ -126,6 +128,9 @@
 // WithMaxBody limits the size of request bodies, in bytes.
 func WithMaxBody(n int64) Option { return func(g *Gateway) { g.maxBody = n } }
 
+// WithMemory sets the memory that the bodies of open requests may hold together. By default, it is unlimited.
+func WithMemory(b *memory.Budget) Option { return func(g *Gateway) { g.memory = b } }
+
 // WithKill sets a context. When it ends, all keyed jobs are cancelled at once; the other jobs end with their callers'
 // connections.
 func WithKill(ctx context.Context) Option { return func(g *Gateway) { g.killed = ctx } }
--- a/internal/gateway/http.go
+++ b/internal/gateway/http.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"sort"
 	"strconv"
 	"strings"
@@ -17,6 +18,7 @@
 	"github.com/ledgemount/ledgemount/internal/chat"
 	"github.com/ledgemount/ledgemount/internal/declare"
 	"github.com/ledgemount/ledgemount/internal/endpoint"
+	"github.com/ledgemount/ledgemount/internal/memory"
 	"github.com/ledgemount/ledgemount/internal/pool"
 	"github.com/ledgemount/ledgemount/internal/step"
 	"github.com/ledgemount/ledgemount/internal/verdict"
@@ -39,6 +41,7 @@
 func (g *Gateway) Handler() http.Handler {
 	e := echo.New()
 	e.HideBanner = true
+	e.Use(limitTimes)
 	e.HTTPErrorHandler = func(err error, c echo.Context) {
 		if c.Response().Committed {
 			return
@@ -57,6 +60,24 @@
 	return e
 }
 
+// Timeouts of callers. Without them, a caller that does not read or write would hold its request until it disconnects.
+const (
+	bodyTimeout  = 30 * time.Second // for a caller to send a body
+	writeTimeout = 10 * time.Second // for a caller to receive a response that no endpoint has sent
+	writeGrace   = time.Second      // after a request's deadline, to receive what was sent before
+)
+
+// limitTimes limits the times in which a caller sends its request and receives the response.
+func limitTimes(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		rc := http.NewResponseController(c.Response())
+		now := time.Now()
+		_ = rc.SetReadDeadline(now.Add(bodyTimeout)) // the server's connections support both
+		_ = rc.SetWriteDeadline(now.Add(bodyTimeout + writeTimeout))
+		return next(c)
+	}
+}
+
 func (g *Gateway) readyz(c echo.Context) error {
 	if g.Leaving() || g.feed.Version() == 0 {
 		return c.NoContent(http.StatusServiceUnavailable)
@@ -91,8 +112,9 @@
 	return c.JSON(http.StatusOK, out)
 }
 
-// newJob authenticates a request, reads its body and sets the fields that all kinds of requests share.
-func (g *Gateway) newJob(r *http.Request) (*job, []byte, error) {
+// newJob authenticates a request, reads its body and sets the fields that all kinds of requests share. account holds the
+// memory of the body.
+func (g *Gateway) newJob(w http.ResponseWriter, r *http.Request, account *memory.Account) (*job, []byte, error) {
 	if err := g.hook(r.Context(), step.Accept); err != nil {
 		return nil, nil, err
 	}
@@ -103,30 +125,50 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	body, err := readBody(r, g.maxBody)
+	body, err := readBody(r, g.maxBody, account)
 	if err != nil {
 		return nil, nil, err
 	}
 	j := &job{g: g, customer: id.customer, accepted: g.now(), transcript: newTranscript(), fingerprint: fingerprint(r, body)}
-	return j, body, g.resolve(j, r, id)
+	if err := g.resolve(j, r, id); err != nil {
+		return nil, nil, err
+	}
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Time{}) // the server reads ahead to notice that the caller leaves
+	_ = rc.SetWriteDeadline(time.Now().Add(j.deadline.Sub(j.accepted) + writeGrace))
+	return j, body, nil
 }
 
 func leavingError() error {
 	return verdict.New(verdict.NotRun, verdict.CodeStopping, "this instance is leaving", verdict.WithRetryAfter(time.Second))
 }
 
-func readBody(r *http.Request, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the body could not be read", verdict.WithCause(err))
+func readBody(r *http.Request, limit int64, account *memory.Account) ([]byte, error) {
+	if !account.Grow(memory.RequestOverhead) {
+		return nil, memoryExceeded()
 	}
-	if int64(len(body)) > limit {
+	body, _, err := memory.Read(r.Body, r.ContentLength, limit+1, account)
+	switch {
+	case errors.Is(err, memory.ErrExceeded):
+		return nil, memoryExceeded()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, verdict.New(verdict.NotRun, verdict.CodeBodyTimeout, "the body did not come in time", verdict.WithCause(err))
+	case err != nil:
+		return nil, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the body could not be read", verdict.WithCause(err))
+	case int64(len(body)) > limit:
 		return nil, verdict.New(verdict.NotRun, verdict.CodeTooLarge, "the body is over "+strconv.FormatInt(limit, 10)+" bytes",
 			verdict.WithField("(body)"))
 	}
 	return body, nil
 }
 
+// overloadRetryAfter is the delay after which a caller that was rejected for want of memory may retry.
+const overloadRetryAfter = 300 * time.Millisecond
+
+func memoryExceeded() error {
+	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the open requests of this instance hold as much memory as they may", verdict.WithRetryAfter(overloadRetryAfter))
+}
+
 func fingerprint(r *http.Request, body []byte) uint64 {
 	h := xxhash.New()
 	_, _ = h.WriteString(r.Method + " " + r.URL.RequestURI() + "\n")
@@ -195,7 +237,9 @@
 		return leavingError()
 	}
 	defer g.work.leave()
-	j, body, err := g.newJob(r)
+	account := g.memory.Open()
+	defer account.Close()
+	j, body, err := g.newJob(w, r, account)
 	if err != nil {
 		return err
 	}
@@ -327,7 +371,9 @@
 		return leavingError()
 	}
 	defer g.work.leave()
-	j, body, err := g.newJob(r)
+	account := g.memory.Open()
+	defer account.Close()
+	j, body, err := g.newJob(w, r, account)
 	if err != nil {
 		return err
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -25,6 +25,7 @@
 	"github.com/ledgemount/ledgemount/internal/kernel"
 	"github.com/ledgemount/ledgemount/internal/ledger"
 	"github.com/ledgemount/ledgemount/internal/member"
+	"github.com/ledgemount/ledgemount/internal/memory"
 	"github.com/ledgemount/ledgemount/internal/mesh"
 	"github.com/ledgemount/ledgemount/internal/observe"
 	"github.com/ledgemount/ledgemount/internal/once"
@@ -311,7 +312,8 @@
 		Stopper: endpoint.NewStopper(in.driver, in.targets),
 	},
 		gateway.WithHook(in.hook), gateway.WithLogger(in.log), gateway.WithScope(in.metrics.Scope()),
-		gateway.WithOutcomes(in.recordOutcome), gateway.WithMaxBody(in.set.Callers.MaxBodyBytes), gateway.WithKill(in.killCtx))
+		gateway.WithOutcomes(in.recordOutcome), gateway.WithMaxBody(in.set.Callers.MaxBodyBytes),
+		gateway.WithMemory(memory.NewBudget(memory.ForRequests(in.set.Instance.MemoryMB))), gateway.WithKill(in.killCtx))
 	in.feed.OnChange(in.gateway.SetDocument)
 	return nil
 }
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -10,6 +10,20 @@
 // buffers of its connections, and its headers.
 const RequestOverhead = 48 << 10
 
+// Shares of a machine's memory.
+const (
+	requestShare = 0.4  // for open requests; the rest is for other state, and for memory that is not reclaimed yet
+	softShare    = 0.85 // from which the garbage collector works harder
+)
+
+const bytesPerMB = 1 << 20
+
+// ForRequests returns the memory in bytes that the open requests of a machine with a number of megabytes may hold; 0 of 0.
+func ForRequests(machineMB int) int64 { return int64(requestShare * float64(machineMB) * bytesPerMB) }
+
+// SoftLimit returns the memory in bytes that a process on a machine with a number of megabytes should not exceed; 0 of 0.
+func SoftLimit(machineMB int) int64 { return int64(softShare * float64(machineMB) * bytesPerMB) }
+
 // Budget is the memory that open requests may hold together. A nil Budget is unlimited.
 type Budget struct {
 	limit int64
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -101,7 +101,7 @@
 // New returns a router whose listeners for callers and probes are open. It waits for addresses that are still taken until
 // ctx ends, or a predecessor would have stopped. The router serves only once Run is called.
 func New(ctx context.Context, settings *Settings, platform Platform, log zerolog.Logger) (*Router, error) {
-	r := &Router{settings: settings, log: log, kernel: kernel.New(), metrics: newMeters(settings), memory: memory.NewBudget(settings.Instance.requestMemory())}
+	r := &Router{settings: settings, log: log, kernel: kernel.New(), metrics: newMeters(settings), memory: memory.NewBudget(memory.ForRequests(settings.Instance.MemoryMB))}
 	if r.bootClock = platform.Clock; r.bootClock == nil {
 		r.bootClock = boottime.New()
 	}
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -47,13 +47,6 @@
 	Regions map[string]string `json:"regions"`
 }
 
-// requestShare is the share of the machine's memory that open requests may hold. The rest is for the state of the fleet, and
-// for memory that the garbage collector has not reclaimed yet.
-const requestShare = 0.4
-
-// requestMemory returns the memory in bytes that open requests may hold together; 0: unlimited.
-func (i Instance) requestMemory() int64 { return int64(requestShare * float64(i.MemoryMB) * (1 << 20)) }
-
 const (
 	reservedFiles   = 200  // for everything but the connections of requests
 	connectionShare = 0.45 // of the other files: each request may need another one to an endpoint
@@ -68,7 +61,7 @@
 		limits = append(limits, int(connectionShare*float64(i.MaxFiles-reservedFiles)))
 	}
 	if i.MemoryMB > 0 {
-		limits = append(limits, int(i.requestMemory()/memory.RequestOverhead))
+		limits = append(limits, int(memory.ForRequests(i.MemoryMB)/memory.RequestOverhead))
 	}
 	if len(limits) == 0 {
 		return 0
@@ -76,14 +69,6 @@
 	return max(minConnections, slices.Min(limits))
 }
 
-// softMemoryShare is the share of the machine's memory from which the garbage collector works harder.
-const softMemoryShare = 0.85
-
-// SoftMemoryLimit returns the memory in bytes that the process should not exceed; 0: unlimited.
-func (i Instance) SoftMemoryLimit() int64 {
-	return int64(softMemoryShare * float64(i.MemoryMB) * (1 << 20))
-}
-
 // Cold limits the requests that all instances together send to an endpoint that has just started. In any second, they
 // send at most the service's slow-start rate times Overage, plus Slack requests.
 type Cold struct {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -28,6 +28,8 @@
 type Instance struct {
 	ID   string `json:"id" validate:"required"`   // as in the platform's list of instances
 	Zone string `json:"zone" validate:"required"` // availability zone
+	// MemoryMB is the memory of the machine in megabytes; 0: unknown. It bounds what open requests hold together.
+	MemoryMB int `json:"memory_mb" validate:"min=0"`
 }
 
 // Callers configures the API for callers.
