fix: wait for a settings file that is being written

A process exited at once if it was started while the platform still wrote its settings file, with an error about its content. Such a file is now read again for up to 2 s.

--- a/cmd/router.go
+++ b/cmd/router.go
@@ -29,6 +29,8 @@
 const (
 	logBufferLines       = 4096 // lines waiting to be written; further lines are discarded
 	settingsPollInterval = 2 * time.Second
+	settingsWriteTime    = 2 * time.Second // for the platform to complete its settings file
+	settingsReadInterval = 50 * time.Millisecond
 	logCloseTimeout      = 200 * time.Millisecond // for the last lines of the log
 )
 
@@ -41,7 +43,7 @@
 	if err != nil {
 		return err
 	}
-	set, notes, err := file.read()
+	set, notes, err := file.readAtStart(c.env.ctx)
 	if err != nil {
 		return err
 	}
@@ -105,6 +107,22 @@
 	return set, nil, err
 }
 
+// readAtStart reads the file. The platform may still be writing its own, so that is read again until it is valid or
+// settingsWriteTime has passed.
+func (f settingsFile) readAtStart(ctx context.Context) (*router.Settings, []platform.Note, error) {
+	for end := time.Now().Add(settingsWriteTime); ; {
+		set, notes, err := f.read()
+		if err == nil || !f.platform || time.Now().After(end) {
+			return set, notes, err
+		}
+		select {
+		case <-ctx.Done():
+			return set, notes, err
+		case <-time.After(settingsReadInterval):
+		}
+	}
+}
+
 // logNotes logs the platform's fields that are missing or invalid and have been replaced by defaults.
 func logNotes(log zerolog.Logger, notes []platform.Note) {
 	for _, n := range notes {
