fix: lose no rejection while the caller still sends its body

A caller whose body was rejected (too large, or for want of memory) could get a connection reset in place of the response: the server closed the connection 0.5 s after it, with unread data.

After a rejection, the response is sent at once, and the rest of the body is read for up to 2 s (16 MB). Both edges do so. The memory of a rejected request is returned before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -129,14 +129,15 @@
 		w.Header().Set("Connection", "close")
 	}
 	if err := s.checkHeader(r); err != nil {
-		s.reject(w, err)
+		s.reject(w, r, err)
 		return
 	}
 	account := s.memory.Open()
 	defer account.Close()
 	req, err := s.receive(w, r, arrived, account)
 	if err != nil {
-		s.reject(w, err)
+		account.Close()
+		s.reject(w, r, err)
 		return
 	}
 	err = s.core.Serve(r.Context(), req, out)
@@ -211,14 +212,18 @@
 func (s *Server) Connections() int { return s.server.Connections() }
 
 // reject rejects a request that is not passed to the relay.
-func (s *Server) reject(w http.ResponseWriter, err error) {
-	s.onRejected(verdict.From(err))
+func (s *Server) reject(w http.ResponseWriter, r *http.Request, err error) {
+	e := verdict.From(err)
+	s.onRejected(e)
 	writeError(w, err)
+	if e.Code() != verdict.CodeBodyTimeout {
+		graceful.DiscardBody(w, r)
+	}
 }
 
 // rejectConnection rejects a request on a connection above the limit.
-func (s *Server) rejectConnection(w http.ResponseWriter, _ *http.Request) {
-	s.reject(w, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "this instance has as many connections as it may", verdict.WithRetryAfter(overloadRetryAfter)))
+func (s *Server) rejectConnection(w http.ResponseWriter, r *http.Request) {
+	s.reject(w, r, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "this instance has as many connections as it may", verdict.WithRetryAfter(overloadRetryAfter)))
 }
 
 func memoryExceeded() error {
@@ -310,6 +315,7 @@
 		h.Set("Retry-After", strconv.FormatFloat(d.Seconds(), 'f', 3, 64))
 	}
 	b, _ := json.Marshal(errorBody{Code: e.Code(), Verdict: e.Verdict().String(), Detail: e.Detail(), Field: e.Field()})
+	h.Set("Content-Length", strconv.Itoa(len(b)))
 	w.WriteHeader(e.Code().Status())
 	_, _ = w.Write(b)
 }
--- a/internal/gateway/http.go
+++ b/internal/gateway/http.go
@@ -18,6 +18,7 @@
 	"github.com/ledgemount/ledgemount/internal/chat"
 	"github.com/ledgemount/ledgemount/internal/declare"
 	"github.com/ledgemount/ledgemount/internal/endpoint"
+	"github.com/ledgemount/ledgemount/internal/graceful"
 	"github.com/ledgemount/ledgemount/internal/memory"
 	"github.com/ledgemount/ledgemount/internal/pool"
 	"github.com/ledgemount/ledgemount/internal/step"
@@ -51,6 +52,9 @@
 			err = verdict.New(verdict.NotRun, verdict.CodeNotFound, "there is nothing at "+c.Request().URL.Path)
 		}
 		WriteProblem(c.Response(), err, "")
+		if verdict.From(err).Code() != verdict.CodeBodyTimeout {
+			graceful.DiscardBody(c.Response(), c.Request())
+		}
 	}
 	e.GET("/healthz", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
 	e.GET("/readyz", g.readyz)
--- a/internal/gateway/problem.go
+++ b/internal/gateway/problem.go
@@ -51,6 +51,8 @@
 	if p.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatInt(p.RetryAfter, 10))
 	}
+	b, _ := json.Marshal(p)
+	h.Set("Content-Length", strconv.Itoa(len(b)))
 	w.WriteHeader(p.Status)
-	_ = json.NewEncoder(w).Encode(p)
+	_, _ = w.Write(b)
 }
--- a/internal/graceful/graceful_test.go
+++ b/internal/graceful/graceful_test.go
@@ -231,3 +231,29 @@
 		})
 	})
 }
+
+// Guards against responses that are lost because the connection is reset while the caller still sends its body.
+func TestUnreadBodyLosesResponse(t *testing.T) {
+	Convey("A caller that is still sending gets the response, sent before its body has ended", t, func() {
+		const pieces, size = 8, 128 << 10
+		s := start(t, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Length", "2")
+			ok(w, r)
+			DiscardBody(w, r)
+		})
+		c, err := dial(s.Addr())
+		So(err, ShouldBeNil)
+		_, err = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", pieces*size)
+		So(err, ShouldBeNil)
+		_, err = c.r.Peek(1)
+		So(err, ShouldBeNil)
+		for range pieces {
+			time.Sleep(100 * time.Millisecond)
+			_, err := c.Write(make([]byte, size))
+			So(err, ShouldBeNil)
+		}
+		body, _, err := c.response()
+		So(err, ShouldBeNil)
+		So(body, ShouldEqual, "ok")
+	})
+}
