fix: reject requests that arrive while a planned stop waits for others

Since connections stay open until a response has announced their end, such requests are no longer refused by the close of the connection.

From the moment at which a stop waits for open requests, others are rejected at once as not run, with Retry-After, and the connection closes after the response.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -98,7 +98,7 @@
 	}
 	server := &http.Server{Handler: s, ReadHeaderTimeout: timeouts.Header, IdleTimeout: timeouts.Idle, MaxHeaderBytes: maxHeaderBytes}
 	s.server = graceful.New(l, server, graceful.WithListenerWrapper(s.wrapListener), graceful.WithLogger(s.log),
-		graceful.WithConnectionLimit(s.maxConns, http.HandlerFunc(s.rejectConnection), s.onClosed))
+		graceful.WithConnectionLimit(s.maxConns, s.onClosed), graceful.WithRejection(s.rejectEarly))
 	return s
 }
 
@@ -221,17 +221,25 @@
 	}
 }
 
-// rejectConnection rejects a request on a connection above the limit.
-func (s *Server) rejectConnection(w http.ResponseWriter, r *http.Request) {
-	s.reject(w, r, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "this instance has as many connections as it may", verdict.WithRetryAfter(overloadRetryAfter)))
+// rejectEarly rejects a request that the server has not passed on.
+func (s *Server) rejectEarly(w http.ResponseWriter, r *http.Request, reason graceful.Reason) {
+	switch reason {
+	case graceful.Crowded:
+		s.reject(w, r, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "this instance has as many connections as it may", verdict.WithRetryAfter(overloadRetryAfter)))
+	case graceful.Stopping:
+		s.reject(w, r, verdict.New(verdict.NotRun, verdict.CodeStopping, "this instance is stopping", verdict.WithRetryAfter(stoppingRetryAfter)))
+	}
 }
 
 func memoryExceeded() error {
 	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the open requests of this instance hold as much memory as they may", verdict.WithRetryAfter(overloadRetryAfter))
 }
 
-// overloadRetryAfter is the delay after which a caller that was rejected for want of memory or connections may retry.
-const overloadRetryAfter = 300 * time.Millisecond
+// Delays after which a rejected caller may retry.
+const (
+	overloadRetryAfter = 300 * time.Millisecond // for want of memory or connections
+	stoppingRetryAfter = 50 * time.Millisecond  // at another instance
+)
 
 func bodyError(err error, limit int64) error {
 	var large *http.MaxBytesError
--- a/internal/graceful/graceful.go
+++ b/internal/graceful/graceful.go
@@ -36,21 +36,26 @@
 	accept   net.Listener // listener, as wrapped by options
 	server   *http.Server
 	handler  http.Handler
+	reject   func(w http.ResponseWriter, r *http.Request, reason Reason)
 	conns    *connections
-	limit    connectionLimit
+	maxConns int // 0: unlimited
+	onClosed func()
 	now      func() time.Time
 	log      zerolog.Logger
 	leaving  atomic.Bool
+	stopping atomic.Bool
 	certFile string
 	keyFile  string
 }
 
-// connectionLimit is what a server does with connections above a number.
-type connectionLimit struct {
-	n      int // 0: unlimited
-	reject http.Handler
-	closed func()
-}
+// Reason is why a server rejects a request without passing it to its handler.
+type Reason int
+
+// Reasons.
+const (
+	Crowded  Reason = iota // its connection exceeds the limit
+	Stopping               // it was read after the beginning of a stop
+)
 
 // Option configures a Server.
 type Option func(*Server)
@@ -69,16 +74,22 @@
 }
 
 // WithConnectionLimit limits the number of connections with requests to n; 0: unlimited. For each connection above it, the
-// one that has had no request for longest is closed, and closed is called. If nearly all have requests, reject answers
-// those on the connections above the limit.
-func WithConnectionLimit(n int, reject http.Handler, closed func()) Option {
-	return func(s *Server) { s.limit = connectionLimit{n: n, reject: reject, closed: closed} }
+// one that has had no request for longest is closed, and closed is called. If nearly all have requests, those on the
+// connections above the limit are rejected.
+func WithConnectionLimit(n int, closed func()) Option {
+	return func(s *Server) { s.maxConns, s.onClosed = n, closed }
+}
+
+// WithRejection sets the function that responds to requests that are rejected. By default, they get the status 503.
+func WithRejection(f func(w http.ResponseWriter, r *http.Request, reason Reason)) Option {
+	return func(s *Server) { s.reject = f }
 }
 
 // New returns a server for server's handler and limits, whose ConnState it sets. It accepts connections once Serve is
 // called.
 func New(l *listen.Listener, server *http.Server, opts ...Option) *Server {
 	s := &Server{listener: l, accept: l, server: server, conns: newConnections(), now: time.Now, log: zerolog.Nop()}
+	s.reject = func(w http.ResponseWriter, _ *http.Request, _ Reason) { w.WriteHeader(http.StatusServiceUnavailable) }
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -88,17 +99,20 @@
 	return s
 }
 
-// handle passes a request to the handler, or rejects it if its connection exceeds the limit.
+// handle passes a request to the handler, or rejects it if its connection exceeds the limit or the server stops.
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
-	surplus := r.Context().Value(surplusKey{}) != nil
-	if surplus || s.leaving.Load() {
+	crowded, stopping := r.Context().Value(surplusKey{}) != nil, s.stopping.Load()
+	if crowded || s.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if surplus {
-		s.limit.reject.ServeHTTP(w, r)
-		return
+	switch {
+	case stopping:
+		s.reject(w, r, Stopping)
+	case crowded:
+		s.reject(w, r, Crowded)
+	default:
+		s.handler.ServeHTTP(w, r)
 	}
-	s.handler.ServeHTTP(w, r)
 }
 
 // surplusKey is the context key that marks a connection above the limit.
@@ -107,10 +121,10 @@
 // admit makes room for a new connection, or marks it as one above the limit.
 func (s *Server) admit(ctx context.Context, _ net.Conn) context.Context {
 	switch {
-	case s.limit.n <= 0 || s.conns.size() < s.limit.n:
+	case s.maxConns <= 0 || s.conns.size() < s.maxConns:
 		return ctx
-	case s.conns.closeLongestQuiet(s.now().Add(-evictableTime), int(evictableShare*float64(s.limit.n))):
-		s.limit.closed()
+	case s.conns.closeLongestQuiet(s.now().Add(-evictableTime), int(evictableShare*float64(s.maxConns))):
+		s.onClosed()
 		return ctx
 	}
 	return context.WithValue(ctx, surplusKey{}, true)
@@ -143,10 +157,12 @@
 // Leave makes the server close each connection after its next response, because a stop is about to begin.
 func (s *Server) Leave() { s.leaving.Store(true) }
 
-// Stop accepts the connections that are established already and no others, and waits until all requests have ended. When
-// ctx ends, it interrupts those that are left.
+// Stop accepts the connections that are established already and no others, and waits until the requests in progress have
+// ended. Requests that arrive meanwhile are rejected: they might not end in time. When ctx ends, Stop interrupts those that
+// are left.
 func (s *Server) Stop(ctx context.Context) error {
 	s.Leave()
+	s.stopping.Store(true)
 	defer s.Close()
 	if err := s.listener.RefuseNew(); err != nil {
 		s.log.Warn().Str("event", "listener_undrained").Err(err).Msg("the listener closes without being drained: connections that were not accepted yet are reset")
--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -8,9 +8,11 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"github.com/ledgemount/ledgemount/internal/gateway"
 	"github.com/ledgemount/ledgemount/internal/graceful"
 	"github.com/ledgemount/ledgemount/internal/listen"
 	"github.com/ledgemount/ledgemount/internal/settings"
+	"github.com/ledgemount/ledgemount/internal/verdict"
 )
 
 const (
@@ -34,7 +36,13 @@
 		return nil, eris.Wrapf(err, "listening for %s", name)
 	}
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
-	return &server{name: name, lis: lis, srv: graceful.New(lis, srv, graceful.WithTLS(tls.CertFile, tls.KeyFile), graceful.WithLogger(log))}, nil
+	return &server{name: name, lis: lis, srv: graceful.New(lis, srv,
+		graceful.WithTLS(tls.CertFile, tls.KeyFile), graceful.WithLogger(log), graceful.WithRejection(rejectStopping))}, nil
+}
+
+// rejectStopping rejects a request that arrives during a stop. The server has no limit of connections.
+func rejectStopping(w http.ResponseWriter, _ *http.Request, _ graceful.Reason) {
+	gateway.WriteProblem(w, verdict.New(verdict.NotRun, verdict.CodeStopping, "this instance is leaving", verdict.WithRetryAfter(time.Second)), "")
 }
 
 // Name implements kernel.Service.
