--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -91,8 +91,11 @@
 
 // New returns a Server that serves callers on a listener.
 func New(l *listen.Listener, core *relay.Core, parser Parser, timeouts Timeouts, opts ...Option) *Server {
-	s := &Server{core: core, parser: parser, now: time.Now, bodyTimeout: timeouts.Body, writeTimeout: timeouts.Write, diverting: func() bool { return false }, onRejected: func(*verdict.Error) {}, log: zerolog.Nop()}
-	s.wrapListener = func(l net.Listener) net.Listener { return l }
+	s := &Server{
+		core: core, parser: parser, now: time.Now, bodyTimeout: timeouts.Body, writeTimeout: timeouts.Write, log: zerolog.Nop(),
+		diverting: func() bool { return false }, onClosed: func() {}, onRejected: func(*verdict.Error) {},
+		wrapListener: func(l net.Listener) net.Listener { return l },
+	}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -116,8 +119,8 @@
 // Leave makes the server close each connection after its next response, because the process is about to stop.
 func (s *Server) Leave() { s.server.Leave() }
 
-// Stop serves the connections that are established already and accepts no others. It waits for open requests until ctx
-// ends; then it interrupts them.
+// Stop rejects further requests and waits for open ones until ctx ends; then it interrupts them. Connections that are
+// established already are still accepted.
 func (s *Server) Stop(ctx context.Context) error { return s.server.Stop(ctx) }
 
 // ServeHTTP implements http.Handler.
@@ -136,7 +139,7 @@
 	defer account.Close()
 	req, err := s.receive(w, r, arrived, account)
 	if err != nil {
-		account.Close()
+		account.Close() // reading the rest of the body holds no memory
 		s.reject(w, r, err)
 		return
 	}
