--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -227,7 +227,7 @@
 // rejectEarly rejects a request that the server has not passed on.
 func (s *Server) rejectEarly(w http.ResponseWriter, r *http.Request, reason graceful.Reason) {
 	switch reason {
-	case graceful.Crowded:
+	case graceful.OverLimit:
 		s.reject(w, r, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "this instance has as many connections as it may", verdict.WithRetryAfter(overloadRetryAfter)))
 	case graceful.Stopping:
 		s.reject(w, r, verdict.New(verdict.NotRun, verdict.CodeStopping, "this instance is stopping", verdict.WithRetryAfter(stoppingRetryAfter)))
--- a/internal/graceful/connections.go
+++ b/internal/graceful/connections.go
@@ -8,20 +8,20 @@
 	"time"
 )
 
-// connections tracks the open connections of a server, and which of them are quiet: no request is in progress on them.
+// connections tracks the open connections of a server, and which of them are idle: no request is in progress on them.
 type connections struct {
-	mu    sync.Mutex
-	open  map[net.Conn]*list.Element // nil: a request is in progress
-	quiet *list.List                 // of quietConn, longest first
+	mu   sync.Mutex
+	open map[net.Conn]*list.Element // nil: a request is in progress
+	idle *list.List                 // of idleConn, longest first
 }
 
-type quietConn struct {
+type idleConn struct {
 	conn  net.Conn
 	since time.Time
 }
 
 func newConnections() *connections {
-	return &connections{open: make(map[net.Conn]*list.Element), quiet: list.New()}
+	return &connections{open: make(map[net.Conn]*list.Element), idle: list.New()}
 }
 
 // set records a change of a connection's state.
@@ -29,11 +29,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if e := c.open[conn]; e != nil {
-		c.quiet.Remove(e)
+		c.idle.Remove(e)
 	}
 	switch state {
 	case http.StateNew, http.StateIdle:
-		c.open[conn] = c.quiet.PushBack(quietConn{conn: conn, since: now})
+		c.open[conn] = c.idle.PushBack(idleConn{conn: conn, since: now})
 	case http.StateActive:
 		c.open[conn] = nil
 	case http.StateHijacked, http.StateClosed:
@@ -48,33 +48,33 @@
 	return len(c.open)
 }
 
-// closeQuiet closes the connections that have been quiet since before. It returns the number of connections that were open,
+// closeIdle closes the connections that have been idle since before. It returns the number of connections that were open,
 // whether it has closed them or not.
-func (c *connections) closeQuiet(before time.Time) int {
-	quiet, open := c.quietSince(before)
-	for _, conn := range quiet {
+func (c *connections) closeIdle(before time.Time) int {
+	idle, open := c.idleSince(before)
+	for _, conn := range idle {
 		_ = conn.Close() // the server then reports it as closed
 	}
 	return open
 }
 
-func (c *connections) quietSince(before time.Time) (quiet []net.Conn, open int) {
+func (c *connections) idleSince(before time.Time) (idle []net.Conn, open int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for e := c.quiet.Front(); e != nil; e = e.Next() {
-		q := e.Value.(quietConn)
+	for e := c.idle.Front(); e != nil; e = e.Next() {
+		q := e.Value.(idleConn)
 		if !q.since.Before(before) {
 			break
 		}
-		quiet = append(quiet, q.conn)
+		idle = append(idle, q.conn)
 	}
-	return quiet, len(c.open)
+	return idle, len(c.open)
 }
 
-// closeLongestQuiet closes the connection that has been quiet for longest, if that is since before, or if there are at least
-// enough quiet ones. It reports whether it did.
-func (c *connections) closeLongestQuiet(before time.Time, enough int) bool {
-	conn := c.takeLongestQuiet(before, enough)
+// closeLongestIdle closes the connection that has been idle for longest, if that is since before, or if there are at least
+// enough idle ones. It reports whether it did.
+func (c *connections) closeLongestIdle(before time.Time, enough int) bool {
+	conn := c.takeLongestIdle(before, enough)
 	if conn == nil {
 		return false
 	}
@@ -82,16 +82,16 @@
 	return true
 }
 
-// takeLongestQuiet is closeLongestQuiet without the close. The connection no longer counts as open, since its descriptor is
+// takeLongestIdle is closeLongestIdle without the close. The connection no longer counts as open, since its descriptor is
 // free as soon as it is closed. It returns nil if there is none.
-func (c *connections) takeLongestQuiet(before time.Time, enough int) net.Conn {
+func (c *connections) takeLongestIdle(before time.Time, enough int) net.Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	front := c.quiet.Front()
-	if front == nil || (c.quiet.Len() < enough && !front.Value.(quietConn).since.Before(before)) {
+	front := c.idle.Front()
+	if front == nil || (c.idle.Len() < enough && !front.Value.(idleConn).since.Before(before)) {
 		return nil
 	}
-	q := c.quiet.Remove(front).(quietConn)
+	q := c.idle.Remove(front).(idleConn)
 	delete(c.open, q.conn)
 	return q.conn
 }
--- a/internal/graceful/graceful.go
+++ b/internal/graceful/graceful.go
@@ -20,11 +20,11 @@
 const (
 	// establishTime is the time in which connections that are being established when a stop begins are accepted.
 	establishTime = 250 * time.Millisecond
-	// quietTime is how long a connection has had no request when a stop closes it.
-	quietTime    = 500 * time.Millisecond
+	// idleTime is how long a connection has had no request when a stop closes it.
+	idleTime     = 500 * time.Millisecond
 	pollInterval = 20 * time.Millisecond
 
-	// A connection may be closed for another one if it has had no request for evictableTime, or if it is the quietest among
+	// A connection may be closed for another one if it has had no request for evictableTime, or if it is the longest idle among
 	// evictableShare of the limit: a new connection has to have time to send its first request.
 	evictableTime  = 500 * time.Millisecond
 	evictableShare = 0.25
@@ -53,8 +53,8 @@
 
 // Reasons.
 const (
-	Crowded  Reason = iota // its connection exceeds the limit
-	Stopping               // it was read after the beginning of a stop
+	OverLimit Reason = iota // its connection exceeds the limit
+	Stopping                // it was read after the beginning of a stop
 )
 
 // Option configures a Server.
@@ -101,15 +101,15 @@
 
 // handle passes a request to the handler, or rejects it if its connection exceeds the limit or the server stops.
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
-	crowded, stopping := r.Context().Value(surplusKey{}) != nil, s.stopping.Load()
-	if crowded || s.leaving.Load() {
+	overLimit, stopping := r.Context().Value(surplusKey{}) != nil, s.stopping.Load()
+	if overLimit || s.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	switch {
 	case stopping:
 		s.reject(w, r, Stopping)
-	case crowded:
-		s.reject(w, r, Crowded)
+	case overLimit:
+		s.reject(w, r, OverLimit)
 	default:
 		s.handler.ServeHTTP(w, r)
 	}
@@ -123,7 +123,7 @@
 	switch {
 	case s.maxConns <= 0 || s.conns.size() < s.maxConns:
 		return ctx
-	case s.conns.closeLongestQuiet(s.now().Add(-evictableTime), int(evictableShare*float64(s.maxConns))):
+	case s.conns.closeLongestIdle(s.now().Add(-evictableTime), int(evictableShare*float64(s.maxConns))):
 		s.onClosed()
 		return ctx
 	}
@@ -170,7 +170,7 @@
 		wait(ctx, establishTime)
 	}
 	_ = s.listener.Close()
-	for s.conns.closeQuiet(s.now().Add(-quietTime)) > 0 {
+	for s.conns.closeIdle(s.now().Add(-idleTime)) > 0 {
 		if !wait(ctx, pollInterval) {
 			return eris.Wrap(ctx.Err(), "waiting for open requests")
 		}
--- a/internal/graceful/graceful_test.go
+++ b/internal/graceful/graceful_test.go
@@ -149,7 +149,7 @@
 			<-began
 			stopped := make(chan error, 1)
 			go func() { stopped <- s.Stop(t.Context()) }()
-			time.Sleep(establishTime + quietTime + pollInterval)
+			time.Sleep(establishTime + idleTime + pollInterval)
 			So(len(stopped), ShouldEqual, 0)
 			close(release)
 			body, _, err := c.response()
@@ -186,10 +186,10 @@
 	Convey("A server with as many connections as it may have", t, func() {
 		release := make(chan struct{})
 		var closed atomic.Int64
-		var crowded atomic.Int64
+		var overLimit atomic.Int64
 		reject := func(w http.ResponseWriter, _ *http.Request, reason Reason) {
-			if reason == Crowded {
-				crowded.Add(1)
+			if reason == OverLimit {
+				overLimit.Add(1)
 			}
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
@@ -247,7 +247,7 @@
 				So(res.StatusCode, ShouldEqual, http.StatusServiceUnavailable)
 				So(res.Close, ShouldBeTrue)
 			}
-			So(crowded.Load(), ShouldEqual, 2)
+			So(overLimit.Load(), ShouldEqual, 2)
 		})
 	})
 }
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -30,7 +30,7 @@
 	calls     *callCounts
 	sent      *callCounts // bytes sent to other instances
 
-	quietClosed tally.Counter
+	idleClosed tally.Counter
 }
 
 func newMeters(settings *Settings) *meters {
@@ -46,7 +46,7 @@
 		total:     m.Scope().Histogram("relay_request_seconds", buckets),
 		store:     m.Scope().Histogram("store_call_seconds", buckets),
 
-		quietClosed: m.Scope().Counter("caller_connections_closed_total"),
+		idleClosed: m.Scope().Counter("caller_connections_closed_total"),
 	}
 }
 
@@ -62,8 +62,8 @@
 	m.metrics.Scope().Tagged(map[string]string{"proven": "no"}).Counter("escrow_settled_tokens_total").Inc(s.Unproven())
 }
 
-// recordQuietClosed counts a connection without requests that was closed for a further one.
-func (m *meters) recordQuietClosed() { m.quietClosed.Inc(1) }
+// recordIdleClosed counts a connection without requests that was closed for a further one.
+func (m *meters) recordIdleClosed() { m.idleClosed.Inc(1) }
 
 // recordRejection counts a request that was rejected before it was read.
 func (m *meters) recordRejection(code verdict.Code) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -271,7 +271,7 @@
 	}
 	r.callers = edge.New(callers, r.core, platform.Parser, edge.DefaultTimeouts(),
 		edge.WithNow(r.arrivalTime), edge.WithDiverting(r.pressure.Diverting), edge.WithListenerWrapper(r.pressure.Listener),
-		edge.WithMemory(r.memory), edge.WithConnectionLimit(r.settings.Instance.maxConnections(), r.metrics.recordQuietClosed),
+		edge.WithMemory(r.memory), edge.WithConnectionLimit(r.settings.Instance.maxConnections(), r.metrics.recordIdleClosed),
 		edge.OnRejected(r.logRejection), edge.WithLogger(r.log))
 	r.probes = newProbes(probes, r.settings.Probes, r.ready, r.metrics.handler())
 	if addr := r.settings.Probes.MetricsListen; addr != "" {
--- a/internal/upstream/header_test.go
+++ b/internal/upstream/header_test.go
@@ -13,8 +13,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// dribble writes text without end, a few bytes at a time, until the connection is closed.
-func dribble(c net.Conn, text string) {
+// writeForever writes text without end, a few bytes at a time, until the connection is closed.
+func writeForever(c net.Conn, text string) {
 	for {
 		if _, err := io.WriteString(c, text); err != nil {
 			return
@@ -39,7 +39,7 @@
 			p := newFakeEndpoint(t, func(_ int, conn net.Conn, r *bufio.Reader) {
 				defer close(closed)
 				if respond(conn, r, c.raw) {
-					dribble(conn, "x")
+					writeForever(conn, "x")
 				}
 			})
 			client := New()
@@ -85,7 +85,7 @@
 		p := newFakeEndpoint(t, func(_ int, conn net.Conn, r *bufio.Reader) {
 			for respond(conn, r, okResponse) {
 				if surplus.Load() {
-					dribble(conn, "x")
+					writeForever(conn, "x")
 				}
 			}
 		})
