fix: bound the kernel's buffers of connections

What an endpoint sends and a caller does not read stays in the kernel's buffers, which count towards the memory of the machine: each may grow to 33 MB here. 40 callers that read nothing of endless responses held 256 MB on all sides of their connections after 2 s.

Connections of callers and to endpoints have 64 KiB in each direction (the kernel doubles it for its overhead). A window of 64 KiB lets 32 MB a second through at 2 ms.

--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 )
 
 // retryInterval is the time between two attempts to listen on an address.
@@ -26,6 +27,19 @@
 // OnWait sets a function that is called once if the address is taken and TCP waits for it.
 func OnWait(f func(err error)) Option { return func(o *options) { o.onWait = f } }
 
+// bufferBytes is the size of the kernel's buffers of a connection in each direction, which count towards the memory of the
+// machine. By default, each may grow to many megabytes if one side does not read.
+const bufferBytes = 64 << 10
+
+// limitBuffers sets the size of a listener's buffers, which its connections take over.
+func limitBuffers(_, _ string, c syscall.RawConn) error {
+	return c.Control(func(fd uintptr) {
+		// Linux accepts any size. Elsewhere, the default is no reason not to serve.
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bufferBytes)
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, bufferBytes)
+	})
+}
+
 // TCP listens on an address. While another process holds it, or the machine does not have it yet, TCP tries again until
 // ctx ends.
 func TCP(ctx context.Context, addr string, opts ...Option) (*Listener, error) {
@@ -33,7 +47,7 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
-	var lc net.ListenConfig
+	lc := net.ListenConfig{Control: limitBuffers}
 	lc.SetMultipathTCP(false) // the kernel supports no socket filters for it, which RefuseNew needs
 	t := time.NewTicker(retryInterval)
 	defer t.Stop()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -132,7 +132,7 @@
 // Dial establishes a TCP connection that the kernel closes if its peer has vanished.
 func Dial(ctx context.Context, addr string) (net.Conn, error) {
 	d := net.Dialer{
-		Control:         setUserTimeout,
+		Control:         setSocketOptions,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: int(silenceTimeout / keepAliveInterval)},
 	}
 	return d.DialContext(ctx, "tcp", addr)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -220,6 +220,7 @@
 			return n
 		}
 		So(option(unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT), ShouldEqual, silenceTimeout.Milliseconds())
+		So(option(unix.SOL_SOCKET, unix.SO_RCVBUF), ShouldEqual, 2*receiveBufferBytes) // the kernel doubles it for its overhead
 		So(option(unix.SOL_SOCKET, unix.SO_KEEPALIVE), ShouldEqual, 1)
 		So(option(unix.IPPROTO_TCP, unix.TCP_KEEPIDLE), ShouldEqual, keepAliveInterval.Seconds())
 		// TCP_USER_TIMEOUT ends the probes, whatever their count. A sound endpoint may be silent for a second.
