--- a/internal/graceful/connections.go
+++ b/internal/graceful/connections.go
@@ -82,8 +82,7 @@
 	return true
 }
 
-// takeLongestIdle is closeLongestIdle without the close. The connection no longer counts as open, since its descriptor is
-// free as soon as it is closed. It returns nil if there is none.
+// takeLongestIdle removes the connection that closeLongestIdle closes, and returns it; nil: there is none.
 func (c *connections) takeLongestIdle(before time.Time, enough int) net.Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/graceful/discard.go
+++ b/internal/graceful/discard.go
@@ -23,5 +23,5 @@
 		return
 	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, discardBytes)) // the caller may stop sending at any time
-	_ = rc.SetReadDeadline(time.Time{})                              // it was settable above
+	_ = rc.SetReadDeadline(time.Time{})                              // the connection supports it, see above
 }
--- a/internal/graceful/graceful.go
+++ b/internal/graceful/graceful.go
@@ -1,6 +1,6 @@
-// Package graceful runs an HTTP server whose planned stop loses no request. Connections that the kernel has established are
-// accepted and served before the listener closes, and a connection is closed only after a response that announces it, or
-// while no request is expected on it.
+// Package graceful runs an HTTP server that answers each request that it has received when it stops. It accepts the
+// connections that the kernel has established before the listener closes. It closes a connection after a response with
+// "Connection: close", or when it is idle.
 package graceful
 
 import (
@@ -101,7 +101,7 @@
 
 // handle passes a request to the handler, or rejects it if its connection exceeds the limit or the server stops.
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
-	overLimit, stopping := r.Context().Value(surplusKey{}) != nil, s.stopping.Load()
+	overLimit, stopping := r.Context().Value(overLimitKey{}) != nil, s.stopping.Load()
 	if overLimit || s.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -115,8 +115,8 @@
 	}
 }
 
-// surplusKey is the context key that marks a connection above the limit.
-type surplusKey struct{}
+// overLimitKey is the context key that marks a connection above the limit.
+type overLimitKey struct{}
 
 // admit makes room for a new connection, or marks it as one above the limit.
 func (s *Server) admit(ctx context.Context, _ net.Conn) context.Context {
@@ -127,7 +127,7 @@
 		s.onClosed()
 		return ctx
 	}
-	return context.WithValue(ctx, surplusKey{}, true)
+	return context.WithValue(ctx, overLimitKey{}, true)
 }
 
 // Connections returns the number of open connections.
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -1,6 +1,6 @@
-// Package listen opens TCP listeners for servers that must not end because of a passing fault: an address that another
-// process still holds, or an error that concerns a single connection. A listener can be drained before it is closed, so that
-// no connection is lost that has been established already.
+// Package listen opens TCP listeners for servers that must survive temporary errors: an address that another process still
+// holds, or an error that concerns a single connection. A listener can be drained before it is closed, so that no established
+// connection is reset.
 package listen
 
 import (
@@ -56,7 +56,7 @@
 		if err == nil {
 			return &Listener{TCPListener: l.(*net.TCPListener)}, nil
 		}
-		if !isPassing(err) {
+		if !isTemporary(err) {
 			return nil, eris.Wrapf(err, "listening on %s", addr)
 		}
 		if attempt == 1 {
@@ -70,8 +70,8 @@
 	}
 }
 
-// isPassing reports whether a failure to listen may end without any change of the settings.
-func isPassing(err error) bool {
+// isTemporary reports whether the cause of a failure to listen may go away by itself.
+func isTemporary(err error) bool {
 	return errors.Is(err, syscall.EADDRINUSE) || errors.Is(err, syscall.EADDRNOTAVAIL)
 }
 
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -351,8 +351,8 @@
 	return j.relayBuffered(ctx, res, wd)
 }
 
-// headerTimeout returns the time in which a header that has begun has to end. A header that comes slowly is no progress, so a
-// request that may be sent to another endpoint waits for it no longer than for a silent one. 0: the default.
+// headerTimeout returns the time from the first bytes of a header to its end; 0: the default. If the request may be retried
+// at another endpoint, a slow header is treated like a silent endpoint.
 func (j *job) headerTimeout() time.Duration {
 	if !j.hasOtherAttempt() {
 		return 0
--- a/internal/upstream/silence.go
+++ b/internal/upstream/silence.go
@@ -10,8 +10,9 @@
 // towards the memory of the machine. By default, it may grow to many megabytes for each connection.
 const receiveBufferBytes = 64 << 10
 
-// setSocketOptions sets the options of a connection to an endpoint. It makes the kernel close a connection if sent data is not acknowledged within silenceTimeout. The option
-// also determines when keep-alive probes of an idle connection give up, whatever their count.
+// setSocketOptions sets the options of a connection to an endpoint. The kernel closes it if sent data is not acknowledged
+// within silenceTimeout. That option also determines when keep-alive probes of an idle connection give up, whatever their
+// count.
 func setSocketOptions(_, _ string, c syscall.RawConn) error {
 	var optErr error
 	err := c.Control(func(fd uintptr) {
