--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -1,6 +1,6 @@
 // Package listen opens TCP listeners for servers that must survive temporary errors: an address that another process still
-// holds, or an error that concerns a single connection. A listener can be drained before it is closed, so that no established
-// connection is reset.
+// holds, or an error that concerns a single connection. A listener can be drained before it is closed, so that no
+// established connection is reset.
 package listen
 
 import (
