fix: serve no part of a response whose connection is reset during the upload

Callers got a part of a response as a complete one: an endpoint answers a long upload at once with a 200 that has no length, sends part of its body and resets the connection, or closes it with the upload unread, while the upload is being written.

Cause: the kernel reports a reset to the first call that uses the connection afterwards. The goroutine that writes the upload took it and dropped it, and the reader then got an end of file, which is how a response without length ends.

Connections to endpoints are now wrapped by cleaneof.Conn. At an end of file it ends a write that still waits, waits for it to return, and reports ErrInterrupted if a write has failed. This leaves no race: if the peer has not ended its data, the write that took the error has not returned, or has recorded it. A write that only waits returns the deadline, so that an endpoint that ends its data and reads no more of the upload is still served (TestWholeResponsesAroundUploads, green before and after). The attempt counts as broken, as for any response that breaks off, and its log line and the counter of protocol faults say "interrupted".

--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -19,7 +19,7 @@
 	res.Body = watchedBody{ReadCloser: res.Body, watchdog: wd}
 	body, complete, err := memory.Read(res.Body, res.Length, maxBuffered, j.req.Memory)
 	if err != nil && !errors.Is(err, memory.ErrExceeded) {
-		return resultBroken, nil
+		return j.interrupted(err), nil
 	}
 	j.wroteAt = j.core.now()
 	if complete && !res.NoBody && res.Length >= 0 && int64(len(body)) < res.Length {
@@ -81,9 +81,15 @@
 			return resultDone
 		}
 		if err != nil {
-			return resultBroken
+			return j.interrupted(err)
 		}
 	}
 }
 
+// interrupted records how a response violated the protocol whose body cannot be read to its end.
+func (j *job) interrupted(err error) result {
+	j.fault = upstream.ProtocolFaultOf(err)
+	return resultBroken
+}
+
 const copyBufferSize = 16 << 10
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -54,7 +54,7 @@
 			return resultDone
 		}
 		if err != nil {
-			return resultBroken
+			return j.interrupted(err)
 		}
 		wd.received()
 		wd.noteFirstEvent()
--- a/internal/upstream/header.go
+++ b/internal/upstream/header.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/ledgemount/ledgemount/internal/cleaneof"
 )
 
 // Limits of the header of a response.
@@ -34,6 +36,8 @@
 	FaultInterim    ProtocolFault = "interim"
 	FaultFraming    ProtocolFault = "framing"
 	FaultStatusLine ProtocolFault = "status-line"
+	// FaultInterrupted is a response whose connection failed while the request was being written.
+	FaultInterrupted ProtocolFault = "interrupted"
 )
 
 // ProtocolFaultOf returns how the response violated the protocol whose exchange returned err; empty if it did not.
@@ -49,6 +53,8 @@
 		return FaultStatusLine
 	case errors.Is(err, errFraming):
 		return FaultFraming
+	case errors.Is(err, cleaneof.ErrInterrupted):
+		return FaultInterrupted
 	}
 	return ""
 }
--- a/internal/upstream/refused.go
+++ b/internal/upstream/refused.go
@@ -74,7 +74,7 @@
 	nc, err := c.connect(ctx, addr, probeTimeout)
 	switch {
 	case err == nil:
-		return c.newConn(nc, addr), probeConnected
+		return newConn(nc, addr), probeConnected
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return nil, probeRefused
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/ledgemount/ledgemount/internal/cleaneof"
 )
 
 // Request is a request to an endpoint. The length of its body is known, even if the caller sent the body in chunks.
@@ -138,11 +140,15 @@
 	return d.DialContext(ctx, "tcp", addr)
 }
 
-// connect establishes a connection to an address within a timeout.
+// connect establishes a wrapped connection to an address within a timeout.
 func (c *Client) connect(ctx context.Context, addr string, timeout time.Duration) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return c.dial(ctx, addr)
+	nc, err := c.dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return cleaneof.New(c.wrap(nc)), nil
 }
 
 // conn is a connection to an endpoint. It carries one exchange at a time.
@@ -191,7 +197,7 @@
 		if err != nil {
 			return nil, eris.Wrapf(errors.Join(ErrNotSent, err), "connecting to %s", addr)
 		}
-		cn := c.newConn(nc, addr)
+		cn := newConn(c.wrap(nc), addr)
 		cn.single = true
 		return cn, nil
 	}
@@ -219,7 +225,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(errors.Join(ErrNotSent, err), "connecting to %s", addr)
 	}
-	return c.newConn(nc, addr), nil
+	return newConn(nc, addr), nil
 }
 
 // Connect establishes a connection to an address that the client does not reuse.
@@ -228,7 +234,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "connecting to %s", addr)
 	}
-	return c.wrap(nc), nil
+	return nc, nil
 }
 
 // Probe establishes a connection to an address within a timeout, and keeps it for the next request.
@@ -237,13 +243,12 @@
 	if err != nil {
 		return eris.Wrapf(err, "connecting to %s", addr)
 	}
-	c.put(c.newConn(nc, addr), nil)
+	c.put(newConn(nc, addr), nil)
 	return nil
 }
 
-// newConn wraps an established network connection for exchanges.
-func (c *Client) newConn(nc net.Conn, addr string) *conn {
-	nc = c.wrap(nc)
+// newConn prepares an established connection for exchanges.
+func newConn(nc net.Conn, addr string) *conn {
 	header := &headerReader{conn: nc}
 	return &conn{Conn: nc, addr: addr, header: header, br: bufio.NewReaderSize(header, readBufferSize)}
 }
