fix: tell the near end of a tunnel that its destination was reset during the upload

A request that another instance forwards met the same fault: the far end of the tunnel dropped the error of its writes and passed the end of file on, so the near end took a part of a response without length for all of it, and so did the caller.

The far end now reads its destination through cleaneof.Conn, and cancels the stream as for any other broken destination. The near end could not know by itself.

--- a/internal/mesh/tunnel.go
+++ b/internal/mesh/tunnel.go
@@ -12,6 +12,7 @@
 	"github.com/quic-go/quic-go"
 	"github.com/rotisserie/eris"
 
+	"github.com/ledgemount/ledgemount/internal/cleaneof"
 	"github.com/ledgemount/ledgemount/internal/verdict"
 )
 
@@ -140,16 +141,17 @@
 		st.CancelRead(0)
 		return
 	}
-	defer func() { _ = c.Close() }()
+	far := cleaneof.New(c)
+	defer func() { _ = far.Close() }()
 	if t.write(st, req.Kind, reply{}) != nil {
 		return
 	}
 	var wg sync.WaitGroup
 	wg.Go(func() {
-		copyOutbound(c, st)
-		_ = c.Close()
+		copyOutbound(far, st)
+		_ = far.Close()
 	})
-	n, err := copyInbound(st, c)
+	n, err := copyInbound(st, far)
 	t.sent.Add(n)
 	t.traffic(req.Kind, int(n))
 	if err != nil {
--- a/internal/mesh/tunnel_test.go
+++ b/internal/mesh/tunnel_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"flag"
+	"fmt"
 	"io"
 	"net"
 	"testing"
@@ -81,6 +83,15 @@
 		_, err = read(x.near)
 		So(errors.Is(err, io.ErrUnexpectedEOF), ShouldBeTrue)
 	})
+	Convey("Nor does a reset while bytes are written to the destination", t, func() {
+		for _, part := range []int{10, 100_000, 400_000} {
+			for _, delay := range []time.Duration{0, 20 * time.Millisecond, 200 * time.Millisecond} {
+				for range *uploadPlays {
+					SoMsg(fmt.Sprintf("%d bytes, reset after %v", part, delay), playResetDuringUpload(t, part, delay), ShouldNotBeNil)
+				}
+			}
+		}
+	})
 	Convey("Nor does the end of the instance in between", t, func() {
 		x := newTunnelTest(t)
 		_, err := io.WriteString(x.far, "half")
@@ -111,6 +122,26 @@
 	})
 }
 
+var uploadPlays = flag.Int("uploads.plays", 1, "how often each case of an upload whose destination resets the connection is played")
+
+// playResetDuringUpload returns the error that ends the data of a destination that sends a part of a response and resets the
+// connection while the near end still writes.
+func playResetDuringUpload(t *testing.T, part int, delay time.Duration) error {
+	x := newTunnelTest(t)
+	defer func() { _ = x.near.Close() }()
+	go func() { _, _ = x.near.Write(make([]byte, 6<<20)) }()
+	_, err := io.ReadFull(x.far, make([]byte, 1000))
+	So(err, ShouldBeNil)
+	_, err = x.far.Write(make([]byte, part))
+	So(err, ShouldBeNil)
+	time.Sleep(delay)
+	So(x.far.SetLinger(0), ShouldBeNil)
+	So(x.far.Close(), ShouldBeNil)
+	_ = x.near.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, err = io.Copy(io.Discard, x.near)
+	return err
+}
+
 func TestTunnelsAfterRestart(t *testing.T) {
 	Convey("While tunnels through a restarted instance are still open, new ones do not wait for their end", t, func() {
 		ca, err := NewAuthority()
