fix: take no part of a plain service's response for all of it after a reset

The chat edge met the same fault through net/http's transport, which reads a response until the connection's end of file while another goroutine still writes the request: Driver.Invoke returned a part as the complete response of a plain service, and the edge served and kept it as such.

The connections of the transport are cleaneof's, whether it dials itself or through the monitor of paths. The call ends as truncated, like any other response that breaks off. Streams of model engines were not affected: they end with a marker.

--- a/internal/cleaneof/cleaneof.go
+++ b/internal/cleaneof/cleaneof.go
@@ -5,6 +5,7 @@
 package cleaneof
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -39,6 +40,20 @@
 	return &Conn{Conn: c}
 }
 
+// DialContextFunc establishes a connection, as in http.Transport.
+type DialContextFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// Dial returns a function that wraps the connections that dial establishes.
+func Dial(dial DialContextFunc) DialContextFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return New(c), nil
+	}
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.writes.RLock()
--- a/internal/endpoint/engine.go
+++ b/internal/endpoint/engine.go
@@ -20,6 +20,7 @@
 
 	"github.com/ledgemount/ledgemount/internal/answer"
 	"github.com/ledgemount/ledgemount/internal/chat"
+	"github.com/ledgemount/ledgemount/internal/cleaneof"
 	"github.com/ledgemount/ledgemount/internal/endpoint/wire"
 	"github.com/ledgemount/ledgemount/internal/pool"
 	"github.com/ledgemount/ledgemount/internal/verdict"
@@ -71,7 +72,7 @@
 // NewTransport returns a transport with a connection pool sized for endpoints.
 func NewTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         cleaneof.Dial((&net.Dialer{Timeout: dialTimeout}).DialContext),
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
--- a/internal/reach/dialer.go
+++ b/internal/reach/dialer.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"github.com/ledgemount/ledgemount/internal/cleaneof"
 	"github.com/ledgemount/ledgemount/internal/pool"
 	"github.com/ledgemount/ledgemount/internal/upstream"
 )
@@ -48,7 +49,11 @@
 func (d *Dialer) Connect(ctx context.Context, addr string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, directTimeout)
 	defer cancel()
-	return d.dial(ctx, addr)
+	conn, err := d.dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return cleaneof.New(conn), nil
 }
 
 // Probe implements Client. The connection is not kept, since the client cannot take it over.
