fix: take no response without a valid status for an interim one, or for a rejection

An endpoint in trouble sent an answer with status 000, and clients got it, or what followed it, as an answer.

Cause: Go's parser takes any three digits as a status. The relay skipped every status under 200 as an interim response and served the next header that arrived; so it did with 101, which no request asks for. At the chat edge, net/http's transport returned 000, 099 and 101 as final responses: Driver.Invoke passed them on, a stream's request counted as rejected and not run, although it may have run, and orders, stops and imports to endpoints counted as done.

httpcheck.Response now decides for both edges whether a parsed header is that of a response. What is none counts as a broken attempt: the request may have run, a repeatable one goes to another endpoint, the log line names the fault ("status"), the counters are relay_protocol_faults_total and, at the chat edge, invalid_responses. Status 600 and above were and are taken as server errors, as RFC 9110 has it, and interim responses from 100 on are skipped as before.

--- a/internal/endpoint/engine.go
+++ b/internal/endpoint/engine.go
@@ -22,6 +22,7 @@
 	"github.com/ledgemount/ledgemount/internal/chat"
 	"github.com/ledgemount/ledgemount/internal/cleaneof"
 	"github.com/ledgemount/ledgemount/internal/endpoint/wire"
+	"github.com/ledgemount/ledgemount/internal/httpcheck"
 	"github.com/ledgemount/ledgemount/internal/pool"
 	"github.com/ledgemount/ledgemount/internal/verdict"
 )
@@ -66,8 +67,10 @@
 // NewDriver returns a Driver with its own connection pool.
 func NewDriver() *Driver { return NewDriverWith(NewTransport()) }
 
-// NewDriverWith returns a Driver that uses a given transport.
-func NewDriverWith(t http.RoundTripper) *Driver { return &Driver{http: &http.Client{Transport: t}} }
+// NewDriverWith returns a Driver that uses a given transport, whose responses it checks.
+func NewDriverWith(t http.RoundTripper) *Driver {
+	return &Driver{http: &http.Client{Transport: httpcheck.Transport(t)}}
+}
 
 // NewTransport returns a transport with a connection pool sized for endpoints.
 func NewTransport() *http.Transport {
@@ -161,6 +164,9 @@
 	if ctx.Err() != nil {
 		return verdict.New(verdict.MayHaveRun, verdict.CodeCancelled, "ended before the endpoint answered", verdict.WithCause(err))
 	}
+	if httpcheck.Is(err) {
+		return verdict.New(verdict.MayHaveRun, verdict.CodeEndpointFailed, "the endpoint's response is invalid: "+eris.Cause(err).Error(), verdict.WithCause(err))
+	}
 	return verdict.New(verdict.MayHaveRun, verdict.CodeEndpointFailed, "the endpoint broke the connection", verdict.WithCause(err))
 }
 
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -14,6 +14,7 @@
 	"github.com/ledgemount/ledgemount/internal/budget"
 	"github.com/ledgemount/ledgemount/internal/declare"
 	"github.com/ledgemount/ledgemount/internal/endpoint"
+	"github.com/ledgemount/ledgemount/internal/httpcheck"
 	"github.com/ledgemount/ledgemount/internal/once"
 	"github.com/ledgemount/ledgemount/internal/pool"
 	"github.com/ledgemount/ledgemount/internal/retry"
@@ -271,6 +272,9 @@
 		t.Lease.ObserveLatency(j.firstToken, j.slowestGap)
 		return
 	}
+	if httpcheck.Is(err) {
+		j.g.metrics.invalid.Inc(1)
+	}
 	switch verdict.From(err).Code() {
 	case verdict.CodeOverloaded:
 		t.Lease.Done(pool.EndBusy)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,6 +16,7 @@
 	firstToken  tally.Histogram
 	slowestGap  tally.Histogram
 	quarantined tally.Counter // requests put into quarantine
+	invalid     tally.Counter // responses of endpoints that are no HTTP
 }
 
 func newMetrics(s tally.Scope) metrics {
@@ -27,6 +28,7 @@
 		tokens:      s.Counter("tokens_billed"),
 		firstToken:  s.Histogram("first_token_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)),
 		quarantined: s.Counter("quarantine_requests"),
+		invalid:     s.Counter("invalid_responses"),
 		slowestGap:  s.Histogram("slowest_gap_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12)),
 	}
 }
--- a/internal/upstream/header.go
+++ b/internal/upstream/header.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/ledgemount/ledgemount/internal/cleaneof"
+	"github.com/ledgemount/ledgemount/internal/httpcheck"
 )
 
 // Limits of the header of a response.
@@ -36,6 +37,7 @@
 	FaultInterim    ProtocolFault = "interim"
 	FaultFraming    ProtocolFault = "framing"
 	FaultStatusLine ProtocolFault = "status-line"
+	FaultStatus     ProtocolFault = "status"
 	// FaultInterrupted is a response whose connection failed while the request was being written.
 	FaultInterrupted ProtocolFault = "interrupted"
 )
@@ -53,6 +55,8 @@
 		return FaultStatusLine
 	case errors.Is(err, errFraming):
 		return FaultFraming
+	case errors.Is(err, httpcheck.ErrStatus):
+		return FaultStatus
 	case errors.Is(err, cleaneof.ErrInterrupted):
 		return FaultInterrupted
 	}
@@ -143,6 +147,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := httpcheck.Response(res); err != nil {
+			return nil, err
+		}
 		if res.StatusCode < http.StatusOK {
 			limits.restart()
 			continue
