fix: take no response for one if the name of a field is invalid

An endpoint in trouble sent an answer in whose header the name of a field held a blank; callers got it as an answer, with that line passed on or with a body that was not the endpoint's.

Cause: Go's parser accepts blanks in the names of fields, and does not recognize such a field. "Content-Length : 2" and "Transfer-Encoding : chunked" did not limit the body, which then held bytes behind it or the framing of its chunks, and "Not-Run : 1" did not say that a request had not run. Names with a tab or a control byte were rejected before, without a fault in the log.

The log names the fault ("field"), also for lines that Go's parser rejects.

--- a/internal/endpoint/invalid_response_test.go
+++ b/internal/endpoint/invalid_response_test.go
@@ -66,3 +66,33 @@
 		}
 	})
 }
+
+// Guards against a response whose header has a field with an invalid name, and a body that is not the endpoint's.
+func TestInvalidFieldNameIsServed(t *testing.T) {
+	Convey("A response is none if a name in its header or an interim response is invalid", t, func() {
+		for _, line := range []string{"X Odd: 1", "Content-Length : 2", "Transfer-Encoding : chunked", "X\tOdd: 1", "X\x00Odd: 1", "X\x7f: 1"} {
+			expectInvalid(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n"+jsonObject)
+			expectInvalid(t, "HTTP/1.1 200 OK\r\n"+line+"\r\nContent-Type: application/json\r\n\r\n{}")
+			expectInvalid(t, "HTTP/1.1 404 Not Found\r\n"+line+"\r\n"+jsonObject)
+			expectInvalid(t, "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\nHTTP/1.1 200 OK\r\n"+jsonObject)
+		}
+	})
+	Convey("So is one whose trailer has such a name", t, func() {
+		for _, line := range []string{"X Odd: 1", "X\tOdd: 1", "X\x00Odd: 1"} {
+			url := rawEndpoint(t, func(c net.Conn) {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"+line+"\r\n\r\n")
+			})
+			d := NewDriver()
+			SoMsg(line, invoke(d, url), ShouldNotBeNil)
+			d.Close()
+		}
+	})
+	Convey("A response after interim ones is served", t, func() {
+		url := rawEndpoint(t, func(c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Trailer: 1\r\n\r\n")
+		})
+		d := NewDriver()
+		defer d.Close()
+		So(invoke(d, url), ShouldBeNil)
+	})
+}
--- a/internal/httpcheck/httpcheck.go
+++ b/internal/httpcheck/httpcheck.go
@@ -4,12 +4,32 @@
 import (
 	"errors"
 	"net/http"
+	"net/textproto"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/net/http/httpguts"
 )
 
-// ErrStatus reports a response that is none. The peer may have run the request.
-var ErrStatus = errors.New("the status of the response is invalid")
+// MaxInterim is the number of interim responses that may precede a final one.
+const MaxInterim = 8
+
+// Errors of responses that are none. The peer may have run the request.
+var (
+	ErrStatus         = errors.New("the status of the response is invalid")
+	ErrFieldName      = errors.New("the name of a field of the response is invalid")
+	ErrTooManyInterim = errors.New("too many interim responses")
+)
+
+// Is reports whether err is that of an invalid response.
+func Is(err error) bool {
+	return errors.Is(err, ErrStatus) || errors.Is(err, ErrTooManyInterim) || IsField(err)
+}
+
+// IsField reports whether err is that of a response one of whose fields is invalid.
+func IsField(err error) bool {
+	var malformed textproto.ProtocolError // of a line that Go's parser rejects
+	return errors.Is(err, ErrFieldName) || errors.As(err, &malformed)
+}
 
 // Response checks an interim or final response whose header has been parsed. A response that switches the protocol is
 // invalid, since no request asks for that.
@@ -17,8 +37,16 @@
 	if res.StatusCode < http.StatusContinue || res.StatusCode == http.StatusSwitchingProtocols {
 		return eris.Wrapf(ErrStatus, "status %03d", res.StatusCode)
 	}
-	return nil
+	return Fields(res.Header)
 }
 
-// Is reports whether err is that of an invalid response.
-func Is(err error) bool { return errors.Is(err, ErrStatus) }
+// Fields checks the names of the fields of a header or trailer. Go's parser accepts blanks, and does not recognize such a
+// field, although it may state how long the body is.
+func Fields(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return eris.Wrapf(ErrFieldName, "%q", name)
+		}
+	}
+	return nil
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"github.com/ledgemount/ledgemount/internal/httpcheck"
 )
 
 // exchange is one request and its response on one connection.
@@ -92,21 +94,26 @@
 // body reads the body of a response. At its end, it ends the exchange.
 type body struct {
 	exchange *exchange
-	src      io.Reader
-	ended    bool
+	response *http.Response
+	end      error // io.EOF after a complete response
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
-	if b.ended {
-		return 0, io.EOF
+	if b.end != nil {
+		return 0, b.end
+	}
+	n, err := b.response.Body.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
 	}
-	n, err := b.src.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.ended = true
-		b.exchange.finish()
+	if b.end = httpcheck.Fields(b.response.Trailer); b.end != nil {
+		b.exchange.abort()
+		return n, b.end
 	}
-	return n, err
+	b.end = io.EOF
+	b.exchange.finish()
+	return n, io.EOF
 }
 
 // Close ends the exchange. The connection is reused only if the body was read to its end.
--- a/internal/upstream/header.go
+++ b/internal/upstream/header.go
@@ -15,14 +15,12 @@
 // Limits of the header of a response.
 const (
 	maxHeaderBytes       = 16 << 10        // of a response, including its interim responses
-	maxInterim           = 8               // interim responses before a response
 	defaultHeaderTimeout = 3 * time.Second // from the first bytes of a header to its end
 )
 
 // Errors of responses that exceed these limits. The endpoint may have run the request.
 var (
 	ErrHeaderTooLarge = errors.New("the header of the response is too large")
-	ErrTooManyInterim = errors.New("too many interim responses")
 	ErrHeaderTimeout  = errors.New("the header of the response was not complete in time")
 	ErrNoStatusLine   = errors.New("the response does not begin with a status line")
 )
@@ -38,6 +36,7 @@
 	FaultFraming    ProtocolFault = "framing"
 	FaultStatusLine ProtocolFault = "status-line"
 	FaultStatus     ProtocolFault = "status"
+	FaultField      ProtocolFault = "field"
 	// FaultInterrupted is a response whose connection failed while the request was being written.
 	FaultInterrupted ProtocolFault = "interrupted"
 )
@@ -49,7 +48,7 @@
 		return FaultHeaderSize
 	case errors.Is(err, ErrHeaderTimeout):
 		return FaultHeaderTime
-	case errors.Is(err, ErrTooManyInterim):
+	case errors.Is(err, httpcheck.ErrTooManyInterim):
 		return FaultInterim
 	case errors.Is(err, ErrNoStatusLine):
 		return FaultStatusLine
@@ -57,6 +56,8 @@
 		return FaultFraming
 	case errors.Is(err, httpcheck.ErrStatus):
 		return FaultStatus
+	case httpcheck.IsField(err):
+		return FaultField
 	case errors.Is(err, cleaneof.ErrInterrupted):
 		return FaultInterrupted
 	}
@@ -142,7 +143,7 @@
 	limits, method := x.conn.header, req.Method
 	limits.begin(req.HeaderTimeout)
 	defer limits.end()
-	for range maxInterim + 1 {
+	for range httpcheck.MaxInterim + 1 {
 		res, err := http.ReadResponse(x.conn.br, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
@@ -162,8 +163,8 @@
 		}
 		x.header, x.closeAfter = res.Header, res.Close
 		return &Response{
-			Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, NoBody: hasNoBody(method, res.StatusCode), Body: &body{exchange: x, src: res.Body},
+			Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, NoBody: hasNoBody(method, res.StatusCode), Body: &body{exchange: x, response: res},
 		}, nil
 	}
-	return nil, ErrTooManyInterim
+	return nil, httpcheck.ErrTooManyInterim
 }
--- a/internal/upstream/header_test.go
+++ b/internal/upstream/header_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ledgemount/ledgemount/internal/httpcheck"
 )
 
 // writeForever writes text without end, a few bytes at a time, until the connection is closed.
@@ -30,7 +32,7 @@
 			fault ProtocolFault
 		}{
 			{"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", maxHeaderBytes), FaultHeaderSize},
-			{strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", maxInterim+1), FaultInterim},
+			{strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", httpcheck.MaxInterim+1), FaultInterim},
 			{"HTTP/1.1 200 OK\r\nX: ", FaultHeaderTime},
 			{"x", FaultStatusLine},
 			{"HTTP/2 200", FaultStatusLine},
