fix: check the responses of the store and of the instance list at the chat edge

The chat edge's clients of the key-value service and of the instance list took invalid responses as the other clients did. A list with an invalid header counted as one without entries or instances, and a rejection with one as a write that was not done.

Both use httpcheck's transport now; such a call fails, and a write may have been done. Not seen in use; found by looking for the same cause.

--- a/internal/external/etcdstore/client.go
+++ b/internal/external/etcdstore/client.go
@@ -18,6 +18,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/ledgemount/ledgemount/internal/external"
+	"github.com/ledgemount/ledgemount/internal/httpcheck"
 )
 
 const (
@@ -51,6 +52,7 @@
 	for _, opt := range opts {
 		opt(c)
 	}
+	c.http.Transport = httpcheck.Transport(c.http.Transport)
 	return c
 }
 
--- a/internal/external/httplist/client.go
+++ b/internal/external/httplist/client.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/ledgemount/ledgemount/internal/external"
+	"github.com/ledgemount/ledgemount/internal/httpcheck"
 )
 
 const (
@@ -41,7 +42,7 @@
 
 // New makes a client for the list's URL.
 func New(url string, transport http.RoundTripper) *Client {
-	return &Client{url: url, http: &http.Client{Timeout: defaultTimeout, Transport: transport}}
+	return &Client{url: url, http: &http.Client{Timeout: defaultTimeout, Transport: httpcheck.Transport(transport)}}
 }
 
 // Instances implements external.InstanceList.
