refactor: wrap connections through tunnels once, and state a bounded cause of invalid responses

The far end's connection of a tunnel was wrapped by the client that dials it and again by the tunnel, so that an end of file during an unread upload could wait twice; the tunnel alone wraps it now. The detail that the chat edge gives to callers names the kind of fault instead of the line that was rejected, which an endpoint chooses and which may have 16 KiB. httpcheck.Cause replaces two predicates.

--- a/internal/endpoint/engine.go
+++ b/internal/endpoint/engine.go
@@ -164,8 +164,8 @@
 	if ctx.Err() != nil {
 		return verdict.New(verdict.MayHaveRun, verdict.CodeCancelled, "ended before the endpoint answered", verdict.WithCause(err))
 	}
-	if httpcheck.Is(err) {
-		return verdict.New(verdict.MayHaveRun, verdict.CodeEndpointFailed, "the endpoint's response is invalid: "+eris.Cause(err).Error(), verdict.WithCause(err))
+	if cause := httpcheck.Cause(err); cause != nil {
+		return verdict.New(verdict.MayHaveRun, verdict.CodeEndpointFailed, "the endpoint's response is none: "+cause.Error(), verdict.WithCause(err))
 	}
 	return verdict.New(verdict.MayHaveRun, verdict.CodeEndpointFailed, "the endpoint broke the connection", verdict.WithCause(err))
 }
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -272,7 +272,7 @@
 		t.Lease.ObserveLatency(j.firstToken, j.slowestGap)
 		return
 	}
-	if httpcheck.Is(err) {
+	if httpcheck.Cause(err) != nil {
 		j.g.metrics.invalid.Inc(1)
 	}
 	switch verdict.From(err).Code() {
--- a/internal/httpcheck/httpcheck.go
+++ b/internal/httpcheck/httpcheck.go
@@ -16,19 +16,22 @@
 // Errors of responses that are none. The peer may have run the request.
 var (
 	ErrStatus         = errors.New("the status of the response is invalid")
-	ErrFieldName      = errors.New("the name of a field of the response is invalid")
+	ErrField          = errors.New("a field of the response is invalid")
 	ErrTooManyInterim = errors.New("too many interim responses")
 )
 
-// Is reports whether err is that of an invalid response.
-func Is(err error) bool {
-	return errors.Is(err, ErrStatus) || errors.Is(err, ErrTooManyInterim) || IsField(err)
-}
-
-// IsField reports whether err is that of a response one of whose fields is invalid.
-func IsField(err error) bool {
+// Cause returns which of the errors of this package err stands for; nil: err is not that of an invalid response.
+func Cause(err error) error {
 	var malformed textproto.ProtocolError // of a line that Go's parser rejects
-	return errors.Is(err, ErrFieldName) || errors.As(err, &malformed)
+	switch {
+	case errors.Is(err, ErrStatus):
+		return ErrStatus
+	case errors.Is(err, ErrTooManyInterim):
+		return ErrTooManyInterim
+	case errors.Is(err, ErrField), errors.As(err, &malformed):
+		return ErrField
+	}
+	return nil
 }
 
 // Response checks an interim or final response whose header has been parsed. A response that switches the protocol is
@@ -45,7 +48,7 @@
 func Fields(h http.Header) error {
 	for name := range h {
 		if !httpguts.ValidHeaderFieldName(name) {
-			return eris.Wrapf(ErrFieldName, "%q", name)
+			return eris.Wrapf(ErrField, "name %q", name)
 		}
 	}
 	return nil
--- a/internal/reach/dialer.go
+++ b/internal/reach/dialer.go
@@ -35,8 +35,11 @@
 		return conn, err
 	}
 	conn, err := d.Connect(ctx, addr)
-	if err == nil || !known || ctx.Err() != nil || d.monitor.Verify(ctx, e.Service, e.ID) != Forwarded {
-		return conn, err
+	if err == nil {
+		return cleaneof.New(conn), nil
+	}
+	if !known || ctx.Err() != nil || d.monitor.Verify(ctx, e.Service, e.ID) != Forwarded {
+		return nil, err
 	}
 	conn, _, err = d.monitor.Connect(ctx, e.Service, e.ID)
 	return conn, err
@@ -49,11 +52,7 @@
 func (d *Dialer) Connect(ctx context.Context, addr string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, directTimeout)
 	defer cancel()
-	conn, err := d.dial(ctx, addr)
-	if err != nil {
-		return nil, err
-	}
-	return cleaneof.New(conn), nil
+	return d.dial(ctx, addr)
 }
 
 // Probe implements Client. The connection is not kept, since the client cannot take it over.
--- a/internal/upstream/header.go
+++ b/internal/upstream/header.go
@@ -41,6 +41,11 @@
 	FaultInterrupted ProtocolFault = "interrupted"
 )
 
+// invalidFaults are the faults by the errors of httpcheck.
+var invalidFaults = map[error]ProtocolFault{
+	httpcheck.ErrTooManyInterim: FaultInterim, httpcheck.ErrStatus: FaultStatus, httpcheck.ErrField: FaultField,
+}
+
 // ProtocolFaultOf returns how the response violated the protocol whose exchange returned err; empty if it did not.
 func ProtocolFaultOf(err error) ProtocolFault {
 	switch {
@@ -48,20 +53,14 @@
 		return FaultHeaderSize
 	case errors.Is(err, ErrHeaderTimeout):
 		return FaultHeaderTime
-	case errors.Is(err, httpcheck.ErrTooManyInterim):
-		return FaultInterim
 	case errors.Is(err, ErrNoStatusLine):
 		return FaultStatusLine
 	case errors.Is(err, errFraming):
 		return FaultFraming
-	case errors.Is(err, httpcheck.ErrStatus):
-		return FaultStatus
-	case httpcheck.IsField(err):
-		return FaultField
 	case errors.Is(err, cleaneof.ErrInterrupted):
 		return FaultInterrupted
 	}
-	return ""
+	return invalidFaults[httpcheck.Cause(err)]
 }
 
 // statusLinePrefix is how each response begins.
--- a/internal/upstream/refused.go
+++ b/internal/upstream/refused.go
@@ -71,10 +71,10 @@
 
 // probe tries to establish one new connection. The connection is nil unless the result is probeConnected.
 func (c *Client) probe(ctx context.Context, addr string) (*conn, probeResult) {
-	nc, err := c.connect(ctx, addr, probeTimeout)
+	cn, err := c.open(ctx, addr, probeTimeout)
 	switch {
 	case err == nil:
-		return newConn(nc, addr), probeConnected
+		return cn, probeConnected
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return nil, probeRefused
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -140,7 +140,7 @@
 	return d.DialContext(ctx, "tcp", addr)
 }
 
-// connect establishes a wrapped connection to an address within a timeout.
+// connect establishes a connection to an address within a timeout.
 func (c *Client) connect(ctx context.Context, addr string, timeout time.Duration) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -148,7 +148,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return cleaneof.New(c.wrap(nc)), nil
+	return c.wrap(nc), nil
+}
+
+// open establishes a connection for exchanges to an address within a timeout.
+func (c *Client) open(ctx context.Context, addr string, timeout time.Duration) (*conn, error) {
+	nc, err := c.connect(ctx, addr, timeout)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(cleaneof.New(nc), addr), nil
 }
 
 // conn is a connection to an endpoint. It carries one exchange at a time.
@@ -218,14 +227,14 @@
 		_ = cn.Close()
 	}
 	started := c.now()
-	nc, err := c.connect(ctx, addr, c.dialTimeout)
+	cn, err := c.open(ctx, addr, c.dialTimeout)
 	if req.OnDial != nil {
 		req.OnDial(c.now().Sub(started), err)
 	}
 	if err != nil {
 		return nil, eris.Wrapf(errors.Join(ErrNotSent, err), "connecting to %s", addr)
 	}
-	return newConn(nc, addr), nil
+	return cn, nil
 }
 
 // Connect establishes a connection to an address that the client does not reuse.
@@ -239,11 +248,11 @@
 
 // Probe establishes a connection to an address within a timeout, and keeps it for the next request.
 func (c *Client) Probe(ctx context.Context, addr string, timeout time.Duration) error {
-	nc, err := c.connect(ctx, addr, timeout)
+	cn, err := c.open(ctx, addr, timeout)
 	if err != nil {
 		return eris.Wrapf(err, "connecting to %s", addr)
 	}
-	c.put(newConn(nc, addr), nil)
+	c.put(cn, nil)
 	return nil
 }
 
