--- a/internal/cleaneof/cleaneof.go
+++ b/internal/cleaneof/cleaneof.go
@@ -1,4 +1,4 @@
-// Package cleaneof tells the end of a peer's data from the end of a connection that has failed.
+// Package cleaneof distinguishes the end of a peer's data from the failure of a connection.
 //
 // The kernel reports a reset, or a timeout, to the first call that uses the connection afterwards. If that call is a write,
 // later reads return an end of file, as if the peer had sent all of its data.
--- a/internal/endpoint/engine.go
+++ b/internal/endpoint/engine.go
@@ -165,7 +165,7 @@
 		return verdict.New(verdict.MayHaveRun, verdict.CodeCancelled, "ended before the endpoint answered", verdict.WithCause(err))
 	}
 	if cause := httpcheck.Cause(err); cause != nil {
-		return verdict.New(verdict.MayHaveRun, verdict.CodeEndpointFailed, "the endpoint's response is none: "+cause.Error(), verdict.WithCause(err))
+		return verdict.New(verdict.MayHaveRun, verdict.CodeEndpointFailed, "the endpoint's response is invalid: "+cause.Error(), verdict.WithCause(err))
 	}
 	return verdict.New(verdict.MayHaveRun, verdict.CodeEndpointFailed, "the endpoint broke the connection", verdict.WithCause(err))
 }
--- a/internal/endpoint/header_test.go
+++ b/internal/endpoint/header_test.go
@@ -1,7 +1,6 @@
 package endpoint
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -12,33 +11,16 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ledgemount/ledgemount/internal/rawtest"
 )
 
 // rawEndpoint serves each connection with a function after it has read a request.
 func rawEndpoint(t *testing.T, respond func(c net.Conn)) (url string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				req, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, req.Body)
-				respond(c)
-			}()
-		}
-	}()
-	return "http://" + l.Addr().String()
+	return "http://" + rawtest.Listen(t, func(c *net.TCPConn, req *http.Request) {
+		_, _ = io.Copy(io.Discard, req.Body)
+		respond(c)
+	})
 }
 
 // dispatch and invoke send a request to an engine and to a plain service, and return how it ended.
--- a/internal/endpoint/interrupted_upload_test.go
+++ b/internal/endpoint/interrupted_upload_test.go
@@ -1,7 +1,6 @@
 package endpoint
 
 import (
-	"bufio"
 	"context"
 	"flag"
 	"fmt"
@@ -14,6 +13,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ledgemount/ledgemount/internal/rawtest"
 )
 
 var uploadPlays = flag.Int("uploads.plays", 1, "how often each case of an interrupted upload is played")
@@ -21,31 +22,11 @@
 const (
 	uploadBytes   = 6 << 20
 	unframedStart = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
-	smallBuffer   = 16 // of an endpoint's reader, so that it reads little more than it returns
 )
 
-// earlyEndpoint serves each connection with a function that gets the header of a request, before the body is read.
+// earlyEndpoint serves each connection with a function that gets the body of a request before it is read.
 func earlyEndpoint(t *testing.T, respond func(c *net.TCPConn, body io.Reader)) (url string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				if req, err := http.ReadRequest(bufio.NewReaderSize(c, smallBuffer)); err == nil {
-					respond(c.(*net.TCPConn), req.Body)
-				}
-			}()
-		}
-	}()
-	return "http://" + l.Addr().String()
+	return "http://" + rawtest.Listen(t, func(c *net.TCPConn, req *http.Request) { respond(c, req.Body) })
 }
 
 func invokeUpload(d *Driver, url string) (*Response, error) {
--- a/internal/external/etcdstore/client_test.go
+++ b/internal/external/etcdstore/client_test.go
@@ -1,47 +1,17 @@
 package etcdstore
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/ledgemount/ledgemount/internal/external"
+	"github.com/ledgemount/ledgemount/internal/rawtest"
 )
 
-// rawStore serves each call with raw bytes and closes the connection.
-func rawStore(t *testing.T, raw string) (url string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				req, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, req.Body)
-				_, _ = io.WriteString(c, raw)
-			}()
-		}
-	}()
-	return "http://" + l.Addr().String()
-}
-
 // Guards against bytes that are no response of the store and count as one: an empty list, or a write that was not done.
 func TestInvalidResponseCounts(t *testing.T) {
 	const empty = "Content-Length: 2\r\n\r\n{}"
@@ -50,7 +20,7 @@
 		"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n{}", "HTTP/1.1 429 Too Many Requests\r\nX Odd: 1\r\n" + empty,
 	} {
 		Convey(fmt.Sprintf("No call succeeds, and a write may have been done: %q", raw), t, func() {
-			c, ctx := New(rawStore(t, raw)), context.Background()
+			c, ctx := New("http://"+rawtest.Listen(t, rawtest.Respond(raw))), context.Background()
 			_, err := c.List(ctx, "x/")
 			So(errors.Is(err, external.ErrUnavailable), ShouldBeTrue)
 			_, err = c.Put(ctx, "x/a", []byte("v"), 0, 0)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,7 +16,7 @@
 	firstToken  tally.Histogram
 	slowestGap  tally.Histogram
 	quarantined tally.Counter // requests put into quarantine
-	invalid     tally.Counter // responses of endpoints that are no HTTP
+	invalid     tally.Counter // invalid responses of endpoints
 }
 
 func newMetrics(s tally.Scope) metrics {
--- a/internal/httpcheck/httpcheck.go
+++ b/internal/httpcheck/httpcheck.go
@@ -1,4 +1,4 @@
-// Package httpcheck decides whether what a peer has sent is a response of HTTP/1.1, where Go's parser accepts more.
+// Package httpcheck rejects responses that Go's parser accepts although they are invalid in HTTP/1.1.
 package httpcheck
 
 import (
@@ -13,7 +13,7 @@
 // MaxInterim is the number of interim responses that may precede a final one.
 const MaxInterim = 8
 
-// Errors of responses that are none. The peer may have run the request.
+// Errors of invalid responses. The peer may have run the request.
 var (
 	ErrStatus         = errors.New("the status of the response is invalid")
 	ErrField          = errors.New("a field of the response is invalid")
