--- a/internal/endpoint/interrupted_upload_test.go
+++ b/internal/endpoint/interrupted_upload_test.go
@@ -39,7 +39,7 @@
 // what is wrong with the result; empty: nothing.
 func interruptedUpload(t *testing.T, part int, delay time.Duration, reset bool) string {
 	url := earlyEndpoint(t, func(c *net.TCPConn, body io.Reader) {
-		_, _ = body.Read(make([]byte, 1)) // more of the upload has arrived then
+		_, _ = body.Read(make([]byte, 1)) // then the kernel holds unread bytes of the upload
 		_, _ = io.WriteString(c, unframedStart+strings.Repeat("p", part))
 		time.Sleep(delay)
 		if reset {
--- a/internal/upstream/interrupted_upload_test.go
+++ b/internal/upstream/interrupted_upload_test.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return
 	}
-	_, _ = req.Body.Read(make([]byte, 1)) // more of the upload has arrived then
+	_, _ = req.Body.Read(make([]byte, 1)) // then the kernel holds unread bytes of the upload
 	_, _ = io.WriteString(c, unframedStart+strings.Repeat("p", i.part))
 	time.Sleep(i.delay)
 	if i.reset {
