--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -8,7 +8,7 @@
 )
 
 // cases are the cases by name. Each returns what was broken.
-var cases = map[string]func(trouble bool) []string{"kills": kills}
+var cases = map[string]func(trouble bool) []string{"kills": kills, "moved": moved}
 
 // The routers end with the thread that has started them.
 func init() { runtime.LockOSThread() }
--- a/review/standin2/router.go
+++ b/review/standin2/router.go
@@ -66,7 +66,10 @@
 		"provider": map[string]any{"address": r.store, "form": "kv", "writes_per_s": 400, "reads_per_s": 2000, "historyS": 20, "value_bytes": 1048576, "ttl_min_ms": 1000},
 	}
 	raw, _ := json.Marshal(set)
-	if err := os.WriteFile(r.settings, raw, 0o600); err != nil {
+	if err := os.WriteFile(r.settings+".new", raw, 0o600); err != nil {
+		fail("writing settings: %v", err)
+	}
+	if err := os.Rename(r.settings+".new", r.settings); err != nil {
 		fail("writing settings: %v", err)
 	}
 }
@@ -80,7 +83,6 @@
 // start starts the process.
 func (r *router) start() {
 	r.write()
-	r.bootstrap = false
 	log, err := os.OpenFile(strings.TrimSuffix(r.settings, ".json")+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		fail("opening a log: %v", err)
@@ -93,6 +95,7 @@
 	if err := r.cmd.Start(); err != nil {
 		fail("starting the router: %v", err)
 	}
+	r.bootstrap = false
 	ended := make(chan struct{})
 	cmd := r.cmd
 	r.ended = ended
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -42,13 +42,23 @@
 	_ = json.NewEncoder(w).Encode(reply)
 }
 
-// open serves the store on a loopback address and returns the address.
-func (s *store) open(host string) string {
+// door is an address at which the store is served.
+type door struct {
+	addr   string
+	server *http.Server
+}
+
+// open serves the store on a loopback address.
+func (s *store) open(host string) *door {
 	l := listen(host)
-	go func() { _ = (&http.Server{Handler: s, ReadHeaderTimeout: time.Minute}).Serve(l) }()
-	return l.Addr().String()
+	d := &door{addr: l.Addr().String(), server: &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}}
+	go func() { _ = d.server.Serve(l) }()
+	return d
 }
 
+// close ends the door with its connections.
+func (d *door) close() { _ = d.server.Close() }
+
 type txn struct {
 	Expected []struct {
 		Key      string `json:"key"`
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -24,6 +24,7 @@
 	dir     string
 	j       *journal
 	store   *store
+	door    *door
 	routers []*router
 	engines []*engine
 	plain   []*engine
@@ -32,6 +33,7 @@
 	version int64
 	prepaid map[string]int64
 	keys    map[string]string // tenants by key
+	revoked string            // the key that was taken away
 	stop    atomic.Bool
 	clients sync.WaitGroup
 	number  atomic.Int64
@@ -56,13 +58,20 @@
 		e.record(w.store, "ready")
 		w.plain = append(w.plain, e)
 	}
-	addr := w.store.open(hostOf(200))
+	w.door = w.store.open(hostOf(200))
 	for i := range routers {
-		w.routers = append(w.routers, newRouter(dir, i, addr))
+		w.routers = append(w.routers, newRouter(dir, i, w.door.addr))
 	}
 	return w
 }
 
+// revoke takes the key of a tenant away, from the next configuration on.
+func (w *world) revoke(key string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.revoked = key
+}
+
 // tenant adds a tenant with a key.
 func (w *world) tenant(name string, prepaid int64) {
 	w.mu.Lock()
@@ -78,7 +87,11 @@
 	w.version += 3
 	var tenants []map[string]any
 	for key, name := range w.keys {
-		tenants = append(tenants, map[string]any{"name": name, "apiKeys": []string{key}, "priority": 1, "prepaid": w.prepaid[name]})
+		keys := []string{key}
+		if key == w.revoked {
+			keys = []string{}
+		}
+		tenants = append(tenants, map[string]any{"name": name, "apiKeys": keys, "priority": 1, "prepaid": w.prepaid[name]})
 	}
 	sort.Slice(tenants, func(a, b int) bool { return tenants[a]["name"].(string) < tenants[b]["name"].(string) })
 	route := func(name, prefix, kind, service string, attempts, timeout int, more map[string]any) map[string]any {
