--- a/review/standin2/kills.go
+++ b/review/standin2/kills.go
@@ -24,7 +24,7 @@
 
 // kills ends processes with SIGKILL, many at the same moment, and lets the tenants use up what they have prepaid.
 func kills(trouble bool) []string {
-	w := newWorld("review/5/record.txt", 6, 9, 2)
+	w := newWorld("review/4/record.txt", 6, 9, 2)
 	defer w.close()
 	for i := range 3 {
 		w.tenant(fmt.Sprintf("t%d", i), killsPrepaid)
--- a/review/standin2/moved.go
+++ b/review/standin2/moved.go
@@ -20,7 +20,7 @@
 
 // moved changes the address of the store in the settings of all machines, and later takes a key away.
 func moved(trouble bool) []string {
-	w := newWorld("review/6/record.txt", 6, 6, 3)
+	w := newWorld("review/5/record.txt", 6, 6, 3)
 	defer w.close()
 	w.tenant("stays", 1<<40)
 	w.tenant("leaves", 1<<40)
