--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -43,6 +43,7 @@
 		a.Ended = j.now()
 		j.addAnswer(a)
 	}()
+	j.addSent(r, node)
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nKey: %s\r\nDeadline-Ms: %d\r\n", r.method, r.path, host, r.id, r.key, r.deadline.Milliseconds())
 	if r.out > 0 {
--- a/review/standin2/journal.go
+++ b/review/standin2/journal.go
@@ -53,6 +53,13 @@
 	_, _ = fmt.Fprintf(j.f, "%s %s\n", kind, raw)
 }
 
+// addSent records that a client sends a request.
+func (j *journal) addSent(r request, node string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.line("sent", map[string]any{"ID": r.id, "Node": node, "Method": r.method, "Path": r.path, "Key": r.key, "In": r.in, "Out": r.out, "Body": len(r.body), "At": j.now()})
+}
+
 func (j *journal) addRun(r run) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
